--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleet runner, demonstration and experiments.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `grebepin-bench`.
+
+fn main() {}
--- /dev/null
+++ b/crates/bundle/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bundles: canonical form, digest, checks, sign-off.
--- /dev/null
+++ b/crates/check/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checkers of the promises over a recorded history.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' command line.
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated-log consensus as a pure state machine.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control replica: pure node and its input/output shell.
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `grebepin-control`.
+
+fn main() {}
--- /dev/null
+++ b/crates/ownership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated ownership state and leases: pure state machines.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router daemon.
--- /dev/null
+++ b/crates/schema/src/framing.rs
@@ -0,0 +1,81 @@
+//! Frames of the internal protocol: a length of four bytes, big endian, then a MessagePack value.
+//!
+//! Invariant: a frame longer than the stated limit is refused before any memory is taken for it.
+
+use std::io::{Read, Write};
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::limits::MAXIMUM_FRAME_BYTES;
+
+const PREFIX_BYTES: usize = 4;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The connection failed or was closed within a frame.
+    #[error("connection failed: {0}")]
+    Io(#[from] std::io::Error),
+    /// The peer closed the connection between two frames.
+    #[error("connection closed by the peer")]
+    Closed,
+    /// The frame is longer than the limit.
+    #[error("frame of {bytes} bytes is over the limit of {MAXIMUM_FRAME_BYTES}")]
+    TooLong {
+        /// Length the frame announced.
+        bytes: usize,
+    },
+    /// The bytes are no value of the expected type.
+    #[error("frame does not decode: {0}")]
+    Decode(#[from] rmp_serde::decode::Error),
+    /// The value could not be encoded.
+    #[error("value does not encode: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+}
+
+/// Encodes a value as MessagePack with field names, so that fields may be added later.
+pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, FrameError> {
+    Ok(rmp_serde::to_vec_named(value)?)
+}
+
+/// Decodes a MessagePack value; any bytes give a value or a typed error.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
+    if bytes.len() > MAXIMUM_FRAME_BYTES {
+        return Err(FrameError::TooLong { bytes: bytes.len() });
+    }
+    Ok(rmp_serde::from_slice(bytes)?)
+}
+
+/// Writes one frame and flushes it.
+pub fn write_frame<T: Serialize>(writer: &mut impl Write, value: &T) -> Result<usize, FrameError> {
+    let body = encode(value)?;
+    if body.len() > MAXIMUM_FRAME_BYTES {
+        return Err(FrameError::TooLong { bytes: body.len() });
+    }
+    let mut frame = Vec::with_capacity(PREFIX_BYTES + body.len());
+    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&body);
+    writer.write_all(&frame)?;
+    writer.flush()?;
+    Ok(frame.len())
+}
+
+/// Reads one frame; [`FrameError::Closed`] when the peer closed before its first byte.
+pub fn read_frame<T: DeserializeOwned>(reader: &mut impl Read) -> Result<T, FrameError> {
+    let mut prefix = [0; PREFIX_BYTES];
+    if reader.read(&mut prefix[..1])? == 0 {
+        return Err(FrameError::Closed);
+    }
+    reader.read_exact(&mut prefix[1..])?;
+    let length = u32::from_be_bytes(prefix) as usize;
+    if length > MAXIMUM_FRAME_BYTES {
+        return Err(FrameError::TooLong { bytes: length });
+    }
+    let mut body = Vec::new();
+    reader.take(length as u64).read_to_end(&mut body)?;
+    if body.len() < length {
+        return Err(FrameError::Closed);
+    }
+    decode(&body)
+}
--- /dev/null
+++ b/crates/schema/src/generated.rs
@@ -0,0 +1,3419 @@
+//! Generated from the files under `schema/` by `cargo xtask generate`. Do not edit.
+#![allow(missing_docs, clippy::all)]
+
+///JSON body of every refusal on the admin address.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ApiError {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub accepted_digest: ::std::option::Option<Digest>,
+    ///Version of the accepted bundle.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub accepted_version: ::std::option::Option<u64>,
+    pub kind: ApiErrorKind,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub leader_admin_address: ::std::option::Option<SocketAddress>,
+    ///For people, with what to do next.
+    pub message: ::std::string::String,
+}
+///What went wrong.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ApiErrorKind {
+    ///Ask the leader.
+    #[serde(rename = "not-leader")]
+    NotLeader,
+    ///No leader is known now.
+    #[serde(rename = "no-leader")]
+    NoLeader,
+    ///The group is not founded yet.
+    #[serde(rename = "not-founded")]
+    NotFounded,
+    ///The replica belongs to another founding.
+    #[serde(rename = "already-founded")]
+    AlreadyFounded,
+    ///The request does not parse.
+    #[serde(rename = "bad-request")]
+    BadRequest,
+    ///The request is over the limit.
+    #[serde(rename = "too-large")]
+    TooLarge,
+    ///The bundle fails a check.
+    #[serde(rename = "invalid-bundle")]
+    InvalidBundle,
+    ///A signature does not verify.
+    #[serde(rename = "bad-signature")]
+    BadSignature,
+    ///Not enough trusted operators signed.
+    #[serde(rename = "too-few-signatures")]
+    TooFewSignatures,
+    ///Another bundle with this number was accepted.
+    #[serde(rename = "version-conflict")]
+    VersionConflict,
+    ///The bundle does not follow the accepted one.
+    #[serde(rename = "parent-mismatch")]
+    ParentMismatch,
+    ///No such server.
+    #[serde(rename = "unknown-server")]
+    UnknownServer,
+    ///No such member.
+    #[serde(rename = "unknown-member")]
+    UnknownMember,
+    ///Another membership change is under way, or this one would lose the quorum.
+    #[serde(rename = "membership-busy")]
+    MembershipBusy,
+    ///The outcome is not known; send the same request again.
+    #[serde(rename = "lost-leadership")]
+    LostLeadership,
+    ///No such path.
+    #[serde(rename = "not-found")]
+    NotFound,
+    ///A failure inside the replica.
+    #[serde(rename = "internal")]
+    Internal,
+}
+impl ::std::fmt::Display for ApiErrorKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::NotLeader => f.write_str("not-leader"),
+            Self::NoLeader => f.write_str("no-leader"),
+            Self::NotFounded => f.write_str("not-founded"),
+            Self::AlreadyFounded => f.write_str("already-founded"),
+            Self::BadRequest => f.write_str("bad-request"),
+            Self::TooLarge => f.write_str("too-large"),
+            Self::InvalidBundle => f.write_str("invalid-bundle"),
+            Self::BadSignature => f.write_str("bad-signature"),
+            Self::TooFewSignatures => f.write_str("too-few-signatures"),
+            Self::VersionConflict => f.write_str("version-conflict"),
+            Self::ParentMismatch => f.write_str("parent-mismatch"),
+            Self::UnknownServer => f.write_str("unknown-server"),
+            Self::UnknownMember => f.write_str("unknown-member"),
+            Self::MembershipBusy => f.write_str("membership-busy"),
+            Self::LostLeadership => f.write_str("lost-leadership"),
+            Self::NotFound => f.write_str("not-found"),
+            Self::Internal => f.write_str("internal"),
+        }
+    }
+}
+impl ::std::str::FromStr for ApiErrorKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "not-leader" => Ok(Self::NotLeader),
+            "no-leader" => Ok(Self::NoLeader),
+            "not-founded" => Ok(Self::NotFounded),
+            "already-founded" => Ok(Self::AlreadyFounded),
+            "bad-request" => Ok(Self::BadRequest),
+            "too-large" => Ok(Self::TooLarge),
+            "invalid-bundle" => Ok(Self::InvalidBundle),
+            "bad-signature" => Ok(Self::BadSignature),
+            "too-few-signatures" => Ok(Self::TooFewSignatures),
+            "version-conflict" => Ok(Self::VersionConflict),
+            "parent-mismatch" => Ok(Self::ParentMismatch),
+            "unknown-server" => Ok(Self::UnknownServer),
+            "unknown-member" => Ok(Self::UnknownMember),
+            "membership-busy" => Ok(Self::MembershipBusy),
+            "lost-leadership" => Ok(Self::LostLeadership),
+            "not-found" => Ok(Self::NotFound),
+            "internal" => Ok(Self::Internal),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ApiErrorKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ApiErrorKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Entries that follow a known one.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AppendRequest {
+    pub commit: LogIndex,
+    pub entries: ::std::vec::Vec<Entry>,
+    pub previous_index: LogIndex,
+    pub previous_term: Term,
+    ///Number of the leader's heartbeat round, for leader leases and linearizable reads.
+    pub round: u64,
+}
+///What the follower holds.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AppendResponse {
+    ///Whether the previous entry matched.
+    pub accepted: bool,
+    ///Highest index known to match when accepted; where to try next when not.
+    pub last_index: LogIndex,
+    ///Round of the request answered.
+    pub round: u64,
+}
+///Owner of a shard.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AssignmentRecord {
+    pub epoch: Epoch,
+    pub replica: ReplicaId,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub server: ::std::option::Option<ServerName>,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///A version of everything that operators decide about one deployment.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Bundle {
+    ///Never changes.
+    pub deployment: DeploymentName,
+    ///Why this bundle is rolled, for other operators.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub note: ::std::option::Option<::std::string::String>,
+    ///Digest of the accepted bundle this one follows; absent only for the first.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub parent: ::std::option::Option<Digest>,
+    ///Services, each with its own name.
+    pub services: ::std::vec::Vec<Service>,
+    ///Version number; grows with each accepted bundle.
+    pub version: u64,
+}
+///A bundle in force.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BundleRecord {
+    pub digest: Digest,
+    pub index: LogIndex,
+    ///Version.
+    pub version: u64,
+}
+///A shard that takes no new work and still finishes requests.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct BusyShard {
+    pub epoch: Epoch,
+    ///Requests still running.
+    pub in_flight: u32,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///How one attempt ended.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallerAnswer {
+    ///Request that the answer says it belongs to.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub answer_for: ::std::option::Option<RequestId>,
+    ///As sent.
+    pub attempt: u32,
+    ///From the intended start.
+    pub latency_us: u64,
+    ///Absent when the caller had no answer.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub outcome: ::std::option::Option<Outcome>,
+    pub request_id: RequestId,
+    ///Whether the answer was whole.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub whole: ::std::option::Option<bool>,
+}
+///One attempt of a caller.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CallerAttempt {
+    ///1 for the first, 2 and more for resends.
+    pub attempt: u32,
+    pub class: ClassName,
+    ///Key.
+    pub key: ::std::string::String,
+    ///Whether it may run twice.
+    pub repeatable: bool,
+    pub request_id: RequestId,
+    ///Router asked.
+    pub router: ::std::string::String,
+    pub service: ServiceName,
+}
+///What became of the request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CancelAnswer {
+    ///Epoch held for the shard; 0 for none.
+    pub epoch: Epoch,
+    pub state: RequestState,
+}
+///POST /grebepin/v1/cancel.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct CancelRequest {
+    pub epoch: Epoch,
+    pub request_id: RequestId,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///Bounds on planned moves of shards.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ChurnPolicy {
+    ///Planned moves under way at once.
+    pub concurrent_moves: ::std::num::NonZeroU32,
+    ///Load above the mean, in percent, below which no shard moves for balance.
+    pub imbalance_percent: u32,
+    ///Planned moves started in a minute, over the whole service.
+    pub moves_per_minute: u32,
+}
+///Name of a class of requests.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ClassName(::std::string::String);
+impl ::std::ops::Deref for ClassName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ClassName> for ::std::string::String {
+    fn from(value: ClassName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ClassName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ClassName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ClassName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ClassName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///Identifier of the founding of a control group, so that a resend is recognised.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ClusterId(::std::string::String);
+impl ::std::ops::Deref for ClusterId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ClusterId> for ::std::string::String {
+    fn from(value: ClusterId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ClusterId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[0-9a-f]{32}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[0-9a-f]{32}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ClusterId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ClusterId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ClusterId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A frame to a router or relay.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum ControlFrame {
+    ///The whole table, from a linearizable read.
+    #[serde(rename = "snapshot")]
+    Snapshot(TableSnapshot),
+    ///Changes that follow the index the router has.
+    #[serde(rename = "delta")]
+    Delta(TableDelta),
+    ///Nothing changed; the commit index seen by a majority has reached this.
+    #[serde(rename = "current")]
+    Current(LogIndex),
+    ///Ask another replica; no address while no leader is known.
+    #[serde(rename = "redirect")]
+    Redirect(Redirect),
+}
+impl ::std::convert::From<TableSnapshot> for ControlFrame {
+    fn from(value: TableSnapshot) -> Self {
+        Self::Snapshot(value)
+    }
+}
+impl ::std::convert::From<TableDelta> for ControlFrame {
+    fn from(value: TableDelta) -> Self {
+        Self::Delta(value)
+    }
+}
+impl ::std::convert::From<LogIndex> for ControlFrame {
+    fn from(value: LogIndex) -> Self {
+        Self::Current(value)
+    }
+}
+impl ::std::convert::From<Redirect> for ControlFrame {
+    fn from(value: Redirect) -> Self {
+        Self::Redirect(value)
+    }
+}
+///Settings of grebepin-control.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    ///Listens for operators, metrics and probes.
+    pub admin_address: SocketAddress,
+    ///Folder for the log, snapshots and identity.
+    pub data_dir: ::std::string::String,
+    ///Group of this replica.
+    #[serde(default)]
+    pub group: u32,
+    pub operators: ::std::vec::Vec<TrustedOperator>,
+    ///Listens for other replicas.
+    pub peer_address: SocketAddress,
+    ///Peer addresses of the group's other replicas.
+    pub peers: ::std::vec::Vec<SocketAddress>,
+    ///Where the platform's list of machines is asked; absent for none.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub platform_address: ::std::option::Option<SocketAddress>,
+    ///Sign-offs a bundle needs.
+    pub required_signatures: ::std::num::NonZeroU32,
+    ///Listens for routers and relays.
+    pub router_address: SocketAddress,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub timing: ::std::option::Option<ControlTiming>,
+    pub zone: ZoneName,
+}
+///Times of a control group; equal on all its replicas.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ControlTiming {
+    ///Most by which two clocks' rates differ, in percent.
+    #[serde(default = "defaults::default_u64::<u64, 2>")]
+    pub drift_percent: u64,
+    ///Least silence before a pre-vote; up to twice this at random. Also the leader lease.
+    #[serde(default = "defaults::default_u64::<u64, 300>")]
+    pub election_timeout_ms: u64,
+    ///Between two looks at the platform's list.
+    #[serde(default = "defaults::default_u64::<u64, 500>")]
+    pub platform_poll_ms: u64,
+    ///Between a leader's rounds.
+    #[serde(default = "defaults::default_u64::<u64, 60>")]
+    pub replica_heartbeat_ms: u64,
+    ///Between heartbeats to a server.
+    #[serde(default = "defaults::default_u64::<u64, 200>")]
+    pub server_heartbeat_ms: u64,
+    ///Lease of a server.
+    #[serde(default = "defaults::default_u64::<u64, 1000>")]
+    pub server_lease_ms: u64,
+    ///Entries between two snapshots.
+    #[serde(default = "defaults::default_u64::<u64, 2000>")]
+    pub snapshot_every_entries: u64,
+    ///Step of all timers.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 10>")]
+    pub tick_ms: ::std::num::NonZeroU64,
+}
+impl ::std::default::Default for ControlTiming {
+    fn default() -> Self {
+        Self {
+            drift_percent: defaults::default_u64::<u64, 2>(),
+            election_timeout_ms: defaults::default_u64::<u64, 300>(),
+            platform_poll_ms: defaults::default_u64::<u64, 500>(),
+            replica_heartbeat_ms: defaults::default_u64::<u64, 60>(),
+            server_heartbeat_ms: defaults::default_u64::<u64, 200>(),
+            server_lease_ms: defaults::default_u64::<u64, 1000>(),
+            snapshot_every_entries: defaults::default_u64::<u64, 2000>(),
+            tick_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 10>(),
+        }
+    }
+}
+///Name of a deployment.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct DeploymentName(::std::string::String);
+impl ::std::ops::Deref for DeploymentName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<DeploymentName> for ::std::string::String {
+    fn from(value: DeploymentName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for DeploymentName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for DeploymentName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for DeploymentName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for DeploymentName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///SHA-256 in lower-case hexadecimal.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct Digest(::std::string::String);
+impl ::std::ops::Deref for Digest {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<Digest> for ::std::string::String {
+    fn from(value: Digest) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for Digest {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[0-9a-f]{64}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[0-9a-f]{64}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Digest {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Digest {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for Digest {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///POST /grebepin/v1/drain.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DrainRequest {
+    ///true to leave, false to stay.
+    pub draining: bool,
+}
+///The drain is committed.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DrainServerAnswer {
+    pub index: LogIndex,
+    ///Shards the server still owns.
+    pub shards: u32,
+}
+///POST /v1/drain.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct DrainServerRequest {
+    ///true to drain, false to bring back.
+    pub draining: bool,
+    pub server: ServerName,
+}
+///One request at one server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EffectRecord {
+    pub epoch: Epoch,
+    ///Key.
+    pub key: ::std::string::String,
+    ///Whether it may run twice.
+    pub repeatable: bool,
+    pub request_id: RequestId,
+    pub server: ServerName,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///One entry of the log.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    pub index: LogIndex,
+    pub payload: EntryPayload,
+    pub term: Term,
+}
+///What a log entry holds.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum EntryPayload {
+    ///Written by a new leader to commit earlier terms.
+    #[serde(rename = "noop")]
+    Noop,
+    ///A command of the replicated state machine, encoded.
+    #[serde(rename = "command")]
+    Command(crate::Bytes),
+    ///A new membership, which differs from the one before by one member.
+    #[serde(rename = "membership")]
+    Membership(Membership),
+}
+impl ::std::convert::From<crate::Bytes> for EntryPayload {
+    fn from(value: crate::Bytes) -> Self {
+        Self::Command(value)
+    }
+}
+impl ::std::convert::From<Membership> for EntryPayload {
+    fn from(value: Membership) -> Self {
+        Self::Membership(value)
+    }
+}
+///Fencing number of one shard's ownership: the log index at which that owner was committed.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+impl ::std::ops::Deref for Epoch {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Epoch> for u64 {
+    fn from(value: Epoch) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Epoch {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Epoch {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Epoch {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Epoch {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Epoch {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///Asks for the table.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FollowRequest {
+    pub group: GroupId,
+    ///Index of the table in force at the router; 0 for none.
+    pub have_index: LogIndex,
+    ///Chosen at each start of the router.
+    pub incarnation: u64,
+    pub router: RouterName,
+    pub zone: ZoneName,
+}
+///POST /v1/found on every founding replica; the same on all.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct FoundRequest {
+    pub cluster: ClusterId,
+    pub members: ::std::vec::Vec<Member>,
+}
+///Ownership of one shard at one epoch.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Grant {
+    pub epoch: Epoch,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub previous: ::std::option::Option<PreviousOwner>,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///Which grants took effect.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GrantAnswer {
+    pub accepted: ::std::vec::Vec<HeldShard>,
+    ///As in the heartbeat's answer.
+    pub boot: u64,
+    pub refused: ::std::vec::Vec<GrantRefusal>,
+    pub session: Session,
+}
+///A grant that took no effect.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GrantRefusal {
+    pub epoch: Epoch,
+    pub reason: GrantRefusalReason,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///Why a grant was refused.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum GrantRefusalReason {
+    ///A newer leader was heard.
+    #[serde(rename = "stale-term")]
+    StaleTerm,
+    ///The grant belongs to an ended session.
+    #[serde(rename = "stale-session")]
+    StaleSession,
+    ///The server released or held this epoch or a later one.
+    #[serde(rename = "stale-epoch")]
+    StaleEpoch,
+    ///The server holds no lease.
+    #[serde(rename = "no-lease")]
+    NoLease,
+    ///The server is leaving.
+    #[serde(rename = "draining")]
+    Draining,
+}
+impl ::std::fmt::Display for GrantRefusalReason {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::StaleTerm => f.write_str("stale-term"),
+            Self::StaleSession => f.write_str("stale-session"),
+            Self::StaleEpoch => f.write_str("stale-epoch"),
+            Self::NoLease => f.write_str("no-lease"),
+            Self::Draining => f.write_str("draining"),
+        }
+    }
+}
+impl ::std::str::FromStr for GrantRefusalReason {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "stale-term" => Ok(Self::StaleTerm),
+            "stale-session" => Ok(Self::StaleSession),
+            "stale-epoch" => Ok(Self::StaleEpoch),
+            "no-lease" => Ok(Self::NoLease),
+            "draining" => Ok(Self::Draining),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for GrantRefusalReason {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for GrantRefusalReason {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///POST /grebepin/v1/grant.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GrantRequest {
+    pub grants: ::std::vec::Vec<Grant>,
+    pub group: GroupId,
+    pub session: Session,
+    pub term: Term,
+}
+///A control group: the replicas that decide together for a set of shards.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct GroupId(pub u32);
+impl ::std::ops::Deref for GroupId {
+    type Target = u32;
+    fn deref(&self) -> &u32 {
+        &self.0
+    }
+}
+impl ::std::convert::From<GroupId> for u32 {
+    fn from(value: GroupId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u32> for GroupId {
+    fn from(value: u32) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for GroupId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for GroupId {
+    type Err = <u32 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for GroupId {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for GroupId {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///GET /grebepin/v1/handover?service=S&shard=N&epoch=E, from the next owner to the previous one.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HandoverAnswer {
+    ///Whether the record holds every request since the shard's first owner, within the retention.
+    pub complete: bool,
+    pub entries: ::std::vec::Vec<RecordEntry>,
+}
+///What a replica must not forget.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HardState {
+    pub commit: LogIndex,
+    pub term: Term,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub vote: ::std::option::Option<ReplicaId>,
+}
+///GET /grebepin/v1/health.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HealthAnswer {
+    pub state: HealthState,
+}
+///What the server says of itself.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum HealthState {
+    ///Serving.
+    #[serde(rename = "ok")]
+    Ok,
+    ///Serving slowly after its start.
+    #[serde(rename = "cold")]
+    Cold,
+    ///Leaving.
+    #[serde(rename = "draining")]
+    Draining,
+    ///Not able to serve.
+    #[serde(rename = "failing")]
+    Failing,
+}
+impl ::std::fmt::Display for HealthState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Ok => f.write_str("ok"),
+            Self::Cold => f.write_str("cold"),
+            Self::Draining => f.write_str("draining"),
+            Self::Failing => f.write_str("failing"),
+        }
+    }
+}
+impl ::std::str::FromStr for HealthState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "ok" => Ok(Self::Ok),
+            "cold" => Ok(Self::Cold),
+            "draining" => Ok(Self::Draining),
+            "failing" => Ok(Self::Failing),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for HealthState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for HealthState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///What the server holds.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HeartbeatAnswer {
+    ///Chosen at random at each start of the server.
+    pub boot: u64,
+    ///Whether the server wants to leave.
+    pub draining: bool,
+    ///Count of shards held for this group.
+    pub held: u32,
+    ///Sum, modulo 2^64, over held shards of shard_hash(service, shard, epoch).
+    pub held_checksum: u64,
+    ///Requests running now.
+    pub in_flight: u32,
+    ///0 without a lease.
+    pub lease_remaining_ms: u64,
+    ///Fresh; the next renewal returns it.
+    pub nonce: Nonce,
+    ///Whether this request's lease renewal took effect.
+    pub renewed: bool,
+    pub session: Session,
+}
+///POST /grebepin/v1/heartbeat, from a control leader.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HeartbeatRequest {
+    pub group: GroupId,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub lease: ::std::option::Option<LeaseRenewal>,
+    ///Name the control group knows the server by.
+    pub server: ServerName,
+    pub term: Term,
+}
+///A shard held at an epoch.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(deny_unknown_fields)]
+pub struct HeldShard {
+    pub epoch: Epoch,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///Kinds of recorded events.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum HistoryEvent {
+    ///A server began to hold a shard.
+    #[serde(rename = "acquired")]
+    Acquired(Holding),
+    ///A server stopped holding a shard.
+    #[serde(rename = "forfeited")]
+    Forfeited(Holding),
+    ///A server made a request's effect visible.
+    #[serde(rename = "effect")]
+    Effect(EffectRecord),
+    ///A caller sent a request.
+    #[serde(rename = "sent")]
+    Sent(CallerAttempt),
+    ///A caller received its answer, or gave up.
+    #[serde(rename = "finished")]
+    Finished(CallerAnswer),
+    ///A server took new work.
+    #[serde(rename = "work_started")]
+    WorkStarted(EffectRecord),
+    ///A server was told to leave, or the platform said so to the control group.
+    #[serde(rename = "leaving")]
+    Leaving(ServerName),
+    ///A server was brought back.
+    #[serde(rename = "staying")]
+    Staying(ServerName),
+    ///A server was stopped as planned.
+    #[serde(rename = "stopped")]
+    Stopped(ServerName),
+    ///A server cut a request in flight at its planned stop.
+    #[serde(rename = "cut")]
+    Cut(EffectRecord),
+    ///A process was killed, frozen or cut off as a fault.
+    #[serde(rename = "killed")]
+    Killed(::std::string::String),
+    ///A process came back.
+    #[serde(rename = "returned")]
+    Returned(::std::string::String),
+    ///The control group acknowledged an assignment.
+    #[serde(rename = "acknowledged")]
+    Acknowledged(AssignmentRecord),
+    ///A replica's applied state says who owns a shard.
+    #[serde(rename = "believed")]
+    Believed(AssignmentRecord),
+    ///A bundle was accepted.
+    #[serde(rename = "accepted")]
+    Accepted(BundleRecord),
+    ///A router put a table in force.
+    #[serde(rename = "in_force")]
+    InForce(InForceRecord),
+}
+impl ::std::convert::From<CallerAttempt> for HistoryEvent {
+    fn from(value: CallerAttempt) -> Self {
+        Self::Sent(value)
+    }
+}
+impl ::std::convert::From<CallerAnswer> for HistoryEvent {
+    fn from(value: CallerAnswer) -> Self {
+        Self::Finished(value)
+    }
+}
+impl ::std::convert::From<BundleRecord> for HistoryEvent {
+    fn from(value: BundleRecord) -> Self {
+        Self::Accepted(value)
+    }
+}
+impl ::std::convert::From<InForceRecord> for HistoryEvent {
+    fn from(value: InForceRecord) -> Self {
+        Self::InForce(value)
+    }
+}
+///One thing that happened.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HistoryRecord {
+    ///Time in microseconds on the run's one clock.
+    pub at_us: u64,
+    pub event: HistoryEvent,
+}
+///A server's hold on a shard.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    pub epoch: Epoch,
+    pub server: ServerName,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///GET /grebepin/v1/holdings?group=G.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct HoldingsAnswer {
+    pub session: Session,
+    pub shards: ::std::vec::Vec<HeldShard>,
+}
+///GET /v1/identity.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct IdentityAnswer {
+    pub admin_address: SocketAddress,
+    ///Whether the replica belongs to a founded group.
+    pub founded: bool,
+    pub group: GroupId,
+    pub peer_address: SocketAddress,
+    pub replica: ReplicaId,
+    pub router_address: SocketAddress,
+    pub zone: ZoneName,
+}
+///A router's table.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct InForceRecord {
+    ///Version of its bundle.
+    pub bundle_version: u64,
+    ///Start of the router.
+    pub incarnation: u64,
+    pub index: LogIndex,
+    pub router: RouterName,
+}
+///Sent by a replica with an empty folder to any member.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct JoinRequest {
+    pub group: GroupId,
+    pub member: Member,
+}
+///Answer to a join request.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum JoinResponse {
+    ///The replica is a learner, or about to be.
+    #[serde(rename = "joining")]
+    Joining,
+    ///Ask the leader at this peer address.
+    #[serde(rename = "try_leader")]
+    TryLeader(SocketAddress),
+    ///No group is founded here yet.
+    #[serde(rename = "not_founded")]
+    NotFounded,
+    ///The group refuses the replica.
+    #[serde(rename = "refused")]
+    Refused(::std::string::String),
+}
+impl ::std::convert::From<SocketAddress> for JoinResponse {
+    fn from(value: SocketAddress) -> Self {
+        Self::TryLeader(value)
+    }
+}
+///Renews the lease over every shard the server holds for the group.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LeaseRenewal {
+    ///Counted by the server from the moment it issued the nonce.
+    pub duration_ms: u64,
+    pub nonce: Nonce,
+    pub session: Session,
+}
+///GET /grebepin/v1/load.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadAnswer {
+    ///Requests running.
+    pub in_flight: u32,
+    ///Requests it runs at once.
+    pub slots: u32,
+    ///Requests waiting.
+    pub waiting: u32,
+}
+///What a router counted over an interval.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LoadReport {
+    pub group: GroupId,
+    ///Index of the table in force.
+    pub in_force: LogIndex,
+    ///As in the follow request.
+    pub incarnation: u64,
+    ///Length of the interval.
+    pub interval_ms: u64,
+    pub router: RouterName,
+    pub servers: ::std::vec::Vec<ServerLoad>,
+    ///Shards with the most requests.
+    pub shards: ::std::vec::Vec<ShardLoad>,
+}
+///Position in a control group's log, from 1.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct LogIndex(pub u64);
+impl ::std::ops::Deref for LogIndex {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<LogIndex> for u64 {
+    fn from(value: LogIndex) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for LogIndex {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for LogIndex {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for LogIndex {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for LogIndex {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for LogIndex {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///One entry of the platform's list, which lags.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    pub server: ServerName,
+    pub state: MachineState,
+}
+///GET /machines from the platform.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct MachineList {
+    pub machines: ::std::vec::Vec<Machine>,
+}
+///What the platform says of a machine.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum MachineState {
+    ///Running.
+    #[serde(rename = "live")]
+    Live,
+    ///About to stop.
+    #[serde(rename = "leaving")]
+    Leaving,
+    ///Stopped.
+    #[serde(rename = "gone")]
+    Gone,
+}
+impl ::std::fmt::Display for MachineState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Live => f.write_str("live"),
+            Self::Leaving => f.write_str("leaving"),
+            Self::Gone => f.write_str("gone"),
+        }
+    }
+}
+impl ::std::str::FromStr for MachineState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "live" => Ok(Self::Live),
+            "leaving" => Ok(Self::Leaving),
+            "gone" => Ok(Self::Gone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for MachineState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for MachineState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///One member of a control group.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    pub admin_address: SocketAddress,
+    pub peer_address: SocketAddress,
+    pub replica: ReplicaId,
+    pub role: MemberRole,
+    pub router_address: SocketAddress,
+    pub zone: ZoneName,
+}
+///What a member counts for.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum MemberRole {
+    ///Counts towards elections and commits.
+    #[serde(rename = "voter")]
+    Voter,
+    ///Receives the log and counts for nothing.
+    #[serde(rename = "learner")]
+    Learner,
+}
+impl ::std::fmt::Display for MemberRole {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Voter => f.write_str("voter"),
+            Self::Learner => f.write_str("learner"),
+        }
+    }
+}
+impl ::std::str::FromStr for MemberRole {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "voter" => Ok(Self::Voter),
+            "learner" => Ok(Self::Learner),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for MemberRole {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for MemberRole {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A member as the leader sees it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct MemberStatus {
+    ///Time since its last message.
+    pub last_heard_ms: u64,
+    pub match_index: LogIndex,
+    pub member: Member,
+}
+///Members in force from the moment their entry is in the log.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Membership {
+    pub members: ::std::vec::Vec<Member>,
+}
+///A number that a server issues once; the lease counts from the moment of its issue.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Nonce(pub u64);
+impl ::std::ops::Deref for Nonce {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Nonce> for u64 {
+    fn from(value: Nonce) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Nonce {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Nonce {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Nonce {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Nonce {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Nonce {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///Name of an operator who signs bundles.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct OperatorName(::std::string::String);
+impl ::std::ops::Deref for OperatorName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<OperatorName> for ::std::string::String {
+    fn from(value: OperatorName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for OperatorName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for OperatorName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for OperatorName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for OperatorName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///Header Grebepin-Outcome.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Outcome {
+    ///The answer is the owner's, whole.
+    #[serde(rename = "answered")]
+    Answered,
+    ///The request was not run.
+    #[serde(rename = "not-run")]
+    NotRun,
+    ///The request may have run; ask for its outcome.
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for Outcome {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Answered => f.write_str("answered"),
+            Self::NotRun => f.write_str("not-run"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for Outcome {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "answered" => Ok(Self::Answered),
+            "not-run" => Ok(Self::NotRun),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Outcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Outcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///GET /grebepin/v1/outcome?service=S&shard=N&request_id=ID.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OutcomeAnswer {
+    pub epoch: Epoch,
+    pub state: RequestState,
+}
+///GET /-/outcome/SERVICE/REQUEST-ID with the header Grebepin-Key.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OutcomeLookup {
+    pub state: RequestState,
+}
+///A new owner of one shard.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OwnerChange {
+    pub owner: ShardOwner,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///Kinds of messages between replicas.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum PeerBody {
+    ///Asks whether a vote would be granted; changes no term.
+    #[serde(rename = "pre_vote_request")]
+    PreVoteRequest(VoteRequest),
+    ///Answer to a pre-vote request.
+    #[serde(rename = "pre_vote_response")]
+    PreVoteResponse(VoteResponse),
+    ///Asks for a vote in the message's term.
+    #[serde(rename = "vote_request")]
+    VoteRequest(VoteRequest),
+    ///Answer to a vote request.
+    #[serde(rename = "vote_response")]
+    VoteResponse(VoteResponse),
+    ///Entries, or a heartbeat when there are none.
+    #[serde(rename = "append_request")]
+    AppendRequest(AppendRequest),
+    ///Answer to an append request.
+    #[serde(rename = "append_response")]
+    AppendResponse(AppendResponse),
+    ///One chunk of a snapshot.
+    #[serde(rename = "snapshot_request")]
+    SnapshotRequest(SnapshotRequest),
+    ///Answer to a chunk of a snapshot.
+    #[serde(rename = "snapshot_response")]
+    SnapshotResponse(SnapshotResponse),
+}
+impl ::std::convert::From<AppendRequest> for PeerBody {
+    fn from(value: AppendRequest) -> Self {
+        Self::AppendRequest(value)
+    }
+}
+impl ::std::convert::From<AppendResponse> for PeerBody {
+    fn from(value: AppendResponse) -> Self {
+        Self::AppendResponse(value)
+    }
+}
+impl ::std::convert::From<SnapshotRequest> for PeerBody {
+    fn from(value: SnapshotRequest) -> Self {
+        Self::SnapshotRequest(value)
+    }
+}
+impl ::std::convert::From<SnapshotResponse> for PeerBody {
+    fn from(value: SnapshotResponse) -> Self {
+        Self::SnapshotResponse(value)
+    }
+}
+///A frame on a connection between control processes.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum PeerFrame {
+    ///A consensus message.
+    #[serde(rename = "message")]
+    Message(PeerMessage),
+    ///A join request.
+    #[serde(rename = "join_request")]
+    JoinRequest(JoinRequest),
+    ///Answer to a join request.
+    #[serde(rename = "join_response")]
+    JoinResponse(JoinResponse),
+}
+impl ::std::convert::From<PeerMessage> for PeerFrame {
+    fn from(value: PeerMessage) -> Self {
+        Self::Message(value)
+    }
+}
+impl ::std::convert::From<JoinRequest> for PeerFrame {
+    fn from(value: JoinRequest) -> Self {
+        Self::JoinRequest(value)
+    }
+}
+impl ::std::convert::From<JoinResponse> for PeerFrame {
+    fn from(value: JoinResponse) -> Self {
+        Self::JoinResponse(value)
+    }
+}
+///A message between replicas.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PeerMessage {
+    pub body: PeerBody,
+    pub from: ReplicaId,
+    pub group: GroupId,
+    pub term: Term,
+    pub to: ReplicaId,
+}
+///Who owned the shard before.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PreviousOwner {
+    pub address: SocketAddress,
+    pub epoch: Epoch,
+    ///Whether it released the shard, so that its record can be fetched whole.
+    pub released: bool,
+    pub server: ServerName,
+}
+///Bounds of the queue in front of one server at one router.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct QueuePolicy {
+    ///Requests that may wait for one server.
+    pub waiting_per_server: u32,
+}
+///One request in a shard's record.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RecordEntry {
+    pub request_id: RequestId,
+    pub state: RequestState,
+}
+///Where to ask instead.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Redirect {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub router_address: ::std::option::Option<SocketAddress>,
+}
+///Header Grebepin-Refusal of a back end's answer: the request was not run.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Refusal {
+    ///The server holds the shard at another epoch, or not at all.
+    #[serde(rename = "wrong-epoch")]
+    WrongEpoch,
+    ///The server's lease has ended.
+    #[serde(rename = "no-lease")]
+    NoLease,
+    ///The shard is being released.
+    #[serde(rename = "releasing")]
+    Releasing,
+    ///The server is leaving.
+    #[serde(rename = "draining")]
+    Draining,
+    ///The server has too much to do.
+    #[serde(rename = "shed")]
+    Shed,
+    ///Too little time is left.
+    #[serde(rename = "deadline")]
+    Deadline,
+    ///The request was cancelled before.
+    #[serde(rename = "cancelled")]
+    Cancelled,
+    ///The same request runs now.
+    #[serde(rename = "already-running")]
+    AlreadyRunning,
+    ///A resend whose first attempt can't be looked up; it may have run earlier.
+    #[serde(rename = "record-incomplete")]
+    RecordIncomplete,
+    ///Headers are missing or wrong.
+    #[serde(rename = "bad-request")]
+    BadRequest,
+}
+impl ::std::fmt::Display for Refusal {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::WrongEpoch => f.write_str("wrong-epoch"),
+            Self::NoLease => f.write_str("no-lease"),
+            Self::Releasing => f.write_str("releasing"),
+            Self::Draining => f.write_str("draining"),
+            Self::Shed => f.write_str("shed"),
+            Self::Deadline => f.write_str("deadline"),
+            Self::Cancelled => f.write_str("cancelled"),
+            Self::AlreadyRunning => f.write_str("already-running"),
+            Self::RecordIncomplete => f.write_str("record-incomplete"),
+            Self::BadRequest => f.write_str("bad-request"),
+        }
+    }
+}
+impl ::std::str::FromStr for Refusal {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "wrong-epoch" => Ok(Self::WrongEpoch),
+            "no-lease" => Ok(Self::NoLease),
+            "releasing" => Ok(Self::Releasing),
+            "draining" => Ok(Self::Draining),
+            "shed" => Ok(Self::Shed),
+            "deadline" => Ok(Self::Deadline),
+            "cancelled" => Ok(Self::Cancelled),
+            "already-running" => Ok(Self::AlreadyRunning),
+            "record-incomplete" => Ok(Self::RecordIncomplete),
+            "bad-request" => Ok(Self::BadRequest),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Refusal {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Refusal {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///JSON body of an answer that the router gave by itself.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Reject {
+    pub kind: RejectKind,
+    ///For people.
+    pub message: ::std::string::String,
+    pub outcome: Outcome,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub request_id: ::std::option::Option<RequestId>,
+    ///When to come back.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub retry_after_ms: ::std::option::Option<u64>,
+}
+///Why a router answered by itself.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum RejectKind {
+    ///No Grebepin-Key header.
+    #[serde(rename = "missing-key")]
+    MissingKey,
+    ///A header does not parse.
+    #[serde(rename = "bad-header")]
+    BadHeader,
+    ///No such service.
+    #[serde(rename = "unknown-service")]
+    UnknownService,
+    ///No class of the service fits.
+    #[serde(rename = "unknown-class")]
+    UnknownClass,
+    ///The body is over the limit.
+    #[serde(rename = "body-too-large")]
+    BodyTooLarge,
+    ///Too little time is left.
+    #[serde(rename = "deadline-too-near")]
+    DeadlineTooNear,
+    ///The router has no table yet.
+    #[serde(rename = "no-table")]
+    NoTable,
+    ///No server owns the key now.
+    #[serde(rename = "no-owner")]
+    NoOwner,
+    ///Too many requests wait.
+    #[serde(rename = "queue-full")]
+    QueueFull,
+    ///The retry budget is spent.
+    #[serde(rename = "retry-budget")]
+    RetryBudget,
+    ///The owner refused.
+    #[serde(rename = "owner-refused")]
+    OwnerRefused,
+    ///The owner could not be reached.
+    #[serde(rename = "owner-lost")]
+    OwnerLost,
+    ///The connection failed after the request was sent.
+    #[serde(rename = "outcome-unknown")]
+    OutcomeUnknown,
+    ///The router is stopping.
+    #[serde(rename = "router-stopping")]
+    RouterStopping,
+}
+impl ::std::fmt::Display for RejectKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::MissingKey => f.write_str("missing-key"),
+            Self::BadHeader => f.write_str("bad-header"),
+            Self::UnknownService => f.write_str("unknown-service"),
+            Self::UnknownClass => f.write_str("unknown-class"),
+            Self::BodyTooLarge => f.write_str("body-too-large"),
+            Self::DeadlineTooNear => f.write_str("deadline-too-near"),
+            Self::NoTable => f.write_str("no-table"),
+            Self::NoOwner => f.write_str("no-owner"),
+            Self::QueueFull => f.write_str("queue-full"),
+            Self::RetryBudget => f.write_str("retry-budget"),
+            Self::OwnerRefused => f.write_str("owner-refused"),
+            Self::OwnerLost => f.write_str("owner-lost"),
+            Self::OutcomeUnknown => f.write_str("outcome-unknown"),
+            Self::RouterStopping => f.write_str("router-stopping"),
+        }
+    }
+}
+impl ::std::str::FromStr for RejectKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "missing-key" => Ok(Self::MissingKey),
+            "bad-header" => Ok(Self::BadHeader),
+            "unknown-service" => Ok(Self::UnknownService),
+            "unknown-class" => Ok(Self::UnknownClass),
+            "body-too-large" => Ok(Self::BodyTooLarge),
+            "deadline-too-near" => Ok(Self::DeadlineTooNear),
+            "no-table" => Ok(Self::NoTable),
+            "no-owner" => Ok(Self::NoOwner),
+            "queue-full" => Ok(Self::QueueFull),
+            "retry-budget" => Ok(Self::RetryBudget),
+            "owner-refused" => Ok(Self::OwnerRefused),
+            "owner-lost" => Ok(Self::OwnerLost),
+            "outcome-unknown" => Ok(Self::OutcomeUnknown),
+            "router-stopping" => Ok(Self::RouterStopping),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for RejectKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RejectKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///What became of each shard.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ReleaseAnswer {
+    pub busy: ::std::vec::Vec<BusyShard>,
+    pub released: ::std::vec::Vec<HeldShard>,
+}
+///POST /grebepin/v1/release; asked again until every shard is released.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ReleaseRequest {
+    pub group: GroupId,
+    pub shards: ::std::vec::Vec<HeldShard>,
+    pub term: Term,
+}
+///The removal is committed.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RemoveMemberAnswer {
+    pub index: LogIndex,
+}
+///POST /v1/members/remove.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RemoveMemberRequest {
+    pub replica: ReplicaId,
+}
+///Identity of one control replica's data folder; never used again once that folder is lost.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct ReplicaId(pub u64);
+impl ::std::ops::Deref for ReplicaId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<ReplicaId> for u64 {
+    fn from(value: ReplicaId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for ReplicaId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for ReplicaId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for ReplicaId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ReplicaId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for ReplicaId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///Role of a replica now.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ReplicaRole {
+    ///Leads.
+    #[serde(rename = "leader")]
+    Leader,
+    ///Follows.
+    #[serde(rename = "follower")]
+    Follower,
+    ///Stands for election.
+    #[serde(rename = "candidate")]
+    Candidate,
+    ///Learns.
+    #[serde(rename = "learner")]
+    Learner,
+    ///Has no copy yet.
+    #[serde(rename = "joining")]
+    Joining,
+}
+impl ::std::fmt::Display for ReplicaRole {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Leader => f.write_str("leader"),
+            Self::Follower => f.write_str("follower"),
+            Self::Candidate => f.write_str("candidate"),
+            Self::Learner => f.write_str("learner"),
+            Self::Joining => f.write_str("joining"),
+        }
+    }
+}
+impl ::std::str::FromStr for ReplicaRole {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "leader" => Ok(Self::Leader),
+            "follower" => Ok(Self::Follower),
+            "candidate" => Ok(Self::Candidate),
+            "learner" => Ok(Self::Learner),
+            "joining" => Ok(Self::Joining),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ReplicaRole {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ReplicaRole {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///How requests of one kind are treated.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RequestClass {
+    ///Longest time in ms a caller may ask to wait.
+    pub deadline_ms: ::std::num::NonZeroU64,
+    ///HTTP method; absent for any.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub method: ::std::option::Option<::std::string::String>,
+    pub name: ClassName,
+    ///Prefix of the path behind the service's name, such as /approve.
+    pub path_prefix: ::std::string::String,
+    ///0 is served first.
+    pub priority: u32,
+    ///Whether running the request twice does no harm.
+    pub repeatable: bool,
+}
+///A caller's identifier of one request, kept over its resends.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct RequestId(::std::string::String);
+impl ::std::ops::Deref for RequestId {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<RequestId> for ::std::string::String {
+    fn from(value: RequestId) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for RequestId {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[A-Za-z0-9._:-]{1,128}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[A-Za-z0-9._:-]{1,128}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RequestId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RequestId {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for RequestId {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///What the owner knows of a request.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum RequestState {
+    ///Not run, and a tombstone refuses it from now on.
+    #[serde(rename = "not-run")]
+    NotRun,
+    ///Running now; its effect may still come.
+    #[serde(rename = "running")]
+    Running,
+    ///Its effect was made.
+    #[serde(rename = "ran")]
+    Ran,
+    ///Never seen, in a record that is whole.
+    #[serde(rename = "unseen")]
+    Unseen,
+    ///Not known: the record is not whole, or the server does not own the shard.
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for RequestState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::NotRun => f.write_str("not-run"),
+            Self::Running => f.write_str("running"),
+            Self::Ran => f.write_str("ran"),
+            Self::Unseen => f.write_str("unseen"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for RequestState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "not-run" => Ok(Self::NotRun),
+            "running" => Ok(Self::Running),
+            "ran" => Ok(Self::Ran),
+            "unseen" => Ok(Self::Unseen),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for RequestState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RequestState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///When a request may be sent again.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RetryPolicy {
+    ///Most attempts of one request.
+    pub attempts: ::std::num::NonZeroU32,
+    ///Retries allowed, in percent of first attempts.
+    pub budget_percent: u32,
+}
+///POST /v1/bundles.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RollAnswer {
+    pub digest: Digest,
+    pub index: LogIndex,
+    ///Whether this very bundle was accepted before.
+    pub repeated: bool,
+    ///Version accepted.
+    pub version: u64,
+}
+///A frame from a router or relay.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum RouterFrame {
+    ///Asks for the table and all later changes.
+    #[serde(rename = "follow")]
+    Follow(FollowRequest),
+    ///Load as the router counted it.
+    #[serde(rename = "report")]
+    Report(LoadReport),
+}
+impl ::std::convert::From<FollowRequest> for RouterFrame {
+    fn from(value: FollowRequest) -> Self {
+        Self::Follow(value)
+    }
+}
+impl ::std::convert::From<LoadReport> for RouterFrame {
+    fn from(value: LoadReport) -> Self {
+        Self::Report(value)
+    }
+}
+///Bounds of one router.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RouterLimits {
+    ///Largest body of a request or an answer.
+    #[serde(default = "defaults::default_u64::<u64, 1048576>")]
+    pub body_bytes: u64,
+    ///Connections of callers at once.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 512>")]
+    pub caller_connections: ::std::num::NonZeroU32,
+    ///Longest silence of a caller within a request.
+    #[serde(default = "defaults::default_u64::<u64, 5000>")]
+    pub caller_idle_ms: u64,
+    ///Longest time to connect to a back end.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 250>")]
+    pub connect_timeout_ms: ::std::num::NonZeroU64,
+    ///Deadline of a request that states none.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 2000>")]
+    pub default_deadline_ms: ::std::num::NonZeroU64,
+    ///Time that a stopping router gives its requests.
+    #[serde(default = "defaults::default_u64::<u64, 5000>")]
+    pub drain_ms: u64,
+    ///Between two load reports.
+    #[serde(default = "defaults::default_u64::<u64, 500>")]
+    pub report_ms: u64,
+    ///Threads that serve callers.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 64>")]
+    pub threads: ::std::num::NonZeroU32,
+}
+impl ::std::default::Default for RouterLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: defaults::default_u64::<u64, 1048576>(),
+            caller_connections: defaults::default_nzu64::<::std::num::NonZeroU32, 512>(),
+            caller_idle_ms: defaults::default_u64::<u64, 5000>(),
+            connect_timeout_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 250>(),
+            default_deadline_ms: defaults::default_nzu64::<
+                ::std::num::NonZeroU64,
+                2000,
+            >(),
+            drain_ms: defaults::default_u64::<u64, 5000>(),
+            report_ms: defaults::default_u64::<u64, 500>(),
+            threads: defaults::default_nzu64::<::std::num::NonZeroU32, 64>(),
+        }
+    }
+}
+///Name of a router.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct RouterName(::std::string::String);
+impl ::std::ops::Deref for RouterName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<RouterName> for ::std::string::String {
+    fn from(value: RouterName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for RouterName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for RouterName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RouterName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for RouterName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///Settings of grebepin-router.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RouterSettings {
+    ///Listens for metrics and probes.
+    pub admin_address: SocketAddress,
+    ///Router addresses of the control replicas or relays.
+    pub control_addresses: ::std::vec::Vec<SocketAddress>,
+    ///Group that is followed.
+    #[serde(default)]
+    pub group: u32,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub limits: ::std::option::Option<RouterLimits>,
+    ///Listens for callers.
+    pub listen_address: SocketAddress,
+    pub name: RouterName,
+    pub zone: ZoneName,
+}
+///A router as the leader sees it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RouterStatus {
+    pub in_force: LogIndex,
+    ///Time since its last report.
+    pub last_heard_ms: u64,
+    pub router: RouterName,
+    pub zone: ZoneName,
+}
+///A back-end server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    pub address: SocketAddress,
+    ///Connections it accepts from all routers together.
+    pub connections: ::std::num::NonZeroU32,
+    pub name: ServerName,
+    pub side: SideName,
+    ///Requests it runs at once.
+    pub slots: ::std::num::NonZeroU32,
+    ///Share of its side's shards, relative to the side's other servers.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU32, 100>")]
+    pub weight: ::std::num::NonZeroU32,
+    pub zone: ZoneName,
+}
+///Requests to one server over the interval.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServerLoad {
+    ///Sum of times in flight in microseconds.
+    pub busy_us: u64,
+    ///Requests without a whole answer.
+    pub failed: u64,
+    ///Requests refused by the server.
+    pub refused: u64,
+    ///Requests sent.
+    pub sent: u64,
+    pub server: ServerName,
+}
+///Name of one back-end server, unique in its deployment.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ServerName(::std::string::String);
+impl ::std::ops::Deref for ServerName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ServerName> for ::std::string::String {
+    fn from(value: ServerName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ServerName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServerName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServerName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ServerName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///What a server may be given.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ServerStanding {
+    ///May receive shards and requests.
+    #[serde(rename = "active")]
+    Active,
+    ///Keeps its requests in flight, receives nothing new.
+    #[serde(rename = "draining")]
+    Draining,
+    ///Not in use.
+    #[serde(rename = "gone")]
+    Gone,
+}
+impl ::std::fmt::Display for ServerStanding {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Active => f.write_str("active"),
+            Self::Draining => f.write_str("draining"),
+            Self::Gone => f.write_str("gone"),
+        }
+    }
+}
+impl ::std::str::FromStr for ServerStanding {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "active" => Ok(Self::Active),
+            "draining" => Ok(Self::Draining),
+            "gone" => Ok(Self::Gone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServerStanding {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServerStanding {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A server as the leader sees it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServerStatus {
+    ///Shards it said it holds.
+    pub held: u32,
+    ///Time since its last answer.
+    pub last_heard_ms: u64,
+    ///Shortest time left of the lease given.
+    pub lease_remaining_ms: u64,
+    pub server: ServerName,
+    pub service: ServiceName,
+    ///Shards it owns.
+    pub shards: u32,
+    pub side: SideName,
+    pub standing: ServerStanding,
+    pub zone: ZoneName,
+}
+///A service whose keys are each owned by one server at a time.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    pub churn: ChurnPolicy,
+    ///Classes of requests; the first whose path prefix and method fit applies.
+    pub classes: ::std::vec::Vec<RequestClass>,
+    pub name: ServiceName,
+    pub queue: QueuePolicy,
+    pub retry: RetryPolicy,
+    ///Back ends that may own shards.
+    pub servers: ::std::vec::Vec<Server>,
+    ///Count of shards; fixed for the life of the service.
+    pub shards: ::std::num::NonZeroU32,
+    ///Sides of the migration and what each should carry.
+    pub sides: ::std::vec::Vec<SideShare>,
+}
+///Name of a service.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ServiceName(::std::string::String);
+impl ::std::ops::Deref for ServiceName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ServiceName> for ::std::string::String {
+    fn from(value: ServiceName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ServiceName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServiceName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServiceName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ServiceName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///Routing of one service.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceTable {
+    ///One for each shard, in order.
+    pub owners: ::std::vec::Vec<ShardOwner>,
+    pub service: Service,
+    ///One for each server of the service, in the bundle's order.
+    pub standings: ::std::vec::Vec<ServerStanding>,
+}
+///One unbroken run of a server's lease; a new one begins at each start and after each lapse.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Session(pub u64);
+impl ::std::ops::Deref for Session {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Session> for u64 {
+    fn from(value: Session) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Session {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Session {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Session {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Session {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Session {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///Number of a shard within its service, from 0.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct ShardId(pub u32);
+impl ::std::ops::Deref for ShardId {
+    type Target = u32;
+    fn deref(&self) -> &u32 {
+        &self.0
+    }
+}
+impl ::std::convert::From<ShardId> for u32 {
+    fn from(value: ShardId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u32> for ShardId {
+    fn from(value: u32) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for ShardId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for ShardId {
+    type Err = <u32 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ShardId {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for ShardId {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///One shard of one service.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(deny_unknown_fields)]
+pub struct ShardKey {
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///Requests to one shard over the interval.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ShardLoad {
+    ///Sum of times in flight in microseconds.
+    pub busy_us: u64,
+    ///Requests counted.
+    pub requests: u64,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
+///Owner of one shard.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ShardOwner {
+    ///Epoch of the ownership; 0 when the shard never had an owner.
+    pub epoch: Epoch,
+    ///Position in the service's servers; absent while no server owns the shard.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub server: ::std::option::Option<u32>,
+}
+///Name of one side of a migration, such as a data centre.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct SideName(::std::string::String);
+impl ::std::ops::Deref for SideName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<SideName> for ::std::string::String {
+    fn from(value: SideName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for SideName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for SideName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for SideName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for SideName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///The share of a service's shards that one side should carry.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SideShare {
+    ///Share, relative to the other sides' shares.
+    pub share: u32,
+    pub side: SideName,
+}
+///An operator's sign-off.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Signature {
+    pub operator: OperatorName,
+    ///ed25519 signature over the bundle's digest, hexadecimal.
+    pub signature: SignatureSignature,
+}
+///ed25519 signature over the bundle's digest, hexadecimal.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct SignatureSignature(::std::string::String);
+impl ::std::ops::Deref for SignatureSignature {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<SignatureSignature> for ::std::string::String {
+    fn from(value: SignatureSignature) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for SignatureSignature {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[0-9a-f]{128}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[0-9a-f]{128}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for SignatureSignature {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for SignatureSignature {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for SignatureSignature {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A bundle with its sign-offs.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SignedBundle {
+    pub bundle: Bundle,
+    pub signatures: ::std::vec::Vec<Signature>,
+}
+///Where a snapshot stands in the log.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotMeta {
+    pub index: LogIndex,
+    pub membership: Membership,
+    pub term: Term,
+}
+///One chunk of a snapshot.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotRequest {
+    ///CRC-32 of the whole snapshot.
+    pub checksum: u32,
+    pub chunk: crate::Bytes,
+    pub meta: SnapshotMeta,
+    ///Bytes before this chunk.
+    pub offset: u64,
+    ///Number of the leader's heartbeat round.
+    pub round: u64,
+    ///Bytes of the whole snapshot.
+    pub total: u64,
+}
+///How far a snapshot has come.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotResponse {
+    pub index: LogIndex,
+    ///Whether it is installed and synced.
+    pub installed: bool,
+    ///Bytes received so far; the next chunk's offset.
+    pub received: u64,
+    ///Round of the request answered.
+    pub round: u64,
+}
+///An IP number and a port, such as 127.0.0.1:7000 or [::1]:7000; no host names.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct SocketAddress(::std::string::String);
+impl ::std::ops::Deref for SocketAddress {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<SocketAddress> for ::std::string::String {
+    fn from(value: SocketAddress) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for SocketAddress {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        {
+            ::regress::Regex::new(
+                    "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}$",
+                )
+                .unwrap()
+        });
+        if PATTERN.find(value).is_none() {
+            return Err(
+                "doesn't match pattern \"^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}$\""
+                    .into(),
+            );
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for SocketAddress {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for SocketAddress {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for SocketAddress {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A new standing of one server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct StandingChange {
+    pub server: ServerName,
+    pub service: ServiceName,
+    pub standing: ServerStanding,
+}
+///GET /v1/status.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Status {
+    pub applied: LogIndex,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub bundle_digest: ::std::option::Option<Digest>,
+    ///Version in force.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub bundle_version: ::std::option::Option<u64>,
+    pub commit: LogIndex,
+    pub group: GroupId,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub leader: ::std::option::Option<ReplicaId>,
+    pub members: ::std::vec::Vec<MemberStatus>,
+    ///Shards being handed over.
+    pub moving_shards: u32,
+    pub replica: ReplicaId,
+    pub role: ReplicaRole,
+    pub routers: ::std::vec::Vec<RouterStatus>,
+    pub servers: ::std::vec::Vec<ServerStatus>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub slowest_router: ::std::option::Option<RouterStatus>,
+    ///Index of the last change of the table.
+    pub table_index: LogIndex,
+    pub term: Term,
+    pub tolerated: ToleratedLosses,
+    ///Shards without an owner.
+    pub unowned_shards: u32,
+}
+///Who owns each shard.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Table {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub bundle_digest: ::std::option::Option<Digest>,
+    ///Version of the bundle in force; 0 before the first.
+    pub bundle_version: u64,
+    pub services: ::std::vec::Vec<ServiceTable>,
+}
+///Changes from one index to a later one.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TableDelta {
+    pub group: GroupId,
+    pub index: LogIndex,
+    pub owners: ::std::vec::Vec<OwnerChange>,
+    pub previous: LogIndex,
+    pub standings: ::std::vec::Vec<StandingChange>,
+}
+///The routing table at one index.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TableSnapshot {
+    pub group: GroupId,
+    pub index: LogIndex,
+    pub table: Table,
+}
+///Term of a control group's leader.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+#[serde(transparent)]
+pub struct Term(pub u64);
+impl ::std::ops::Deref for Term {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Term> for u64 {
+    fn from(value: Term) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<u64> for Term {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::fmt::Display for Term {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+impl ::std::str::FromStr for Term {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Term {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Term {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+///What may still be lost without losing the group's decisions.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ToleratedLosses {
+    ///Voters that may be lost now.
+    pub replicas: u32,
+    ///Zones any one of which may be lost now.
+    pub zones: ::std::vec::Vec<ZoneName>,
+}
+///An operator whose signature counts.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TrustedOperator {
+    pub name: OperatorName,
+    ///ed25519 public key, hexadecimal.
+    pub public_key: TrustedOperatorPublicKey,
+}
+///ed25519 public key, hexadecimal.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct TrustedOperatorPublicKey(::std::string::String);
+impl ::std::ops::Deref for TrustedOperatorPublicKey {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<TrustedOperatorPublicKey> for ::std::string::String {
+    fn from(value: TrustedOperatorPublicKey) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for TrustedOperatorPublicKey {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[0-9a-f]{64}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[0-9a-f]{64}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for TrustedOperatorPublicKey {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for TrustedOperatorPublicKey {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for TrustedOperatorPublicKey {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///A candidate's last entry.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct VoteRequest {
+    pub last_index: LogIndex,
+    pub last_term: Term,
+}
+///Whether the vote is granted.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct VoteResponse {
+    ///Whether the vote is granted.
+    pub granted: bool,
+}
+///Name of a zone.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ZoneName(::std::string::String);
+impl ::std::ops::Deref for ZoneName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ZoneName> for ::std::string::String {
+    fn from(value: ZoneName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ZoneName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ZoneName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ZoneName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ZoneName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+/// Generation of default values for serde.
+pub mod defaults {
+    pub(super) fn default_u64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<u64>,
+        <T as ::std::convert::TryFrom<u64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(V).unwrap()
+    }
+    pub(super) fn default_nzu64<T, const V: u64>() -> T
+    where
+        T: ::std::convert::TryFrom<::std::num::NonZeroU64>,
+        <T as ::std::convert::TryFrom<::std::num::NonZeroU64>>::Error: ::std::fmt::Debug,
+    {
+        T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
+    }
+}
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
--- /dev/null
+++ b/crates/schema/src/hashing.rs
@@ -0,0 +1,23 @@
+//! Hashes that several programs must compute alike.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Epoch, ServiceName, ShardId};
+
+/// The shard of a key: XXH3 of the key's bytes, modulo the count of shards.
+///
+/// `shards` is at least 1, as the schema demands.
+pub fn shard_of_key(key: &str, shards: u32) -> ShardId {
+    ShardId((xxh3_64(key.as_bytes()) % u64::from(shards)) as u32)
+}
+
+/// FNV-1a hash of `SERVICE/SHARD/EPOCH`; the sum of these over held shards, modulo 2^64, is the
+/// checksum in a heartbeat's answer. Chosen since a back end in any language writes it in four lines.
+pub fn shard_hash(service: &ServiceName, shard: ShardId, epoch: Epoch) -> u64 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let text = format!("{}/{}/{}", service.as_str(), shard.0, epoch.0);
+    text.bytes().fold(OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Loading and checking settings files.
--- /dev/null
+++ b/crates/sim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic simulator on a virtual clock.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the systems served: back end, caller, platform list.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log, snapshots and identity of a control replica.
--- /dev/null
+++ b/crates/telemetry/src/event.rs
@@ -0,0 +1,48 @@
+//! The catalogue of log events.
+//!
+//! Numbers: 1xx control replicas, 2xx routers, 3xx stand-ins, 4xx shared by all daemons. A number is
+//! never used again for another meaning.
+
+use log::Level;
+
+macro_rules! catalogue {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// A numbered log event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Event {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl Event {
+            /// Every event, in the order of the catalogue.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)*];
+
+            /// Number of the event.
+            pub fn number(self) -> u32 {
+                match self { $(Event::$name => $number,)* }
+            }
+
+            /// Level the event is logged at.
+            pub fn level(self) -> Level {
+                match self { $(Event::$name => Level::$level,)* }
+            }
+
+            /// Text of the event.
+            pub fn text(self) -> &'static str {
+                match self { $(Event::$name => $text,)* }
+            }
+        }
+    };
+}
+
+catalogue! {
+    // Control replicas.
+    ControlStarted = 100, Info, "control replica started";
+    // Routers.
+    RouterStarted = 200, Info, "router started";
+    // Stand-ins.
+    BackEndStarted = 300, Info, "stand-in back end started";
+    // All daemons.
+    StopRequested = 400, Info, "stop requested";
+    Stopped = 401, Info, "stopped";
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,32 @@
+//! Numbered log events with their catalogue, log set-up and metrics.
+//!
+//! Invariant: every log line of a daemon is an [`Event`]; `docs/EVENTS.md` lists exactly these.
+
+pub mod event;
+
+pub use event::Event;
+
+/// Logs one event of the catalogue, with named values.
+///
+/// `event!(Event::LeaderElected, term = term.0, leader = replica.0)`
+#[macro_export]
+macro_rules! event {
+    ($event:expr $(, $key:ident = $value:expr)* $(,)?) => {{
+        let event: $crate::Event = $event;
+        $crate::log::log!(
+            event.level(),
+            event = event.number() $(, $key:% = $value)*;
+            "{}", event.text()
+        );
+    }};
+}
+
+pub use log;
+
+/// Sets up logging to standard error; the environment variable `GREBEPIN_LOG` overrides `level`.
+pub fn start_logging(level: log::LevelFilter) {
+    let mut builder = env_logger::Builder::new();
+    builder.filter_level(level);
+    builder.parse_env("GREBEPIN_LOG");
+    builder.try_init().ok();
+}
--- /dev/null
+++ b/crates/traffic/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing table, admission, retries, outcomes of a request: pure policies.
