--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -175,6 +175,9 @@
 #[serde(deny_unknown_fields)]
 pub struct AssignmentRecord {
     pub epoch: Epoch,
+    ///Epoch that this assignment replaced, when the replica applied the entry itself.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub previous: ::std::option::Option<Epoch>,
     pub replica: ReplicaId,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub server: ::std::option::Option<ServerName>,
@@ -1091,9 +1094,15 @@
     ///A server cut a request in flight at its planned stop.
     #[serde(rename = "cut")]
     Cut(EffectRecord),
-    ///A process was killed, frozen or cut off as a fault.
+    ///A process was killed; it holds nothing from then on.
     #[serde(rename = "killed")]
     Killed(::std::string::String),
+    ///A process was frozen; it keeps what it holds until its leases end.
+    #[serde(rename = "frozen")]
+    Frozen(::std::string::String),
+    ///A process was cut off from some or all others.
+    #[serde(rename = "cut_off")]
+    CutOff(::std::string::String),
     ///A process came back.
     #[serde(rename = "returned")]
     Returned(::std::string::String),
