Traffic: routing table, admission, retry budget, ramp, ejection, request flow

Cause: routers and the simulator need the decisions on a request's way as pure values. Change: RoutingTable with shared owner blocks, Admission by priority then deadline with a bounded queue, RetryBudget, Ramp, Ejection with a floor, and RequestFlow with outcomes by proof only.

--- /dev/null
+++ b/crates/traffic/src/flow.rs
@@ -0,0 +1,441 @@
+//! The state machine of one request at one router.
+//!
+//! Invariants: `not-run` is said only with proof that no attempt of the request ran; a request that
+//! may not be repeated is sent again only after such proof; once nothing more is tried, the final
+//! answer is given at once.
+
+use std::time::Duration;
+
+use grebepin_schema::{
+    CancelAnswer, Epoch, LogIndex, Outcome, Refusal, RejectKind, RequestState, ServerName, ShardId,
+    SocketAddress,
+};
+
+use crate::admission::AdmissionRefusal;
+
+/// Longest time one request waits, in all, for the table to change or an owner to come back.
+pub const PATIENCE: Duration = Duration::from_millis(300);
+
+/// First pause before an owner that refused or could not be reached is asked again; it doubles.
+pub const FIRST_PAUSE: Duration = Duration::from_millis(10);
+
+/// Longest time for the cancellation of a request.
+pub const CANCEL_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which an owner that is leaving still gets requests for the shards it has not released.
+pub const DRAIN_GRACE: Duration = Duration::from_secs(1);
+
+/// Least time left with which a request is still sent.
+const LEAST_TIME_LEFT: Duration = Duration::from_millis(1);
+
+/// Part of the time left, one in this many, that is kept back for a cancellation.
+const CANCEL_PART: u32 = 10;
+
+const LONGEST_CANCEL_RESERVE: Duration = Duration::from_millis(50);
+const RETRY_AFTER_SHED: Duration = Duration::from_millis(100);
+const RETRY_AFTER_OWNER: Duration = Duration::from_millis(500);
+const RETRY_AFTER_BUDGET: Duration = Duration::from_secs(1);
+
+/// What a flow must know of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestSpec {
+    /// Whether running it twice does no harm.
+    pub repeatable: bool,
+    /// The caller's attempt: 2 and more when an earlier attempt may have run.
+    pub attempt: u32,
+    /// When the caller must have its answer.
+    pub deadline: Duration,
+    /// Most times that this router sends it.
+    pub sends: u32,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Shard of the request's key.
+    pub shard: ShardId,
+    /// Epoch of the ownership.
+    pub epoch: Epoch,
+    /// Owner.
+    pub server: ServerName,
+    /// Where the owner listens.
+    pub address: SocketAddress,
+    /// Index of the table that says so.
+    pub table_index: LogIndex,
+}
+
+/// What the table says of a request's shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// There is no table yet.
+    NoTable,
+    /// No server may get the request now.
+    NoOwner {
+        /// Index of the table that says so.
+        table_index: LogIndex,
+    },
+    /// This server owns the shard.
+    Owner(Target),
+}
+
+/// Why there is no whole answer to a request of which bytes may have reached the owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossReason {
+    /// The time for it ended.
+    TimedOut,
+    /// The connection failed.
+    Broken,
+    /// The answer belongs to another request, or names none.
+    Crossed,
+    /// The answer breaks the protocol or a bound on sizes.
+    Invalid,
+}
+
+/// What happened, in answer to the last [`FlowAction`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum FlowInput {
+    /// To [`FlowAction::Lookup`].
+    Found(Finding),
+    /// To [`FlowAction::Admit`]: send it.
+    Admitted,
+    /// To [`FlowAction::Admit`]: not now.
+    NotAdmitted(AdmissionRefusal),
+    /// To [`FlowAction::Send`]: no byte of it left.
+    NotSent,
+    /// To [`FlowAction::Send`]: the owner refused it in a typed way.
+    Refused(Refusal),
+    /// To [`FlowAction::Send`]: the whole answer to this very request.
+    Answered,
+    /// To [`FlowAction::Send`]: no whole answer.
+    Lost(LossReason),
+    /// To [`FlowAction::Cancel`]: the owner's answer; `None` without one.
+    Cancelled(Option<CancelAnswer>),
+    /// To [`FlowAction::Wait`]: the table changed or the time came.
+    Woken,
+    /// To [`FlowAction::TakeRetry`]: whether the service's budget allows a retry.
+    Retry(bool),
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FlowAction {
+    /// Look the owner up in the table in force.
+    Lookup,
+    /// Ask the server's admission.
+    Admit(Target),
+    /// Send the request; give up at `until`.
+    Send {
+        /// Where to.
+        target: Target,
+        /// When to give up.
+        until: Duration,
+    },
+    /// Ask the owner to cancel the request, once; give up at `until`.
+    Cancel {
+        /// Where the request went.
+        target: Target,
+        /// When to give up.
+        until: Duration,
+    },
+    /// Wait until the table's index is above `beyond`, at most until `until`.
+    Wait {
+        /// Index that was not good enough.
+        beyond: LogIndex,
+        /// When to wake up in any case.
+        until: Duration,
+    },
+    /// Take a retry out of the service's budget.
+    TakeRetry,
+    /// Answer the caller.
+    Finish(FinalAnswer),
+}
+
+/// The answer to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FinalAnswer {
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// Why the router answers by itself; `None` when the owner's answer is passed on.
+    pub reject: Option<RejectKind>,
+    /// When to come back; `None` when the owner's answer is passed on.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    LookingUp,
+    Admitting(Target),
+    Sending(Target),
+    Cancelling(Target),
+    AskingRetry { failure: Failure, beyond: LogIndex },
+    Waiting,
+    Finished(FinalAnswer),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Failure {
+    kind: RejectKind,
+    retry_after: Duration,
+}
+
+impl Failure {
+    fn of(kind: RejectKind) -> Self {
+        Self {
+            kind,
+            retry_after: RETRY_AFTER_OWNER,
+        }
+    }
+
+    fn after(kind: RejectKind, retry_after: Duration) -> Self {
+        Self { kind, retry_after }
+    }
+}
+
+/// One request on its way; feed it [`FlowInput`]s, do the [`FlowAction`]s.
+#[derive(Clone, Debug)]
+pub struct RequestFlow {
+    spec: RequestSpec,
+    state: State,
+    sent: u32,
+    doubt: bool,
+    patience_end: Option<Duration>,
+    pause: Duration,
+}
+
+impl RequestFlow {
+    /// A request that arrived at `now`, with the first thing to do.
+    pub fn start(spec: RequestSpec, now: Duration) -> (Self, FlowAction) {
+        let mut flow = Self {
+            spec,
+            state: State::LookingUp,
+            sent: 0,
+            doubt: spec.attempt > 1,
+            patience_end: None,
+            pause: FIRST_PAUSE,
+        };
+        let action = flow.look_up(now);
+        (flow, action)
+    }
+
+    /// Takes what happened; returns what to do next. An input that does not answer the last action
+    /// changes nothing but to end the flow without a claim.
+    pub fn step(&mut self, now: Duration, input: FlowInput) -> FlowAction {
+        let state = std::mem::replace(&mut self.state, State::LookingUp);
+        match (state, input) {
+            (State::LookingUp, FlowInput::Found(finding)) => self.found(now, finding),
+            (State::Admitting(target), FlowInput::Admitted) => self.send(now, target),
+            (State::Admitting(_), FlowInput::NotAdmitted(refusal)) => self.not_admitted(refusal),
+            (State::Sending(target), input) => self.sent(now, target, input),
+            (State::Cancelling(target), FlowInput::Cancelled(answer)) => {
+                self.cancelled(&target, answer)
+            }
+            (State::AskingRetry { failure, beyond }, FlowInput::Retry(allowed)) => {
+                self.retry(now, failure, beyond, allowed)
+            }
+            (State::Waiting, FlowInput::Woken) => self.look_up(now),
+            (State::Finished(answer), _) => self.finish_with(answer),
+            _ => self.protocol_error(),
+        }
+    }
+
+    /// Times the request was sent.
+    pub fn times_sent(&self) -> u32 {
+        self.sent
+    }
+
+    fn look_up(&mut self, now: Duration) -> FlowAction {
+        if self.time_left(now) < LEAST_TIME_LEFT {
+            return self.finish(Failure::after(
+                RejectKind::DeadlineTooNear,
+                RETRY_AFTER_SHED,
+            ));
+        }
+        self.state = State::LookingUp;
+        FlowAction::Lookup
+    }
+
+    fn found(&mut self, now: Duration, finding: Finding) -> FlowAction {
+        match finding {
+            Finding::NoTable => self.finish(Failure::of(RejectKind::NoTable)),
+            Finding::NoOwner { table_index } => {
+                let until = self.patience_end(now);
+                self.wait(now, table_index, until, Failure::of(RejectKind::NoOwner))
+            }
+            Finding::Owner(target) => {
+                self.state = State::Admitting(target.clone());
+                FlowAction::Admit(target)
+            }
+        }
+    }
+
+    fn not_admitted(&mut self, refusal: AdmissionRefusal) -> FlowAction {
+        let (kind, retry_after) = match refusal {
+            AdmissionRefusal::QueueFull { retry_after } => (RejectKind::QueueFull, retry_after),
+            AdmissionRefusal::DeadlineTooNear { retry_after } => {
+                (RejectKind::DeadlineTooNear, retry_after)
+            }
+            AdmissionRefusal::Ejected { retry_after } => (RejectKind::OwnerLost, retry_after),
+        };
+        self.finish(Failure::after(kind, retry_after))
+    }
+
+    fn send(&mut self, now: Duration, target: Target) -> FlowAction {
+        if self.time_left(now) < LEAST_TIME_LEFT {
+            return self.finish(Failure::after(
+                RejectKind::DeadlineTooNear,
+                RETRY_AFTER_SHED,
+            ));
+        }
+        self.sent += 1;
+        let until = self.spec.deadline - self.cancel_reserve(now);
+        self.state = State::Sending(target.clone());
+        FlowAction::Send { target, until }
+    }
+
+    fn sent(&mut self, now: Duration, target: Target, input: FlowInput) -> FlowAction {
+        match input {
+            FlowInput::Answered => self.finish_with(FinalAnswer {
+                outcome: Outcome::Answered,
+                reject: None,
+                retry_after: None,
+            }),
+            FlowInput::NotSent => {
+                self.ask_retry(now, Failure::of(RejectKind::OwnerLost), target.table_index)
+            }
+            FlowInput::Refused(refusal) => self.refused(now, &target, refusal),
+            FlowInput::Lost(_) => self.lost(now, target),
+            _ => self.protocol_error(),
+        }
+    }
+
+    fn refused(&mut self, now: Duration, target: &Target, refusal: Refusal) -> FlowAction {
+        let failure = Failure::of(RejectKind::OwnerRefused);
+        match refusal {
+            Refusal::WrongEpoch | Refusal::NoLease | Refusal::Releasing | Refusal::Draining => {
+                self.ask_retry(now, failure, target.table_index)
+            }
+            Refusal::Shed => {
+                let shed = Failure::after(RejectKind::OwnerRefused, RETRY_AFTER_SHED);
+                self.ask_retry(now, shed, target.table_index)
+            }
+            Refusal::Deadline => self.finish(Failure::after(
+                RejectKind::DeadlineTooNear,
+                RETRY_AFTER_SHED,
+            )),
+            Refusal::Cancelled | Refusal::BadRequest => self.finish(failure),
+            Refusal::AlreadyRunning | Refusal::RecordIncomplete => {
+                self.doubt = true;
+                self.finish(Failure::of(RejectKind::OutcomeUnknown))
+            }
+        }
+    }
+
+    fn lost(&mut self, now: Duration, target: Target) -> FlowAction {
+        if self.spec.repeatable {
+            self.doubt = true;
+            return self.ask_retry(now, Failure::of(RejectKind::OutcomeUnknown), LogIndex(0));
+        }
+        if self.spec.attempt > 1 || self.time_left(now) < LEAST_TIME_LEFT {
+            self.doubt = true;
+            return self.finish(Failure::of(RejectKind::OutcomeUnknown));
+        }
+        let until = self.spec.deadline.min(now + CANCEL_TIME);
+        self.state = State::Cancelling(target.clone());
+        FlowAction::Cancel { target, until }
+    }
+
+    /// A tombstone at the epoch of the send proves that the request was not run and never will be.
+    fn cancelled(&mut self, target: &Target, answer: Option<CancelAnswer>) -> FlowAction {
+        let proof = answer.is_some_and(|answer| {
+            answer.state == RequestState::NotRun && answer.epoch == target.epoch
+        });
+        if proof {
+            return self.finish(Failure::of(RejectKind::OwnerLost));
+        }
+        self.doubt = true;
+        self.finish(Failure::of(RejectKind::OutcomeUnknown))
+    }
+
+    fn ask_retry(&mut self, now: Duration, failure: Failure, beyond: LogIndex) -> FlowAction {
+        let spent = self.sent >= self.spec.sends;
+        if spent || self.time_left(now) < LEAST_TIME_LEFT || now >= self.patience_end(now) {
+            return self.finish(failure);
+        }
+        self.state = State::AskingRetry { failure, beyond };
+        FlowAction::TakeRetry
+    }
+
+    fn retry(
+        &mut self,
+        now: Duration,
+        failure: Failure,
+        beyond: LogIndex,
+        allowed: bool,
+    ) -> FlowAction {
+        if !allowed {
+            return self.finish(Failure::after(RejectKind::RetryBudget, RETRY_AFTER_BUDGET));
+        }
+        if beyond == LogIndex(0) {
+            return self.look_up(now);
+        }
+        let until = (now + self.pause).min(self.patience_end(now));
+        self.pause *= 2;
+        self.wait(now, beyond, until, failure)
+    }
+
+    fn wait(
+        &mut self,
+        now: Duration,
+        beyond: LogIndex,
+        until: Duration,
+        failure: Failure,
+    ) -> FlowAction {
+        if now >= until {
+            return self.finish(failure);
+        }
+        self.state = State::Waiting;
+        FlowAction::Wait { beyond, until }
+    }
+
+    /// End of all waiting of this request; fixed at the first wait.
+    fn patience_end(&mut self, now: Duration) -> Duration {
+        let latest = self.spec.deadline.saturating_sub(LEAST_TIME_LEFT);
+        *self
+            .patience_end
+            .get_or_insert((now + PATIENCE).min(latest))
+    }
+
+    fn cancel_reserve(&self, now: Duration) -> Duration {
+        if self.spec.repeatable || self.spec.attempt > 1 {
+            return Duration::ZERO;
+        }
+        (self.time_left(now) / CANCEL_PART).min(LONGEST_CANCEL_RESERVE)
+    }
+
+    fn time_left(&self, now: Duration) -> Duration {
+        self.spec.deadline.saturating_sub(now)
+    }
+
+    fn protocol_error(&mut self) -> FlowAction {
+        self.doubt |= self.sent > 0;
+        self.finish(Failure::of(RejectKind::OutcomeUnknown))
+    }
+
+    fn finish(&mut self, failure: Failure) -> FlowAction {
+        let outcome = if self.doubt {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        self.finish_with(FinalAnswer {
+            outcome,
+            reject: Some(failure.kind),
+            retry_after: Some(failure.retry_after),
+        })
+    }
+
+    fn finish_with(&mut self, answer: FinalAnswer) -> FlowAction {
+        self.state = State::Finished(answer);
+        FlowAction::Finish(answer)
+    }
+}
