Bundle, settings and telemetry: public types and checks

Cause: control, router and the command line need typed settings, the bundle's digest and sign-off, and metrics before they can be written.

--- /dev/null
+++ b/crates/bundle/src/check/service.rs
@@ -0,0 +1,192 @@
+//! Rules of one service: sides, servers, classes and policies.
+
+use std::net::SocketAddr;
+
+use grebepin_schema::{RequestClass, Server, Service};
+
+use super::unique::Unique;
+use super::Findings;
+use crate::finding::FindingKind;
+
+const MAXIMUM_SHARDS: u64 = 4_194_304;
+const MAXIMUM_SHARE: u64 = 1_000_000;
+const MAXIMUM_SLOTS: u64 = 4096;
+const MAXIMUM_CONNECTIONS: u64 = 65_535;
+const MAXIMUM_WEIGHT: u64 = 1_000_000;
+const LOWEST_PRIORITY: u64 = 9;
+const MAXIMUM_DEADLINE_MS: u64 = 600_000;
+const MAXIMUM_WAITING: u64 = 100_000;
+const MAXIMUM_RETRY_PERCENT: u64 = 1000;
+const MAXIMUM_ATTEMPTS: u64 = 10;
+const MAXIMUM_MOVES: u64 = 1_000_000;
+const MAXIMUM_CONCURRENT_MOVES: u64 = 100_000;
+const MAXIMUM_IMBALANCE_PERCENT: u64 = 10_000;
+
+pub(super) fn check_service(service: &Service, path: &str, findings: &mut Findings) {
+    let shards = u64::from(service.shards.get());
+    findings.range(format!("{path}.shards"), shards, 1, MAXIMUM_SHARDS);
+    check_sides(service, path, findings);
+    check_servers(service, path, findings);
+    check_classes(&service.classes, path, findings);
+    check_policies(service, path, findings);
+}
+
+fn check_sides(service: &Service, path: &str, findings: &mut Findings) {
+    if service.sides.is_empty() {
+        findings.push(format!("{path}.sides"), FindingKind::Empty);
+        return;
+    }
+    let mut names = Unique::default();
+    for side in &service.sides {
+        let path = format!("{path}.sides[{}]", side.side.as_str());
+        names.insert(side.side.as_str(), &path, findings);
+        let share = u64::from(side.share);
+        findings.range(format!("{path}.share"), share, 0, MAXIMUM_SHARE);
+        let has_servers = service
+            .servers
+            .iter()
+            .any(|server| server.side == side.side);
+        if side.share > 0 && !has_servers {
+            findings.push(path, FindingKind::SideWithoutServers);
+        }
+    }
+    if service.sides.iter().all(|side| side.share == 0) {
+        findings.push(format!("{path}.sides"), FindingKind::NoShares);
+    }
+}
+
+fn check_servers(service: &Service, path: &str, findings: &mut Findings) {
+    if service.servers.is_empty() {
+        findings.push(format!("{path}.servers"), FindingKind::Empty);
+    }
+    for server in &service.servers {
+        let path = format!("{path}.servers[{}]", server.name.as_str());
+        if !service.sides.iter().any(|side| side.side == server.side) {
+            let side = server.side.to_string();
+            findings.push(format!("{path}.side"), FindingKind::UnknownSide { side });
+        }
+        check_server(server, &path, findings);
+    }
+}
+
+fn check_server(server: &Server, path: &str, findings: &mut Findings) {
+    if !is_reachable(server.address.as_str()) {
+        let address = server.address.to_string();
+        let kind = FindingKind::InvalidAddress { address };
+        findings.push(format!("{path}.address"), kind);
+    }
+    let slots = server.slots.get();
+    let connections = server.connections.get();
+    let weight = u64::from(server.weight.get());
+    findings.range(format!("{path}.slots"), slots.into(), 1, MAXIMUM_SLOTS);
+    let field = format!("{path}.connections");
+    findings.range(field.clone(), connections.into(), 1, MAXIMUM_CONNECTIONS);
+    findings.range(format!("{path}.weight"), weight, 1, MAXIMUM_WEIGHT);
+    if connections < slots {
+        let kind = FindingKind::FewerConnectionsThanSlots { connections, slots };
+        findings.push(field, kind);
+    }
+}
+
+fn is_reachable(address: &str) -> bool {
+    let Ok(address) = address.parse::<SocketAddr>() else {
+        return false;
+    };
+    let ip = address.ip();
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
+}
+
+fn check_classes(classes: &[RequestClass], path: &str, findings: &mut Findings) {
+    if classes.is_empty() {
+        findings.push(format!("{path}.classes"), FindingKind::Empty);
+    }
+    let mut names = Unique::default();
+    for (position, class) in classes.iter().enumerate() {
+        let path = format!("{path}.classes[{}]", class.name.as_str());
+        names.insert(class.name.as_str(), &path, findings);
+        check_class(class, &path, findings);
+        let hiding = classes[..position].iter().find(|other| hides(other, class));
+        if let Some(earlier) = hiding {
+            let earlier = earlier.name.to_string();
+            findings.push(path, FindingKind::HiddenClass { earlier });
+        }
+    }
+}
+
+fn check_class(class: &RequestClass, path: &str, findings: &mut Findings) {
+    let priority = u64::from(class.priority);
+    findings.range(format!("{path}.priority"), priority, 0, LOWEST_PRIORITY);
+    let deadline = class.deadline_ms.get();
+    findings.range(
+        format!("{path}.deadline_ms"),
+        deadline,
+        1,
+        MAXIMUM_DEADLINE_MS,
+    );
+    if !is_path_prefix(&class.path_prefix) {
+        let prefix = class.path_prefix.clone();
+        let kind = FindingKind::InvalidPathPrefix { prefix };
+        findings.push(format!("{path}.path_prefix"), kind);
+    }
+    let method = class.method.as_deref().unwrap_or("GET");
+    if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
+        let method = method.to_owned();
+        findings.push(
+            format!("{path}.method"),
+            FindingKind::InvalidMethod { method },
+        );
+    }
+}
+
+fn is_path_prefix(prefix: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_graphic() && byte != b'?' && byte != b'#';
+    prefix.starts_with('/') && prefix.bytes().all(allowed)
+}
+
+/// Whether `earlier` takes every request that `later` would take.
+fn hides(earlier: &RequestClass, later: &RequestClass) -> bool {
+    let method_covers = earlier.method.is_none() || earlier.method == later.method;
+    method_covers && later.path_prefix.starts_with(&earlier.path_prefix)
+}
+
+fn check_policies(service: &Service, path: &str, findings: &mut Findings) {
+    let queue = &service.queue;
+    let retry = &service.retry;
+    let churn = &service.churn;
+    let limits = [
+        (
+            "queue.waiting_per_server",
+            queue.waiting_per_server,
+            0,
+            MAXIMUM_WAITING,
+        ),
+        (
+            "retry.budget_percent",
+            retry.budget_percent,
+            0,
+            MAXIMUM_RETRY_PERCENT,
+        ),
+        ("retry.attempts", retry.attempts.get(), 1, MAXIMUM_ATTEMPTS),
+        (
+            "churn.moves_per_minute",
+            churn.moves_per_minute,
+            0,
+            MAXIMUM_MOVES,
+        ),
+        (
+            "churn.concurrent_moves",
+            churn.concurrent_moves.get(),
+            1,
+            MAXIMUM_CONCURRENT_MOVES,
+        ),
+        (
+            "churn.imbalance_percent",
+            churn.imbalance_percent,
+            0,
+            MAXIMUM_IMBALANCE_PERCENT,
+        ),
+    ];
+    for (field, value, minimum, maximum) in limits {
+        findings.range(format!("{path}.{field}"), value.into(), minimum, maximum);
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -3,8 +3,10 @@
 //! Invariant: every log line of a daemon is an [`Event`]; `docs/EVENTS.md` lists exactly these.
 
 pub mod event;
+pub mod metrics;
 
 pub use event::Event;
+pub use metrics::{ControlMetrics, Metrics, MetricsError, RouterMetrics, ServiceMetrics};
 
 /// Logs one event of the catalogue, with named values.
 ///
