--- a/crates/check/tests/promises.rs
+++ b/crates/check/tests/promises.rs
@@ -11,14 +11,20 @@
 
 fn run(cases: Vec<Case>) {
     for (title, events, broken) in cases {
-        let records: Vec<_> = events.into_iter().map(|(milliseconds, event)| at(milliseconds, event)).collect();
+        let records: Vec<_> = events
+            .into_iter()
+            .map(|(milliseconds, event)| at(milliseconds, event))
+            .collect();
         let report = check(&records, &CheckLimits::default());
         let found: Vec<Promise> = report.violations.iter().map(|one| one.promise).collect();
         let expected: Vec<Promise> = broken.into_iter().collect();
         assert_eq!(found, expected, "{title}: {:?}", report.violations);
         for violation in &report.violations {
             assert!(!violation.events.is_empty(), "{title}");
-            assert!(violation.events.iter().all(|event| *event < records.len()), "{title}");
+            assert!(
+                violation.events.iter().all(|event| *event < records.len()),
+                "{title}"
+            );
         }
     }
 }
--- a/crates/check/tests/support/mod.rs
+++ b/crates/check/tests/support/mod.rs
@@ -4,7 +4,10 @@
 use grebepin_schema::*;
 
 pub fn at(milliseconds: u64, event: HistoryEvent) -> HistoryRecord {
-    HistoryRecord { at_us: milliseconds * 1_000, event }
+    HistoryRecord {
+        at_us: milliseconds * 1_000,
+        event,
+    }
 }
 
 pub fn name<T: std::str::FromStr>(text: &str) -> T
@@ -15,7 +18,12 @@
 }
 
 fn holding(server: &str, epoch: u64) -> Holding {
-    Holding { server: name(server), service: name("ledger"), shard: ShardId(0), epoch: Epoch(epoch) }
+    Holding {
+        server: name(server),
+        service: name("ledger"),
+        shard: ShardId(0),
+        epoch: Epoch(epoch),
+    }
 }
 
 pub fn acquired(server: &str, epoch: u64) -> HistoryEvent {
@@ -27,7 +35,15 @@
 }
 
 fn work(server: &str, epoch: u64, request: &str, repeatable: bool) -> EffectRecord {
-    EffectRecord { server: name(server), service: name("ledger"), shard: ShardId(0), epoch: Epoch(epoch), key: "customer-1".to_string(), request_id: name(request), repeatable }
+    EffectRecord {
+        server: name(server),
+        service: name("ledger"),
+        shard: ShardId(0),
+        epoch: Epoch(epoch),
+        key: "customer-1".to_string(),
+        request_id: name(request),
+        repeatable,
+    }
 }
 
 pub fn effect(server: &str, epoch: u64, request: &str) -> HistoryEvent {
@@ -47,20 +63,54 @@
 }
 
 pub fn sent(request: &str, attempt: u32) -> HistoryEvent {
-    HistoryEvent::Sent(CallerAttempt { service: name("ledger"), class: name("payout"), key: "customer-1".to_string(), request_id: name(request), attempt, repeatable: false, router: "router-1".to_string() })
+    HistoryEvent::Sent(CallerAttempt {
+        service: name("ledger"),
+        class: name("payout"),
+        key: "customer-1".to_string(),
+        request_id: name(request),
+        attempt,
+        repeatable: false,
+        router: "router-1".to_string(),
+    })
 }
 
 pub fn finished(request: &str, attempt: u32, outcome: Option<Outcome>) -> HistoryEvent {
     let answered = outcome == Some(Outcome::Answered);
-    answer(request, attempt, outcome, answered.then_some(request), answered.then_some(true))
-}
-
-pub fn answer(request: &str, attempt: u32, outcome: Option<Outcome>, answer_for: Option<&str>, whole: Option<bool>) -> HistoryEvent {
-    HistoryEvent::Finished(CallerAnswer { request_id: name(request), attempt, latency_us: 1_000, outcome, answer_for: answer_for.map(name), whole })
+    answer(
+        request,
+        attempt,
+        outcome,
+        answered.then_some(request),
+        answered.then_some(true),
+    )
+}
+
+pub fn answer(
+    request: &str,
+    attempt: u32,
+    outcome: Option<Outcome>,
+    answer_for: Option<&str>,
+    whole: Option<bool>,
+) -> HistoryEvent {
+    HistoryEvent::Finished(CallerAnswer {
+        request_id: name(request),
+        attempt,
+        latency_us: 1_000,
+        outcome,
+        answer_for: answer_for.map(name),
+        whole,
+    })
 }
 
 fn assignment(server: &str, epoch: u64, previous: Option<u64>) -> AssignmentRecord {
-    AssignmentRecord { service: name("ledger"), shard: ShardId(0), epoch: Epoch(epoch), replica: ReplicaId(1), server: Some(name(server)), previous: previous.map(Epoch) }
+    AssignmentRecord {
+        service: name("ledger"),
+        shard: ShardId(0),
+        epoch: Epoch(epoch),
+        replica: ReplicaId(1),
+        server: Some(name(server)),
+        previous: previous.map(Epoch),
+    }
 }
 
 pub fn acknowledged(server: &str, epoch: u64) -> HistoryEvent {
@@ -72,11 +122,20 @@
 }
 
 pub fn accepted(version: u64, digest: char, index: u64) -> HistoryEvent {
-    HistoryEvent::Accepted(BundleRecord { version, digest: name(&digest.to_string().repeat(64)), index: LogIndex(index) })
+    HistoryEvent::Accepted(BundleRecord {
+        version,
+        digest: name(&digest.to_string().repeat(64)),
+        index: LogIndex(index),
+    })
 }
 
 pub fn in_force(incarnation: u64, version: u64, index: u64) -> HistoryEvent {
-    HistoryEvent::InForce(InForceRecord { router: name("router-1"), incarnation, index: LogIndex(index), bundle_version: version })
+    HistoryEvent::InForce(InForceRecord {
+        router: name("router-1"),
+        incarnation,
+        index: LogIndex(index),
+        bundle_version: version,
+    })
 }
 
 pub fn killed(process: &str) -> HistoryEvent {
--- /dev/null
+++ b/crates/holder/src/requests.rs
@@ -0,0 +1,290 @@
+//! Requests: begin, check before the effect, finish, cancel, look-up of an outcome.
+//!
+//! Invariant: between [`Holder::before_effect`] and [`Holder::finish`] no cancellation is
+//! acknowledged as not run, and after an acknowledged one `before_effect` refuses.
+
+use std::time::Duration;
+
+use grebepin_schema::{
+    CancelAnswer, CancelRequest, Epoch, GroupId, OutcomeAnswer, Refusal, RequestId, RequestState,
+    Session, ShardKey,
+};
+
+use crate::guards::Guard;
+use crate::headers::Request;
+use crate::holder::{Holder, Shard};
+use crate::record::EntryState;
+
+/// A request that was begun. It is given back with [`Holder::finish`] in every case.
+#[derive(Debug)]
+#[must_use = "a begun request is finished in every case"]
+pub struct Permit {
+    key: ShardKey,
+    group: GroupId,
+    epoch: Epoch,
+    session: Session,
+    request_id: RequestId,
+    repeatable: bool,
+    token: u64,
+}
+
+/// What is to be done with a request.
+#[derive(Debug)]
+pub enum Begun {
+    /// Run it.
+    Run(Permit),
+    /// An earlier attempt ran. Don't run it again; answer that it ran.
+    RanEarlier,
+}
+
+/// Whether a request's effect was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Made.
+    Made,
+    /// Not made, and it never will be.
+    NotMade,
+}
+
+impl Holder {
+    /// Begins a request.
+    ///
+    /// # Errors
+    /// The reason why this attempt is not run. Of a resend it says nothing about earlier attempts,
+    /// except for [`Refusal::Cancelled`].
+    pub fn begin(&mut self, now: Duration, request: &Request) -> Result<Begun, Refusal> {
+        self.lapse(now);
+        if request.deadline_left < self.config.least_deadline {
+            return Err(Refusal::Deadline);
+        }
+        let key = ShardKey {
+            service: request.service.clone(),
+            shard: request.shard,
+        };
+        let shard = self.shards.get(&key).ok_or(Refusal::WrongEpoch)?;
+        if self.config.guards.has(Guard::EpochCheck) {
+            self.check_held(now, shard, request.epoch)?;
+        }
+        if self.is_releasing(now, shard) {
+            return Err(Refusal::Releasing);
+        }
+        if self.ran_earlier(now, shard, request)? {
+            return Ok(Begun::RanEarlier);
+        }
+        if self.refuses_new_work(now) {
+            return Err(Refusal::Draining);
+        }
+        Ok(Begun::Run(self.admit(key, request)))
+    }
+
+    /// Looks again whether the effect may be made; call it right before, and make the effect
+    /// without waiting for anything in between.
+    ///
+    /// # Errors
+    /// The effect must not be made; finish the permit with [`Effect::NotMade`] and answer the refusal.
+    pub fn before_effect(&mut self, now: Duration, permit: &Permit) -> Result<(), Refusal> {
+        self.lapse(now);
+        let shard = self.shards.get(&permit.key).ok_or(Refusal::WrongEpoch)?;
+        if self.config.guards.has(Guard::EpochCheck) {
+            self.check_held(now, shard, permit.epoch)?;
+            let remaining = self.lease_remaining(now, permit.group);
+            let ended = self.session(permit.group) != permit.session;
+            if ended || remaining < self.config.effect_margin {
+                return Err(Refusal::NoLease);
+            }
+        }
+        let admitted = EntryState::Admitted(permit.token);
+        if shard.record.state(&permit.request_id) != Some(admitted) {
+            return Err(Refusal::Cancelled);
+        }
+        if let Some(shard) = self.shards.get_mut(&permit.key) {
+            let committing = EntryState::Committing(permit.token);
+            shard
+                .record
+                .put_running(&permit.request_id, committing, permit.repeatable);
+        }
+        Ok(())
+    }
+
+    /// Ends a request that was begun.
+    pub fn finish(&mut self, now: Duration, permit: Permit, effect: Effect) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let Some(shard) = self.shards.get_mut(&permit.key) else {
+            return;
+        };
+        shard.in_flight = shard.in_flight.saturating_sub(1);
+        let id = &permit.request_id;
+        let own = match shard.record.state(id) {
+            Some(EntryState::Admitted(token) | EntryState::Committing(token)) => {
+                token == permit.token
+            }
+            _ => false,
+        };
+        match effect {
+            Effect::Made => {
+                let ran = EntryState::Ran;
+                shard
+                    .record
+                    .put_finished(now, id, ran, permit.repeatable, &self.config);
+            }
+            Effect::NotMade if own => shard.record.remove(id),
+            Effect::NotMade => {}
+        }
+    }
+
+    /// Cancels a request. `attempt` is the attempt the asking router sent, 1 for the caller's
+    /// first; `None` when it isn't known. `not-run` is answered only where no attempt up to that
+    /// one can have run.
+    pub fn cancel(
+        &mut self,
+        now: Duration,
+        request: &CancelRequest,
+        attempt: Option<u32>,
+    ) -> CancelAnswer {
+        self.lapse(now);
+        let key = ShardKey {
+            service: request.service.clone(),
+            shard: request.shard,
+        };
+        let unknown = CancelAnswer {
+            state: RequestState::Unknown,
+            epoch: self.held_epoch(&key),
+        };
+        let Some(shard) = self.shards.get(&key) else {
+            return unknown;
+        };
+        let state = shard.record.state(&request.request_id);
+        let owns = self.check_held(now, shard, request.epoch).is_ok();
+        let state = match state {
+            Some(EntryState::Ran | EntryState::Committing(_)) => state,
+            _ if !owns => return unknown,
+            Some(EntryState::Tombstone { proven: true }) => state,
+            _ => Some(self.bury(now, &key, request, attempt)),
+        };
+        CancelAnswer {
+            state: state.map_or(RequestState::Unknown, EntryState::request_state),
+            ..unknown
+        }
+    }
+
+    /// What the server knows of a request.
+    pub fn outcome(&mut self, now: Duration, key: &ShardKey, id: &RequestId) -> OutcomeAnswer {
+        self.lapse(now);
+        let epoch = self.held_epoch(key);
+        let state = self.shards.get(key).map_or(RequestState::Unknown, |shard| {
+            match shard.record.state(id) {
+                Some(EntryState::Ran) => RequestState::Ran,
+                Some(state) if shard.held => state.request_state(),
+                None if shard.held && shard.record.is_whole(now) => RequestState::Unseen,
+                _ => RequestState::Unknown,
+            }
+        });
+        OutcomeAnswer { state, epoch }
+    }
+
+    /// Epoch at which the shard is held; 0 for none.
+    pub fn held_epoch(&self, key: &ShardKey) -> Epoch {
+        let held = self.shards.get(key).filter(|shard| shard.held);
+        held.map_or(Epoch(0), |shard| shard.epoch)
+    }
+
+    /// Whether `shard` is held at `epoch` under a running lease.
+    fn check_held(&self, now: Duration, shard: &Shard, epoch: Epoch) -> Result<(), Refusal> {
+        if shard.epoch != epoch {
+            return Err(Refusal::WrongEpoch);
+        }
+        if !self.has_lease(now, shard.group) {
+            return Err(Refusal::NoLease);
+        }
+        match shard.held {
+            true => Ok(()),
+            false => Err(Refusal::WrongEpoch),
+        }
+    }
+
+    /// What the record says of a request that is to begin.
+    fn ran_earlier(
+        &self,
+        now: Duration,
+        shard: &Shard,
+        request: &Request,
+    ) -> Result<bool, Refusal> {
+        let resend = request.attempt > 1 && !request.repeatable;
+        match shard.record.state(&request.request_id) {
+            Some(EntryState::Admitted(_) | EntryState::Committing(_)) => {
+                Err(Refusal::AlreadyRunning)
+            }
+            Some(EntryState::Tombstone { proven: false }) if resend => {
+                Err(Refusal::RecordIncomplete)
+            }
+            Some(EntryState::Tombstone { .. }) => Err(Refusal::Cancelled),
+            Some(EntryState::Ran) => Ok(!request.repeatable),
+            None if request.repeatable || !self.config.guards.has(Guard::ResendRule) => Ok(false),
+            None if shard.awaiting_record => Err(Refusal::Releasing),
+            None if resend && !shard.record.is_whole(now) => Err(Refusal::RecordIncomplete),
+            None => Ok(false),
+        }
+    }
+
+    fn is_releasing(&self, now: Duration, shard: &Shard) -> bool {
+        let patience = self.config.release_patience;
+        shard
+            .release_asked
+            .is_some_and(|asked| now.saturating_sub(asked) < patience)
+    }
+
+    fn refuses_new_work(&self, now: Duration) -> bool {
+        let grace = self.config.drain_grace;
+        self.draining_since
+            .is_some_and(|since| now.saturating_sub(since) >= grace)
+    }
+
+    fn admit(&mut self, key: ShardKey, request: &Request) -> Permit {
+        self.next_token += 1;
+        self.in_flight += 1;
+        let mut group = GroupId(0);
+        if let Some(shard) = self.shards.get_mut(&key) {
+            group = shard.group;
+            shard.in_flight += 1;
+            let admitted = EntryState::Admitted(self.next_token);
+            shard
+                .record
+                .put_running(&request.request_id, admitted, request.repeatable);
+        }
+        Permit {
+            session: self.session(group),
+            key,
+            group,
+            epoch: request.epoch,
+            request_id: request.request_id.clone(),
+            repeatable: request.repeatable,
+            token: self.next_token,
+        }
+    }
+
+    /// Leaves a tombstone for a request whose effect was not allowed yet.
+    fn bury(
+        &mut self,
+        now: Duration,
+        key: &ShardKey,
+        request: &CancelRequest,
+        attempt: Option<u32>,
+    ) -> EntryState {
+        let config = &self.config;
+        let Some(shard) = self.shards.get_mut(key) else {
+            return EntryState::Tombstone { proven: false };
+        };
+        let id = &request.request_id;
+        let begun_here = matches!(shard.record.state(id), Some(EntryState::Admitted(_)));
+        let first_attempt = attempt == Some(1);
+        let proven = first_attempt || begun_here || shard.record.is_whole(now);
+        let tombstone = EntryState::Tombstone { proven };
+        if config.guards.has(Guard::Tombstone) {
+            let repeatable = shard.record.is_repeatable(id);
+            shard
+                .record
+                .put_finished(now, id, tombstone, repeatable, config);
+        }
+        tombstone
+    }
+}
