--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -1,22 +1,55 @@
-//! The replica: its state, its timers and its public face.
+//! The replica: its state, the caller's loop, and where each message goes.
+//!
+//! Invariant: the term never falls; within a term the replica votes for at most one candidate; term
+//! and vote leave in a [`Ready`] before or with any message that depends on them.
 
 use std::time::Duration;
 
-use grebepin_schema::{
-    HardState, LogIndex, Membership, PeerMessage, ReplicaId, SnapshotMeta, Term,
-};
+use grebepin_schema::{HardState, LogIndex, PeerBody, PeerMessage, ReplicaId, SnapshotMeta, Term};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
 
-use crate::config::Config;
-use crate::error::ProposeError;
-use crate::ready::{ReadId, Ready, Restored, Role};
+use crate::config::{Config, Guard};
+use crate::election::Votes;
+use crate::leader::Leadership;
+use crate::log::{Log, Snapshot};
+use crate::membership::{is_member, is_voter, MembershipHistory};
+use crate::ready::{ReadId, Ready, Restored};
+use crate::snapshot::IncomingSnapshot;
+
+/// What a replica does in its term.
+#[derive(Debug)]
+pub(crate) enum State {
+    Follower,
+    PreCandidate(Votes),
+    Candidate(Votes),
+    Leader(Box<Leadership>),
+}
 
 /// One replica of a control group.
 #[derive(Debug)]
 pub struct Consensus {
-    config: Config,
-    hard_state: HardState,
-    membership: Membership,
-    now: Duration,
+    pub(crate) config: Config,
+    pub(crate) random: SmallRng,
+    pub(crate) started: Duration,
+    pub(crate) now: Duration,
+    pub(crate) term: Term,
+    pub(crate) vote: Option<ReplicaId>,
+    /// Term and vote that last left for storage.
+    saved: (Term, Option<ReplicaId>),
+    pub(crate) log: Log,
+    pub(crate) memberships: MembershipHistory,
+    pub(crate) state: State,
+    pub(crate) leader: Option<ReplicaId>,
+    pub(crate) last_leader_contact: Option<Duration>,
+    pub(crate) election_deadline: Duration,
+    pub(crate) incoming: Option<IncomingSnapshot>,
+    /// A snapshot that is installed here and not yet handed to storage.
+    pub(crate) snapshot_to_save: Option<(SnapshotMeta, Vec<u8>)>,
+    pub(crate) messages: Vec<PeerMessage>,
+    pub(crate) confirmed_reads: Vec<(ReadId, LogIndex)>,
+    pub(crate) last_read: u64,
+    pub(crate) lost_leadership: bool,
 }
 
 impl Consensus {
@@ -26,153 +59,214 @@
     /// # Panics
     /// When `restored.entries` leave a gap, which [`Restored`] forbids.
     pub fn new(config: Config, restored: Restored, now: Duration) -> Self {
-        let membership = restored
-            .snapshot
-            .map(|(meta, _)| meta.membership)
-            .unwrap_or(Membership {
-                members: Vec::new(),
-            });
-        Self {
+        let hard_state = restored.hard_state;
+        let log = Log::restore(restored.snapshot, restored.entries, hard_state.commit);
+        // A term that only an entry or a snapshot shows was never voted in.
+        let term = hard_state.term.max(log.last_term());
+        let vote = hard_state.vote.filter(|_| term == hard_state.term);
+        let mut consensus = Self {
+            random: SmallRng::seed_from_u64(config.seed),
             config,
-            hard_state: restored.hard_state,
-            membership,
+            started: now,
             now,
-        }
+            term,
+            vote,
+            saved: (hard_state.term, hard_state.vote),
+            memberships: MembershipHistory::of(&log),
+            log,
+            state: State::Follower,
+            leader: None,
+            last_leader_contact: None,
+            election_deadline: now,
+            incoming: None,
+            snapshot_to_save: None,
+            messages: Vec::new(),
+            confirmed_reads: Vec::new(),
+            last_read: 0,
+            lost_leadership: false,
+        };
+        consensus.reset_election_deadline();
+        consensus
     }
 
     /// Lets time pass: elections, heartbeats, the check that a leader still hears a majority.
     pub fn tick(&mut self, now: Duration) {
-        self.now = self.now.max(now);
-    }
-
-    /// Takes in a message of another replica. Any message is safe to pass.
-    pub fn step(&mut self, now: Duration, message: PeerMessage) {
-        self.tick(now);
-        let _ = message;
+        self.advance(now);
+        match self.state {
+            State::Leader(_) => self.tick_leader(),
+            _ => self.tick_election(),
+        }
     }
 
-    /// When [`Consensus::tick`] must be called next, at the latest.
-    pub fn next_wake(&self) -> Duration {
-        self.now + self.config.heartbeat
+    /// Time never runs backwards here, whatever the caller passes.
+    pub(crate) fn advance(&mut self, now: Duration) {
+        self.now = self.now.max(now);
     }
 
-    /// Appends a command to the leader's log; it is decided once it comes out as committed with the
-    /// same term.
-    ///
-    /// # Errors
-    /// [`ProposeError`]; nothing was written then.
-    pub fn propose(
-        &mut self,
-        now: Duration,
-        command: Vec<u8>,
-    ) -> Result<(Term, LogIndex), ProposeError> {
-        let _ = (now, command);
-        Err(ProposeError::NotLeader { leader: None })
+    /// Takes in a message of another replica. Any message is safe to pass; one that breaks the
+    /// protocol is ignored.
+    pub fn step(&mut self, now: Duration, message: PeerMessage) {
+        self.advance(now);
+        if message.group != self.config.group || message.to != self.config.id {
+            return;
+        }
+        if message.from == self.config.id || !self.accept_term(&message) {
+            return;
+        }
+        let PeerMessage {
+            from, term, body, ..
+        } = message;
+        match body {
+            PeerBody::PreVoteRequest(request) => self.on_pre_vote_request(from, term, &request),
+            PeerBody::PreVoteResponse(response) => self.on_pre_vote_response(from, term, &response),
+            PeerBody::VoteRequest(request) => self.on_vote_request(from, &request),
+            PeerBody::VoteResponse(response) => self.on_vote_response(from, &response),
+            PeerBody::AppendRequest(request) => self.on_append_request(from, request),
+            PeerBody::AppendResponse(response) => self.on_append_response(from, &response),
+            PeerBody::SnapshotRequest(request) => self.on_snapshot_request(from, request),
+            PeerBody::SnapshotResponse(response) => self.on_snapshot_response(from, &response),
+        }
     }
 
-    /// Appends a new membership, which must differ from the one in force by one member.
-    ///
-    /// # Errors
-    /// [`ProposeError`]; nothing was written then.
-    pub fn propose_membership(
-        &mut self,
-        now: Duration,
-        membership: Membership,
-    ) -> Result<(Term, LogIndex), ProposeError> {
-        let _ = (now, membership);
-        Err(ProposeError::NotLeader { leader: None })
+    /// Compares the message's term with the replica's, takes over a later one where the message
+    /// proves it, and tells whether the message is to be handled.
+    fn accept_term(&mut self, message: &PeerMessage) -> bool {
+        match &message.body {
+            PeerBody::PreVoteRequest(_) => return true,
+            PeerBody::PreVoteResponse(response) if response.granted => return true,
+            _ => {}
+        }
+        if message.term < self.term {
+            self.answer_stale(message);
+            return false;
+        }
+        if message.term == self.term {
+            return true;
+        }
+        match &message.body {
+            PeerBody::VoteRequest(_) if self.vote_promised() => false,
+            PeerBody::VoteRequest(_)
+            | PeerBody::AppendRequest(_)
+            | PeerBody::SnapshotRequest(_) => {
+                self.become_follower(message.term, None);
+                true
+            }
+            _ => {
+                if is_member(self.memberships.current(), message.from) {
+                    self.become_follower(message.term, None);
+                }
+                false
+            }
+        }
     }
 
-    /// Asks for a linearizable read: it comes out of [`Consensus::ready`] once a majority confirmed,
-    /// in a round sent after this call, that this replica still leads.
-    ///
-    /// # Errors
-    /// [`ProposeError::NotLeader`] or [`ProposeError::Overloaded`].
-    pub fn request_read(&mut self, now: Duration) -> Result<ReadId, ProposeError> {
-        let _ = now;
-        Err(ProposeError::NotLeader { leader: None })
+    /// Follows in a term, without a known leader unless one is given.
+    pub(crate) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
+        if let State::Leader(_) = self.state {
+            self.lost_leadership = true;
+            self.reset_election_deadline();
+        }
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+        }
+        self.state = State::Follower;
+        self.leader = leader;
     }
 
     /// Takes the work that waits for the caller.
     pub fn ready(&mut self) -> Ready {
-        Ready::default()
+        self.flush_leader();
+        let entries = self.log.take_unsaved();
+        let snapshot = self.snapshot_to_save.take();
+        let hard_state = self.take_hard_state(!entries.is_empty() || snapshot.is_some());
+        Ready {
+            snapshot,
+            hard_state,
+            entries,
+            messages: std::mem::take(&mut self.messages),
+            committed: self.log.take_committed(),
+            reads: std::mem::take(&mut self.confirmed_reads),
+            lost_leadership: std::mem::take(&mut self.lost_leadership),
+        }
+    }
+
+    /// The commit index alone is not worth a sync: a replica learns it again from the leader. It
+    /// goes along when something else is synced.
+    fn take_hard_state(&mut self, syncs_anyway: bool) -> Option<HardState> {
+        let present = (self.term, self.vote);
+        if present == self.saved && !syncs_anyway {
+            return None;
+        }
+        self.saved = present;
+        Some(HardState {
+            term: self.term,
+            vote: self.vote,
+            commit: self.log.commit(),
+        })
     }
 
     /// Tells that all of the last [`Ready`] is durable: the leader now counts its own copy.
     pub fn synced(&mut self, now: Duration) {
-        self.tick(now);
+        self.advance(now);
+        self.log.mark_durable();
+        self.advance_commit();
     }
 
     /// Drops the log up to a snapshot that the caller has saved durably. `meta` comes from
     /// [`Consensus::snapshot_meta`]; a snapshot of entries that were not handed out as committed,
     /// or older than the present one, is ignored.
     pub fn compact(&mut self, meta: SnapshotMeta, data: Vec<u8>) {
-        let _ = (meta, data);
+        let index = meta.index;
+        let newer = self
+            .log
+            .snapshot()
+            .is_none_or(|snapshot| snapshot.meta.index < index);
+        if !newer || index > self.log.delivered() || self.log.term_at(index) != Some(meta.term) {
+            return;
+        }
+        let keep_after = self.slowest_needed(index);
+        self.memberships.compact(index);
+        let snapshot = std::sync::Arc::new(Snapshot::new(meta, data));
+        self.log.compact(snapshot, keep_after);
     }
 
     /// Term and membership at an index that was handed out as committed, for a snapshot there.
-    /// `None` when the index is not in the log any more or not committed.
+    /// `None` when the index is not in the log any more or was not handed out.
     pub fn snapshot_meta(&self, index: LogIndex) -> Option<SnapshotMeta> {
-        let _ = index;
-        None
-    }
-
-    /// What this replica is now.
-    pub fn role(&self) -> Role {
-        Role::Learner
-    }
-
-    /// The leader of the present term, where known.
-    pub fn leader(&self) -> Option<ReplicaId> {
-        None
-    }
-
-    /// The present term.
-    pub fn term(&self) -> Term {
-        self.hard_state.term
-    }
-
-    /// Highest index known to be committed.
-    pub fn commit(&self) -> LogIndex {
-        self.hard_state.commit
-    }
-
-    /// Index of the last entry in the log.
-    pub fn last_index(&self) -> LogIndex {
-        LogIndex(0)
-    }
-
-    /// The membership in force: the last one in the log, committed or not.
-    pub fn membership(&self) -> &Membership {
-        &self.membership
-    }
-
-    /// When this replica became leader; `None` when it does not lead.
-    pub fn leader_since(&self) -> Option<Duration> {
-        None
-    }
-
-    /// Whether this replica leads and an entry of its own term is committed, so that everything
-    /// acknowledged by earlier leaders is known to be committed here.
-    pub fn leads_with_commit(&self) -> bool {
-        false
+        if index > self.log.delivered() {
+            return None;
+        }
+        Some(SnapshotMeta {
+            index,
+            term: self.log.term_at(index)?,
+            membership: self.memberships.at(index)?.clone(),
+        })
     }
 
-    /// Until when this leader's lease runs, which may be in the past; `None` when it does not lead.
-    pub fn leader_lease_until(&self) -> Option<Duration> {
-        None
+    pub(crate) fn send(&mut self, to: ReplicaId, term: Term, body: PeerBody) {
+        self.messages.push(PeerMessage {
+            group: self.config.group,
+            from: self.config.id,
+            to,
+            term,
+            body,
+        });
     }
 
-    /// For a leader: for each member, itself included, the highest index known to be stored there
-    /// and when it was last heard from (`None` for itself and for a member never heard from in this term).
-    pub fn member_progress(&self) -> Vec<(ReplicaId, LogIndex, Option<Duration>)> {
-        Vec::new()
+    /// Members that count towards majorities.
+    pub(crate) fn counted_members(&self) -> Vec<ReplicaId> {
+        let membership = self.memberships.current();
+        let learners_count = !self.config.guards.has(Guard::LearnerRule);
+        let counted = membership
+            .members
+            .iter()
+            .filter(|member| learners_count || is_voter(membership, member.replica));
+        counted.map(|member| member.replica).collect()
     }
 
-    /// For a leader: whether a learner holds everything committed and was heard from within an
-    /// election timeout, so that it may become a voter.
-    pub fn learner_is_caught_up(&self, replica: ReplicaId) -> bool {
-        let _ = replica;
-        false
+    /// Whether this replica counts towards majorities, and so may lead.
+    pub(crate) fn is_counted(&self) -> bool {
+        self.counted_members().contains(&self.config.id)
     }
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -10,10 +10,23 @@
 
 mod config;
 mod core;
+mod election;
 mod error;
+mod follower;
+mod leader;
+mod limits;
+mod log;
+mod membership;
+mod progress;
+mod quorum;
 mod ready;
+mod replication;
+mod rounds;
+mod snapshot;
+mod status;
 
 pub use crate::config::{Config, Guard, Guards};
 pub use crate::core::Consensus;
 pub use crate::error::{MembershipError, ProposeError};
+pub use crate::limits::MAXIMUM_COMMAND_BYTES;
 pub use crate::ready::{ReadId, Ready, Restored, Role};
--- /dev/null
+++ b/crates/consensus/src/limits.rs
@@ -0,0 +1,33 @@
+//! Bounds on what one replica holds or sends at once.
+
+/// Largest command in bytes; an append request with one such entry fits in an internal frame.
+pub const MAXIMUM_COMMAND_BYTES: usize = 8 << 20;
+
+/// Most entries of one append request.
+pub(crate) const BATCH_ENTRIES: usize = 128;
+
+/// Bytes after which an append request takes no further entry.
+pub(crate) const BATCH_BYTES: usize = 256 << 10;
+
+/// Most append requests with entries that may wait for one follower's answers.
+pub(crate) const IN_FLIGHT_BATCHES: usize = 16;
+
+/// Most entries of a leader that wait for a majority; further proposals are refused.
+pub(crate) const UNCOMMITTED_ENTRIES: usize = 8192;
+
+/// Most reads of a leader that wait for a majority; further ones are refused.
+pub(crate) const WAITING_READS: usize = 8192;
+
+/// Entries before a snapshot that a leader keeps for followers slightly behind it, so that a few
+/// missed entries don't cost them a whole snapshot.
+pub(crate) const RETAINED_ENTRIES: u64 = 256;
+
+/// Entries before a snapshot that a leader keeps while an earlier snapshot is on its way to a
+/// follower, so that the follower can go on from there.
+pub(crate) const RETAINED_DURING_TRANSFER: u64 = 8192;
+
+/// Largest snapshot in bytes that a replica takes from a leader.
+pub(crate) const MAXIMUM_SNAPSHOT_BYTES: u64 = 1 << 30;
+
+/// Rounds whose send times a leader remembers.
+pub(crate) const REMEMBERED_ROUNDS: usize = 4096;
--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,273 @@
+//! The replica's copy of the log in memory, with its snapshot.
+//!
+//! Invariant: entries follow each other without a gap from `base_index + 1`; committed entries are
+//! never cut; each entry leaves once for storage and once, when committed, for the state machine.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use grebepin_schema::{Entry, EntryPayload, LogIndex, SnapshotMeta, Term};
+
+/// Bytes counted for an entry besides its command.
+const ENTRY_OVERHEAD_BYTES: usize = 64;
+/// Bytes counted for one member of a membership entry.
+const MEMBER_BYTES: usize = 256;
+
+/// A snapshot of the state machine.
+#[derive(Debug)]
+pub(crate) struct Snapshot {
+    pub meta: SnapshotMeta,
+    pub data: Vec<u8>,
+    pub checksum: u32,
+}
+
+impl Snapshot {
+    pub fn new(meta: SnapshotMeta, data: Vec<u8>) -> Self {
+        let checksum = crc32fast::hash(&data);
+        Self {
+            meta,
+            data,
+            checksum,
+        }
+    }
+}
+
+/// The log from just after `base_index`.
+#[derive(Debug)]
+pub(crate) struct Log {
+    base_index: LogIndex,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+    snapshot: Option<Arc<Snapshot>>,
+    commit: LogIndex,
+    /// Last entry that left for the state machine.
+    delivered: LogIndex,
+    /// Last entry that left for storage.
+    handed_to_storage: LogIndex,
+    /// Last entry known to be durable here.
+    durable: LogIndex,
+}
+
+impl Log {
+    /// # Panics
+    /// When `entries` leave a gap.
+    pub fn restore(
+        snapshot: Option<(SnapshotMeta, Vec<u8>)>,
+        entries: Vec<Entry>,
+        commit: LogIndex,
+    ) -> Self {
+        let snapshot = snapshot.map(|(meta, data)| Arc::new(Snapshot::new(meta, data)));
+        let (base_index, base_term) = match &snapshot {
+            Some(snapshot) => (snapshot.meta.index, snapshot.meta.term),
+            None => (LogIndex(0), Term(0)),
+        };
+        let mut log = Self {
+            base_index,
+            base_term,
+            entries: VecDeque::new(),
+            snapshot,
+            commit: base_index,
+            delivered: base_index,
+            handed_to_storage: base_index,
+            durable: base_index,
+        };
+        for entry in entries.into_iter().filter(|entry| entry.index > base_index) {
+            assert_eq!(
+                entry.index.0,
+                log.last_index().0 + 1,
+                "gap in the stored log"
+            );
+            log.entries.push_back(entry);
+        }
+        log.handed_to_storage = log.last_index();
+        log.durable = log.last_index();
+        log.commit = commit.clamp(base_index, log.last_index());
+        log
+    }
+
+    pub fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub fn last_index(&self) -> LogIndex {
+        LogIndex(self.base_index.0 + self.entries.len() as u64)
+    }
+
+    pub fn last_term(&self) -> Term {
+        self.entries
+            .back()
+            .map_or(self.base_term, |entry| entry.term)
+    }
+
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    pub fn durable(&self) -> LogIndex {
+        self.durable
+    }
+
+    pub fn delivered(&self) -> LogIndex {
+        self.delivered
+    }
+
+    pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Term of the entry at an index; `None` when the log does not know it.
+    pub fn term_at(&self, index: LogIndex) -> Option<Term> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.entry_at(index).map(|entry| entry.term)
+    }
+
+    fn entry_at(&self, index: LogIndex) -> Option<&Entry> {
+        let position = index.0.checked_sub(self.base_index.0 + 1)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// Every entry held, in order.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter()
+    }
+
+    /// Entries from `from` on, at most as many as both limits allow, but one if there is any.
+    pub fn batch(&self, from: LogIndex, most_entries: usize, most_bytes: usize) -> Vec<Entry> {
+        let Some(position) = from.0.checked_sub(self.base_index.0 + 1) else {
+            return Vec::new();
+        };
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        for entry in self
+            .entries
+            .iter()
+            .skip(position as usize)
+            .take(most_entries)
+        {
+            bytes += size_of(entry);
+            if bytes > most_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    /// Appends an entry of a leader's own and tells its index.
+    pub fn append(&mut self, term: Term, payload: EntryPayload) -> LogIndex {
+        let index = LogIndex(self.last_index().0 + 1);
+        self.entries.push_back(Entry {
+            index,
+            term,
+            payload,
+        });
+        index
+    }
+
+    /// Takes in an entry that follows the last one; others are ignored.
+    pub fn push(&mut self, entry: Entry) {
+        if entry.index.0 == self.last_index().0 + 1 {
+            self.entries.push_back(entry);
+        }
+    }
+
+    /// Cuts uncommitted entries from `index` on.
+    pub fn truncate_from(&mut self, index: LogIndex) {
+        let first = index.0.max(self.commit.0 + 1);
+        let kept = first.saturating_sub(self.base_index.0 + 1);
+        self.entries.truncate(kept as usize);
+        self.handed_to_storage = self.handed_to_storage.min(self.last_index());
+        self.durable = self.durable.min(self.last_index());
+    }
+
+    /// Raises the commit index; never lowers it nor passes the end of the log.
+    pub fn commit_to(&mut self, index: LogIndex) -> bool {
+        let index = index.min(self.last_index());
+        let raised = index > self.commit;
+        if raised {
+            self.commit = index;
+        }
+        raised
+    }
+
+    /// Entries that storage has not got yet.
+    pub fn take_unsaved(&mut self) -> Vec<Entry> {
+        let from = self.handed_to_storage.0 - self.base_index.0;
+        self.handed_to_storage = self.last_index();
+        self.entries.iter().skip(from as usize).cloned().collect()
+    }
+
+    /// Committed entries that the state machine has not got yet.
+    pub fn take_committed(&mut self) -> Vec<Entry> {
+        let from = self.delivered.0 - self.base_index.0;
+        let count = self.commit.0 - self.delivered.0;
+        self.delivered = self.commit;
+        self.entries
+            .iter()
+            .skip(from as usize)
+            .take(count as usize)
+            .cloned()
+            .collect()
+    }
+
+    /// Everything that left for storage is durable.
+    pub fn mark_durable(&mut self) {
+        self.durable = self.handed_to_storage;
+    }
+
+    /// Replaces the whole log by a snapshot of a leader.
+    pub fn install(&mut self, snapshot: Arc<Snapshot>) {
+        self.base_index = snapshot.meta.index;
+        self.base_term = snapshot.meta.term;
+        self.entries.clear();
+        self.commit = self.base_index;
+        self.delivered = self.base_index;
+        self.handed_to_storage = self.base_index;
+        self.durable = self.base_index;
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Takes over a snapshot of the replica's own and drops entries up to `keep_after`.
+    pub fn compact(&mut self, snapshot: Arc<Snapshot>, keep_after: LogIndex) {
+        let keep_after = keep_after.clamp(self.base_index, snapshot.meta.index);
+        if let Some(term) = self.term_at(keep_after) {
+            let dropped = keep_after.0 - self.base_index.0;
+            self.entries.drain(..dropped as usize);
+            self.base_index = keep_after;
+            self.base_term = term;
+        }
+        self.handed_to_storage = self.handed_to_storage.max(self.base_index);
+        self.durable = self.durable.max(self.base_index);
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Where a leader of `previous_term` whose entry at `previous_index` doesn't match should try
+    /// next: before the run of entries with the conflicting term, and at no later term than the
+    /// leader's there; committed entries match for certain.
+    pub fn last_possible_match(&self, previous_index: LogIndex, previous_term: Term) -> LogIndex {
+        if previous_index > self.last_index() {
+            return self.last_index();
+        }
+        let conflicting = self.term_at(previous_index);
+        let mut index = previous_index.0.saturating_sub(1);
+        while index > self.commit.0 {
+            let term = self.term_at(LogIndex(index));
+            if term != conflicting && term <= Some(previous_term) {
+                break;
+            }
+            index -= 1;
+        }
+        LogIndex(index.max(self.commit.0))
+    }
+}
+
+fn size_of(entry: &Entry) -> usize {
+    let payload = match &entry.payload {
+        EntryPayload::Noop => 0,
+        EntryPayload::Command(command) => command.0.len(),
+        EntryPayload::Membership(membership) => membership.members.len() * MEMBER_BYTES,
+    };
+    payload + ENTRY_OVERHEAD_BYTES
+}
--- /dev/null
+++ b/crates/consensus/src/membership.rs
@@ -0,0 +1,135 @@
+//! The memberships in the log, and which change of membership is allowed.
+//!
+//! Invariant: two memberships that follow each other differ by one member, so that any majority of
+//! one meets any majority of the other.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use grebepin_schema::{EntryPayload, LogIndex, Member, MemberRole, Membership, ReplicaId};
+
+use crate::error::MembershipError;
+use crate::log::Log;
+
+/// Every membership that a cut of the log might bring back, oldest first; never empty.
+#[derive(Debug)]
+pub(crate) struct MembershipHistory {
+    versions: Vec<(LogIndex, Membership)>,
+}
+
+impl MembershipHistory {
+    pub fn of(log: &Log) -> Self {
+        let mut history = Self {
+            versions: vec![Self::of_snapshot(log)],
+        };
+        for entry in log.iter() {
+            if let EntryPayload::Membership(membership) = &entry.payload {
+                history.push(entry.index, membership.clone());
+            }
+        }
+        history
+    }
+
+    fn of_snapshot(log: &Log) -> (LogIndex, Membership) {
+        match log.snapshot() {
+            Some(snapshot) => (snapshot.meta.index, snapshot.meta.membership.clone()),
+            None => (
+                LogIndex(0),
+                Membership {
+                    members: Vec::new(),
+                },
+            ),
+        }
+    }
+
+    /// The last membership in the log.
+    pub fn current(&self) -> &Membership {
+        &self.versions[self.versions.len() - 1].1
+    }
+
+    /// Index of the entry of the last membership.
+    pub fn current_index(&self) -> LogIndex {
+        self.versions[self.versions.len() - 1].0
+    }
+
+    /// The membership in force at an index.
+    pub fn at(&self, index: LogIndex) -> Option<&Membership> {
+        let version = self.versions.iter().rev().find(|(at, _)| *at <= index);
+        version.map(|(_, membership)| membership)
+    }
+
+    pub fn push(&mut self, index: LogIndex, membership: Membership) {
+        self.versions.push((index, membership));
+    }
+
+    /// Forgets memberships at or after a cut of the log.
+    pub fn truncate_from(&mut self, index: LogIndex) {
+        let kept = self.versions.iter().filter(|(at, _)| *at < index).count();
+        self.versions.truncate(kept.max(1));
+    }
+
+    /// Forgets memberships that were replaced at or before a committed index.
+    pub fn compact(&mut self, index: LogIndex) {
+        let replaced = self.versions.iter().filter(|(at, _)| *at <= index).count();
+        self.versions.drain(..replaced.saturating_sub(1));
+    }
+}
+
+/// Whether a membership lists a replica as a voter.
+pub(crate) fn is_voter(membership: &Membership, replica: ReplicaId) -> bool {
+    role_of(membership, replica) == Some(MemberRole::Voter)
+}
+
+/// Whether a membership lists a replica.
+pub(crate) fn is_member(membership: &Membership, replica: ReplicaId) -> bool {
+    role_of(membership, replica).is_some()
+}
+
+fn role_of(membership: &Membership, replica: ReplicaId) -> Option<MemberRole> {
+    let mut members = membership.members.iter();
+    members
+        .find(|member| member.replica == replica)
+        .map(|member| member.role)
+}
+
+/// Checks a change of membership and tells which learner it promotes, if any.
+pub(crate) fn check_change(
+    before: &Membership,
+    after: &Membership,
+) -> Result<Option<ReplicaId>, MembershipError> {
+    let before = by_replica(before)?;
+    let after = by_replica(after)?;
+    if !after
+        .values()
+        .any(|member| member.role == MemberRole::Voter)
+    {
+        return Err(MembershipError::NoVoter);
+    }
+    let replicas: BTreeSet<ReplicaId> = before.keys().chain(after.keys()).copied().collect();
+    let changed: Vec<ReplicaId> = replicas
+        .into_iter()
+        .filter(|replica| before.get(replica) != after.get(replica))
+        .collect();
+    let [replica] = changed[..] else {
+        return Err(MembershipError::NotOneChange {
+            changes: changed.len(),
+        });
+    };
+    let old_role = before.get(&replica).map(|member| member.role);
+    let new_role = after.get(&replica).map(|member| member.role);
+    match (old_role, new_role) {
+        (None, Some(MemberRole::Voter)) => Err(MembershipError::NotYetLearner { replica }),
+        (Some(MemberRole::Learner), Some(MemberRole::Voter)) => Ok(Some(replica)),
+        _ => Ok(None),
+    }
+}
+
+fn by_replica(membership: &Membership) -> Result<BTreeMap<ReplicaId, &Member>, MembershipError> {
+    let mut members = BTreeMap::new();
+    for member in &membership.members {
+        let replica = member.replica;
+        if members.insert(replica, member).is_some() {
+            return Err(MembershipError::DuplicateReplica { replica });
+        }
+    }
+    Ok(members)
+}
--- /dev/null
+++ b/crates/consensus/tests/support/cluster.rs
@@ -0,0 +1,383 @@
+//! A group of replicas that runs on a virtual clock from one seed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use grebepin_consensus::{Consensus, Guards, ProposeError, ReadId, Ready, Restored, Role};
+use grebepin_schema::{
+    HardState, LogIndex, MemberRole, Membership, PeerMessage, ReplicaId, SnapshotMeta, Term,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::checks::{Checks, Violation};
+use super::members::{config, member, membership, DRIFT_PERCENT};
+use super::network::{Conditions, Network};
+use super::replica::{Clock, Disk, Replica};
+
+/// Index and term of the snapshot that a founded group starts from.
+const FOUNDED_AT: LogIndex = LogIndex(1);
+const FOUNDING_TERM: Term = Term(1);
+
+/// What becomes of the work that a replica was about to sync when it crashes.
+#[derive(Clone, Copy, Debug)]
+pub enum CrashAt {
+    /// Nothing of it is stored.
+    BeforeSync,
+    /// Hard state and half of the entries are stored; nothing was sent.
+    TornSync,
+    /// All is stored; nothing was sent.
+    BeforeSend,
+}
+
+#[derive(Debug)]
+pub struct Cluster {
+    pub at: Duration,
+    pub replicas: BTreeMap<ReplicaId, Replica>,
+    pub network: Network,
+    pub checks: Checks,
+    /// Reads that came out, with the index to apply first.
+    pub reads: BTreeMap<(ReplicaId, ReadId), LogIndex>,
+    /// Replicas that reported a lost leadership.
+    pub lost_leadership: BTreeSet<ReplicaId>,
+    /// Entries after which a replica takes a snapshot.
+    pub snapshot_every: u64,
+    pub crash_next: BTreeMap<ReplicaId, CrashAt>,
+    held: BTreeMap<ReplicaId, Vec<PeerMessage>>,
+    random: SmallRng,
+    guards: Guards,
+    seed: u64,
+}
+
+impl Cluster {
+    /// A founded group with the given voters and learners, on a good network.
+    pub fn new(seed: u64, voters: &[u64], learners: &[u64], guards: Guards) -> Self {
+        let mut cluster = Self {
+            at: Duration::ZERO,
+            replicas: BTreeMap::new(),
+            network: Network::new(seed, Conditions::good()),
+            checks: Checks::default(),
+            reads: BTreeMap::new(),
+            lost_leadership: BTreeSet::new(),
+            snapshot_every: u64::MAX,
+            crash_next: BTreeMap::new(),
+            held: BTreeMap::new(),
+            random: SmallRng::seed_from_u64(seed ^ 0x5eed),
+            guards,
+            seed,
+        };
+        let members = membership(voters, learners);
+        for id in voters.iter().chain(learners) {
+            let meta = SnapshotMeta {
+                index: FOUNDED_AT,
+                term: FOUNDING_TERM,
+                membership: members.clone(),
+            };
+            let restored = Restored {
+                hard_state: HardState {
+                    term: FOUNDING_TERM,
+                    vote: None,
+                    commit: FOUNDED_AT,
+                },
+                snapshot: Some((meta, Vec::new())),
+                entries: Vec::new(),
+            };
+            cluster.add(*id, restored);
+        }
+        cluster
+    }
+
+    /// Adds a replica with a new identity and what its disk holds, and starts it.
+    pub fn add(&mut self, id: u64, restored: Restored) {
+        let bound = f64::from(DRIFT_PERCENT) / 100.0;
+        let clock = Clock {
+            offset: Duration::from_millis(self.random.random_range(0..100_000)),
+            rate: 1.0 + bound * self.random.random_range(-1.0..1.0),
+        };
+        let mut replica = Replica {
+            config: config(id, self.seed.wrapping_mul(31).wrapping_add(id), self.guards),
+            clock,
+            disk: Disk { restored },
+            consensus: None,
+            paused: false,
+            applied: Vec::new(),
+            applied_index: LogIndex(0),
+            starts: 0,
+            snapshots_received: 0,
+        };
+        replica.start(self.at);
+        self.replicas.insert(ReplicaId(id), replica);
+    }
+
+    pub fn replica(&self, id: u64) -> &Replica {
+        &self.replicas[&ReplicaId(id)]
+    }
+
+    pub fn core(&self, id: u64) -> &Consensus {
+        let core = self.replica(id).consensus.as_ref();
+        core.expect("the replica runs")
+    }
+
+    fn replica_mut(&mut self, id: ReplicaId) -> &mut Replica {
+        self.replicas.get_mut(&id).expect("the replica exists")
+    }
+
+    /// Runs for some time.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.at + time;
+        while self.run_one_event(end) {}
+        self.at = end;
+        self.checks.on_logs(&self.replicas);
+    }
+
+    /// Runs until something holds, at most for some time; tells whether it does.
+    pub fn run_until(&mut self, time: Duration, holds: impl Fn(&Self) -> bool) -> bool {
+        let end = self.at + time;
+        loop {
+            if holds(self) {
+                return true;
+            }
+            if !self.run_one_event(end) {
+                self.at = end;
+                return holds(self);
+            }
+        }
+    }
+
+    fn run_one_event(&mut self, end: Duration) -> bool {
+        let wake = self.next_wake();
+        let arrival = self.network.next_arrival();
+        let arrives_first = match (arrival, wake) {
+            (Some(arrival), Some((wake, _))) => arrival <= wake,
+            (arrival, _) => arrival.is_some(),
+        };
+        let next = if arrives_first {
+            arrival
+        } else {
+            wake.map(|(at, _)| at)
+        };
+        let Some(next) = next.filter(|next| *next <= end) else {
+            return false;
+        };
+        self.at = self.at.max(next);
+        if arrives_first {
+            if let Some(message) = self.network.take_arrival() {
+                self.deliver(message);
+            }
+        } else if let Some((_, id)) = wake {
+            self.with(id, |core, now| core.tick(now));
+        }
+        self.checks.on_group(self.at, &self.replicas);
+        true
+    }
+
+    fn next_wake(&self) -> Option<(Duration, ReplicaId)> {
+        let running = self.replicas.iter().filter(|(_, replica)| !replica.paused);
+        let wakes = running.filter_map(|(id, replica)| {
+            let core = replica.consensus.as_ref()?;
+            Some((replica.clock.time_of(core.next_wake()).max(self.at), *id))
+        });
+        wakes.min()
+    }
+
+    fn deliver(&mut self, message: PeerMessage) {
+        let id = message.to;
+        let Some(replica) = self.replicas.get(&id) else {
+            return;
+        };
+        if replica.paused {
+            self.held.entry(id).or_default().push(message);
+            return;
+        }
+        self.with(id, |core, now| core.step(now, message));
+    }
+
+    /// Calls a running replica at its own time, then does the work it hands out.
+    pub fn with<T>(
+        &mut self,
+        id: ReplicaId,
+        call: impl FnOnce(&mut Consensus, Duration) -> T,
+    ) -> Option<T> {
+        let at = self.at;
+        let replica = self.replica_mut(id);
+        let now = replica.clock.read(at);
+        let result = call(replica.consensus.as_mut()?, now);
+        self.work(id);
+        Some(result)
+    }
+
+    fn work(&mut self, id: ReplicaId) {
+        loop {
+            let Some(core) = self.replica_mut(id).consensus.as_mut() else {
+                return;
+            };
+            let ready = core.ready();
+            if ready.is_empty() {
+                return;
+            }
+            if let Some(crash_at) = self.crash_next.remove(&id) {
+                self.crash_within(id, ready, crash_at);
+                return;
+            }
+            self.do_work(id, ready);
+        }
+    }
+
+    fn do_work(&mut self, id: ReplicaId, ready: Ready) {
+        self.checks.on_ready(id, &ready);
+        let at = self.at;
+        let replica = self.replica_mut(id);
+        replica.disk.save(&ready);
+        let now = replica.clock.read(at);
+        if let Some(core) = replica.consensus.as_mut() {
+            core.synced(now);
+        }
+        if ready.snapshot.is_some() {
+            replica.load_snapshot(ready.snapshot.as_ref());
+            replica.snapshots_received += 1;
+        }
+        for entry in &ready.committed {
+            replica.apply(entry);
+        }
+        let replica = &self.replicas[&id];
+        self.checks
+            .on_leader_commit(replica, &ready.committed, &self.replicas);
+        for message in ready.messages {
+            self.network.send(self.at, message);
+        }
+        for (read, index) in ready.reads {
+            self.reads.insert((id, read), index);
+        }
+        if ready.lost_leadership {
+            self.lost_leadership.insert(id);
+        }
+        self.take_snapshot_if_due(id);
+    }
+
+    fn take_snapshot_if_due(&mut self, id: ReplicaId) {
+        let every = self.snapshot_every;
+        let replica = self.replica_mut(id);
+        let last = replica.disk.restored.snapshot.as_ref();
+        let last = last.map_or(LogIndex(0), |(meta, _)| meta.index);
+        let index = replica.applied_index;
+        if index.0 - last.0 < every {
+            return;
+        }
+        let data = replica.applied.clone();
+        if let Some(core) = replica.consensus.as_mut() {
+            if let Some(meta) = core.snapshot_meta(index) {
+                replica.disk.save_snapshot(meta.clone(), data.clone());
+                core.compact(meta, data);
+            }
+        }
+    }
+
+    fn crash_within(&mut self, id: ReplicaId, mut ready: Ready, crash_at: CrashAt) {
+        match crash_at {
+            CrashAt::BeforeSync => {}
+            CrashAt::TornSync => {
+                ready.entries.truncate(ready.entries.len() / 2);
+                self.replica_mut(id).disk.save(&ready);
+            }
+            CrashAt::BeforeSend => self.replica_mut(id).disk.save(&ready),
+        }
+        self.replica_mut(id).consensus = None;
+    }
+
+    pub fn crash(&mut self, id: u64) {
+        self.crash_next.remove(&ReplicaId(id));
+        self.held.remove(&ReplicaId(id));
+        self.replica_mut(ReplicaId(id)).consensus = None;
+    }
+
+    /// Starts a replica that is down.
+    pub fn restart(&mut self, id: u64) {
+        let at = self.at;
+        let replica = self.replica_mut(ReplicaId(id));
+        if replica.consensus.is_none() {
+            replica.start(at);
+        }
+    }
+
+    pub fn pause(&mut self, id: u64) {
+        self.replica_mut(ReplicaId(id)).paused = true;
+    }
+
+    /// Lets a paused replica run on, with the messages that came meanwhile.
+    pub fn resume(&mut self, id: u64) {
+        let id = ReplicaId(id);
+        self.replica_mut(id).paused = false;
+        for message in self.held.remove(&id).unwrap_or_default() {
+            self.with(id, |core, now| core.step(now, message));
+        }
+        self.checks.on_group(self.at, &self.replicas);
+    }
+
+    /// The running leader of the highest term.
+    pub fn leader(&self) -> Option<u64> {
+        let cores = self.replicas.iter().filter_map(|(id, replica)| {
+            let core = replica.consensus.as_ref()?;
+            (core.role() == Role::Leader && !replica.paused).then_some((core.term(), id.0))
+        });
+        cores.max().map(|(_, id)| id)
+    }
+
+    /// Waits for a leader that has committed an entry of its own term, and tells its id.
+    pub fn elect(&mut self) -> u64 {
+        let elected = self.run_until(Duration::from_secs(60), |cluster| {
+            let leader = cluster.leader();
+            leader.is_some_and(|id| cluster.core(id).leads_with_commit())
+        });
+        assert!(elected, "no leader within a minute");
+        self.leader().expect("a leader")
+    }
+
+    pub fn propose(&mut self, id: u64, command: &[u8]) -> Result<LogIndex, ProposeError> {
+        let command = command.to_vec();
+        let proposed = self.with(ReplicaId(id), |core, now| core.propose(now, command));
+        let (_, index) = proposed.unwrap_or(Err(ProposeError::NotLeader { leader: None }))?;
+        Ok(index)
+    }
+
+    pub fn propose_membership(
+        &mut self,
+        id: u64,
+        membership: Membership,
+    ) -> Result<LogIndex, ProposeError> {
+        let proposed = self.with(ReplicaId(id), |core, now| {
+            core.propose_membership(now, membership)
+        });
+        let (_, index) = proposed.unwrap_or(Err(ProposeError::NotLeader { leader: None }))?;
+        Ok(index)
+    }
+
+    /// The present membership of a replica with one member put in place or taken out.
+    pub fn changed_membership(
+        &self,
+        id: u64,
+        replica: u64,
+        role: Option<MemberRole>,
+    ) -> Membership {
+        let mut changed = self.core(id).membership().clone();
+        changed.members.retain(|member| member.replica.0 != replica);
+        changed
+            .members
+            .extend(role.map(|role| member(replica, role)));
+        changed
+    }
+
+    /// Runs until an index is applied everywhere that runs.
+    pub fn settle(&mut self, index: LogIndex, time: Duration) -> bool {
+        self.run_until(time, |cluster| {
+            let mut running = cluster
+                .replicas
+                .values()
+                .filter(|replica| replica.consensus.is_some() && !replica.paused);
+            running.all(|replica| replica.applied_index >= index)
+        })
+    }
+
+    pub fn violations(&self) -> &[Violation] {
+        &self.checks.violations
+    }
+}
