Ownership state and the coordinator's interface

Cause: control and the simulator compile against this crate. A new command, register_boot, records a server's start and gives each of its shards a fresh epoch in one entry, so that a new leader also knows which process it granted to. Ruled out: keeping the boot in the leader's memory only: after a change of leader a restarted server would be granted its old epoch and take its empty record of requests for whole. Tests: none yet.

--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1,6 +1,20 @@
 //! Generated from the files under `schema/` by `cargo xtask generate`. Do not edit.
 #![allow(missing_docs, clippy::all)]
 
+///A bundle whose signatures were checked.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AcceptBundle {
+    pub digest: Digest,
+    pub signed: SignedBundle,
+}
+///The bundle in force.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AcceptedBundle {
+    pub record: BundleRecord,
+    pub signed: SignedBundle,
+}
 ///JSON body of every refusal on the admin address.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -170,6 +184,26 @@
     ///Round of the request answered.
     pub round: u64,
 }
+///New owners of shards.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AssignShards {
+    pub assignments: ::std::vec::Vec<Assignment>,
+}
+///A new owner of one shard; its epoch is the index of the entry.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Assignment {
+    ///Epoch that the shard must have, 0 for a shard that never had an owner.
+    pub expected_epoch: Epoch,
+    ///Whether the present owner released the shard.
+    pub released: bool,
+    ///New owner; absent for none.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub server: ::std::option::Option<ServerName>,
+    pub service: ServiceName,
+    pub shard: ShardId,
+}
 ///Owner of a shard.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -395,6 +429,42 @@
             })
     }
 }
+///A command in a control group's log.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum Command {
+    ///Puts a signed bundle in force, if it follows the one in force.
+    #[serde(rename = "accept_bundle")]
+    AcceptBundle(AcceptBundle),
+    ///Changes owners of shards, each only if its epoch is the expected one.
+    #[serde(rename = "assign")]
+    Assign(AssignShards),
+    ///Changes what a server may be given.
+    #[serde(rename = "set_standing")]
+    SetStanding(SetStanding),
+    ///Records a new start of a server and gives each of its shards a fresh epoch.
+    #[serde(rename = "register_boot")]
+    RegisterBoot(RegisterBoot),
+}
+impl ::std::convert::From<AcceptBundle> for Command {
+    fn from(value: AcceptBundle) -> Self {
+        Self::AcceptBundle(value)
+    }
+}
+impl ::std::convert::From<AssignShards> for Command {
+    fn from(value: AssignShards) -> Self {
+        Self::Assign(value)
+    }
+}
+impl ::std::convert::From<SetStanding> for Command {
+    fn from(value: SetStanding) -> Self {
+        Self::SetStanding(value)
+    }
+}
+impl ::std::convert::From<RegisterBoot> for Command {
+    fn from(value: RegisterBoot) -> Self {
+        Self::RegisterBoot(value)
+    }
+}
 ///A frame to a router or relay.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ControlFrame {
@@ -1668,6 +1738,35 @@
     pub service: ServiceName,
     pub shard: ShardId,
 }
+///Later frames of a snapshot: a run of shards of one service, as columns.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OwnershipChunk {
+    pub epochs: ::std::vec::Vec<Epoch>,
+    pub first: ShardId,
+    ///Slot of the owner plus 1; 0 for none.
+    pub owners: ::std::vec::Vec<u32>,
+    pub previous_epochs: ::std::vec::Vec<Epoch>,
+    ///Slot of the previous owner plus 1; 0 for none.
+    pub previous_owners: ::std::vec::Vec<u32>,
+    pub previous_released: ::std::vec::Vec<bool>,
+    pub service: ServiceName,
+}
+///First frame of a snapshot of the ownership state.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct OwnershipHeader {
+    ///Bundles accepted lately, oldest first.
+    pub accepted: ::std::vec::Vec<BundleRecord>,
+    pub applied: LogIndex,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub bundle: ::std::option::Option<AcceptedBundle>,
+    pub group: GroupId,
+    ///By slot; an absent server leaves its slot free.
+    pub servers: ::std::vec::Vec<ServerSlot>,
+    pub services: ::std::vec::Vec<ServiceRecord>,
+    pub table_index: LogIndex,
+}
 ///Kinds of messages between replicas.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum PeerBody {
@@ -1882,6 +1981,17 @@
         value.parse()
     }
 }
+///A start of a server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct RegisterBoot {
+    ///Boot that the server's heartbeats tell.
+    pub boot: u64,
+    ///Boot recorded before; absent for none.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub expected_boot: ::std::option::Option<u64>,
+    pub server: ServerName,
+}
 ///JSON body of an answer that the router gave by itself.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2568,6 +2678,27 @@
             })
     }
 }
+///What is kept of one server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServerRecord {
+    ///Boot recorded last.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub boot: ::std::option::Option<u64>,
+    pub origin: StandingOrigin,
+    ///Whether the bundle in force no longer lists it.
+    pub removed: bool,
+    pub server: Server,
+    pub service: ServiceName,
+    pub standing: ServerStanding,
+}
+///A server or a free slot.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServerSlot {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub server: ::std::option::Option<ServerRecord>,
+}
 ///What a server may be given.
 #[derive(
     ::serde::Deserialize,
@@ -2721,6 +2852,14 @@
             })
     }
 }
+///What is kept of one service, besides its shards.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceRecord {
+    ///Whether the bundle in force no longer lists it.
+    pub removed: bool,
+    pub service: Service,
+}
 ///Routing of one service.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2786,6 +2925,14 @@
         value.parse()
     }
 }
+///A new standing of one server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct SetStanding {
+    pub origin: StandingOrigin,
+    pub server: ServerName,
+    pub standing: ServerStanding,
+}
 ///Number of a shard within its service, from 0.
 #[derive(
     ::serde::Deserialize,
@@ -3121,6 +3268,63 @@
     pub service: ServiceName,
     pub standing: ServerStanding,
 }
+///Whose wish a standing is.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum StandingOrigin {
+    ///The server's own, as its heartbeats tell.
+    #[serde(rename = "server")]
+    Server,
+    ///An operator's; the server is told.
+    #[serde(rename = "operator")]
+    Operator,
+}
+impl ::std::fmt::Display for StandingOrigin {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Server => f.write_str("server"),
+            Self::Operator => f.write_str("operator"),
+        }
+    }
+}
+impl ::std::str::FromStr for StandingOrigin {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "server" => Ok(Self::Server),
+            "operator" => Ok(Self::Operator),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for StandingOrigin {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for StandingOrigin {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///GET /v1/status.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
