--- a/crates/storage/src/simulated_disk.rs
+++ b/crates/storage/src/simulated_disk.rs
@@ -40,7 +40,8 @@
     generation: u64,
     operations: u64,
     crash_at: Option<u64>,
-    failing_syncs: u32,
+    /// Good syncs left before one fails.
+    good_syncs: Option<u64>,
     capacity: Option<u64>,
 }
 
@@ -62,11 +63,17 @@
     }
 
     fn sync(&mut self) -> Result<(), DiskError> {
-        if self.failing_syncs == 0 {
-            return Ok(());
+        match self.good_syncs {
+            None => Ok(()),
+            Some(0) => {
+                self.good_syncs = None;
+                Err(DiskError::SyncFailed)
+            }
+            Some(left) => {
+                self.good_syncs = Some(left - 1);
+                Ok(())
+            }
         }
-        self.failing_syncs -= 1;
-        Err(DiskError::SyncFailed)
     }
 
     /// Count of bytes out of `wanted` that still fit.
@@ -81,7 +88,7 @@
     fn restart(&mut self) {
         self.generation += 1;
         self.crash_at = None;
-        self.failing_syncs = 0;
+        self.good_syncs = None;
     }
 }
 
@@ -93,7 +100,7 @@
             generation: 0,
             operations: 0,
             crash_at: None,
-            failing_syncs: 0,
+            good_syncs: None,
             capacity: None,
         };
         Self {
@@ -127,9 +134,14 @@
         self.lock().operations
     }
 
-    /// The next sync of a file or of the folder fails, and so on for each call.
+    /// The next sync of a file or of the folder fails.
     pub fn fail_next_sync(&self) {
-        self.lock().failing_syncs += 1;
+        self.fail_sync_after(0);
+    }
+
+    /// One sync of a file or of the folder fails, after this many good ones.
+    pub fn fail_sync_after(&self, good: u64) {
+        self.lock().good_syncs = Some(good);
     }
 
     /// Bounds the bytes of all files together; `None` for no bound.
