Storage: test that a zeroed record before a valid one is damage

Cause: with the search for later records taken out, no test failed. Change: the middle record of the table spans whole sectors; one case zeroes the record, one a sector. Conclusion: the table fails without that search and passes with it.

--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -82,18 +82,21 @@
     let mut storage = create(&disk);
     let name = segments(&disk).remove(0);
     let mut lengths = Vec::new();
-    for index in 1..=3 {
+    // The second record spans whole sectors.
+    for batch in [entries(1..=1, 1), entries(2..=40, 1), entries(41..=41, 1)] {
         lengths.push(disk.read(&name, READ_LIMIT).expect("a segment").len());
-        storage
-            .persist(None, &entries(index..=index, 1))
-            .expect("a batch");
+        storage.persist(None, &batch).expect("a batch");
     }
     let bytes = disk.read(&name, READ_LIMIT).expect("a segment");
     let without_second = [&bytes[..lengths[1]], &bytes[lengths[2]..]].concat();
     let doubled_first = [&bytes[..lengths[1]], &bytes[lengths[0]..]].concat();
     let mut zeroed_second = bytes.clone();
     zeroed_second[lengths[1]..lengths[2]].fill(0);
+    let mut zeroed_sector = bytes.clone();
+    let sector = (lengths[1] / 512 + 1) * 512;
+    zeroed_sector[sector..sector + 512].fill(0);
     let cases = [
+        (zeroed_sector, Damage::Body),
         (without_second, Damage::Sequence),
         (doubled_first, Damage::Sequence),
         (zeroed_second, Damage::Header),
