--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -16,11 +16,14 @@
     WAITING_READS,
 };
 use crate::membership::{check_change, is_member};
-use crate::progress::{Progress, Sending};
+use crate::progress::{Leaving, Progress, Sending};
 use crate::quorum::reached_by_majority;
 use crate::ready::ReadId;
 use crate::rounds::Rounds;
 
+/// Election timeouts for which a leader tells a removed member of its removal, at most.
+const TELL_REMOVED_FOR: u32 = 10;
+
 /// What a leader keeps for its term.
 #[derive(Debug)]
 pub(crate) struct Leadership {
@@ -60,21 +63,27 @@
         self.log.append(self.term, EntryPayload::Noop);
     }
 
-    /// Follows the members of the last membership, and only these.
+    /// Follows the members of the last membership, and those it removed until they know it.
     fn match_progress_to_members(&mut self) {
         let State::Leader(leadership) = &mut self.state else {
             return;
         };
         let membership = self.memberships.current();
-        let progress = &mut leadership.progress;
-        progress.retain(|replica, _| is_member(membership, *replica));
-        for member in &membership.members {
-            if member.replica != self.config.id {
-                progress
-                    .entry(member.replica)
-                    .or_insert_with(|| Progress::new(self.log.last_index()));
+        let leaving = Leaving {
+            index: self.memberships.current_index(),
+            until: self.now + self.config.election_timeout * TELL_REMOVED_FOR,
+        };
+        for (replica, progress) in &mut leadership.progress {
+            if !is_member(membership, *replica) {
+                progress.leaving.get_or_insert(leaving);
             }
         }
+        let others = membership.members.iter().map(|member| member.replica);
+        for replica in others.filter(|replica| *replica != self.config.id) {
+            let progress = leadership.progress.entry(replica);
+            let progress = progress.or_insert_with(|| Progress::new(self.log.last_index()));
+            progress.leaving = None;
+        }
     }
 
     /// Begins a round when one is due, and steps down when no majority was heard for an election timeout.
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -48,6 +48,17 @@
     pub commit_sent: LogIndex,
     /// Whether the present round has not gone to this member yet.
     pub round_due: bool,
+    /// Set when the member was removed: it is still told so.
+    pub leaving: Option<Leaving>,
+}
+
+/// A removed member that should learn of its removal.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Leaving {
+    /// Index of the entry that removes it.
+    pub index: LogIndex,
+    /// When the leader gives up telling it.
+    pub until: Duration,
 }
 
 impl Progress {
@@ -60,6 +71,7 @@
             answered_round: 0,
             commit_sent: LogIndex(0),
             round_due: true,
+            leaving: None,
         }
     }
 
@@ -113,6 +125,14 @@
         }
     }
 
+    /// Whether this member was removed, and knows it or was told for long enough.
+    pub fn has_left(&self, now: Duration) -> bool {
+        self.leaving.is_some_and(|leaving| {
+            let knows = self.matched.min(self.commit_sent) >= leaving.index;
+            knows || now >= leaving.until
+        })
+    }
+
     /// Whether another batch may be sent without an answer.
     pub fn may_send_batch(&self) -> bool {
         match &self.sending {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -49,6 +49,8 @@
             progress, rounds, ..
         } = leadership.as_mut();
         let round = rounds.current();
+        let now = self.now;
+        progress.retain(|_, progress| !progress.has_left(now));
         let mut bodies = Vec::new();
         for (replica, progress) in progress.iter_mut() {
             for body in bodies_due(&self.log, progress, round) {
--- /dev/null
+++ b/crates/consensus/tests/guards.rs
@@ -0,0 +1,70 @@
+//! Each guard is needed: without it a rule is broken within a few seeds, with it never.
+
+mod support;
+
+use std::time::Duration;
+
+use grebepin_consensus::{Guard, Guards};
+use support::checks::Violation;
+use support::cluster::Cluster;
+
+/// Seeds within which a missing guard must show.
+const SEEDS: u64 = 10;
+/// Seeds in which nothing may happen with every guard in force.
+const SEEDS_WITH_ALL_GUARDS: u64 = 60;
+
+/// The leader freezes while the others elect another one.
+fn frozen_leader(cluster: &mut Cluster, leader: u64) {
+    cluster.pause(leader);
+    cluster.run(Duration::from_secs(6));
+    cluster.resume(leader);
+    cluster.run(Duration::from_secs(1));
+}
+
+/// One replica no longer hears the leader; all others do.
+fn cut_from_the_leader(cluster: &mut Cluster, leader: u64) {
+    let other = if leader == 1 { 2 } else { 1 };
+    cluster.network.partition(&[leader], &[other]);
+    cluster.run(Duration::from_secs(6));
+}
+
+/// The leader hears learners only, and goes on proposing.
+fn learners_only(cluster: &mut Cluster, leader: u64) {
+    let voters: Vec<u64> = (1..=3).filter(|id| *id != leader).collect();
+    cluster.network.partition(&[leader], &voters);
+    for _ in 0..10 {
+        let _ = cluster.propose(leader, b"x");
+        cluster.run(Duration::from_millis(50));
+    }
+}
+
+type Scenario = fn(&mut Cluster, u64);
+
+fn violations(guards: Guards, scenario: Scenario, seeds: u64) -> Vec<Violation> {
+    let runs = (0..seeds).flat_map(|seed| {
+        let mut cluster = Cluster::new(seed, &[1, 2, 3], &[4, 5], guards);
+        let leader = cluster.elect();
+        cluster.run(Duration::from_secs(1));
+        scenario(&mut cluster, leader);
+        cluster.checks.violations
+    });
+    runs.collect()
+}
+
+#[test]
+fn each_guard_is_needed() {
+    type Expected = fn(&Violation) -> bool;
+    let overlap: Expected = |violation| matches!(violation, Violation::LeaseOverlap { .. });
+    let learners: Expected = |violation| matches!(violation, Violation::CommitWithoutQuorum { .. });
+    let table: [(Guard, Scenario, Expected); 3] = [
+        (Guard::LeaderLease, frozen_leader, overlap),
+        (Guard::VotePromise, cut_from_the_leader, overlap),
+        (Guard::LearnerRule, learners_only, learners),
+    ];
+    for (guard, scenario, expected) in table {
+        let found = violations(Guards::without(guard), scenario, SEEDS);
+        assert!(found.iter().any(expected), "without {guard:?}: {found:?}");
+        let found = violations(Guards::all(), scenario, SEEDS_WITH_ALL_GUARDS);
+        assert_eq!(found, [], "with every guard, in the scenario of {guard:?}");
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/membership.rs
@@ -0,0 +1,112 @@
+//! Changes of membership, one member at a time.
+
+mod support;
+
+use std::time::Duration;
+
+use grebepin_consensus::{Guards, MembershipError, ProposeError, Restored, Role};
+use grebepin_schema::{MemberRole, Membership, ReplicaId};
+use support::cluster::Cluster;
+use support::members::membership;
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn invalid(error: MembershipError) -> ProposeError {
+    ProposeError::InvalidMembership(error)
+}
+
+#[test]
+fn changes_that_break_a_rule_are_refused() {
+    let mut cluster = Cluster::new(1, &[1, 2, 3], &[4], Guards::all());
+    let leader = cluster.elect();
+    cluster.crash(4);
+    cluster.run(LONG);
+    let twice = Membership {
+        members: [membership(&[1, 2, 3], &[4]), membership(&[1], &[])]
+            .into_iter()
+            .flat_map(|part| part.members)
+            .collect(),
+    };
+    let (replica, not_one) = (ReplicaId(4), |changes| MembershipError::NotOneChange {
+        changes,
+    });
+    let table = [
+        (membership(&[1, 2, 3], &[4]), not_one(0)),
+        (membership(&[1, 2], &[]), not_one(2)),
+        (membership(&[1, 2, 5], &[4]), not_one(2)),
+        (membership(&[], &[1, 2, 3, 4]), MembershipError::NoVoter),
+        (
+            twice,
+            MembershipError::DuplicateReplica {
+                replica: ReplicaId(1),
+            },
+        ),
+        (
+            membership(&[1, 2, 3, 5], &[4]),
+            MembershipError::NotYetLearner {
+                replica: ReplicaId(5),
+            },
+        ),
+        (
+            membership(&[1, 2, 3, 4], &[]),
+            MembershipError::LearnerBehind { replica },
+        ),
+    ];
+    for (proposed, error) in table {
+        let refused = cluster.propose_membership(leader, proposed);
+        assert_eq!(refused, Err(invalid(error)));
+    }
+}
+
+#[test]
+fn a_second_change_waits_for_the_first() {
+    let mut cluster = Cluster::new(2, &[1, 2, 3], &[], Guards::all());
+    let leader = cluster.elect();
+    let add = cluster.changed_membership(leader, 4, Some(MemberRole::Learner));
+    cluster.propose_membership(leader, add).unwrap();
+    let more = cluster.changed_membership(leader, 5, Some(MemberRole::Learner));
+    let refused = cluster.propose_membership(leader, more.clone());
+    assert_eq!(refused, Err(ProposeError::MembershipBusy));
+    cluster.run(LONG);
+    assert!(cluster.propose_membership(leader, more).is_ok());
+}
+
+#[test]
+fn an_empty_replica_replaces_each_member_in_turn() {
+    let mut cluster = Cluster::new(3, &[1, 2, 3], &[], Guards::all());
+    cluster.snapshot_every = 50;
+    for (old, new) in [(1, 4), (2, 5), (3, 6)] {
+        let leader = cluster.elect();
+        for command in 0..120 {
+            cluster.propose(leader, &[command]).unwrap();
+        }
+        cluster.run(LONG);
+        cluster.add(new, Restored::default());
+        change(&mut cluster, new, Some(MemberRole::Learner));
+        let caught_up = cluster.run_until(LONG, |cluster| {
+            let leader = cluster.leader();
+            leader.is_some_and(|id| cluster.core(id).learner_is_caught_up(ReplicaId(new)))
+        });
+        assert!(caught_up, "learner {new}");
+        assert_eq!(cluster.core(new).role(), Role::Learner);
+        change(&mut cluster, new, Some(MemberRole::Voter));
+        change(&mut cluster, old, None);
+        cluster.run(LONG);
+        assert_eq!(cluster.core(old).role(), Role::Learner, "{old} was removed");
+        cluster.crash(old);
+    }
+    let leader = cluster.elect();
+    assert_eq!(cluster.core(leader).membership().members.len(), 3);
+    assert_eq!(cluster.replica(leader).applied.len(), 360);
+    assert_eq!(cluster.violations(), []);
+}
+
+fn change(cluster: &mut Cluster, replica: u64, role: Option<MemberRole>) {
+    let leader = cluster.elect();
+    let changed = cluster.changed_membership(leader, replica, role);
+    let index = cluster.propose_membership(leader, changed).unwrap();
+    let committed = cluster.run_until(LONG, |cluster| {
+        cluster.replica(leader).applied_index >= index
+    });
+    assert!(committed, "change of {replica} to {role:?}");
+}
--- a/crates/consensus/tests/support/checks.rs
+++ b/crates/consensus/tests/support/checks.rs
@@ -25,6 +25,8 @@
     LeaseOverlap { one: ReplicaId, other: ReplicaId },
     /// An entry was committed that no majority of the voters had stored.
     CommitWithoutQuorum { index: LogIndex },
+    /// A read was answered from a state older than one acknowledged before it was asked.
+    StaleRead { replica: ReplicaId },
 }
 
 /// What was seen so far.
@@ -38,7 +40,7 @@
 }
 
 impl Checks {
-    fn report(&mut self, violation: Violation) {
+    pub fn report(&mut self, violation: Violation) {
         if !self.violations.contains(&violation) {
             self.violations.push(violation);
         }
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -36,8 +36,9 @@
     pub replicas: BTreeMap<ReplicaId, Replica>,
     pub network: Network,
     pub checks: Checks,
-    /// Reads that came out, with the index to apply first.
-    pub reads: BTreeMap<(ReplicaId, ReadId), LogIndex>,
+    /// Reads that wait, with the highest index anyone had committed when they were asked.
+    reads: BTreeMap<(ReplicaId, ReadId), LogIndex>,
+    pub reads_answered: usize,
     /// Replicas that reported a lost leadership.
     pub lost_leadership: BTreeSet<ReplicaId>,
     /// Entries after which a replica takes a snapshot.
@@ -58,6 +59,7 @@
             network: Network::new(seed, Conditions::good()),
             checks: Checks::default(),
             reads: BTreeMap::new(),
+            reads_answered: 0,
             lost_leadership: BTreeSet::new(),
             snapshot_every: u64::MAX,
             crash_next: BTreeMap::new(),
@@ -246,7 +248,11 @@
             self.network.send(self.at, message);
         }
         for (read, index) in ready.reads {
-            self.reads.insert((id, read), index);
+            self.reads_answered += 1;
+            let asked_at = self.reads.remove(&(id, read));
+            if asked_at.is_none_or(|committed| index < committed) {
+                self.checks.report(Violation::StaleRead { replica: id });
+            }
         }
         if ready.lost_leadership {
             self.lost_leadership.insert(id);
@@ -293,6 +299,9 @@
     /// Starts a replica that is down.
     pub fn restart(&mut self, id: u64) {
         let at = self.at;
+        if self.replicas[&ReplicaId(id)].consensus.is_none() {
+            self.reads.retain(|(replica, _), _| replica.0 != id);
+        }
         let replica = self.replica_mut(ReplicaId(id));
         if replica.consensus.is_none() {
             replica.start(at);
@@ -339,6 +348,21 @@
         Ok(index)
     }
 
+    pub fn request_read(&mut self, id: u64) -> Result<ReadId, ProposeError> {
+        let committed = self.checks.committed.keys().last().copied();
+        let at = self.at;
+        let id = ReplicaId(id);
+        let replica = self.replica_mut(id);
+        let now = replica.clock.read(at);
+        let Some(core) = replica.consensus.as_mut() else {
+            return Err(ProposeError::NotLeader { leader: None });
+        };
+        let read = core.request_read(now)?;
+        self.reads.insert((id, read), committed.unwrap_or_default());
+        self.work(id);
+        Ok(read)
+    }
+
     pub fn propose_membership(
         &mut self,
         id: u64,
