Thin whole path as separate processes, and a demonstration of it

Cause: nothing served a request yet.

Change: a control process that keeps its state in memory, a router, a back end and a demonstration that starts them as processes on loopback. Leases by nonce, epochs, the check before an effect, and planned moves by release are in it. Replication, sign-off, admission and cancellation are not: the bundles of this demonstration carry no signatures.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`ControlNode`] decides; the daemon round it moves bytes and keeps the time.
 
 mod node;
+pub mod thin;
 
 pub use node::config::{default_timing, NodeConfig};
 pub use node::error::NodeError;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,3 @@
 //! The router daemon.
+
+pub mod thin;
