--- /dev/null
+++ b/crates/admin-client/src/lib.rs
@@ -0,0 +1,12 @@
+//! Typed client of the control replicas' admin interface.
+//!
+//! Invariant: a call that only the leader answers is sent until one replica answers it as leader, or
+//! the time is over; each such call may be sent again without harm, so an answer that was lost costs
+//! nothing.
+
+mod client;
+mod error;
+mod http;
+
+pub use client::{AdminClient, ClientOptions};
+pub use error::{Attempt, ClientError};
