standin: back end with slots, cold start, faults and a planned stop

Cause: fleets on one machine need back ends that keep the contract and can misbehave. Ruled out: rouille for this server; it bounds no connections, and a frozen server must hold back reads and writes, which needs the connection in hand. Change: one thread a connection over std, heads parsed by httparse; holder decides; every effect is one line of history written under the lock that allowed it. Events 301-304. Not yet here: contract check, caller, platform list, tests.

--- a/crates/holder/src/holder.rs
+++ b/crates/holder/src/holder.rs
@@ -33,6 +33,8 @@
     pub(crate) in_flight: u32,
     /// The record of the previous owner is being fetched.
     pub(crate) awaiting_record: bool,
+    /// Released with a record that no next owner has fetched yet.
+    pub(crate) record_unfetched: bool,
     /// Hash of the held shard, for the checksum.
     pub(crate) hash: u64,
     pub(crate) record: Record,
@@ -48,6 +50,7 @@
             released: Epoch(0),
             in_flight: 0,
             awaiting_record: false,
+            record_unfetched: false,
             hash: 0,
             record: Record::default(),
         }
@@ -118,6 +121,13 @@
         self.groups.values().map(|lease| lease.held).sum()
     }
 
+    /// Released shards whose record the next owner has not fetched yet. A server that stops as
+    /// planned stays until there are none, for a bounded time.
+    pub fn unfetched_records(&self) -> usize {
+        let shards = self.shards.values();
+        shards.filter(|shard| shard.record_unfetched).count()
+    }
+
     /// Whether the server is leaving.
     pub fn is_draining(&self) -> bool {
         self.draining_since.is_some()
@@ -235,6 +245,7 @@
         shard.epoch = epoch;
         shard.held = true;
         shard.release_asked = None;
+        shard.record_unfetched = false;
         shard.hash = grebepin_schema::hashing::shard_hash(&key.service, key.shard, epoch);
         if let Some(lease) = self.groups.get_mut(&shard.group) {
             lease.held += 1;
--- a/crates/holder/src/ownership.rs
+++ b/crates/holder/src/ownership.rs
@@ -99,6 +99,9 @@
         shard.record.expire(now, &self.config);
         let settled = !shard.held && shard.in_flight == 0;
         let same_epoch = shard.epoch == epoch && shard.released >= epoch;
+        if settled && same_epoch {
+            shard.record_unfetched = false;
+        }
         HandoverAnswer {
             complete: settled && same_epoch && shard.record.is_whole(now),
             entries: shard.record.handover_entries(),
@@ -219,6 +222,7 @@
             return Some(shard.in_flight);
         }
         shard.released = shard.released.max(held.epoch);
+        shard.record_unfetched = shard.held && !shard.record.is_empty();
         self.forfeit(now, &key);
         None
     }
--- a/crates/holder/src/record.rs
+++ b/crates/holder/src/record.rs
@@ -91,6 +91,10 @@
             .is_some_and(|entry| entry.repeatable)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     pub(crate) fn remove(&mut self, request_id: &RequestId) {
         self.entries.remove(request_id);
     }
--- a/crates/holder/src/requests.rs
+++ b/crates/holder/src/requests.rs
@@ -28,6 +28,13 @@
     token: u64,
 }
 
+impl Permit {
+    /// Tells this permit from every other of the same start of the server.
+    pub fn token(&self) -> u64 {
+        self.token
+    }
+}
+
 /// What is to be done with a request.
 #[derive(Debug)]
 pub enum Begun {
--- /dev/null
+++ b/crates/standin/src/back_end/node.rs
@@ -0,0 +1,171 @@
+//! State of one stand-in back end, shared by its threads.
+//!
+//! Invariant: changes of what is held are recorded in the order in which they were made.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::Sender;
+use grebepin_holder::{HandoverFetch, Holder, HolderConfig, HoldingChange, HoldingChangeKind};
+use grebepin_schema::{EffectRecord, HealthState, HistoryEvent, Holding, LoadAnswer};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+
+use super::faults::Faults;
+use super::slots::Slots;
+use super::{Args, Lie};
+use crate::history::HistoryWriter;
+use crate::http::{Answer, Question, ServerHooks};
+use crate::lock;
+
+/// Boots stay below 2^53, so that any language's JSON numbers hold them.
+const BOOT_BITS: u32 = 53;
+
+/// Waiting requests in a lie.
+const LIED_WAITING: u32 = 1000;
+
+/// One stand-in back end.
+pub(crate) struct Node {
+    pub(crate) arguments: Args,
+    pub(crate) slots: Slots,
+    pub(crate) faults: Faults,
+    pub(crate) history: HistoryWriter,
+    pub(crate) random: Mutex<SmallRng>,
+    pub(crate) fetches: Sender<HandoverFetch>,
+    pub(crate) running: Mutex<BTreeMap<u64, EffectRecord>>,
+    started: Instant,
+    holder: Mutex<Holder>,
+}
+
+impl Node {
+    pub(crate) fn new(arguments: &Args, fetches: Sender<HandoverFetch>) -> io::Result<Self> {
+        let boot = rand::random::<u64>() >> (u64::BITS - BOOT_BITS);
+        let mut config = HolderConfig::new(boot);
+        config.report_changes = arguments.history.is_some();
+        Ok(Self {
+            slots: Slots::new(arguments.slots, arguments.waiting),
+            faults: Faults::new(arguments.lie),
+            history: HistoryWriter::open(arguments.history.as_deref())?,
+            random: Mutex::new(SmallRng::seed_from_u64(arguments.seed)),
+            fetches,
+            running: Mutex::default(),
+            started: Instant::now(),
+            holder: Mutex::new(Holder::new(config)),
+            arguments: arguments.clone(),
+        })
+    }
+
+    /// Time since the start of the server.
+    pub(crate) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Runs `change` on the holder at the time it has the lock, and records what came of it.
+    pub(crate) fn with_holder<T>(&self, change: impl FnOnce(&mut Holder, Duration) -> T) -> T {
+        let mut holder = lock(&self.holder);
+        let result = change(&mut holder, self.started.elapsed());
+        for change in holder.take_changes() {
+            self.record_change(change);
+        }
+        result
+    }
+
+    /// Records what happened now; a failure is logged, since nothing depends on the record.
+    pub(crate) fn record(&self, event: HistoryEvent) {
+        self.record_at(Instant::now(), event);
+    }
+
+    /// Whether the server is still cold, and how much longer a request takes.
+    pub(crate) fn cold_factor(&self) -> f64 {
+        let cold = Duration::from_millis(self.arguments.cold_ms);
+        let left = cold.saturating_sub(self.now());
+        if left.is_zero() {
+            return 1.0;
+        }
+        let part = left.as_secs_f64() / cold.as_secs_f64();
+        1.0 + (self.arguments.cold_factor - 1.0) * part
+    }
+
+    pub(crate) fn health(&self) -> HealthState {
+        match self.faults.lie() {
+            Lie::Idle | Lie::Busy => return HealthState::Ok,
+            Lie::Failing => return HealthState::Failing,
+            Lie::None => {}
+        }
+        if self.with_holder(|holder, _| holder.is_draining()) {
+            return HealthState::Draining;
+        }
+        match self.cold_factor() > 1.0 {
+            true => HealthState::Cold,
+            false => HealthState::Ok,
+        }
+    }
+
+    pub(crate) fn load(&self) -> LoadAnswer {
+        let slots = self.arguments.slots as u32;
+        let lag = Duration::from_millis(self.arguments.report_lag_ms);
+        let load = self.slots.load(lag);
+        let (in_flight, waiting) = match self.faults.lie() {
+            Lie::None => (load.running as u32, load.waiting as u32),
+            Lie::Idle => (0, 0),
+            Lie::Busy | Lie::Failing => (slots, LIED_WAITING),
+        };
+        LoadAnswer {
+            slots,
+            in_flight,
+            waiting,
+        }
+    }
+
+    fn record_change(&self, change: HoldingChange) {
+        let holding = Holding {
+            server: self.arguments.name.clone(),
+            service: change.shard.service,
+            shard: change.shard.shard,
+            epoch: change.shard.epoch,
+        };
+        let event = match change.kind {
+            HoldingChangeKind::Acquired => HistoryEvent::Acquired(holding),
+            HoldingChangeKind::Forfeited => HistoryEvent::Forfeited(holding),
+        };
+        self.record_at(self.started + change.at, event);
+    }
+
+    fn record_at(&self, at: Instant, event: HistoryEvent) {
+        if let Err(error) = self.history.record(at, event) {
+            grebepin_telemetry::event!(grebepin_telemetry::Event::HistoryNotWritten, error = error);
+        }
+    }
+
+    fn network_delay(&self) {
+        std::thread::sleep(milliseconds(self.arguments.delay_ms));
+    }
+}
+
+impl ServerHooks for Arc<Node> {
+    fn connected(&self) {
+        std::thread::sleep(milliseconds(self.arguments.connect_ms));
+    }
+
+    fn before_transfer(&self) {
+        self.faults.wait_while_frozen();
+    }
+
+    fn answer(&self, question: Question) -> Answer {
+        self.network_delay();
+        let answer = match question.path.starts_with("/grebepin/") {
+            true => self.answer_control(&question),
+            false if question.path.starts_with("/stand-in/") => self.answer_switch(&question),
+            false => self.serve(&question),
+        };
+        self.network_delay();
+        answer
+    }
+}
+
+/// A time from a flag; not a number or below zero counts as zero.
+pub(crate) fn milliseconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value / 1000.0).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/back_end/serving.rs
@@ -0,0 +1,174 @@
+//! Runs the requests of routers.
+
+use std::time::{Duration, Instant};
+
+use grebepin_holder::{headers, Begun, Effect, Permit, Request};
+use grebepin_schema::{EffectRecord, Epoch, HistoryEvent, Refusal, RequestId, ServerName};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use super::node::{milliseconds, Node};
+use super::slots::SlotRefusal;
+use super::ServiceDistribution;
+use crate::http::{Answer, Question};
+use crate::lock;
+
+/// Longest service time, whatever the distribution or the request says.
+const LONGEST_SERVICE: Duration = Duration::from_secs(60);
+
+/// Body of a stand-in's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AnswerBody {
+    /// Server that answered.
+    pub server: ServerName,
+    /// Request answered.
+    pub request_id: RequestId,
+    /// Key asked.
+    pub key: String,
+    /// Epoch at which it ran.
+    pub epoch: Epoch,
+    /// Bytes of the request's body.
+    pub body_bytes: usize,
+    /// Fills the answer up to the size asked for by a flag.
+    pub padding: String,
+}
+
+impl Node {
+    pub(crate) fn serve(&self, question: &Question) -> Answer {
+        let arrived = Instant::now();
+        let request = match Request::from_headers(|name| question.header(name)) {
+            Ok(request) => request,
+            Err(error) => return bad_request(question, &error),
+        };
+        let begun = self.with_holder(|holder, now| {
+            let begun = holder.begin(now, &request)?;
+            if matches!(begun, Begun::Run(_)) {
+                self.record(HistoryEvent::WorkStarted(self.effect_record(&request)));
+            }
+            Ok(begun)
+        });
+        match begun {
+            Err(refusal) => refuse(&request, refusal),
+            Ok(Begun::RanEarlier) => self
+                .answer_to(&request, question)
+                .with(headers::RAN_EARLIER, true),
+            Ok(Begun::Run(permit)) => match self.run(arrived, &request, question, permit) {
+                Ok(()) => self.answer_to(&request, question),
+                Err(refusal) => refuse(&request, refusal),
+            },
+        }
+    }
+
+    fn run(
+        &self,
+        arrived: Instant,
+        request: &Request,
+        question: &Question,
+        permit: Permit,
+    ) -> Result<(), Refusal> {
+        let token = permit.token();
+        lock(&self.running).insert(token, self.effect_record(request));
+        let result = self.wait_and_work(arrived, request, question, permit);
+        lock(&self.running).remove(&token);
+        result
+    }
+
+    fn wait_and_work(
+        &self,
+        arrived: Instant,
+        request: &Request,
+        question: &Question,
+        permit: Permit,
+    ) -> Result<(), Refusal> {
+        let deadline = arrived + request.deadline_left;
+        let slot = match self.slots.take(deadline) {
+            Ok(slot) => slot,
+            Err(reason) => {
+                self.with_holder(|holder, now| holder.finish(now, permit, Effect::NotMade));
+                return Err(match reason {
+                    SlotRefusal::Full => Refusal::Shed,
+                    SlotRefusal::Deadline => Refusal::Deadline,
+                });
+            }
+        };
+        std::thread::sleep(self.service_time(question));
+        self.faults.wait_while_frozen();
+        let result = self.make_effect(request, permit);
+        drop(slot);
+        result
+    }
+
+    /// Checks again and makes the effect, which is a line in the history file.
+    fn make_effect(&self, request: &Request, permit: Permit) -> Result<(), Refusal> {
+        let effect = HistoryEvent::Effect(self.effect_record(request));
+        self.with_holder(|holder, now| {
+            if let Err(refusal) = holder.before_effect(now, &permit) {
+                holder.finish(now, permit, Effect::NotMade);
+                return Err(refusal);
+            }
+            match self.history.record(Instant::now(), effect) {
+                Ok(()) => {
+                    holder.finish(now, permit, Effect::Made);
+                    Ok(())
+                }
+                Err(_) => {
+                    holder.finish(now, permit, Effect::NotMade);
+                    Err(Refusal::Shed)
+                }
+            }
+        })
+    }
+
+    /// The mean or the request's own `work_ms`, spread and made longer while cold.
+    fn service_time(&self, question: &Question) -> Duration {
+        let stated = question.parsed("work_ms");
+        let mean = stated.unwrap_or(self.arguments.service_ms) * self.cold_factor();
+        let chance: f64 = lock(&self.random).random();
+        let time = match self.arguments.service_distribution {
+            ServiceDistribution::Fixed => mean,
+            ServiceDistribution::Uniform => mean * (0.5 + chance),
+            ServiceDistribution::Exponential => mean * -(1.0 - chance).ln(),
+        };
+        milliseconds(time).min(LONGEST_SERVICE)
+    }
+
+    fn effect_record(&self, request: &Request) -> EffectRecord {
+        EffectRecord {
+            server: self.arguments.name.clone(),
+            service: request.service.clone(),
+            shard: request.shard,
+            epoch: request.epoch,
+            key: request.key.clone(),
+            request_id: request.request_id.clone(),
+            repeatable: request.repeatable,
+        }
+    }
+
+    fn answer_to(&self, request: &Request, question: &Question) -> Answer {
+        let mut body = AnswerBody {
+            server: self.arguments.name.clone(),
+            request_id: request.request_id.clone(),
+            key: request.key.clone(),
+            epoch: request.epoch,
+            body_bytes: question.body.len(),
+            padding: String::new(),
+        };
+        let size = serde_json::to_vec(&body).map_or(0, |bytes| bytes.len());
+        body.padding = "-".repeat(self.arguments.answer_bytes.saturating_sub(size));
+        Answer::json(&body).with(headers::REQUEST_ID, request.request_id.as_str())
+    }
+}
+
+fn refuse(request: &Request, refusal: Refusal) -> Answer {
+    Answer::text(503, refusal)
+        .with(headers::REQUEST_ID, request.request_id.as_str())
+        .with(headers::REFUSAL, refusal)
+}
+
+fn bad_request(question: &Question, error: &headers::HeaderError) -> Answer {
+    let answer = Answer::text(400, error).with(headers::REFUSAL, Refusal::BadRequest);
+    match question.header(headers::REQUEST_ID) {
+        Some(id) => answer.with(headers::REQUEST_ID, id),
+        None => answer,
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stand-ins of the systems served: back end, caller, platform list.
+//! Stand-ins of the systems served: back end, caller, platform list; and the contract check that
+//! any back end can be put through.
+//!
+//! Invariant: a stand-in never hides a stall: times count from when something should have happened.
+
+pub mod back_end;
+pub mod history;
+mod http;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks, also when another thread panicked while it held the lock.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -42,6 +42,10 @@
     RouterStarted = 200, Info, "router started";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
+    HistoryNotWritten = 301, Error, "a record of the history could not be written";
+    PlatformStarted = 302, Info, "stand-in platform list started";
+    CallerStarted = 303, Info, "stand-in caller started";
+    CallerFinished = 304, Info, "stand-in caller finished";
     // All daemons.
     StopRequested = 400, Info, "stop requested";
     Stopped = 401, Info, "stopped";
