--- /dev/null
+++ b/crates/holder/tests/requests.rs
@@ -0,0 +1,597 @@
+//! Requests: refusals, the check before an effect, cancellation, records, hand-over.
+
+mod common;
+
+use common::{id, key, ms, previous, request, resend, Server, BOOT, LEASE_MS};
+use grebepin_holder::{Guard, Guards, HeaderError, HolderConfig, Request};
+use grebepin_schema::{Epoch, HandoverAnswer, RecordEntry, Refusal, RequestState, ShardId};
+
+#[test]
+fn requests_that_are_not_begun() {
+    type Prepare = fn(&mut Server);
+    let table: [(&str, Prepare, u64, Request, Refusal); 8] = [
+        (
+            "other epoch",
+            |_| {},
+            1,
+            request("a", 6),
+            Refusal::WrongEpoch,
+        ),
+        (
+            "unknown shard",
+            |_| {},
+            1,
+            Request {
+                shard: ShardId(9),
+                ..request("a", 5)
+            },
+            Refusal::WrongEpoch,
+        ),
+        (
+            "lease over",
+            |_| {},
+            LEASE_MS,
+            request("a", 5),
+            Refusal::NoLease,
+        ),
+        (
+            "lapsed, leased again",
+            |server| server.renew_at(1500),
+            1501,
+            request("a", 5),
+            Refusal::WrongEpoch,
+        ),
+        (
+            "released",
+            |server| {
+                server.release(0, 0, 5);
+            },
+            1,
+            request("a", 5),
+            Refusal::WrongEpoch,
+        ),
+        (
+            "no time",
+            |_| {},
+            1,
+            Request {
+                deadline_left: ms(0),
+                ..request("a", 5)
+            },
+            Refusal::Deadline,
+        ),
+        (
+            "cancelled",
+            |server| {
+                server.cancel(0, "a", 5, Some(1));
+            },
+            1,
+            request("a", 5),
+            Refusal::Cancelled,
+        ),
+        (
+            "cancelled, resend",
+            |server| {
+                server.cancel(0, "a", 5, Some(1));
+            },
+            1,
+            resend("a", 5),
+            Refusal::Cancelled,
+        ),
+    ];
+    for (name, prepare, at, asked, refusal) in table {
+        let mut server = Server::serving(Guards::all());
+        prepare(&mut server);
+        assert_eq!(server.run(at, &asked), Err(refusal), "{name}");
+    }
+}
+
+#[test]
+fn effects_that_are_not_allowed() {
+    type Between = fn(&mut Server);
+    let table: [(&str, Between, u64, Refusal); 6] = [
+        ("frozen over the lease", |_| {}, 3000, Refusal::NoLease),
+        (
+            "frozen until just before its end",
+            |_| {},
+            990,
+            Refusal::NoLease,
+        ),
+        (
+            "lapsed, leased again",
+            |server| server.renew_at(1500),
+            1501,
+            Refusal::WrongEpoch,
+        ),
+        (
+            "lapsed, granted again",
+            |server| {
+                server.renew_at(1500);
+                server.grant(1500, 0, 5, None);
+            },
+            1501,
+            Refusal::NoLease,
+        ),
+        (
+            "new epoch",
+            |server| assert_eq!(server.grant(2, 0, 6, None), None),
+            3,
+            Refusal::WrongEpoch,
+        ),
+        (
+            "cancelled",
+            |server| {
+                server.cancel(2, "a", 5, None);
+            },
+            3,
+            Refusal::Cancelled,
+        ),
+    ];
+    for (name, between, at, refusal) in table {
+        let mut server = Server::serving(Guards::all());
+        let permit = server.begin(1, &request("a", 5)).unwrap();
+        between(&mut server);
+        assert_eq!(server.complete(at, permit), Err(refusal), "{name}");
+        assert_eq!(server.holder.in_flight(), 0, "{name}");
+    }
+}
+
+#[test]
+fn a_request_runs_once() {
+    let mut server = Server::serving(Guards::all());
+    let permit = server.begin(1, &request("a", 5)).unwrap();
+    assert_eq!(
+        server.run(2, &request("a", 5)),
+        Err(Refusal::AlreadyRunning)
+    );
+    assert_eq!(server.outcome(2, "a"), RequestState::Running);
+    server.complete(3, permit).unwrap();
+    assert_eq!(server.run(4, &resend("a", 5)), Ok(false), "ran earlier");
+    assert_eq!(server.run(4, &request("a", 5)), Ok(false), "ran earlier");
+    assert_eq!(server.outcome(5, "a"), RequestState::Ran);
+    let look_up = Request {
+        repeatable: true,
+        ..request("b", 5)
+    };
+    assert_eq!(server.run(6, &look_up), Ok(true));
+    assert_eq!(server.run(7, &look_up), Ok(true), "repeatable");
+}
+
+#[test]
+fn a_refused_effect_leaves_the_request_free_to_run() {
+    let mut server = Server::serving(Guards::all());
+    let permit = server.begin(1, &request("a", 5)).unwrap();
+    assert!(server.complete(3000, permit).is_err());
+    server.renew_at(3000);
+    server.grant(3000, 0, 5, None);
+    assert_eq!(server.run(3001, &resend("a", 5)), Ok(true));
+}
+
+#[test]
+fn answers_to_cancellations() {
+    type Prepare = fn(&mut Server);
+    let ran: Prepare = |server| assert_eq!(server.run(1, &request("a", 5)), Ok(true));
+    let lost: Prepare = |server| assert_eq!(server.grant(1, 0, 7, Some(previous(6, false))), None);
+    type Row = (&'static str, Prepare, u64, u64, Option<u32>, RequestState);
+    let table: [Row; 11] = [
+        ("unseen", |_| {}, 2, 5, None, RequestState::NotRun),
+        ("ran", ran, 2, 5, Some(1), RequestState::Ran),
+        (
+            "ran, asked at another epoch",
+            ran,
+            2,
+            4,
+            Some(1),
+            RequestState::Ran,
+        ),
+        (
+            "begun",
+            |server| drop(server.begin(1, &request("a", 5))),
+            2,
+            5,
+            Some(1),
+            RequestState::NotRun,
+        ),
+        (
+            "twice",
+            |server| {
+                server.cancel(1, "a", 5, Some(1));
+            },
+            2,
+            5,
+            None,
+            RequestState::NotRun,
+        ),
+        (
+            "another epoch",
+            |_| {},
+            2,
+            6,
+            Some(1),
+            RequestState::Unknown,
+        ),
+        (
+            "no lease",
+            |_| {},
+            LEASE_MS,
+            5,
+            Some(1),
+            RequestState::Unknown,
+        ),
+        (
+            "released",
+            |server| {
+                server.release(1, 0, 5);
+            },
+            2,
+            5,
+            Some(1),
+            RequestState::Unknown,
+        ),
+        (
+            "incomplete record, first attempt",
+            lost,
+            2,
+            7,
+            Some(1),
+            RequestState::NotRun,
+        ),
+        (
+            "incomplete record, resend",
+            lost,
+            2,
+            7,
+            Some(2),
+            RequestState::Unknown,
+        ),
+        (
+            "incomplete record, attempt not stated",
+            lost,
+            2,
+            7,
+            None,
+            RequestState::Unknown,
+        ),
+    ];
+    for (name, prepare, at, epoch, attempt, state) in table {
+        let mut server = Server::serving(Guards::all());
+        prepare(&mut server);
+        assert_eq!(
+            server.cancel(at, "a", epoch, attempt).state,
+            state,
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn a_cancellation_during_the_effect_is_not_acknowledged() {
+    let mut server = Server::serving(Guards::all());
+    let permit = server.begin(1, &request("a", 5)).unwrap();
+    server.holder.before_effect(ms(2), &permit).unwrap();
+    assert_eq!(
+        server.cancel(3, "a", 5, Some(1)).state,
+        RequestState::Running
+    );
+    server
+        .holder
+        .finish(ms(4), permit, grebepin_holder::Effect::Made);
+    assert_eq!(server.cancel(5, "a", 5, Some(1)).state, RequestState::Ran);
+}
+
+#[test]
+fn an_unproven_tombstone_claims_nothing() {
+    let mut server = Server::leased(Guards::all());
+    server.grant(0, 0, 7, Some(previous(6, false)));
+    server.cancel(1, "a", 7, Some(2));
+    assert_eq!(server.outcome(2, "a"), RequestState::Unknown);
+    assert_eq!(
+        server.run(2, &resend("a", 7)),
+        Err(Refusal::RecordIncomplete)
+    );
+    assert_eq!(server.run(2, &request("a", 7)), Err(Refusal::Cancelled));
+}
+
+#[test]
+fn resends_need_a_whole_record() {
+    let complete = |complete| {
+        Some(HandoverAnswer {
+            complete,
+            entries: Vec::new(),
+        })
+    };
+    let whole = Ok(true);
+    let incomplete = Err(Refusal::RecordIncomplete);
+    let moving = Err(Refusal::Releasing);
+    // (name, previous owner, hand-over fetched, answer to a resend)
+    let table = [
+        ("first owner", None, None, whole),
+        ("lost owner", Some(previous(6, false)), None, incomplete),
+        (
+            "released, not fetched yet",
+            Some(previous(6, true)),
+            None,
+            moving,
+        ),
+        (
+            "released, record whole",
+            Some(previous(6, true)),
+            Some(complete(true)),
+            whole,
+        ),
+        (
+            "released, record not whole",
+            Some(previous(6, true)),
+            Some(complete(false)),
+            incomplete,
+        ),
+        (
+            "released, record not to be had",
+            Some(previous(6, true)),
+            Some(None),
+            incomplete,
+        ),
+    ];
+    for (name, previous, fetched, expected) in table {
+        let mut server = Server::leased(Guards::all());
+        let outcome = server.grant_outcome(0, 0, 7, previous.clone());
+        let wants_fetch = previous.is_some_and(|previous| previous.released);
+        assert_eq!(outcome.fetch.len(), usize::from(wants_fetch), "{name}");
+        if let Some(answer) = fetched {
+            server.handed_over(1, 7, answer);
+        }
+        assert_eq!(server.run(2, &resend("a", 7)), expected, "{name}");
+        let first = if expected == moving { moving } else { Ok(true) };
+        assert_eq!(
+            server.run(2, &request("b", 7)),
+            first,
+            "{name}, first attempt"
+        );
+        let look_up = Request {
+            repeatable: true,
+            ..resend("c", 7)
+        };
+        assert_eq!(server.run(2, &look_up), Ok(true), "{name}, repeatable");
+    }
+}
+
+#[test]
+fn a_server_that_stays_the_owner_keeps_its_record() {
+    let mut server = Server::serving(Guards::all());
+    assert_eq!(server.run(1, &request("a", 5)), Ok(true));
+    server.grant(2, 0, 8, Some(previous(5, false)));
+    assert_eq!(server.run(3, &resend("a", 8)), Ok(false));
+    assert_eq!(server.run(3, &resend("b", 8)), Ok(true), "still whole");
+    // Another owner in between: what it ran is not known here.
+    server.grant(4, 0, 11, Some(previous(9, false)));
+    assert_eq!(server.run(5, &resend("a", 11)), Ok(false));
+    assert_eq!(
+        server.run(5, &resend("c", 11)),
+        Err(Refusal::RecordIncomplete)
+    );
+}
+
+#[test]
+fn a_handover_carries_what_ran_and_what_was_cancelled() {
+    let mut from = Server::serving(Guards::all());
+    assert_eq!(from.run(1, &request("ran", 5)), Ok(true));
+    assert_eq!(
+        from.run(
+            1,
+            &Request {
+                repeatable: true,
+                ..request("look-up", 5)
+            }
+        ),
+        Ok(true)
+    );
+    from.cancel(2, "cancelled", 5, Some(1));
+    let early = from.holder.handover(ms(3), &key(0), Epoch(5));
+    assert!(!early.complete, "not released yet");
+    from.release(3, 0, 5);
+    assert_eq!(from.holder.unfetched_records(), 1);
+    assert!(
+        !from.holder.handover(ms(3), &key(0), Epoch(4)).complete,
+        "other epoch"
+    );
+    assert!(
+        !from.holder.handover(ms(3), &key(1), Epoch(5)).complete,
+        "unknown shard"
+    );
+    let answer = from.holder.handover(ms(4), &key(0), Epoch(5));
+    assert_eq!(from.holder.unfetched_records(), 0);
+    let entry = |name, state| RecordEntry {
+        request_id: id(name),
+        state,
+    };
+    let entries = vec![
+        entry("cancelled", RequestState::NotRun),
+        entry("ran", RequestState::Ran),
+    ];
+    assert_eq!(
+        answer,
+        HandoverAnswer {
+            complete: true,
+            entries
+        }
+    );
+
+    let mut to = Server::leased(Guards::all());
+    to.grant(5, 0, 6, Some(previous(5, true)));
+    to.handed_over(6, 6, Some(answer));
+    assert_eq!(to.run(7, &resend("ran", 6)), Ok(false));
+    assert_eq!(to.run(7, &resend("cancelled", 6)), Err(Refusal::Cancelled));
+    assert_eq!(to.run(7, &resend("new", 6)), Ok(true));
+    assert_eq!(to.outcome(8, "never"), RequestState::Unseen);
+}
+
+#[test]
+fn late_handovers_are_ignored() {
+    let mut server = Server::leased(Guards::all());
+    server.grant(0, 0, 6, Some(previous(5, true)));
+    server.grant(1, 0, 9, Some(previous(8, false)));
+    let whole = HandoverAnswer {
+        complete: true,
+        entries: Vec::new(),
+    };
+    server.handed_over(2, 6, Some(whole.clone()));
+    server.handed_over(2, 9, Some(whole));
+    assert_eq!(
+        server.run(3, &resend("a", 9)),
+        Err(Refusal::RecordIncomplete)
+    );
+}
+
+#[test]
+fn records_are_bounded_by_age() {
+    let config = HolderConfig {
+        retention: ms(100),
+        repeatable_retention: ms(10),
+        ..HolderConfig::new(BOOT)
+    };
+    let mut server = Server::with_config(config);
+    server.renew_at(0);
+    server.grant(0, 0, 7, Some(previous(6, false)));
+    assert_eq!(server.run(1, &request("a", 7)), Ok(true));
+    assert_eq!(
+        server.run(50, &resend("b", 7)),
+        Err(Refusal::RecordIncomplete)
+    );
+    assert_eq!(server.outcome(101, "a"), RequestState::Ran);
+    server.holder.tick(ms(102));
+    assert_eq!(
+        server.outcome(102, "a"),
+        RequestState::Unseen,
+        "older than the retention"
+    );
+    assert_eq!(
+        server.run(102, &resend("b", 7)),
+        Ok(true),
+        "whole within the retention"
+    );
+}
+
+#[test]
+fn records_are_bounded_by_count_and_say_so() {
+    let config = HolderConfig {
+        entries_per_shard: 10,
+        ..HolderConfig::new(BOOT)
+    };
+    let mut server = Server::with_config(config);
+    server.renew_at(0);
+    server.grant(0, 0, 5, None);
+    for number in 0..10 {
+        assert_eq!(server.run(1, &request(&format!("r{number}"), 5)), Ok(true));
+    }
+    assert_eq!(server.outcome(2, "r0"), RequestState::Ran);
+    assert_eq!(server.run(2, &request("one-more", 5)), Ok(true));
+    assert_eq!(server.outcome(3, "r0"), RequestState::Unknown);
+    assert_eq!(
+        server.run(3, &resend("r0", 5)),
+        Err(Refusal::RecordIncomplete)
+    );
+}
+
+#[test]
+fn a_leaving_server_stops_new_work_after_its_grace() {
+    let mut server = Server::serving(Guards::all());
+    assert_eq!(server.run(1, &request("a", 5)), Ok(true));
+    server.holder.drain(ms(10), true);
+    server.renew_at(900);
+    server.renew_at(1400);
+    assert!(server.beat(1400, true).draining);
+    assert_eq!(server.run(1509, &request("b", 5)), Ok(true));
+    assert_eq!(server.run(1510, &request("c", 5)), Err(Refusal::Draining));
+    assert_eq!(
+        server.run(1510, &resend("a", 5)),
+        Ok(false),
+        "ran earlier is still told"
+    );
+    server.holder.drain(ms(1520), false);
+    assert_eq!(server.run(1521, &request("c", 5)), Ok(true));
+}
+
+#[test]
+fn removed_guards_let_requests_through() {
+    let mut frozen = Server::serving(Guards::without(Guard::EpochCheck));
+    let permit = frozen.begin(1, &request("a", 5)).unwrap();
+    assert_eq!(
+        frozen.complete(9000, permit),
+        Ok(()),
+        "effect after the lease"
+    );
+    assert_eq!(
+        frozen.run(9000, &request("b", 4)),
+        Ok(true),
+        "another epoch"
+    );
+
+    let mut forgetful = Server::serving(Guards::without(Guard::Tombstone));
+    assert_eq!(
+        forgetful.cancel(1, "a", 5, Some(1)).state,
+        RequestState::NotRun
+    );
+    assert_eq!(
+        forgetful.run(2, &request("a", 5)),
+        Ok(true),
+        "runs after its cancellation"
+    );
+
+    let mut trusting = Server::leased(Guards::without(Guard::ResendRule));
+    trusting.grant(0, 0, 7, Some(previous(6, false)));
+    assert_eq!(
+        trusting.run(1, &resend("a", 7)),
+        Ok(true),
+        "resend without a record"
+    );
+}
+
+#[test]
+fn headers_are_checked() {
+    let good = [
+        ("Grebepin-Service", "ledger"),
+        ("Grebepin-Shard", "0"),
+        ("Grebepin-Epoch", "5"),
+        ("Grebepin-Key", "customer"),
+        ("Grebepin-Request-Id", "a"),
+        ("Grebepin-Attempt", "1"),
+        ("Grebepin-Deadline-Ms", "500"),
+        ("Grebepin-Repeatable", "false"),
+    ];
+    let read = |headers: &[(&str, &'static str)]| {
+        let headers = headers.to_vec();
+        Request::from_headers(move |name| {
+            let found = headers.iter().find(|(known, _)| *known == name);
+            found.map(|(_, value)| *value)
+        })
+    };
+    assert_eq!(read(&good), Ok(request("a", 5)));
+    for left_out in 0..good.len() {
+        let mut some = good.to_vec();
+        some.remove(left_out);
+        assert!(
+            matches!(read(&some), Err(HeaderError::Missing(_))),
+            "{left_out}"
+        );
+    }
+    let wrong = [
+        ("Grebepin-Service", "no service"),
+        ("Grebepin-Shard", "-1"),
+        ("Grebepin-Epoch", "five"),
+        ("Grebepin-Key", ""),
+        ("Grebepin-Request-Id", "a b"),
+        ("Grebepin-Attempt", "0"),
+        ("Grebepin-Deadline-Ms", "soon"),
+        ("Grebepin-Repeatable", "yes"),
+    ];
+    for (name, value) in wrong {
+        let changed: Vec<_> = good
+            .iter()
+            .map(|(known, kept)| (*known, if *known == name { value } else { *kept }))
+            .collect();
+        assert!(
+            matches!(read(&changed), Err(HeaderError::Invalid(_))),
+            "{name}"
+        );
+    }
+}
