Schema of experiments with a whole fleet

Cause: fleets need faults at stated times, from a file that is checked whole. Change: schema/experiment.json and its generated types; nothing reads them yet.

--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -571,6 +571,75 @@
         }
     }
 }
+///A silent cut.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Cut {
+    pub process: ProcessName,
+    pub traffic: CutTraffic,
+}
+///What a cut stops.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum CutTraffic {
+    ///Everything.
+    #[serde(rename = "all")]
+    All,
+    ///The control replicas' calls.
+    #[serde(rename = "control")]
+    Control,
+    ///Routers' requests.
+    #[serde(rename = "requests")]
+    Requests,
+}
+impl ::std::fmt::Display for CutTraffic {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::All => f.write_str("all"),
+            Self::Control => f.write_str("control"),
+            Self::Requests => f.write_str("requests"),
+        }
+    }
+}
+impl ::std::str::FromStr for CutTraffic {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "all" => Ok(Self::All),
+            "control" => Ok(Self::Control),
+            "requests" => Ok(Self::Requests),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for CutTraffic {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for CutTraffic {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///Name of a deployment.
 #[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[serde(transparent)]
@@ -806,6 +875,131 @@
         value.parse()
     }
 }
+///A run of a whole fleet with faults at stated times.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    pub load: ::std::vec::Vec<ServiceRate>,
+    ///Name in reports.
+    pub name: ExperimentName,
+    ///What the run shows.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub note: ::std::option::Option<::std::string::String>,
+    ///Length of the run, from the first caller's start.
+    pub seconds: ::std::num::NonZeroU64,
+    pub steps: ::std::vec::Vec<Step>,
+}
+///Name in reports.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ExperimentName(::std::string::String);
+impl ::std::ops::Deref for ExperimentName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ExperimentName> for ::std::string::String {
+    fn from(value: ExperimentName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ExperimentName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ExperimentName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ExperimentName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ExperimentName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
+///What happens.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum Fault {
+    ///The process is killed.
+    #[serde(rename = "kill")]
+    Kill(ProcessName),
+    ///The process is started again with its folder as it is.
+    #[serde(rename = "start")]
+    Start(ProcessName),
+    ///The process is told to stop and finishes what runs.
+    #[serde(rename = "stop")]
+    Stop(ProcessName),
+    ///The process stands still and goes on later.
+    #[serde(rename = "freeze")]
+    Freeze(Freeze),
+    ///The process is killed, its data folder is emptied, and it is started again.
+    #[serde(rename = "lose_disk")]
+    LoseDisk(ProcessName),
+    ///A back end is cut off silently.
+    #[serde(rename = "cut")]
+    Cut(Cut),
+    ///A back end's cuts end.
+    #[serde(rename = "heal")]
+    Heal(ProcessName),
+    ///A back end is drained by the operator.
+    #[serde(rename = "drain")]
+    Drain(ServerName),
+    ///A back end is brought back by the operator.
+    #[serde(rename = "restore")]
+    Restore(ServerName),
+    ///An operator rolls the deployment's bundle of this version.
+    #[serde(rename = "roll")]
+    Roll(::std::num::NonZeroU64),
+    ///Two operators roll two bundles of the same version at once.
+    #[serde(rename = "race")]
+    Race(::std::num::NonZeroU64),
+    ///Every process of a kind is stopped as planned and started again, one after another.
+    #[serde(rename = "rolling_restart")]
+    RollingRestart(ProcessKind),
+}
+impl ::std::convert::From<Freeze> for Fault {
+    fn from(value: Freeze) -> Self {
+        Self::Freeze(value)
+    }
+}
+impl ::std::convert::From<Cut> for Fault {
+    fn from(value: Cut) -> Self {
+        Self::Cut(value)
+    }
+}
+impl ::std::convert::From<ProcessKind> for Fault {
+    fn from(value: ProcessKind) -> Self {
+        Self::RollingRestart(value)
+    }
+}
 ///Asks for the table.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -825,6 +1019,14 @@
     pub cluster: ClusterId,
     pub members: ::std::vec::Vec<Member>,
 }
+///A process that stands still.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Freeze {
+    ///How long.
+    pub for_ms: ::std::num::NonZeroU64,
+    pub process: ProcessName,
+}
 ///Ownership of one shard at one epoch.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1863,6 +2065,124 @@
     pub released: bool,
     pub server: ServerName,
 }
+///Kind of process.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ProcessKind {
+    ///Control replicas.
+    #[serde(rename = "control")]
+    Control,
+    ///Routers.
+    #[serde(rename = "router")]
+    Router,
+    ///Back ends.
+    #[serde(rename = "back-end")]
+    BackEnd,
+}
+impl ::std::fmt::Display for ProcessKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Control => f.write_str("control"),
+            Self::Router => f.write_str("router"),
+            Self::BackEnd => f.write_str("back-end"),
+        }
+    }
+}
+impl ::std::str::FromStr for ProcessKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "control" => Ok(Self::Control),
+            "router" => Ok(Self::Router),
+            "back-end" => Ok(Self::BackEnd),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ProcessKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ProcessKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Name of a process of the fleet: control-ZONE, router-ZONE, a back end's name, or leader for the control replica that leads at that time.
+#[derive(::serde::Serialize, Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[serde(transparent)]
+pub struct ProcessName(::std::string::String);
+impl ::std::ops::Deref for ProcessName {
+    type Target = ::std::string::String;
+    fn deref(&self) -> &::std::string::String {
+        &self.0
+    }
+}
+impl ::std::convert::From<ProcessName> for ::std::string::String {
+    fn from(value: ProcessName) -> Self {
+        value.0
+    }
+}
+impl ::std::str::FromStr for ProcessName {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        static PATTERN: ::std::sync::LazyLock<::regress::Regex> = ::std::sync::LazyLock::new(||
+        { ::regress::Regex::new("^[a-z0-9][a-z0-9.-]{0,62}$").unwrap() });
+        if PATTERN.find(value).is_none() {
+            return Err("doesn't match pattern \"^[a-z0-9][a-z0-9.-]{0,62}$\"".into());
+        }
+        Ok(Self(value.to_string()))
+    }
+}
+impl ::std::convert::TryFrom<&str> for ProcessName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ProcessName {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl<'de> ::serde::Deserialize<'de> for ProcessName {
+    fn deserialize<D>(deserializer: D) -> ::std::result::Result<Self, D::Error>
+    where
+        D: ::serde::Deserializer<'de>,
+    {
+        ::std::string::String::deserialize(deserializer)?
+            .parse()
+            .map_err(|e: self::error::ConversionError| {
+                <D::Error as ::serde::de::Error>::custom(e.to_string())
+            })
+    }
+}
 ///Bounds of the queue in front of one server at one router.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -2852,6 +3172,20 @@
             })
     }
 }
+///Open-loop callers of one service.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceRate {
+    ///Network time of one direction between callers and routers, in ms.
+    #[serde(default = "defaults::service_rate_delay_ms")]
+    pub delay_ms: f64,
+    ///Count of different keys.
+    #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 10000>")]
+    pub keys: ::std::num::NonZeroU64,
+    ///Rate over all callers.
+    pub requests_per_second: ::std::num::NonZeroU64,
+    pub service: ServiceName,
+}
 ///What is kept of one service, besides its shards.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -3355,6 +3689,14 @@
     ///Shards without an owner.
     pub unowned_shards: u32,
 }
+///A fault or an operator's action.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Step {
+    ///Time from the first caller's start.
+    pub at_ms: u64,
+    pub fault: Fault,
+}
 ///Who owns each shard.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -3597,6 +3939,9 @@
     {
         T::try_from(::std::num::NonZeroU64::try_from(V).unwrap()).unwrap()
     }
+    pub(super) fn service_rate_delay_ms() -> f64 {
+        0_f64
+    }
 }
 /// Error types.
 pub mod error {
