Coordinator: leases, grants, planned moves, losses, balance

Cause: the leader must renew leases, grant what is committed, and move shards without two holders. Change: the coordinator as a pure state machine. Heartbeats carry session and nonce and renew only within the leader lease; sending a nonce again extends no bound. Shards with a proposal under way are not granted. A silent server loses its shards after three failed heartbeats and the end of its bound; a leader that paused itself therefore takes nothing. Released shards with no other receiver go back to their owner, even one that leaves (found by the drain test: they stayed without a holder). Planned moves come from grebepin_placement::rebalance, with weights over the servers that are settled, and wait while a server that is to stay is away (found by the loss test: its side's share went to the others for a second). After moves, counted load is not acted on until both windows began after them. Ruled out: telling a server to leave before its shards moved (it refuses requests later on); two entries for a loss (none, then the new owner), since one compare-and-set on the epoch does both. Placement: its heap of least loaded servers is public now.

--- /dev/null
+++ b/crates/ownership/src/coordinator/balance.rs
@@ -0,0 +1,195 @@
+//! Planned moves within one service, for the sides' shares, reachability and load.
+//!
+//! Invariant: moves start only within the service's limits on churn.
+
+use std::time::Duration;
+
+use grebepin_placement::{rebalance, Candidate, RebalancePolicy};
+use grebepin_schema::{ServiceName, ShardId};
+
+use super::budget::ChurnBudget;
+use super::load::LOAD_STALE_FOR;
+use super::moves::{Move, Reason};
+use super::step::Step;
+use super::view::{position_of, weights, ServiceView};
+use super::Coordinator;
+use crate::state::{ServerIndex, ServiceState};
+
+/// Moves that one look starts at most.
+const MOVES_PER_LOOK: u32 = 256;
+
+/// Least time between two plans of a service, in heartbeats.
+const HEARTBEATS_BETWEEN_PLANS: u32 = 1;
+
+/// Distance of a server's count from its share, in shards, that calls for no plan.
+const COUNT_SLACK: f64 = 1.0;
+
+/// Planned moves of one service.
+#[derive(Debug)]
+pub(super) struct Balance {
+    budget: ChurnBudget,
+    next_plan: Duration,
+    /// Until then counted load still tells of owners before the last moves.
+    load_stale_until: Duration,
+}
+
+impl Balance {
+    fn new(since: Duration) -> Self {
+        Self {
+            budget: ChurnBudget::new(since),
+            next_plan: since,
+            load_stale_until: since,
+        }
+    }
+}
+
+impl Coordinator {
+    /// Starts moves if counts or loads call for them and the limits allow.
+    pub(super) fn start_balance(
+        &mut self,
+        step: &Step<'_>,
+        name: &ServiceName,
+        service: &ServiceState,
+    ) {
+        if service.removed || !service.unowned.is_empty() {
+            return;
+        }
+        let limit = self.balance_limit(step.now, name, service);
+        if limit == 0 {
+            return;
+        }
+        let mut view = self.view(step.now, step.state, name, service);
+        if view.is_in_flux() {
+            return;
+        }
+        set_balance_weights(service, &mut view);
+        let percent = self.load_percent(step.now, name, service);
+        if is_even(&view) && !self.load.is_uneven(&view, percent) {
+            return;
+        }
+        let policy = RebalancePolicy {
+            budget: limit as usize,
+            imbalance_percent: percent,
+        };
+        let planned = self.plan_moves(step, name, service, &view, &policy);
+        let started = planned.len() as u32;
+        for (shard, planned) in planned {
+            self.start_move(name, shard, planned);
+        }
+        if let Some(balance) = self.balances.get_mut(name) {
+            balance.budget.spend(step.now, started);
+            balance.next_plan = step.now + self.config.heartbeat * HEARTBEATS_BETWEEN_PLANS;
+            if started > 0 {
+                balance.load_stale_until = step.now + LOAD_STALE_FOR;
+            }
+            self.next_look = self.next_look.min(balance.next_plan);
+        }
+    }
+
+    /// Moves that may start now.
+    fn balance_limit(&mut self, now: Duration, name: &ServiceName, service: &ServiceState) -> u32 {
+        let policy = &service.service.churn;
+        let balanced = |planned: &&Move| planned.reason == Reason::Balance;
+        let under_way = self.moves.of(name).filter(|(_, planned)| balanced(planned));
+        let concurrent = policy.concurrent_moves.get();
+        let room = concurrent.saturating_sub(under_way.count() as u32);
+        let since = self.leader_since;
+        let balance = match self.balances.get_mut(name) {
+            Some(balance) => balance,
+            None => {
+                let fresh = Balance::new(since);
+                self.balances.entry(name.clone()).or_insert(fresh)
+            }
+        };
+        if balance.next_plan > now {
+            return 0;
+        }
+        let allowed = balance.budget.available(now, policy.moves_per_minute);
+        room.min(allowed).min(MOVES_PER_LOOK)
+    }
+
+    /// Load over its share, in percent, that calls for moves now.
+    fn load_percent(&self, now: Duration, name: &ServiceName, service: &ServiceState) -> u32 {
+        let balance = self.balances.get(name);
+        if balance.is_some_and(|balance| balance.load_stale_until > now) {
+            return u32::MAX;
+        }
+        service.service.churn.imbalance_percent
+    }
+
+    fn plan_moves(
+        &self,
+        step: &Step<'_>,
+        name: &ServiceName,
+        service: &ServiceState,
+        view: &ServiceView,
+        policy: &RebalancePolicy,
+    ) -> Vec<(ShardId, Move)> {
+        let candidates: Vec<Candidate> = view
+            .servers
+            .iter()
+            .map(|server| Candidate {
+                weight: server.weight,
+                eligible: server.settled || server.unreachable,
+            })
+            .collect();
+        let owners = self.owners_to_be(step, name, service);
+        let loads = self.load.of_shards(step.state, name, service);
+        let planned = rebalance(&candidates, &owners, &loads, policy).into_iter();
+        let free = planned.filter_map(|planned| {
+            let shard = ShardId(planned.shard as u32);
+            let epoch = service.shard(shard)?.epoch;
+            let from = view.servers[planned.from].index;
+            let to = view.servers[planned.to].index;
+            let may_move = self.is_free(name, shard) && view.servers[planned.to].eligible;
+            may_move.then(|| (shard, Move::planned(from, epoch, Some(to), Reason::Balance)))
+        });
+        free.collect()
+    }
+
+    /// Position of each shard's owner once everything under way is done.
+    fn owners_to_be(
+        &self,
+        step: &Step<'_>,
+        name: &ServiceName,
+        service: &ServiceState,
+    ) -> Vec<Option<usize>> {
+        let position = |index: ServerIndex| position_of(step.state, name, index);
+        let shards = service.shards.iter();
+        let mut owners: Vec<Option<usize>> =
+            shards.map(|shard| shard.owner.and_then(position)).collect();
+        for (shard, to) in self.under_way(name) {
+            if let Some(owner) = owners.get_mut(shard.0 as usize) {
+                *owner = to.and_then(position);
+            }
+        }
+        owners
+    }
+}
+
+/// Weighs the servers that take part in balance, so that a listing of the platform moves nothing.
+fn set_balance_weights(service: &ServiceState, view: &mut ServiceView) {
+    let settled: Vec<bool> = view.servers.iter().map(|server| server.settled).collect();
+    for (server, weight) in view.servers.iter_mut().zip(weights(service, &settled)) {
+        server.weight = weight;
+    }
+}
+
+/// Whether each server that may receive or must give has about its share.
+fn is_even(view: &ServiceView) -> bool {
+    let taking_part = || {
+        view.servers
+            .iter()
+            .filter(|server| server.settled || server.unreachable)
+    };
+    let shards: usize = taking_part().map(|server| server.count).sum();
+    let weights: f64 = taking_part().map(|server| server.weight).sum();
+    if weights <= 0.0 {
+        return true;
+    }
+    taking_part().all(|server| {
+        let share = shards as f64 * server.weight / weights;
+        let slack = if share > 0.0 { COUNT_SLACK } else { 0.0 };
+        (server.count as f64 - share).abs() <= slack
+    })
+}
--- /dev/null
+++ b/crates/ownership/src/coordinator/load.rs
@@ -0,0 +1,231 @@
+//! Load as routers counted it: hot shards, and servers that routers can't reach.
+//!
+//! Invariant: reports only start planned moves within the limits on churn; they never take a shard.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use grebepin_schema::{LoadReport, ServiceName, ShardId};
+
+use super::step::Step;
+use super::view::ServiceView;
+use super::Coordinator;
+use crate::state::{OwnershipState, ServerIndex, ServiceState};
+
+/// Length of one window of counting.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// Time after a move until both windows in use began after it.
+pub(super) const LOAD_STALE_FOR: Duration = Duration::from_secs(6);
+
+/// Windows in a row that a server must fail for.
+const WINDOWS_TO_ACT: u32 = 2;
+
+/// Requests in a window from which failures say something.
+const LEAST_SENT: u64 = 10;
+
+/// Failed requests, in percent, from which a server counts as out of the routers' reach.
+const UNREACHABLE_PERCENT: u64 = 90;
+
+/// How long a server out of the routers' reach receives no shards.
+const UNREACHABLE_FOR: Duration = Duration::from_secs(60);
+
+/// One in so many servers of a service may count as out of reach at a time.
+const UNREACHABLE_FRACTION: usize = 3;
+
+/// Busy time of a server in a window, in microseconds, from which its load says something.
+const LEAST_BUSY_US: u64 = 200_000;
+
+/// Shards that a window remembers.
+const SHARDS_KEPT: usize = 16_384;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ServerCount {
+    sent: u64,
+    failed: u64,
+    busy_us: u64,
+}
+
+/// Counts of one window.
+#[derive(Debug, Default)]
+struct Window {
+    servers: BTreeMap<ServerIndex, ServerCount>,
+    shards: BTreeMap<ServiceName, BTreeMap<ShardId, u64>>,
+    shards_kept: usize,
+}
+
+impl Window {
+    fn busy_us(&self, server: ServerIndex) -> u64 {
+        let count = self.servers.get(&server);
+        count.map_or(0, |count| count.busy_us)
+    }
+
+    fn shard_busy_us(&self, service: &ServiceName, shard: ShardId) -> u64 {
+        let shards = self.shards.get(service);
+        let busy = shards.and_then(|shards| shards.get(&shard));
+        busy.copied().unwrap_or(0)
+    }
+}
+
+/// The window being counted and the two before. Only load that stood in both counts.
+#[derive(Debug)]
+pub(super) struct Load {
+    ends: Duration,
+    counting: Window,
+    last: Window,
+    before: Window,
+    /// Windows in a row with too many failures.
+    failing: BTreeMap<ServerIndex, u32>,
+}
+
+impl Load {
+    pub fn new(now: Duration) -> Self {
+        Self {
+            ends: now + WINDOW,
+            counting: Window::default(),
+            last: Window::default(),
+            before: Window::default(),
+            failing: BTreeMap::new(),
+        }
+    }
+
+    pub fn ends(&self) -> Duration {
+        self.ends
+    }
+
+    /// Counts a report. Names that the state doesn't know are left out.
+    pub fn count(&mut self, state: &OwnershipState, report: &LoadReport) {
+        let window = &mut self.counting;
+        for load in &report.servers {
+            let Some(server) = state.servers().find(&load.server) else {
+                continue;
+            };
+            let count = window.servers.entry(server).or_default();
+            count.sent = count.sent.saturating_add(load.sent);
+            count.failed = count.failed.saturating_add(load.failed);
+            count.busy_us = count.busy_us.saturating_add(load.busy_us);
+        }
+        for load in &report.shards {
+            let known = state.owner(&load.service, load.shard).is_some();
+            if window.shards_kept >= SHARDS_KEPT || !known {
+                continue;
+            }
+            let shards = window.shards.entry(load.service.clone()).or_default();
+            let busy = shards.entry(load.shard).or_insert_with(|| {
+                window.shards_kept += 1;
+                0
+            });
+            *busy = busy.saturating_add(load.busy_us);
+        }
+    }
+
+    /// Whether some server's load stood over its share by more than `percent`.
+    pub fn is_uneven(&self, view: &ServiceView, percent: u32) -> bool {
+        let settled = || view.servers.iter().filter(|server| server.settled);
+        let busy: u64 = settled()
+            .map(|server| self.server_busy_us(server.index))
+            .sum();
+        let weights: f64 = settled().map(|server| server.weight).sum();
+        if weights <= 0.0 {
+            return false;
+        }
+        let allowed = 1.0 + f64::from(percent) / 100.0;
+        settled().any(|server| {
+            let own = self.server_busy_us(server.index);
+            let share = busy as f64 * server.weight / weights;
+            own >= LEAST_BUSY_US && own as f64 > share * allowed
+        })
+    }
+
+    /// Busy time of each shard. What the routers' lists leave out is spread over the rest of the
+    /// owner's shards.
+    pub fn of_shards(
+        &self,
+        state: &OwnershipState,
+        name: &ServiceName,
+        service: &ServiceState,
+    ) -> Vec<f64> {
+        let mut loads = vec![0.0; service.shards.len()];
+        for &server in &service.servers {
+            let owned = &state.servers().get(server).owned;
+            let listed: u64 = owned
+                .iter()
+                .map(|&shard| self.shard_busy_us(name, shard))
+                .sum();
+            let total = self.server_busy_us(server);
+            let rest = total.saturating_sub(listed) as f64 / owned.len().max(1) as f64;
+            for &shard in owned {
+                let own = self.shard_busy_us(name, shard) as f64;
+                loads[shard.0 as usize] = own + rest;
+            }
+        }
+        loads
+    }
+
+    fn server_busy_us(&self, server: ServerIndex) -> u64 {
+        self.last.busy_us(server).min(self.before.busy_us(server))
+    }
+
+    fn shard_busy_us(&self, service: &ServiceName, shard: ShardId) -> u64 {
+        let last = self.last.shard_busy_us(service, shard);
+        last.min(self.before.shard_busy_us(service, shard))
+    }
+
+    /// Ends the window if it is over.
+    fn turn(&mut self, now: Duration) -> bool {
+        if now < self.ends {
+            return false;
+        }
+        self.ends = now + WINDOW;
+        let counted = std::mem::take(&mut self.counting);
+        self.before = std::mem::replace(&mut self.last, counted);
+        let failing = |server: &ServerIndex| {
+            let count = self.last.servers.get(server).copied().unwrap_or_default();
+            count.sent >= LEAST_SENT && count.failed * 100 >= count.sent * UNREACHABLE_PERCENT
+        };
+        self.failing.retain(|server, _| failing(server));
+        for server in self.last.servers.keys().filter(|server| failing(server)) {
+            *self.failing.entry(*server).or_default() += 1;
+        }
+        true
+    }
+}
+
+impl Coordinator {
+    /// Looks at the counts at the end of a window.
+    pub(super) fn turn_load_window(&mut self, step: &Step<'_>) {
+        if !self.load.turn(step.now) {
+            return;
+        }
+        for service in step.state.services().values() {
+            self.mark_unreachable(step.now, service);
+        }
+        self.supervise_soon(step.now);
+    }
+
+    fn mark_unreachable(&mut self, now: Duration, service: &ServiceState) {
+        if self.load.failing.is_empty() {
+            return;
+        }
+        let marked = service.servers.iter().filter(|server| {
+            let link = self.links.get(server);
+            link.is_some_and(|link| link.unreachable_until > now)
+        });
+        let most = (service.servers.len() / UNREACHABLE_FRACTION).max(1);
+        let mut room = most.saturating_sub(marked.count());
+        for server in &service.servers {
+            let streak = self.load.failing.get(server).copied().unwrap_or(0);
+            let Some(link) = self.links.get_mut(server) else {
+                continue;
+            };
+            let is_marked = link.unreachable_until > now;
+            if streak < WINDOWS_TO_ACT || (room == 0 && !is_marked) {
+                continue;
+            }
+            if !is_marked {
+                room -= 1;
+            }
+            link.unreachable_until = now + UNREACHABLE_FOR;
+        }
+    }
+}
--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -3,13 +3,32 @@
 //! Invariant: nothing is granted before its assignment is committed, and no shard is assigned away from
 //! a server before the server released it or any lease it may hold has ended.
 
+mod applied;
+mod balance;
+mod budget;
+mod grants;
+mod heartbeats;
+mod link;
+mod load;
+mod moves;
+mod pending;
+mod step;
+mod supervise;
 mod types;
+mod view;
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use grebepin_schema::{ServerStatus, Term};
+use grebepin_schema::{LogIndex, MachineList, ServerStatus, ServiceName, Term};
 
-use crate::state::OwnershipState;
+use crate::state::{OwnershipState, ServerIndex};
+use balance::Balance;
+use link::ServerLink;
+use load::Load;
+use moves::Moves;
+use pending::Pending;
+use step::Step;
 
 pub use types::{CoordinatorConfig, CoordinatorInput, CoordinatorOutput};
 
@@ -19,6 +38,25 @@
     config: CoordinatorConfig,
     term: Term,
     leader_since: Duration,
+    links: BTreeMap<ServerIndex, ServerLink>,
+    /// Index of the bundle that the links follow.
+    followed: Option<LogIndex>,
+    /// Heartbeats by the time they are due.
+    due: BTreeSet<(Duration, ServerIndex)>,
+    /// Servers that failed to answer, or to take renewals.
+    silent: BTreeSet<ServerIndex>,
+    /// Servers that may be ready for grants.
+    to_flush: BTreeSet<ServerIndex>,
+    /// Servers with releases to ask for.
+    to_release: BTreeSet<ServerIndex>,
+    pending: Pending,
+    moves: Moves,
+    balances: BTreeMap<ServiceName, Balance>,
+    load: Load,
+    /// Start of the leadership or of the bundle in force, whichever is later.
+    settle_since: Duration,
+    last_look: Duration,
+    next_look: Duration,
 }
 
 impl Coordinator {
@@ -29,23 +67,50 @@
             config,
             term,
             leader_since: now,
+            links: BTreeMap::new(),
+            followed: None,
+            due: BTreeSet::new(),
+            silent: BTreeSet::new(),
+            to_flush: BTreeSet::new(),
+            to_release: BTreeSet::new(),
+            pending: Pending::default(),
+            moves: Moves::default(),
+            balances: BTreeMap::new(),
+            load: Load::new(now),
+            settle_since: now,
+            last_look: now,
+            next_look: now,
         }
     }
 
     /// Takes one input. Renewals, grants and releases are sent only while `leader_lease_until > now`.
     pub fn handle(
         &mut self,
-        _now: Duration,
-        _state: &OwnershipState,
-        _leader_lease_until: Duration,
-        _input: CoordinatorInput<'_>,
+        now: Duration,
+        state: &OwnershipState,
+        leader_lease_until: Duration,
+        input: CoordinatorInput<'_>,
     ) -> Vec<CoordinatorOutput> {
-        Vec::new()
+        let mut step = Step::new(now, state, leader_lease_until);
+        self.follow_bundle(&step);
+        self.take_input(&mut step, input);
+        self.send_heartbeats(&mut step);
+        self.turn_load_window(&step);
+        self.supervise(&mut step);
+        self.send_releases(&mut step);
+        self.send_grants(&mut step);
+        step.out
     }
 
     /// When [`CoordinatorInput::Tick`] is due.
     pub fn next_wake(&self) -> Duration {
-        self.leader_since + self.config.heartbeat
+        let wakes = [
+            self.due.first().map(|(due, _)| *due),
+            self.next_release(),
+            Some(self.load.ends()),
+            Some(self.next_look),
+        ];
+        wakes.into_iter().flatten().min().unwrap_or(self.next_look)
     }
 
     /// Term of this leadership.
@@ -53,18 +118,135 @@
         self.term
     }
 
-    /// What is known of each server.
-    pub fn server_status(&self, _now: Duration, _state: &OwnershipState) -> Vec<ServerStatus> {
-        Vec::new()
+    /// What is known of each server, by service and the bundle's order.
+    pub fn server_status(&self, now: Duration, state: &OwnershipState) -> Vec<ServerStatus> {
+        let services = state.services().values();
+        let servers = services.flat_map(|service| service.servers.iter());
+        servers
+            .map(|&index| self.status_of(now, state, index))
+            .collect()
     }
 
     /// Shards on their way from one server to another.
     pub fn moving(&self) -> u32 {
-        0
+        self.moves.len() as u32
     }
 
     /// Shards that no server owns.
     pub fn unowned(&self, state: &OwnershipState) -> u32 {
         state.unowned_shards() as u32
     }
+
+    fn status_of(&self, now: Duration, state: &OwnershipState, index: ServerIndex) -> ServerStatus {
+        let entry = state.servers().get(index);
+        let link = self.links.get(&index);
+        let remaining = link.map_or(Duration::ZERO, |link| link.lease_remaining(now));
+        let heard = link.and_then(|link| link.last_heard);
+        let silence = now.saturating_sub(heard.unwrap_or(self.leader_since));
+        ServerStatus {
+            service: entry.service.clone(),
+            server: entry.server.name.clone(),
+            zone: entry.server.zone.clone(),
+            side: entry.server.side.clone(),
+            standing: entry.effective_standing(),
+            shards: entry.owned.len() as u32,
+            held: link.map_or(0, |link| link.held),
+            lease_remaining_ms: remaining.as_millis() as u64,
+            last_heard_ms: silence.as_millis() as u64,
+        }
+    }
+
+    fn take_input(&mut self, step: &mut Step<'_>, input: CoordinatorInput<'_>) {
+        use CoordinatorInput as Input;
+        match input {
+            Input::Tick => {}
+            Input::HeartbeatAnswered {
+                server,
+                answer,
+                sent_at,
+            } => self.heartbeat_answered(step, &server, &answer, sent_at),
+            Input::HeartbeatFailed { server } => self.heartbeat_failed(step, &server),
+            Input::GrantAnswered { server, answer } => {
+                self.grant_answered(step, &server, &answer);
+            }
+            Input::GrantFailed { server } => self.grant_failed(step, &server),
+            Input::ReleaseAnswered { server, answer } => {
+                self.release_answered(step, &server, &answer);
+            }
+            Input::ReleaseFailed { server } => self.release_failed(step, &server),
+            Input::HoldingsAnswered { server, answer } => {
+                self.holdings_answered(step, &server, &answer);
+            }
+            Input::HoldingsFailed { server } => {
+                if let Some((_, link)) = self.link_mut(step, &server) {
+                    link.holdings_under_way = false;
+                }
+            }
+            Input::DrainDone { server } => {
+                if let Some((_, link)) = self.link_mut(step, &server) {
+                    link.drain_under_way = false;
+                }
+            }
+            Input::LoadReported(report) => self.load.count(step.state, report),
+            Input::Machines(list) => self.take_machines(step, list),
+            Input::Applied(applied) => self.applied(step, applied),
+            Input::ProposeFailed(command) => self.propose_failed(step, command),
+        }
+    }
+
+    /// The list lags, so it decides nothing but who is preferred for new shards.
+    fn take_machines(&mut self, step: &Step<'_>, list: &MachineList) {
+        for machine in &list.machines {
+            if let Some((_, link)) = self.link_mut(step, &machine.server) {
+                link.machine = Some(machine.state);
+            }
+        }
+    }
+
+    /// Keeps one link for each server of the bundle in force.
+    fn follow_bundle(&mut self, step: &Step<'_>) {
+        let in_force = step.state.bundle_record().map(|record| record.index);
+        if in_force == self.followed {
+            return;
+        }
+        self.followed = in_force;
+        self.settle_since = step.now;
+        let servers = step.state.servers();
+        self.links.retain(|&index, link| {
+            let entry = servers.try_get(index);
+            entry.is_some_and(|entry| entry.server.name == link.name)
+        });
+        for (index, entry) in servers.iter() {
+            if entry.removed && entry.owned.is_empty() {
+                self.links.remove(&index);
+                continue;
+            }
+            self.follow_server(step.now, index, entry);
+        }
+        let known = |server: &ServerIndex| self.links.contains_key(server);
+        self.silent.retain(known);
+        self.to_flush.retain(known);
+        self.to_release.retain(known);
+        self.drop_outdated_moves(step);
+        self.supervise_soon(step.now);
+    }
+
+    fn follow_server(
+        &mut self,
+        now: Duration,
+        index: ServerIndex,
+        entry: &crate::state::ServerEntry,
+    ) {
+        let Some(link) = self.links.get_mut(&index) else {
+            let bound = link::unknown_bound(&self.config, self.leader_since);
+            self.links.insert(index, ServerLink::new(entry, now, bound));
+            self.due.insert((now, index));
+            return;
+        };
+        link.service = entry.service.clone();
+        if link.address != entry.server.address {
+            link.change_address(entry.server.address.clone(), now);
+            self.due.insert((now, index));
+        }
+    }
 }
--- a/crates/ownership/src/state/assign.rs
+++ b/crates/ownership/src/state/assign.rs
@@ -81,7 +81,8 @@
         if entry.service != assignment.service {
             return Err(AssignmentRefusal::UnknownServer);
         }
-        if entry.effective_standing() != ServerStanding::Active {
+        let stays = shard.owner == Some(next);
+        if !stays && entry.effective_standing() != ServerStanding::Active {
             return Err(AssignmentRefusal::ServerNotActive);
         }
         Ok(Some(next))
--- a/crates/ownership/src/state/mod.rs
+++ b/crates/ownership/src/state/mod.rs
@@ -24,8 +24,8 @@
 use crate::guards::Guards;
 
 use changes::Changes;
-use servers::Servers;
-use services::ServiceState;
+pub(crate) use servers::{ServerEntry, ServerIndex, Servers};
+pub(crate) use services::ServiceState;
 pub use snapshot::RestoreError;
 
 /// The replicated state machine of one control group.
@@ -131,4 +131,12 @@
         let live = self.services.values().filter(|service| !service.removed);
         live.map(|service| service.unowned.len() as u64).sum()
     }
+
+    pub(crate) fn servers(&self) -> &Servers {
+        &self.servers
+    }
+
+    pub(crate) fn services(&self) -> &BTreeMap<ServiceName, ServiceState> {
+        &self.services
+    }
 }
--- a/crates/ownership/src/state/servers.rs
+++ b/crates/ownership/src/state/servers.rs
@@ -107,6 +107,11 @@
             .expect("an index in the state names a taken slot")
     }
 
+    /// The server in a slot that may be free by now.
+    pub fn try_get(&self, index: ServerIndex) -> Option<&ServerEntry> {
+        self.slots.get(index.0 as usize)?.as_ref()
+    }
+
     pub fn get_mut(&mut self, index: ServerIndex) -> &mut ServerEntry {
         self.slots[index.0 as usize]
             .as_mut()
--- /dev/null
+++ b/crates/ownership/tests/support/world.rs
@@ -0,0 +1,462 @@
+//! One replicated state, its leaders one after the other, and servers that run the real holder.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use grebepin_holder::{Holder, HolderConfig};
+use grebepin_ownership::{
+    Applied, Coordinator, CoordinatorInput, CoordinatorOutput, Guards, OwnershipState,
+};
+use grebepin_schema::{
+    Command, GroupId, HandoverAnswer, HeldShard, LoadReport, LogIndex, MachineList, ServerName,
+    ServerStanding, SetStanding, ShardKey, StandingOrigin, Term,
+};
+
+use super::{config, ms, Network, LEADER_LEASE};
+
+/// Time limit of every call to a server.
+const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time from a proposal to its commit.
+const COMMIT_DELAY: Duration = Duration::from_millis(3);
+
+pub struct ServerProcess {
+    pub holder: Holder,
+    /// Unreachable or frozen until then.
+    pub frozen_until: Duration,
+    pub up: bool,
+    /// Clock rate in millionths.
+    pub clock_rate: u64,
+}
+
+impl ServerProcess {
+    fn clock(&self, now: Duration) -> Duration {
+        Duration::from_micros((now.as_micros() as u64 / 1_000) * self.clock_rate / 1_000)
+    }
+}
+
+enum Event {
+    /// A copy of a request reaches a server; the answer goes back if someone waits for it.
+    Request(u64, CoordinatorOutput),
+    Answer(u64, CoordinatorInput<'static>),
+    Timeout(u64, CoordinatorInput<'static>),
+    Commit(Term),
+}
+
+pub struct World {
+    pub now: Duration,
+    pub state: OwnershipState,
+    pub coordinator: Coordinator,
+    pub term: Term,
+    pub servers: BTreeMap<ServerName, ServerProcess>,
+    pub network: Network,
+    pub leader_lease_until: Option<Duration>,
+    /// The leader before, still sending until its lease ends.
+    former: Option<(Coordinator, OwnershipState, Duration)>,
+    guards: Guards,
+    index: u64,
+    boots: u64,
+    proposals: VecDeque<Command>,
+    queue: BTreeMap<(Duration, u64), Event>,
+    /// Calls that the leader waits for, with the time they were sent.
+    open_calls: BTreeMap<u64, Duration>,
+    next_call: u64,
+    pub assignments: u64,
+    pub sent: BTreeMap<&'static str, u64>,
+}
+
+impl World {
+    pub fn new(network: Network, guards: Guards) -> Self {
+        Self {
+            now: ms(5_000),
+            state: OwnershipState::with_guards(GroupId(0), guards),
+            coordinator: Coordinator::new(config(guards), Term(1), ms(5_000)),
+            term: Term(1),
+            servers: BTreeMap::new(),
+            network,
+            leader_lease_until: None,
+            former: None,
+            guards,
+            index: 1,
+            boots: 0,
+            proposals: VecDeque::new(),
+            queue: BTreeMap::new(),
+            open_calls: BTreeMap::new(),
+            next_call: 0,
+            assignments: 0,
+            sent: BTreeMap::new(),
+        }
+    }
+
+    /// Starts a server, or starts it anew.
+    pub fn start(&mut self, name: ServerName) {
+        self.boots += 1;
+        // A boot is a large number in real life, and sessions start from it.
+        let config = HolderConfig::new(self.boots << 32);
+        let clock_rate = 990_000 + self.network.below(20_000);
+        let process = ServerProcess {
+            holder: Holder::new(config),
+            frozen_until: Duration::ZERO,
+            up: true,
+            clock_rate,
+        };
+        self.servers.insert(name, process);
+    }
+
+    pub fn process(&mut self, name: &ServerName) -> &mut ServerProcess {
+        self.servers.get_mut(name).expect("a known server")
+    }
+
+    pub fn stop(&mut self, name: &ServerName) {
+        self.process(name).up = false;
+    }
+
+    pub fn freeze(&mut self, name: &ServerName, length: Duration) {
+        let until = self.now + length;
+        self.process(name).frozen_until = until;
+    }
+
+    pub fn drain_by_operator(&mut self, name: &ServerName, leave: bool) -> Applied {
+        let standing = match leave {
+            true => ServerStanding::Draining,
+            false => ServerStanding::Active,
+        };
+        self.commit(&Command::SetStanding(SetStanding {
+            server: name.clone(),
+            standing,
+            origin: StandingOrigin::Operator,
+        }))
+    }
+
+    /// Commits a command at once and tells the leader.
+    pub fn commit(&mut self, command: &Command) -> Applied {
+        self.index += 1;
+        let applied = self.state.apply(LogIndex(self.index), command);
+        if let grebepin_ownership::Outcome::Assigned(assigned) = &applied.outcome {
+            self.assignments += assigned.accepted.len() as u64;
+        }
+        self.tell(CoordinatorInput::Applied(&applied));
+        applied
+    }
+
+    pub fn tell_machines(&mut self, list: &MachineList) {
+        self.tell(CoordinatorInput::Machines(list));
+    }
+
+    pub fn tell_load(&mut self, report: &LoadReport) {
+        self.tell(CoordinatorInput::LoadReported(report));
+    }
+
+    /// A new leader takes over. The former one keeps sending for `lag`; its proposals are lost.
+    pub fn change_leader(&mut self, lag: Duration) {
+        self.term = Term(self.term.0 + 1);
+        self.proposals.clear();
+        let next = Coordinator::new(config(self.guards), self.term, self.now);
+        let former = std::mem::replace(&mut self.coordinator, next);
+        self.former = Some((former, self.state.clone(), self.now + lag.min(LEADER_LEASE)));
+        self.open_calls.clear();
+        self.tell(CoordinatorInput::Tick);
+    }
+
+    pub fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        self.run_until(end, |_| false);
+    }
+
+    /// Runs until `done` holds or the time is over; gives the time it took, if it held.
+    pub fn run_until(
+        &mut self,
+        end: Duration,
+        mut done: impl FnMut(&mut World) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while !done(self) {
+            let wake = self.coordinator.next_wake().max(self.now);
+            let event = self.queue.first_key_value().map(|(key, _)| key.0);
+            let next = event.unwrap_or(wake).min(wake).min(self.now + ms(20));
+            if next >= end {
+                self.now = end;
+                return None;
+            }
+            self.now = next;
+            match self.queue.first_key_value().map(|(key, _)| *key) {
+                Some(key) if key.0 <= self.now => {
+                    let event = self.queue.remove(&key).expect("it was first");
+                    self.take_event(event);
+                }
+                _ => self.tell(CoordinatorInput::Tick),
+            }
+            self.tick_former();
+            self.assert_sole_holders();
+        }
+        Some(self.now - start)
+    }
+
+    /// Shards that each server may serve now.
+    pub fn holders(&mut self) -> BTreeMap<ShardKey, Vec<ServerName>> {
+        let mut holders: BTreeMap<ShardKey, Vec<ServerName>> = BTreeMap::new();
+        for (name, process) in &mut self.servers {
+            if !process.up {
+                continue;
+            }
+            let clock = process.clock(self.now);
+            for held in process.holder.holdings(clock, GroupId(0)).shards {
+                let key = ShardKey {
+                    service: held.service,
+                    shard: held.shard,
+                };
+                holders.entry(key).or_default().push(name.clone());
+            }
+        }
+        holders
+    }
+
+    /// Whether each shard is held by its committed owner.
+    pub fn is_settled(&mut self) -> bool {
+        let holders = self.holders();
+        let table = self.state.table().table;
+        let mut shards = table.services.iter().flat_map(|service| {
+            let owners = service.owners.iter().enumerate();
+            owners.map(move |(shard, owner)| (service, shard as u32, owner))
+        });
+        shards.all(|(service, shard, owner)| {
+            let Some(position) = owner.server else {
+                return false;
+            };
+            let name = &service.service.servers[position as usize].name;
+            let key = ShardKey {
+                service: service.service.name.clone(),
+                shard: grebepin_schema::ShardId(shard),
+            };
+            holders
+                .get(&key)
+                .is_some_and(|held| held.as_slice() == std::slice::from_ref(name))
+        })
+    }
+
+    /// Shards that the committed state gives to a server.
+    pub fn owned(&self, name: &ServerName) -> usize {
+        let table = self.state.table().table;
+        let services = table.services.iter();
+        services
+            .map(|service| {
+                let servers = &service.service.servers;
+                let position = servers.iter().position(|server| server.name == *name);
+                let owners = service.owners.iter();
+                owners
+                    .filter(|owner| {
+                        owner.server.is_some() && owner.server.map(|at| at as usize) == position
+                    })
+                    .count()
+            })
+            .sum()
+    }
+
+    fn assert_sole_holders(&mut self) {
+        for (key, names) in self.holders() {
+            assert!(
+                names.len() < 2,
+                "{key:?} held by {names:?} at {:?}",
+                self.now
+            );
+        }
+    }
+
+    fn tell(&mut self, input: CoordinatorInput<'_>) {
+        let lease_until = self.leader_lease_until.unwrap_or(self.now + LEADER_LEASE);
+        let outputs = self
+            .coordinator
+            .handle(self.now, &self.state, lease_until, input);
+        for output in outputs {
+            self.carry_out(output, true);
+        }
+    }
+
+    fn tick_former(&mut self) {
+        let Some((mut former, state, lease_until)) = self.former.take() else {
+            return;
+        };
+        if self.now > lease_until + ms(2_000) {
+            return;
+        }
+        let outputs = former.handle(self.now, &state, lease_until, CoordinatorInput::Tick);
+        self.former = Some((former, state, lease_until));
+        for output in outputs {
+            self.carry_out(output, false);
+        }
+    }
+
+    fn carry_out(&mut self, output: CoordinatorOutput, is_leader: bool) {
+        let (kind, failed) = match &output {
+            CoordinatorOutput::Propose(command) => {
+                if is_leader {
+                    self.proposals.push_back(command.clone());
+                    self.push(COMMIT_DELAY, Event::Commit(self.term));
+                }
+                return;
+            }
+            CoordinatorOutput::Heartbeat { server, .. } => (
+                "heartbeat",
+                CoordinatorInput::HeartbeatFailed {
+                    server: server.clone(),
+                },
+            ),
+            CoordinatorOutput::Grant { server, .. } => (
+                "grant",
+                CoordinatorInput::GrantFailed {
+                    server: server.clone(),
+                },
+            ),
+            CoordinatorOutput::Release { server, .. } => (
+                "release",
+                CoordinatorInput::ReleaseFailed {
+                    server: server.clone(),
+                },
+            ),
+            CoordinatorOutput::Holdings { server, .. } => (
+                "holdings",
+                CoordinatorInput::HoldingsFailed {
+                    server: server.clone(),
+                },
+            ),
+            CoordinatorOutput::Drain { server, .. } => (
+                "drain",
+                CoordinatorInput::DrainDone {
+                    server: server.clone(),
+                },
+            ),
+        };
+        *self.sent.entry(kind).or_default() += 1;
+        self.next_call += 1;
+        let call = self.next_call;
+        if is_leader {
+            self.open_calls.insert(call, self.now);
+            self.push(CALL_TIMEOUT, Event::Timeout(call, failed));
+        }
+        for arrival in self.network.arrivals() {
+            self.push(arrival, Event::Request(call, output.clone()));
+        }
+    }
+
+    fn push(&mut self, after: Duration, event: Event) {
+        self.next_call += 1;
+        self.queue.insert((self.now + after, self.next_call), event);
+    }
+
+    fn take_event(&mut self, event: Event) {
+        match event {
+            Event::Request(call, request) => self.deliver(call, request),
+            Event::Answer(call, mut input) | Event::Timeout(call, mut input) => {
+                let Some(sent) = self.open_calls.remove(&call) else {
+                    return;
+                };
+                if let CoordinatorInput::HeartbeatAnswered { sent_at, .. } = &mut input {
+                    *sent_at = sent;
+                }
+                self.tell(input);
+            }
+            Event::Commit(term) if term == self.term => {
+                if let Some(command) = self.proposals.pop_front() {
+                    self.commit(&command);
+                }
+            }
+            Event::Commit(_) => {}
+        }
+    }
+
+    fn deliver(&mut self, call: u64, request: CoordinatorOutput) {
+        let (now, name) = (self.now, server_of(&request));
+        let Some(process) = self.servers.get_mut(&name).filter(|process| process.up) else {
+            return;
+        };
+        if process.frozen_until > now {
+            let until = process.frozen_until;
+            self.push(until - now, Event::Request(call, request));
+            return;
+        }
+        let input = self.answer(&name, request, now);
+        let back = self.network.one_way();
+        if !self.network.chance(self.network.lost) {
+            self.push(back, Event::Answer(call, input));
+        }
+    }
+
+    fn answer(
+        &mut self,
+        name: &ServerName,
+        request: CoordinatorOutput,
+        now: Duration,
+    ) -> CoordinatorInput<'static> {
+        let process = self.servers.get_mut(name).expect("a known server");
+        let clock = process.clock(now);
+        let server = name.clone();
+        match request {
+            CoordinatorOutput::Heartbeat { request, .. } => {
+                let answer = process.holder.heartbeat(clock, &request);
+                CoordinatorInput::HeartbeatAnswered {
+                    server,
+                    answer,
+                    sent_at: Duration::ZERO, // Set where the answer arrives.
+                }
+            }
+            CoordinatorOutput::Grant { request, .. } => {
+                let outcome = process.holder.grant(clock, &request);
+                for fetch in outcome.fetch {
+                    let answer =
+                        self.hand_over(&fetch.shard, &fetch.previous.server, fetch.previous.epoch);
+                    let process = self.process(name);
+                    process
+                        .holder
+                        .complete_handover(clock, &fetch.shard, answer.as_ref());
+                }
+                CoordinatorInput::GrantAnswered {
+                    server,
+                    answer: outcome.answer,
+                }
+            }
+            CoordinatorOutput::Release { request, .. } => CoordinatorInput::ReleaseAnswered {
+                server,
+                answer: process.holder.release(clock, &request),
+            },
+            CoordinatorOutput::Holdings { group, .. } => CoordinatorInput::HoldingsAnswered {
+                server,
+                answer: process.holder.holdings(clock, group),
+            },
+            CoordinatorOutput::Drain { request, .. } => {
+                process.holder.drain(clock, request.draining);
+                CoordinatorInput::DrainDone { server }
+            }
+            CoordinatorOutput::Propose(_) => unreachable!("proposals go to no server"),
+        }
+    }
+
+    fn hand_over(
+        &mut self,
+        shard: &HeldShard,
+        previous: &ServerName,
+        epoch: grebepin_schema::Epoch,
+    ) -> Option<HandoverAnswer> {
+        let now = self.now;
+        let process = self
+            .servers
+            .get_mut(previous)
+            .filter(|process| process.up)?;
+        let key = ShardKey {
+            service: shard.service.clone(),
+            shard: shard.shard,
+        };
+        let clock = process.clock(now);
+        Some(process.holder.handover(clock, &key, epoch))
+    }
+}
+
+fn server_of(output: &CoordinatorOutput) -> ServerName {
+    match output {
+        CoordinatorOutput::Heartbeat { server, .. }
+        | CoordinatorOutput::Grant { server, .. }
+        | CoordinatorOutput::Release { server, .. }
+        | CoordinatorOutput::Holdings { server, .. }
+        | CoordinatorOutput::Drain { server, .. } => server.clone(),
+        CoordinatorOutput::Propose(_) => unreachable!("proposals go to no server"),
+    }
+}
--- a/crates/placement/src/heap.rs
+++ b/crates/placement/src/heap.rs
@@ -33,15 +33,16 @@
 impl Eq for Loaded {}
 
 /// Servers ordered by count of shards for their weight; ties go to the first.
-pub(crate) struct LeastLoaded {
+#[derive(Clone, Debug)]
+pub struct LeastLoaded {
     weights: Vec<f64>,
     counts: Vec<usize>,
     heap: BinaryHeap<Reverse<Loaded>>,
 }
 
 impl LeastLoaded {
-    /// Servers with weight 0 are never chosen.
-    pub(crate) fn new(weights: Vec<f64>, counts: Vec<usize>) -> Self {
+    /// Starts from `counts[server]` shards on each server. Servers with weight 0 are never chosen.
+    pub fn new(weights: Vec<f64>, counts: Vec<usize>) -> Self {
         let mut heap = BinaryHeap::with_capacity(weights.len());
         for (server, (&weight, &count)) in weights.iter().zip(&counts).enumerate() {
             if weight > 0.0 {
@@ -56,7 +57,7 @@
     }
 
     /// Gives one shard to the least loaded server; `None` when there is no server.
-    pub(crate) fn take(&mut self) -> Option<usize> {
+    pub fn take(&mut self) -> Option<usize> {
         let mut top = self.heap.peek_mut()?;
         let server = top.0.server;
         self.counts[server] += 1;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -9,6 +9,7 @@
 mod rebalance;
 mod targets;
 
+pub use heap::LeastLoaded;
 pub use orphans::{assign_orphans, owners_after_loss};
 pub use rebalance::{rebalance, Move, RebalancePolicy};
 pub use targets::{target_counts, targets};
