Router: callers' side, back ends, table follower, admin, in place of the thin router

Cause: the thin router had no admission, no bounds on callers, and called a failed send not-run only by a guess. Both sides use the library httparse. Change: one control thread follows the table; a thread per caller connection, bounded; admission by priority and deadline; the flow of grebepin-traffic drives sends, cancellations and retries.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -39,7 +39,7 @@
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Daemon { role } => match role {
             Role::Control { settings } => Ok(grebepin_control::thin::run(&settings)?),
-            Role::Router { settings } => Ok(grebepin_router::thin::run(&settings)?),
+            Role::Router { settings } => Ok(grebepin_router::run(&settings, false)?),
             Role::BackEnd(arguments) => thin_back_end::run(&arguments),
         },
     }
--- /dev/null
+++ b/crates/router/src/http/connection.rs
@@ -0,0 +1,331 @@
+//! One buffered connection.
+//!
+//! Invariant: bytes are given out in the order they came and none is lost between two messages.
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::head::{BodyLength, RequestHead, ResponseHead};
+
+/// Largest head of a request or an answer in bytes.
+const MAXIMUM_HEAD_BYTES: usize = 32 << 10;
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+
+/// Longest line that states a chunk's size.
+const MAXIMUM_CHUNK_LINE_BYTES: usize = 256;
+
+/// Why a message could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// The peer closed the connection before the first byte of a message.
+    #[error("connection closed between messages")]
+    Closed,
+    /// The peer closed the connection within a message.
+    #[error("connection closed within a message")]
+    Truncated,
+    /// The time for it ended.
+    #[error("time ended")]
+    TimedOut,
+    /// The connection failed.
+    #[error("connection failed: {0}")]
+    Io(io::Error),
+    /// The message breaks the protocol.
+    #[error("malformed message")]
+    Malformed,
+    /// A head or body is over its bound.
+    #[error("message over the bound")]
+    TooLarge,
+}
+
+impl From<io::Error> for HttpError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => HttpError::TimedOut,
+            _ => HttpError::Io(error),
+        }
+    }
+}
+
+/// How long reads and writes may take.
+#[derive(Clone, Copy, Debug)]
+pub struct TimeLimit {
+    /// End of all of them together.
+    pub until: Instant,
+    /// Longest silence of the peer in each.
+    pub idle: Duration,
+}
+
+impl TimeLimit {
+    /// Time for the next read or write.
+    fn next(&self) -> Result<Duration, HttpError> {
+        let left = self.until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(HttpError::TimedOut);
+        }
+        Ok(left.min(self.idle))
+    }
+}
+
+/// A connection with what was read from it ahead of its use.
+#[derive(Debug)]
+pub struct HttpConnection {
+    stream: Arc<TcpStream>,
+    buffer: Vec<u8>,
+    used: usize,
+}
+
+impl HttpConnection {
+    /// Takes over a stream; small messages are sent at once.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream: Arc::new(stream),
+            buffer: Vec::new(),
+            used: 0,
+        })
+    }
+
+    /// The stream below.
+    pub fn stream(&self) -> &Arc<TcpStream> {
+        &self.stream
+    }
+
+    /// Waits for the first byte of a message.
+    pub fn wait_for_message(&mut self, limit: TimeLimit) -> Result<(), HttpError> {
+        if !self.unused().is_empty() {
+            return Ok(());
+        }
+        match self.fill(limit)? {
+            0 => Err(HttpError::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads the head of a request.
+    pub fn read_request_head(&mut self, limit: TimeLimit) -> Result<RequestHead, HttpError> {
+        self.read_head(limit, RequestHead::parse)
+    }
+
+    /// Reads the head of the final answer to a request with `method`.
+    pub fn read_response_head(
+        &mut self,
+        limit: TimeLimit,
+        method: &str,
+    ) -> Result<ResponseHead, HttpError> {
+        loop {
+            let head = self.read_head(limit, |bytes| ResponseHead::parse(bytes, method))?;
+            if head.status >= 200 {
+                return Ok(head);
+            }
+        }
+    }
+
+    /// Reads a whole body of at most `maximum` bytes.
+    pub fn read_body(
+        &mut self,
+        length: BodyLength,
+        maximum: u64,
+        limit: TimeLimit,
+    ) -> Result<Vec<u8>, HttpError> {
+        let mut body = Vec::new();
+        match length {
+            BodyLength::Known(bytes) if bytes > maximum => return Err(HttpError::TooLarge),
+            BodyLength::Known(bytes) => self.take_into(&mut body, bytes as usize, limit)?,
+            BodyLength::Chunked => self.read_chunks(&mut body, maximum, limit)?,
+            BodyLength::UntilClose => self.read_until_close(&mut body, maximum, limit)?,
+        }
+        Ok(body)
+    }
+
+    /// Writes all bytes. The error comes with whether any byte was handed to the system.
+    pub fn write(&mut self, bytes: &[u8], limit: TimeLimit) -> Result<(), (HttpError, bool)> {
+        let mut written = 0;
+        while written < bytes.len() {
+            match self.write_some(&bytes[written..], limit) {
+                Ok(0) => return Err((HttpError::Truncated, written > 0)),
+                Ok(count) => written += count,
+                Err(HttpError::Io(error)) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err((error, written > 0)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether nothing has come since the last message, and the peer has not closed. A byte that did
+    /// come belongs to no request: the connection must not be used again.
+    pub fn is_quiet(&self) -> bool {
+        if !self.unused().is_empty() || self.stream.set_nonblocking(true).is_err() {
+            return false;
+        }
+        let mut byte = [0];
+        let peeked = self.stream.peek(&mut byte);
+        let blocking = self.stream.set_nonblocking(false).is_ok();
+        let silent = matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        blocking && silent
+    }
+
+    fn write_some(&mut self, bytes: &[u8], limit: TimeLimit) -> Result<usize, HttpError> {
+        self.stream.set_write_timeout(Some(limit.next()?))?;
+        Ok((&*self.stream).write(bytes)?)
+    }
+
+    fn read_head<T>(
+        &mut self,
+        limit: TimeLimit,
+        parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, HttpError>,
+    ) -> Result<T, HttpError> {
+        loop {
+            if let Some((head, length)) = parse(self.unused())? {
+                self.used += length;
+                return Ok(head);
+            }
+            if self.unused().len() >= MAXIMUM_HEAD_BYTES {
+                return Err(HttpError::TooLarge);
+            }
+            self.fill_more(limit)?;
+        }
+    }
+
+    fn read_chunks(
+        &mut self,
+        body: &mut Vec<u8>,
+        maximum: u64,
+        limit: TimeLimit,
+    ) -> Result<(), HttpError> {
+        loop {
+            let size = self.read_chunk_size(limit)?;
+            if size > maximum.saturating_sub(body.len() as u64) {
+                return Err(HttpError::TooLarge);
+            }
+            if size == 0 {
+                return self.skip_trailers(limit);
+            }
+            self.take_into(body, size as usize, limit)?;
+            let mut end = Vec::new();
+            self.take_into(&mut end, 2, limit)?;
+            if end != b"\r\n" {
+                return Err(HttpError::Malformed);
+            }
+        }
+    }
+
+    fn read_chunk_size(&mut self, limit: TimeLimit) -> Result<u64, HttpError> {
+        loop {
+            match httparse::parse_chunk_size(self.unused()) {
+                Ok(httparse::Status::Complete((length, size))) => {
+                    self.used += length;
+                    return Ok(size);
+                }
+                Ok(httparse::Status::Partial) => {}
+                Err(_) => return Err(HttpError::Malformed),
+            }
+            if self.unused().len() > MAXIMUM_CHUNK_LINE_BYTES {
+                return Err(HttpError::TooLarge);
+            }
+            self.fill_more(limit)?;
+        }
+    }
+
+    /// Trailers are read and left out.
+    fn skip_trailers(&mut self, limit: TimeLimit) -> Result<(), HttpError> {
+        let mut skipped = 0;
+        loop {
+            let line = self.read_line(limit)?;
+            skipped += line;
+            if line == 2 {
+                return Ok(());
+            }
+            if skipped > MAXIMUM_HEAD_BYTES {
+                return Err(HttpError::TooLarge);
+            }
+        }
+    }
+
+    /// Skips one line; returns its length with its end.
+    fn read_line(&mut self, limit: TimeLimit) -> Result<usize, HttpError> {
+        loop {
+            if let Some(end) = self.unused().windows(2).position(|pair| pair == b"\r\n") {
+                self.used += end + 2;
+                return Ok(end + 2);
+            }
+            if self.unused().len() >= MAXIMUM_HEAD_BYTES {
+                return Err(HttpError::TooLarge);
+            }
+            self.fill_more(limit)?;
+        }
+    }
+
+    fn read_until_close(
+        &mut self,
+        body: &mut Vec<u8>,
+        maximum: u64,
+        limit: TimeLimit,
+    ) -> Result<(), HttpError> {
+        loop {
+            body.extend_from_slice(self.unused());
+            self.used = self.buffer.len();
+            if body.len() as u64 > maximum {
+                return Err(HttpError::TooLarge);
+            }
+            if self.fill(limit)? == 0 {
+                return Ok(());
+            }
+        }
+    }
+
+    fn take_into(
+        &mut self,
+        target: &mut Vec<u8>,
+        count: usize,
+        limit: TimeLimit,
+    ) -> Result<(), HttpError> {
+        let mut left = count;
+        loop {
+            let ready = self.unused().len().min(left);
+            target.extend_from_slice(&self.buffer[self.used..self.used + ready]);
+            self.used += ready;
+            left -= ready;
+            if left == 0 {
+                return Ok(());
+            }
+            self.fill_more(limit)?;
+        }
+    }
+
+    fn unused(&self) -> &[u8] {
+        &self.buffer[self.used..]
+    }
+
+    fn fill_more(&mut self, limit: TimeLimit) -> Result<(), HttpError> {
+        match self.fill(limit)? {
+            0 => Err(HttpError::Truncated),
+            _ => Ok(()),
+        }
+    }
+
+    /// Reads once; 0 when the peer closed.
+    fn fill(&mut self, limit: TimeLimit) -> Result<usize, HttpError> {
+        self.buffer.drain(..self.used);
+        self.used = 0;
+        let filled = self.buffer.len();
+        self.buffer.resize(filled + READ_BYTES, 0);
+        let outcome = self.read_into(filled, limit);
+        let count = *outcome.as_ref().unwrap_or(&0);
+        self.buffer.truncate(filled + count);
+        outcome
+    }
+
+    fn read_into(&mut self, from: usize, limit: TimeLimit) -> Result<usize, HttpError> {
+        loop {
+            self.stream.set_read_timeout(Some(limit.next()?))?;
+            match (&*self.stream).read(&mut self.buffer[from..]) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                other => return Ok(other?),
+            }
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,3 +1,29 @@
-//! The router daemon.
+//! The router daemon: threads, sockets and clocks round `grebepin-traffic`.
+//!
+//! One control thread follows the routing table; traffic threads read an immutable view of it.
+//!
+//! Invariant: a caller gets the whole answer to its own request, or a typed answer of the router that
+//! claims `not-run` only with proof.
 
-pub mod thin;
+pub mod admin;
+pub mod answer;
+pub mod back_end;
+pub mod callers;
+pub mod clock;
+pub mod daemon;
+pub mod error;
+pub mod follow;
+pub mod forward;
+pub mod gate;
+pub mod handle;
+pub mod http;
+pub mod link;
+pub mod load;
+pub mod lookup;
+pub mod report;
+pub mod request;
+pub mod shared;
+pub mod view;
+
+pub use daemon::{run, Router};
+pub use error::RouterError;
--- /dev/null
+++ b/crates/router/src/lookup.rs
@@ -0,0 +1,93 @@
+//! `GET /-/outcome/SERVICE/REQUEST-ID`: what became of a request.
+//!
+//! Invariant: the answer is the present owner's; without one it is an error, never a guess.
+
+use std::time::Instant;
+
+use grebepin_schema::{
+    OutcomeAnswer, OutcomeLookup, RejectKind, RequestId, RequestState, ServiceName,
+};
+use grebepin_traffic::{reply, Finding, Target};
+
+use crate::answer::Answer;
+use crate::back_end;
+use crate::forward::find;
+use crate::request::{self, CallerRequest};
+use crate::shared::Shared;
+
+const OUTCOME_PREFIX: &str = "/-/outcome/";
+
+/// A resend, as far as claims go: nothing is known of what is asked for.
+const NOTHING_KNOWN: u32 = 2;
+
+/// Look-ups never take the last permits from requests.
+const LOWEST_PRIORITY: u32 = 9;
+
+/// Time after which the owner may be asked again.
+const RETRY_AFTER: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Answers a request to one of the router's own paths.
+pub fn answer(shared: &Shared, request: &CallerRequest) -> Answer {
+    match state(shared, request) {
+        Ok((state, id)) => found(state, &id),
+        Err(kind) => {
+            let retry_after = match kind {
+                RejectKind::NoTable
+                | RejectKind::NoOwner
+                | RejectKind::OwnerLost
+                | RejectKind::QueueFull => Some(RETRY_AFTER),
+                _ => None,
+            };
+            let last = reply::before_sending(kind, NOTHING_KNOWN, retry_after);
+            Answer::rejected(&last, None)
+        }
+    }
+}
+
+fn found(state: RequestState, id: &RequestId) -> Answer {
+    let body = serde_json::to_vec(&OutcomeLookup { state }).unwrap_or_default();
+    let mut answer = Answer::json(200, body);
+    answer.add(request::REQUEST_ID, id.as_bytes());
+    answer
+}
+
+fn state(
+    shared: &Shared,
+    request: &CallerRequest,
+) -> Result<(RequestState, RequestId), RejectKind> {
+    let (service, id) = parse(&request.head.target)?;
+    let key = request::key(&request.head)?;
+    let view = shared.view();
+    let target = match find(&view, &service, &key) {
+        Finding::NoTable => return Err(RejectKind::NoTable),
+        Finding::NoOwner { .. } => return Err(RejectKind::NoOwner),
+        Finding::Owner(target) => target,
+    };
+    let _permit = shared
+        .permit(LOWEST_PRIORITY)
+        .ok_or(RejectKind::QueueFull)?;
+    let gate = view.gate(&target.server).ok_or(RejectKind::NoOwner)?;
+    let path = outcome_path(&service, &target, &id);
+    let until = Instant::now() + shared.limits().default_deadline;
+    let body = back_end::get(gate.link(), &path, until, shared.limits());
+    let answer: Option<OutcomeAnswer> = body.and_then(|body| serde_json::from_slice(&body).ok());
+    let answer = answer.ok_or(RejectKind::OwnerLost)?;
+    Ok((answer.state, id))
+}
+
+fn outcome_path(service: &ServiceName, target: &Target, id: &RequestId) -> String {
+    let service = service.as_str();
+    let shard = target.shard.0;
+    let id = id.as_str();
+    format!("/grebepin/v1/outcome?service={service}&shard={shard}&request_id={id}")
+}
+
+fn parse(target: &str) -> Result<(ServiceName, RequestId), RejectKind> {
+    let rest = target
+        .strip_prefix(OUTCOME_PREFIX)
+        .ok_or(RejectKind::BadHeader)?;
+    let (service, id) = rest.split_once('/').ok_or(RejectKind::BadHeader)?;
+    let service = service.parse().map_err(|_| RejectKind::UnknownService)?;
+    let id = id.parse().map_err(|_| RejectKind::BadHeader)?;
+    Ok((service, id))
+}
--- /dev/null
+++ b/crates/router/src/report.rs
@@ -0,0 +1,23 @@
+//! Load reports to the control group.
+//!
+//! Invariant: the index reported is that of the table that traffic threads read.
+
+use std::time::Duration;
+
+use grebepin_schema::{LoadReport, RouterFrame};
+
+use crate::shared::Shared;
+
+/// The report over the last `interval`.
+pub fn report(shared: &Shared, interval: Duration) -> RouterFrame {
+    let (servers, shards) = shared.load.take();
+    RouterFrame::Report(LoadReport {
+        group: shared.settings.group,
+        router: shared.settings.name.clone(),
+        incarnation: shared.incarnation,
+        in_force: shared.view().table.index(),
+        interval_ms: interval.as_millis() as u64,
+        servers,
+        shards,
+    })
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -40,6 +40,14 @@
     ControlStarted = 100, Info, "control replica started";
     // Routers.
     RouterStarted = 200, Info, "router started";
+    TableInForce = 201, Info, "routing table of another bundle in force";
+    ControlFollowed = 202, Info, "following a control replica";
+    ControlLost = 203, Warn, "connection to the control replica ended";
+    TableRefused = 204, Warn, "routing table refused";
+    ServerEjected = 205, Warn, "server ejected after failures";
+    ServerReadmitted = 206, Info, "ejected server answers again";
+    AnswerMismatched = 207, Warn, "answer of another request, connection closed";
+    CallersCutOff = 208, Warn, "callers cut off at the end of the drain time";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/traffic/src/flow.rs
+++ b/crates/traffic/src/flow.rs
@@ -322,7 +322,11 @@
                 RejectKind::DeadlineTooNear,
                 RETRY_AFTER_SHED,
             )),
-            Refusal::Cancelled | Refusal::BadRequest => self.finish(failure),
+            Refusal::Cancelled => {
+                self.doubt &= self.spec.repeatable;
+                self.finish(failure)
+            }
+            Refusal::BadRequest => self.finish(failure),
             Refusal::AlreadyRunning | Refusal::RecordIncomplete => {
                 self.doubt = true;
                 self.finish(Failure::of(RejectKind::OutcomeUnknown))
@@ -335,7 +339,7 @@
             self.doubt = true;
             return self.ask_retry(now, Failure::of(RejectKind::OutcomeUnknown), LogIndex(0));
         }
-        if self.spec.attempt > 1 || self.time_left(now) < LEAST_TIME_LEFT {
+        if self.time_left(now) < LEAST_TIME_LEFT {
             self.doubt = true;
             return self.finish(Failure::of(RejectKind::OutcomeUnknown));
         }
@@ -344,12 +348,14 @@
         FlowAction::Cancel { target, until }
     }
 
-    /// A tombstone at the epoch of the send proves that the request was not run and never will be.
+    /// A tombstone at the epoch of the send proves that neither this attempt nor an earlier one ran,
+    /// and that none will: a back end answers `not-run` only when it knows this.
     fn cancelled(&mut self, target: &Target, answer: Option<CancelAnswer>) -> FlowAction {
         let proof = answer.is_some_and(|answer| {
             answer.state == RequestState::NotRun && answer.epoch == target.epoch
         });
         if proof {
+            self.doubt = false;
             return self.finish(Failure::of(RejectKind::OwnerLost));
         }
         self.doubt = true;
@@ -406,7 +412,7 @@
     }
 
     fn cancel_reserve(&self, now: Duration) -> Duration {
-        if self.spec.repeatable || self.spec.attempt > 1 {
+        if self.spec.repeatable {
             return Duration::ZERO;
         }
         (self.time_left(now) / CANCEL_PART).min(LONGEST_CANCEL_RESERVE)
--- a/crates/traffic/src/reply.rs
+++ b/crates/traffic/src/reply.rs
@@ -10,15 +10,14 @@
 
 const MILLISECONDS_PER_SECOND: u64 = 1000;
 
-/// HTTP status of a rejection. An outcome that is not known is never a plain "try again" status.
+/// HTTP status of a rejection. An outcome that is not known is never a plain "try again" status; a
+/// request that is wrong in itself keeps the status that says so.
 pub fn status(kind: RejectKind, outcome: Outcome) -> u16 {
-    if outcome == Outcome::Unknown {
-        return 502;
-    }
     match kind {
         RejectKind::MissingKey | RejectKind::BadHeader => 400,
         RejectKind::UnknownService | RejectKind::UnknownClass => 404,
         RejectKind::BodyTooLarge => 413,
+        _ if outcome == Outcome::Unknown => 502,
         RejectKind::DeadlineTooNear => 504,
         RejectKind::OutcomeUnknown => 502,
         RejectKind::NoTable
