Placement: keep sides' counts closely and servers' loosely, so that a hot server is relieved

The least gain was a part of a server's whole share, which a single shard of 170 can't bring, and counts were held to one shard.

Change: rebalance_sides holds the sides' counts to one shard and lets servers of one side differ by the policy's percentage; a server with load enough may have fewer shards.

--- a/crates/placement/src/algorithms/greedy.rs
+++ b/crates/placement/src/algorithms/greedy.rs
@@ -1,7 +1,7 @@
 //! The ways in use: each orphan to the least loaded server, then planned moves.
 
 use super::{Algorithm, Placement, Problem};
-use crate::{assign_orphans, rebalance, RebalancePolicy};
+use crate::{assign_orphans, rebalance_sides, RebalancePolicy};
 
 /// One leader that sees all counts.
 #[derive(Clone, Copy, Debug, Default)]
@@ -25,7 +25,13 @@
             budget: usize::MAX,
             imbalance_percent: problem.imbalance_percent,
         };
-        let moves = rebalance(problem.candidates, &owners, problem.loads, &policy);
+        let moves = rebalance_sides(
+            problem.candidates,
+            problem.sides,
+            &owners,
+            problem.loads,
+            &policy,
+        );
         let changes = moves.iter().map(|planned| (planned.shard, planned.to));
         placement.changes.extend(changes);
         placement
--- a/crates/placement/src/algorithms/problem.rs
+++ b/crates/placement/src/algorithms/problem.rs
@@ -7,6 +7,8 @@
 pub struct Problem<'a> {
     /// Servers.
     pub candidates: &'a [Candidate],
+    /// Side of each server, as in [`crate::rebalance_sides`].
+    pub sides: &'a [usize],
     /// Position of each shard's owner in `candidates`.
     pub owners: &'a [Option<usize>],
     /// Load of each shard; empty when only counts matter.
--- a/crates/placement/src/algorithms/rendezvous.rs
+++ b/crates/placement/src/algorithms/rendezvous.rs
@@ -24,8 +24,12 @@
     fn place(&self, problem: &Problem<'_>, seed: u64) -> Placement {
         let classes = weight_classes(problem);
         let change = |shard: usize| {
+            let present = problem.eligible_owner(shard);
+            if problem.keep_owners && present.is_some() {
+                return None;
+            }
             let owner = best_server(&classes, shard, seed)?;
-            (problem.eligible_owner(shard) != Some(owner)).then_some((shard, owner))
+            (present != Some(owner)).then_some((shard, owner))
         };
         Placement {
             changes: (0..problem.owners.len()).filter_map(change).collect(),
--- a/crates/placement/src/algorithms/surplus.rs
+++ b/crates/placement/src/algorithms/surplus.rs
@@ -1,5 +1,4 @@
-//! Which shards servers give up, common to all ways that keep owners: the lightest ones of servers that
-//! hold more than they should.
+//! Which shards servers give up, common to all ways that keep owners.
 
 use super::Problem;
 use crate::target_counts;
@@ -44,15 +43,24 @@
     }
 }
 
+/// From servers over the borne load, the heaviest shards that fit into what is too much, down to half
+/// of the borne imbalance.
 fn release_loads(problem: &Problem<'_>, held: &mut [Vec<usize>], released: &mut Vec<usize>) {
-    let allowed = 1.0 + f64::from(problem.imbalance_percent) / 100.0;
+    let borne = f64::from(problem.imbalance_percent) / 100.0;
     for (held, share) in held.iter_mut().zip(problem.shares()) {
         held.sort_by(|&left, &right| problem.size(right).total_cmp(&problem.size(left)));
-        let mut size: f64 = held.iter().map(|&shard| problem.size(shard)).sum();
-        while size > share * allowed {
-            let Some(shard) = held.pop() else { break };
-            size -= problem.size(shard);
-            released.push(shard);
+        let size: f64 = held.iter().map(|&shard| problem.size(shard)).sum();
+        if size <= share * (1.0 + borne) {
+            continue;
         }
+        let mut excess = size - share * (1.0 + borne / 2.0);
+        held.retain(|&shard| {
+            let stays = problem.size(shard) > excess;
+            if !stays {
+                excess -= problem.size(shard);
+                released.push(shard);
+            }
+            stays
+        });
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use heap::LeastLoaded;
 pub use orphans::{assign_orphans, owners_after_loss};
-pub use rebalance::{rebalance, Move, RebalancePolicy};
+pub use rebalance::{rebalance, rebalance_sides, Move, RebalancePolicy};
 pub use targets::{target_counts, targets};
 
 /// A server as placement sees it.
--- a/crates/placement/src/rebalance.rs
+++ b/crates/placement/src/rebalance.rs
@@ -2,13 +2,12 @@
 //!
 //! Invariant: the result never has more moves than the budget, and no shard moves twice.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::ops::RangeInclusive;
 
 use crate::targets::{exact_shares, target_counts};
 use crate::Candidate;
 
+mod counts;
 mod load;
 
 /// A planned move of one shard.
@@ -28,29 +27,44 @@
     /// Most moves to start now.
     pub budget: usize,
     /// Load above a server's share, in percent, below which no shard moves for load. Once a server is
-    /// above it, moves go on until it is at half of it.
+    /// above it, moves go on until it is at half of it. Counts of servers of one side may differ from
+    /// their shares by as much.
     pub imbalance_percent: u32,
 }
 
-/// Shards beyond its share, rounded either way, that a server may keep or lack, so that a move for load
-/// can stand.
+/// Shards beyond its share, rounded either way, that a side may always keep or lack.
 const COUNT_SLACK: usize = 1;
 
 /// State of a plan while it is made.
 struct Plan<'a> {
-    candidates: &'a [Candidate],
     loads: &'a [f64],
     owners: Vec<Option<usize>>,
+    moved: Vec<bool>,
+    moves: Vec<Move>,
+    budget: usize,
+    /// Part of a server's share that it may be off by.
+    allowed: f64,
     counts: Vec<usize>,
     targets: Vec<usize>,
     /// Counts within which a server is left alone.
     bounds: Vec<RangeInclusive<usize>>,
-    moved: Vec<bool>,
-    moves: Vec<Move>,
-    budget: usize,
+    /// Load of each server.
+    present: Vec<f64>,
+    /// Load each server should have; 0 with weight 0.
+    wanted: Vec<f64>,
+    sides: Sides,
 }
 
-/// Plans moves of shards between servers that are both up.
+/// Counts of sides, which are kept more closely than those of their servers.
+struct Sides {
+    /// Side of each server.
+    of_server: Vec<usize>,
+    counts: Vec<usize>,
+    targets: Vec<usize>,
+    bounds: Vec<RangeInclusive<usize>>,
+}
+
+/// Plans moves between servers that are both up, with each server's count kept to its weight.
 ///
 /// `owners[shard]` is a position in `candidates`; `loads[shard]` is that shard's load in any unit, and
 /// missing loads count as 0. Shards without an eligible owner are left to [`crate::assign_orphans`]. A
@@ -61,94 +75,103 @@
     loads: &[f64],
     policy: &RebalancePolicy,
 ) -> Vec<Move> {
-    let mut plan = Plan::new(candidates, owners, loads, policy.budget);
+    let each_its_own: Vec<usize> = (0..candidates.len()).collect();
+    rebalance_sides(candidates, &each_its_own, owners, loads, policy)
+}
+
+/// Like [`rebalance`], but keeps only the counts of sides to their weights; servers of one side may
+/// differ by the policy's percentage, and one with too much load may have fewer shards.
+///
+/// `sides[server]` is the number of its side, below the count of servers; other numbers, and servers past
+/// the end of `sides`, stand for side 0.
+pub fn rebalance_sides(
+    candidates: &[Candidate],
+    sides: &[usize],
+    owners: &[Option<usize>],
+    loads: &[f64],
+    policy: &RebalancePolicy,
+) -> Vec<Move> {
+    let mut plan = Plan::new(candidates, sides, owners, loads, policy);
     plan.move_towards_counts();
-    load::move_away_from_load(&mut plan, policy.imbalance_percent);
+    load::move_away_from_load(&mut plan);
     plan.moves
 }
 
 impl<'a> Plan<'a> {
     fn new(
-        candidates: &'a [Candidate],
+        candidates: &[Candidate],
+        sides: &[usize],
         owners: &[Option<usize>],
         loads: &'a [f64],
-        budget: usize,
+        policy: &RebalancePolicy,
     ) -> Self {
-        let is_eligible = |&server: &usize| {
-            candidates
-                .get(server)
-                .is_some_and(|candidate| candidate.eligible)
-        };
-        let owners: Vec<Option<usize>> = owners
-            .iter()
-            .map(|owner| owner.filter(is_eligible))
-            .collect();
+        let eligible = |&server: &usize| candidates.get(server).is_some_and(|one| one.eligible);
+        let owners: Vec<Option<usize>> =
+            owners.iter().map(|owner| owner.filter(eligible)).collect();
         let mut counts = vec![0; candidates.len()];
-        for &server in owners.iter().flatten() {
-            counts[server] += 1;
+        let mut present = vec![0.0; candidates.len()];
+        for (shard, owner) in owners.iter().enumerate() {
+            if let Some(server) = owner {
+                counts[*server] += 1;
+                present[*server] += load_of(loads, shard);
+            }
         }
         let owned = owners.iter().flatten().count();
-        let targets = target_counts(candidates, &counts, owned);
         let shares = exact_shares(candidates, owned);
+        let allowed = f64::from(policy.imbalance_percent) / 100.0;
+        let load_of_shard = present.iter().sum::<f64>() / owned.max(1) as f64;
+        let slack = |share: f64| COUNT_SLACK.max((share * allowed) as usize);
         Self {
-            candidates,
             loads,
             moved: vec![false; owners.len()],
             owners,
-            counts,
-            targets,
-            bounds: shares.into_iter().map(bounds_of).collect(),
             moves: Vec::new(),
-            budget,
+            budget: policy.budget,
+            allowed,
+            targets: target_counts(candidates, &counts, owned),
+            bounds: shares
+                .iter()
+                .map(|&share| bounds_of(share, slack(share)))
+                .collect(),
+            wanted: shares.iter().map(|share| share * load_of_shard).collect(),
+            sides: Sides::new(candidates, sides, &counts, owned),
+            counts,
+            present,
         }
     }
 
     fn load_of(&self, shard: usize) -> f64 {
-        let load = self.loads.get(shard).copied().unwrap_or(0.0);
-        if load.is_finite() {
-            load.max(0.0)
-        } else {
-            0.0
-        }
+        load_of(self.loads, shard)
     }
 
     fn budget_left(&self) -> usize {
         self.budget - self.moves.len()
     }
 
+    /// Load of a server relative to what it should have; 0 when it should have none.
+    fn load_ratio(&self, server: usize) -> f64 {
+        if self.wanted[server] > 0.0 {
+            self.present[server] / self.wanted[server]
+        } else {
+            0.0
+        }
+    }
+
     fn move_shard(&mut self, shard: usize, from: usize, to: usize) {
+        let load = self.load_of(shard);
         self.owners[shard] = Some(to);
         self.counts[from] -= 1;
         self.counts[to] += 1;
+        self.present[from] -= load;
+        self.present[to] += load;
+        self.sides.counts[self.sides.of_server[from]] -= 1;
+        self.sides.counts[self.sides.of_server[to]] += 1;
         self.moved[shard] = true;
         self.moves.push(Move { shard, from, to });
     }
 
-    /// Moves from the server with the most surplus to the one with the most room, lightest shards first.
-    fn move_towards_counts(&mut self) {
-        let servers = 0..self.counts.len();
-        let is_left_alone = |server: usize| self.bounds[server].contains(&self.counts[server]);
-        if servers.clone().all(is_left_alone) {
-            return;
-        }
-        let surplus = |server: usize| self.counts[server].saturating_sub(self.targets[server]);
-        let room = |server: usize| self.targets[server].saturating_sub(self.counts[server]);
-        let mut givers = Queue::new(servers.clone().map(surplus));
-        let mut takers = Queue::new(servers.map(room));
-        let mut held = self.lightest_last();
-        while self.budget_left() > 0 {
-            let (Some(from), Some(to)) = (givers.take(), takers.take()) else {
-                return;
-            };
-            let Some(shard) = held[from].pop() else {
-                return;
-            };
-            self.move_shard(shard, from, to);
-        }
-    }
-
-    /// Shards of each server that has any, the lightest at the end.
-    fn lightest_last(&self) -> Vec<Vec<usize>> {
+    /// Shards of each server, the lightest first.
+    fn held_by_load(&self) -> Vec<Vec<usize>> {
         let mut shards = vec![Vec::new(); self.counts.len()];
         for (shard, owner) in self.owners.iter().enumerate() {
             if let Some(server) = owner {
@@ -156,37 +179,53 @@
             }
         }
         for held in &mut shards {
-            held.sort_by(|&left, &right| self.load_of(right).total_cmp(&self.load_of(left)));
+            held.sort_by(|&left, &right| self.load_of(left).total_cmp(&self.load_of(right)));
         }
         shards
     }
 }
 
-/// Counts within which a server with this share is left alone; none but 0 with a share of 0.
-fn bounds_of(share: f64) -> RangeInclusive<usize> {
-    if share <= 0.0 {
-        return 0..=0;
+impl Sides {
+    fn new(candidates: &[Candidate], sides: &[usize], counts: &[usize], owned: usize) -> Self {
+        let is_known = |side: &usize| *side < candidates.len();
+        let side_of = |server| sides.get(server).copied().filter(is_known).unwrap_or(0);
+        let of_server: Vec<usize> = (0..candidates.len()).map(side_of).collect();
+        let sides = of_server.iter().max().map_or(0, |most| most + 1);
+        let mut side_counts = vec![0; sides];
+        let no_weight = Candidate {
+            weight: 0.0,
+            eligible: true,
+        };
+        let mut together = vec![no_weight; sides];
+        for (server, &side) in of_server.iter().enumerate() {
+            side_counts[side] += counts[server];
+            together[side].weight += candidates[server].effective_weight();
+        }
+        let shares = exact_shares(&together, owned);
+        Self {
+            of_server,
+            targets: target_counts(&together, &side_counts, owned),
+            counts: side_counts,
+            bounds: shares
+                .into_iter()
+                .map(|share| bounds_of(share, COUNT_SLACK))
+                .collect(),
+        }
     }
-    let lowest = (share.floor() as usize).saturating_sub(COUNT_SLACK);
-    lowest..=share.ceil() as usize + COUNT_SLACK
 }
 
-/// Servers by how many shards they still give or take, the most first; ties go to the first server.
-struct Queue(BinaryHeap<(usize, Reverse<usize>)>);
-
-impl Queue {
-    fn new(amounts: impl Iterator<Item = usize>) -> Self {
-        let with_server = amounts
-            .enumerate()
-            .map(|(server, amount)| (amount, Reverse(server)));
-        Self(with_server.filter(|(amount, _)| *amount > 0).collect())
+fn load_of(loads: &[f64], shard: usize) -> f64 {
+    match loads.get(shard) {
+        Some(&load) if load.is_finite() => load.max(0.0),
+        _ => 0.0,
     }
+}
 
-    fn take(&mut self) -> Option<usize> {
-        let (amount, server) = self.0.pop()?;
-        if amount > 1 {
-            self.0.push((amount - 1, server));
-        }
-        Some(server.0)
+/// Counts round a share within which nothing moves; none but 0 with a share of 0.
+fn bounds_of(share: f64, slack: usize) -> RangeInclusive<usize> {
+    if share <= 0.0 {
+        return 0..=0;
     }
+    let lowest = (share.floor() as usize).saturating_sub(slack);
+    lowest..=share.ceil() as usize + slack
 }
--- a/crates/placement/tests/algorithms.rs
+++ b/crates/placement/tests/algorithms.rs
@@ -26,6 +26,7 @@
     let candidates = candidates(weights);
     let problem = Problem {
         candidates: &candidates,
+        sides: &[0, 0, 1, 1],
         owners,
         loads: &[],
         keep_owners,
--- a/crates/placement/tests/rebalance.rs
+++ b/crates/placement/tests/rebalance.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use common::{any_fleet, can_own, candidates, counts, fixed_cases, round_robin};
-use grebepin_placement::{rebalance, Candidate, Move, RebalancePolicy};
+use grebepin_placement::{rebalance, rebalance_sides, Candidate, Move, RebalancePolicy};
 use proptest::prelude::*;
 
 const NO_BOUND: RebalancePolicy = RebalancePolicy {
@@ -110,6 +110,62 @@
     );
 }
 
+/// Servers 0 to 2 are one side, 3 to 5 the other; all hold 100 shards.
+const SIDES: [usize; 6] = [0, 0, 0, 1, 1, 1];
+
+#[test]
+fn a_server_with_a_hot_shard_gives_others_to_its_own_side() {
+    let owners = round_robin(6, 600);
+    let mut loads = vec![1.0; 600];
+    loads[0] = 40.0;
+    let six = candidates(&[1.0; 6]);
+    let moves = rebalance_sides(&six, &SIDES, &owners, &loads, &NO_BOUND);
+    let after = apply(&owners, &moves);
+    assert_eq!(after[0], Some(0));
+    assert!(most_over_mean(&server_loads(6, &after, &loads)) <= 1.13);
+    let counts = counts(6, &after);
+    assert!(
+        counts[..3].iter().sum::<usize>().abs_diff(300) <= 1,
+        "{counts:?}"
+    );
+    assert!(counts.iter().all(|&count| count <= 110), "{counts:?}");
+    assert!(moves.len() <= 30, "{} moves", moves.len());
+    assert_eq!(
+        rebalance_sides(&six, &SIDES, &after, &loads, &NO_BOUND),
+        vec![]
+    );
+    // Once it has cooled down, the server gets shards back.
+    let moves = rebalance_sides(&six, &SIDES, &after, &[1.0; 600], &NO_BOUND);
+    let cool = common::counts(6, &apply(&after, &moves));
+    assert!(
+        cool.iter().all(|count| count.abs_diff(100) <= 10),
+        "{cool:?}"
+    );
+}
+
+#[test]
+fn a_small_change_of_sides_moves_exactly_the_difference() {
+    let owners = round_robin(6, 600);
+    let weights = [1.04, 1.04, 1.04, 0.96, 0.96, 0.96];
+    let moves = rebalance_sides(&candidates(&weights), &SIDES, &owners, &[], &NO_BOUND);
+    assert_eq!(moves.len(), 12);
+    let counts = counts(6, &apply(&owners, &moves));
+    assert_eq!(counts, [104, 104, 104, 96, 96, 96]);
+}
+
+#[test]
+fn counts_within_a_side_may_differ_by_the_percentage() {
+    let owners: Vec<Option<usize>> = [109, 100, 91, 112, 100, 88]
+        .iter()
+        .enumerate()
+        .flat_map(|(server, &count)| vec![Some(server); count])
+        .collect();
+    let six = candidates(&[1.0; 6]);
+    let moves = rebalance_sides(&six, &SIDES, &owners, &[], &NO_BOUND);
+    let counts = counts(6, &apply(&owners, &moves));
+    assert_eq!(counts, [109, 100, 91, 100, 100, 100]);
+}
+
 #[test]
 fn load_below_the_trigger_moves_nothing() {
     let owners = round_robin(4, 400);
@@ -173,11 +229,15 @@
         let policy = RebalancePolicy { budget, imbalance_percent };
         let moves = rebalance(&candidates, &owners, &loads, &policy);
         check_moves(&candidates, &owners, &moves, budget)?;
+        let moves = rebalance_sides(&candidates, &[0, 1, 0, 2], &owners, &loads, &policy);
+        check_moves(&candidates, &owners, &moves, budget)?;
     }
 
     #[test]
     fn repeated_plans_come_to_rest(
         weights in prop::collection::vec(0.5..4.0f64, 1..8),
+        sides in prop::collection::vec(0..8usize, 0..8),
+        each_its_own in any::<bool>(),
         owners in prop::collection::vec(0..8usize, 0..120),
         loads in prop::collection::vec(0.0..50.0f64, 120),
         budget in 2..20usize,
@@ -187,7 +247,11 @@
             owners.iter().map(|server| Some(server % weights.len())).collect();
         let policy = RebalancePolicy { budget, imbalance_percent: 10 };
         for _ in 0..400 {
-            let moves = rebalance(&candidates, &owners, &loads, &policy);
+            let moves = if each_its_own {
+                rebalance(&candidates, &owners, &loads, &policy)
+            } else {
+                rebalance_sides(&candidates, &sides, &owners, &loads, &policy)
+            };
             if moves.is_empty() {
                 return Ok(());
             }
