Bench: fleets of processes with faults from a file, reports, hollow nodes

Change: a deployment's folder moved to free ports; relays that cut a back end off silently; processes killed, frozen, stopped and started by an experiment's steps; a report with latencies by class, the three measures, the promises and a plot; hollow nodes that keep leases and grants and serve nothing. Ruled out: cutting control replicas off by a relay: their settings give one address to listen on and to be found at, so on a fleet they are frozen instead, and cut in the simulator. Not run yet: neither a fleet nor a hollow run, since both need the replicated control daemon. The stand-ins' HTTP server becomes public for the hollow nodes.

--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -10,7 +10,7 @@
 use anyhow::{bail, Context};
 use grebepin_schema::{SignedBundle, SocketAddress, TableSnapshot};
 
-use crate::fleet::{Layout, Process};
+use crate::fleet::{Layout, Process, ProcessError, ProcessPlan};
 
 const SERVERS: usize = 6;
 const SHARDS: u32 = 64;
@@ -67,7 +67,7 @@
     println!("killing server-0");
     let victim = processes
         .iter()
-        .position(|process| process.name() == "server-0");
+        .position(|process| process.plan().name == "server-0");
     processes[victim.context("server-0 runs")?].kill()?;
     thread::sleep(phase);
     let after_kill = table(&admin)?;
@@ -115,10 +115,10 @@
         control[2].as_str()
     );
     let path = layout.write("control.toml", &settings)?;
-    let mut processes = vec![Process::start(
+    let mut processes = vec![start_process(
         folder,
         "control",
-        &["control".into(), path.into()],
+        vec!["control".into(), path.into()],
     )?];
     for router in 0..ROUTERS {
         let settings = format!(
@@ -130,10 +130,10 @@
         );
         let path = layout.write(&format!("router-{router}.toml"), &settings)?;
         let name = format!("router-{router}");
-        processes.push(Process::start(
+        processes.push(start_process(
             folder,
             &name,
-            &["router".into(), path.into()],
+            vec!["router".into(), path.into()],
         )?);
     }
     for (number, address) in servers.iter().enumerate() {
@@ -147,11 +147,23 @@
             "--effects".into(),
             effects.into(),
         ];
-        processes.push(Process::start(folder, &name, &arguments)?);
+        processes.push(start_process(folder, &name, arguments.into())?);
     }
     Ok(processes)
 }
 
+fn start_process(
+    folder: &Path,
+    name: &str,
+    arguments: Vec<std::ffi::OsString>,
+) -> Result<Process, ProcessError> {
+    Process::start(ProcessPlan {
+        name: name.to_string(),
+        folder: folder.to_path_buf(),
+        arguments,
+    })
+}
+
 fn bundle(version: u64, servers: &[SocketAddress], recife: u32, olinda: u32) -> serde_json::Value {
     let servers: Vec<_> = servers
         .iter()
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -1,7 +1,18 @@
-//! A deployment as separate processes on loopback.
+//! A deployment as separate processes on loopback, with faults on a schedule.
 
+pub mod cluster;
+pub mod deployment;
+pub mod error;
+pub mod experiment;
+pub mod faults;
 pub mod layout;
+pub mod link;
+pub mod observer;
+pub mod plans;
 pub mod process;
 
+pub use cluster::Fleet;
+pub use deployment::{Deployment, DeploymentError};
+pub use error::FleetError;
 pub use layout::{Layout, LayoutError};
-pub use process::{Process, ProcessError};
+pub use process::{Process, ProcessError, ProcessPlan};
--- a/crates/standin/src/http/message.rs
+++ b/crates/standin/src/http/message.rs
@@ -13,36 +13,40 @@
 
 /// Why a question can't be read.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum MessageError {
+pub enum MessageError {
+    /// The peer closed before a question.
     #[error("connection closed")]
     Closed,
+    /// The connection failed.
     #[error("connection failed: {0}")]
     Io(#[from] io::Error),
+    /// The bytes are no request.
     #[error("malformed message")]
     Malformed,
+    /// The head or the body is over its bound.
     #[error("message over the bound")]
     TooLarge,
+    /// The body states no length.
     #[error("body without Content-Length")]
     LengthRequired,
 }
 
 /// One request.
 #[derive(Debug)]
-pub(crate) struct Question {
-    pub(crate) method: String,
+pub struct Question {
+    /// HTTP method.
+    pub method: String,
     /// Path without the query.
-    pub(crate) path: String,
+    pub path: String,
     query: String,
     headers: Vec<(String, String)>,
-    pub(crate) body: Vec<u8>,
+    /// Body.
+    pub body: Vec<u8>,
 }
 
 impl Question {
     /// Reads one request of at most `maximum_body` bytes of body.
-    pub(crate) fn read(
-        reader: &mut impl BufRead,
-        maximum_body: usize,
-    ) -> Result<Self, MessageError> {
+    pub fn read(reader: &mut impl BufRead, maximum_body: usize) -> Result<Self, MessageError> {
         let head = read_head(reader)?;
         let mut question = parse_head(&head)?;
         if question.header("Transfer-Encoding").is_some() {
@@ -60,7 +64,8 @@
         Ok(question)
     }
 
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    /// A header's value; names are compared without case.
+    pub fn header(&self, name: &str) -> Option<&str> {
         let found = self
             .headers
             .iter()
@@ -68,7 +73,8 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    pub(crate) fn parameter(&self, name: &str) -> Option<String> {
+    /// A parameter of the query.
+    pub fn parameter(&self, name: &str) -> Option<String> {
         let mut pairs = form_urlencoded::parse(self.query.as_bytes());
         pairs
             .find(|(key, _)| key == name)
@@ -76,15 +82,17 @@
     }
 
     /// The query's parameter, parsed.
-    pub(crate) fn parsed<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+    pub fn parsed<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
         self.parameter(name)?.parse().ok()
     }
 
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+    /// The body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
         serde_json::from_slice(&self.body)
     }
 
-    pub(crate) fn wants_close(&self) -> bool {
+    /// Whether the peer wants the connection closed after the answer.
+    pub fn wants_close(&self) -> bool {
         self.header("Connection")
             .is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
@@ -135,7 +143,7 @@
 
 /// One response.
 #[derive(Debug)]
-pub(crate) struct Answer {
+pub struct Answer {
     status: u16,
     headers: Vec<(&'static str, String)>,
     body: Vec<u8>,
@@ -144,7 +152,8 @@
 }
 
 impl Answer {
-    pub(crate) fn new(status: u16) -> Self {
+    /// An empty answer with this status.
+    pub fn new(status: u16) -> Self {
         Self {
             status,
             headers: Vec::new(),
@@ -154,22 +163,25 @@
     }
 
     /// Lets the answer leave also while transfers are held back.
-    pub(crate) fn at_once(mut self) -> Self {
+    pub fn at_once(mut self) -> Self {
         self.at_once = true;
         self
     }
 
-    pub(crate) fn waits(&self) -> bool {
+    /// Whether the answer waits while transfers are held back.
+    pub fn waits(&self) -> bool {
         !self.at_once
     }
 
-    pub(crate) fn text(status: u16, text: impl ToString) -> Self {
+    /// An answer of plain text.
+    pub fn text(status: u16, text: impl ToString) -> Self {
         let mut answer = Self::new(status).with("Content-Type", "text/plain");
         answer.body = text.to_string().into_bytes();
         answer
     }
 
-    pub(crate) fn json(value: &impl Serialize) -> Self {
+    /// An answer of JSON with status 200.
+    pub fn json(value: &impl Serialize) -> Self {
         match serde_json::to_vec(value) {
             Ok(body) => {
                 let mut answer = Self::new(200).with("Content-Type", "application/json");
@@ -180,13 +192,19 @@
         }
     }
 
-    pub(crate) fn with(mut self, name: &'static str, value: impl ToString) -> Self {
+    /// The answer with one more header.
+    pub fn with(mut self, name: &'static str, value: impl ToString) -> Self {
         self.headers.push((name, value.to_string()));
         self
     }
 
+    /// The body.
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
     /// Writes the answer in one go.
-    pub(crate) fn write(&self, stream: &mut impl Write, close: bool) -> io::Result<()> {
+    pub fn write(&self, stream: &mut impl Write, close: bool) -> io::Result<()> {
         let mut bytes = Vec::with_capacity(256 + self.body.len());
         write!(
             bytes,
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -8,5 +8,5 @@
 mod message;
 mod server;
 
-pub(crate) use message::{Answer, Question};
-pub(crate) use server::{HttpServer, ServerHooks, ServerOptions};
+pub use message::{Answer, MessageError, Question};
+pub use server::{HttpServer, ServerHooks, ServerOptions};
--- a/crates/standin/src/http/server.rs
+++ b/crates/standin/src/http/server.rs
@@ -21,15 +21,15 @@
 
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ServerOptions {
+pub struct ServerOptions {
     /// Connections open at once.
-    pub(crate) connections: usize,
+    pub connections: usize,
     /// Largest body of a question in bytes.
-    pub(crate) maximum_body: usize,
+    pub maximum_body: usize,
 }
 
 /// What a server does with its connections.
-pub(crate) trait ServerHooks: Send + Sync + 'static {
+pub trait ServerHooks: Send + Sync + 'static {
     /// A connection was accepted.
     fn connected(&self) {}
     /// Called before anything is read or written; may wait.
@@ -46,18 +46,14 @@
 }
 
 /// A running server.
-pub(crate) struct HttpServer<H: ServerHooks> {
+pub struct HttpServer<H: ServerHooks> {
     shared: Arc<Shared<H>>,
     address: SocketAddr,
 }
 
 impl<H: ServerHooks> HttpServer<H> {
     /// Starts to accept on `listener`.
-    pub(crate) fn start(
-        listener: TcpListener,
-        options: ServerOptions,
-        hooks: H,
-    ) -> io::Result<Self> {
+    pub fn start(listener: TcpListener, options: ServerOptions, hooks: H) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             hooks,
@@ -72,21 +68,23 @@
         Ok(Self { shared, address })
     }
 
-    pub(crate) fn address(&self) -> SocketAddr {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    pub(crate) fn hooks(&self) -> &H {
+    /// What it does with its connections.
+    pub fn hooks(&self) -> &H {
         &self.shared.hooks
     }
 
     /// Connections open now.
-    pub(crate) fn open_connections(&self) -> usize {
+    pub fn open_connections(&self) -> usize {
         self.shared.open.load(Ordering::SeqCst)
     }
 
     /// Takes no more questions; those being answered are answered.
-    pub(crate) fn stop(&self) {
+    pub fn stop(&self) {
         self.shared.stopping.store(true, Ordering::SeqCst);
         // Wakes the accepting thread.
         TcpStream::connect_timeout(&self.address, IDLE_CHECK).ok();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,7 +5,7 @@
 
 pub mod back_end;
 pub mod history;
-mod http;
+pub mod http;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
