--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -76,6 +76,14 @@
     assert_eq!(damage_of(&disk), Some((oldest, Damage::CutShort)));
 }
 
+#[test]
+fn an_identity_that_is_too_long_is_refused_unread() {
+    let disk = sample();
+    disk.put("identity", vec![b'G'; 5000]);
+    let expected = ("identity".to_owned(), Damage::TooLong);
+    assert_eq!(damage_of(&disk), Some(expected));
+}
+
 #[test]
 fn a_lost_record_in_the_middle_is_noticed() {
     let disk = SimulatedDisk::new(1);
