--- a/crates/placement/src/rebalance/load.rs
+++ b/crates/placement/src/rebalance/load.rs
@@ -18,8 +18,8 @@
     aim: f64,
     /// Shards of each server that did not move yet, the lightest first.
     held: Vec<Vec<usize>>,
-    /// Servers that no step can relieve.
-    stuck: Vec<bool>,
+    /// Servers that were relieved as far as can be.
+    done: Vec<bool>,
 }
 
 /// A move, or two moves that swap shards.
@@ -32,24 +32,23 @@
     gain: f64,
 }
 
-/// Plans moves while some server is over its share by the allowed part, down to half of that.
+/// Relieves each server that is over its share by more than the allowed part, down to half of that.
 pub(super) fn move_away_from_load(plan: &mut Plan<'_>) {
     let mut search = Search::new(plan);
-    match search.most_loaded(plan) {
-        Some(server) if plan.load_ratio(server) > 1.0 + plan.allowed => {}
-        _ => return,
-    }
-    while plan.budget_left() > 0 {
-        let Some(giver) = search.most_loaded(plan) else {
-            return;
-        };
-        if plan.load_ratio(giver) <= search.aim {
+    while let Some(giver) = search.most_loaded(plan) {
+        if plan.load_ratio(giver) <= 1.0 + plan.allowed {
             return;
         }
-        match search.best_step(plan, giver) {
-            Some(step) => search.apply(plan, giver, step),
-            None => search.stuck[giver] = true,
+        while plan.load_ratio(giver) > search.aim {
+            if plan.budget_left() == 0 {
+                return;
+            }
+            let Some(step) = search.best_step(plan, giver) else {
+                break;
+            };
+            search.apply(plan, giver, step);
         }
+        search.done[giver] = true;
     }
 }
 
@@ -61,14 +60,14 @@
         }
         Self {
             aim: 1.0 + plan.allowed / 2.0,
-            stuck: vec![false; held.len()],
+            done: vec![false; held.len()],
             held,
         }
     }
 
     fn most_loaded(&self, plan: &Plan<'_>) -> Option<usize> {
         usable(plan)
-            .filter(|&server| !self.stuck[server])
+            .filter(|&server| !self.done[server])
             .max_by(|&left, &right| plan.load_ratio(left).total_cmp(&plan.load_ratio(right)))
     }
 
--- a/crates/placement/tests/rebalance.rs
+++ b/crates/placement/tests/rebalance.rs
@@ -166,6 +166,23 @@
     assert_eq!(counts, [109, 100, 91, 100, 100, 100]);
 }
 
+#[test]
+fn only_servers_over_the_trigger_give_for_load() {
+    let owners = round_robin(6, 600);
+    let load = |shard: usize| match shard % 6 {
+        0 => 1.4,
+        1 => 1.18,
+        _ => 1.0,
+    };
+    let loads: Vec<f64> = (0..600).map(load).collect();
+    let six = candidates(&[1.0; 6]);
+    let moves = rebalance_sides(&six, &[0; 6], &owners, &loads, &NO_BOUND);
+    assert!(!moves.is_empty());
+    assert!(moves.iter().all(|planned| planned.from == 0));
+    let after = server_loads(6, &apply(&owners, &moves), &loads);
+    assert!(most_over_mean(&after) <= 1.08, "{after:?}");
+}
+
 #[test]
 fn load_below_the_trigger_moves_nothing() {
     let owners = round_robin(4, 400);
