--- /dev/null
+++ b/crates/control/src/daemon/back_ends.rs
@@ -0,0 +1,220 @@
+//! Calls to back ends over HTTP.
+//!
+//! Invariant: each back end has threads of its own, one for heartbeats and one for everything else, so
+//! that neither a slow back end nor a large grant delays another's lease; every call gets one answer.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, Sender};
+use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
+use grebepin_schema::SocketAddress;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use super::message::{Inbox, Message};
+use crate::node::input::{BackEndAnswer, CallFailure, CallId, NodeInput};
+use crate::node::output::BackEndRequest;
+
+/// Calls that may wait for one back end on one lane.
+const WAITING_CALLS: usize = 16;
+
+/// Idle time after which a lane's thread ends.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Idle connections kept over all back ends.
+const IDLE_CONNECTIONS: usize = 4096;
+
+/// Idle connections kept to one back end, one for each lane.
+const IDLE_CONNECTIONS_PER_BACK_END: usize = 2;
+
+/// Idle time after which a connection is closed, below what back ends usually allow.
+const IDLE_CONNECTION_AGE: Duration = Duration::from_secs(4);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LaneKind {
+    Heartbeats,
+    Others,
+}
+
+impl LaneKind {
+    fn of(request: &BackEndRequest) -> Self {
+        match request {
+            BackEndRequest::Heartbeat(_) => Self::Heartbeats,
+            _ => Self::Others,
+        }
+    }
+}
+
+struct Call {
+    id: CallId,
+    request: BackEndRequest,
+}
+
+/// Calls to every back end.
+pub(super) struct BackEnds {
+    lanes: BTreeMap<(SocketAddress, LaneKind), Sender<Call>>,
+    heartbeats: ureq::Agent,
+    others: ureq::Agent,
+    inbox: Inbox,
+}
+
+impl BackEnds {
+    /// No calls yet. `heartbeat_timeout` and `timeout` bound a heartbeat and any other call.
+    pub(super) fn new(heartbeat_timeout: Duration, timeout: Duration, inbox: Inbox) -> Self {
+        Self {
+            lanes: BTreeMap::new(),
+            heartbeats: agent(heartbeat_timeout),
+            others: agent(timeout),
+            inbox,
+        }
+    }
+
+    /// Starts a call; the failure, as an input, of one that can't be started.
+    pub(super) fn call(
+        &mut self,
+        id: CallId,
+        address: SocketAddress,
+        request: BackEndRequest,
+    ) -> Option<NodeInput> {
+        let key = (address, LaneKind::of(&request));
+        let mut call = Call { id, request };
+        if let Some(lane) = self.lanes.get(&key) {
+            match lane.try_send(call) {
+                Ok(()) => return None,
+                Err(crossbeam_channel::TrySendError::Full(_)) => return Some(busy(id)),
+                Err(crossbeam_channel::TrySendError::Disconnected(back)) => call = back,
+            }
+        }
+        let Some(lane) = self.start_lane(&key) else {
+            return Some(busy(id));
+        };
+        let sent = lane.try_send(call);
+        self.lanes.insert(key, lane);
+        sent.is_err().then(|| busy(id))
+    }
+
+    fn start_lane(&self, key: &(SocketAddress, LaneKind)) -> Option<Sender<Call>> {
+        let (address, kind) = key;
+        let (sender, calls) = crossbeam_channel::bounded(WAITING_CALLS);
+        let lane = Lane {
+            base: format!("http://{}/grebepin/v1", address.as_str()),
+            agent: match kind {
+                LaneKind::Heartbeats => self.heartbeats.clone(),
+                LaneKind::Others => self.others.clone(),
+            },
+            inbox: self.inbox.clone(),
+        };
+        thread::Builder::new()
+            .name(format!("back-end-{}", address.as_str()))
+            .spawn(move || lane.run(&calls))
+            .ok()?;
+        Some(sender)
+    }
+}
+
+fn busy(call: CallId) -> NodeInput {
+    NodeInput::BackEnd {
+        call,
+        answer: Err(CallFailure::Busy),
+    }
+}
+
+fn agent(timeout: Duration) -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_global(Some(timeout))
+        .http_status_as_error(false)
+        .max_idle_connections(IDLE_CONNECTIONS)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_BACK_END)
+        .max_idle_age(IDLE_CONNECTION_AGE)
+        .proxy(None)
+        .build()
+        .into()
+}
+
+/// One back end's calls of one kind, one after the other.
+struct Lane {
+    base: String,
+    agent: ureq::Agent,
+    inbox: Inbox,
+}
+
+impl Lane {
+    fn run(&self, calls: &Receiver<Call>) {
+        while let Ok(call) = calls.recv_timeout(IDLE_LIMIT) {
+            let input = NodeInput::BackEnd {
+                call: call.id,
+                answer: self.call(&call.request),
+            };
+            if self.inbox.send(Message::Input(input)).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn call(&self, request: &BackEndRequest) -> Result<BackEndAnswer, CallFailure> {
+        match request {
+            BackEndRequest::Heartbeat(body) => {
+                self.post("heartbeat", body).map(BackEndAnswer::Heartbeat)
+            }
+            BackEndRequest::Grant(body) => self.post("grant", body).map(BackEndAnswer::Grant),
+            BackEndRequest::Release(body) => self.post("release", body).map(BackEndAnswer::Release),
+            BackEndRequest::Holdings(group) => self
+                .get(&format!("holdings?group={group}"))
+                .map(BackEndAnswer::Holdings),
+            BackEndRequest::Drain(body) => {
+                self.post_bytes("drain", body).map(|_| BackEndAnswer::Drain)
+            }
+        }
+    }
+
+    fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, CallFailure> {
+        decode(&self.post_bytes(path, body)?)
+    }
+
+    fn post_bytes(&self, path: &str, body: &impl Serialize) -> Result<Vec<u8>, CallFailure> {
+        let bytes = serde_json::to_vec(body).map_err(|_| CallFailure::BadAnswer)?;
+        let answer = self
+            .agent
+            .post(format!("{}/{path}", self.base))
+            .header("content-type", "application/json")
+            .send(&bytes);
+        read(answer)
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CallFailure> {
+        let answer = self.agent.get(format!("{}/{path}", self.base)).call();
+        decode(&read(answer)?)
+    }
+}
+
+fn read(
+    answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+) -> Result<Vec<u8>, CallFailure> {
+    let mut answer = answer.map_err(|error| failure(&error))?;
+    if !answer.status().is_success() {
+        return Err(CallFailure::BadAnswer);
+    }
+    let limit = MAXIMUM_BACK_END_MESSAGE_BYTES as u64;
+    let body = answer.body_mut().with_config().limit(limit).read_to_vec();
+    body.map_err(|error| failure(&error))
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CallFailure> {
+    serde_json::from_slice(bytes).map_err(|_| CallFailure::BadAnswer)
+}
+
+fn failure(error: &ureq::Error) -> CallFailure {
+    match error {
+        ureq::Error::Timeout(_) => CallFailure::TimedOut,
+        ureq::Error::Io(_) | ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => {
+            CallFailure::Unreachable
+        }
+        _ => CallFailure::BadAnswer,
+    }
+}
--- /dev/null
+++ b/crates/control/src/daemon/mod.rs
@@ -0,0 +1,55 @@
+//! The daemon: the input/output threads round the control node.
+//!
+//! Invariant: one control thread owns all state; other threads only move bytes to and from it.
+
+mod admin;
+mod back_ends;
+mod control_thread;
+mod error;
+mod events;
+mod liveness;
+mod message;
+mod metrics;
+mod peer_links;
+mod platform;
+mod router_links;
+mod running;
+mod sockets;
+
+use std::path::Path;
+
+use grebepin_settings::load_control;
+use grebepin_telemetry::{event, Event};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+pub use error::{RunError, DAMAGED_EXIT_CODE};
+pub use running::{start, Addresses, Listeners, RunningControl, Stopper};
+
+/// Runs one control replica until it is told to stop by SIGTERM or SIGINT.
+///
+/// With `check_only` the settings are checked, also against this machine, and nothing is started.
+///
+/// # Errors
+/// The settings are refused, the folder is damaged or unusable, or the replica can't go on. See
+/// [`RunError::exit_code`].
+pub fn run(settings_path: &Path, check_only: bool) -> Result<(), RunError> {
+    let settings = load_control(settings_path)?;
+    if check_only {
+        return Ok(settings.check_host()?);
+    }
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let running = start(settings, Listeners::default())?;
+    let stopper = running.stopper();
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            if signals.forever().next().is_some() {
+                event!(Event::StopRequested);
+                stopper.stop();
+            }
+        })?;
+    let result = running.wait();
+    event!(Event::Stopped);
+    result
+}
--- /dev/null
+++ b/crates/control/src/daemon/platform.rs
@@ -0,0 +1,55 @@
+//! Reads the platform's list of machines.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Receiver;
+use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
+use grebepin_schema::MachineList;
+use grebepin_telemetry::{event, Event};
+
+use super::message::{Inbox, Message};
+use crate::node::input::NodeInput;
+
+/// Reads the list every `interval` until `stopped` is closed.
+pub(super) fn start(
+    address: SocketAddr,
+    interval: Duration,
+    inbox: Inbox,
+    stopped: Receiver<()>,
+) -> std::io::Result<()> {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .timeout_global(Some(interval))
+        .proxy(None)
+        .build()
+        .into();
+    let url = format!("http://{address}/machines");
+    thread::Builder::new()
+        .name("platform".to_owned())
+        .spawn(move || {
+            let mut answering = true;
+            while stopped.recv_timeout(interval)
+                == Err(crossbeam_channel::RecvTimeoutError::Timeout)
+            {
+                let list = read(&agent, &url);
+                if list.is_none() && answering {
+                    event!(Event::PlatformUnreachable, address = address);
+                }
+                answering = list.is_some();
+                let Some(list) = list else { continue };
+                let message = Message::Input(NodeInput::Machines(list));
+                if inbox.send(message).is_err() {
+                    return;
+                }
+            }
+        })?;
+    Ok(())
+}
+
+fn read(agent: &ureq::Agent, url: &str) -> Option<MachineList> {
+    let mut answer = agent.get(url).call().ok()?;
+    let limit = MAXIMUM_BACK_END_MESSAGE_BYTES as u64;
+    let body = answer.body_mut().with_config().limit(limit).read_to_vec();
+    serde_json::from_slice(&body.ok()?).ok()
+}
--- /dev/null
+++ b/crates/control/src/daemon/running.rs
@@ -0,0 +1,231 @@
+//! Starts and stops the threads of one replica.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Instant;
+
+use crossbeam_channel::Sender;
+use grebepin_schema::ReplicaId;
+use grebepin_settings::ControlSettings;
+use grebepin_storage::RealDisk;
+use grebepin_telemetry::{event, Event};
+
+use super::admin::{AdminContext, AdminServer};
+use super::back_ends::BackEnds;
+use super::control_thread::{ControlThread, Replies};
+use super::error::RunError;
+use super::liveness::Liveness;
+use super::message::{channel, Inbox, Message, StopFlag};
+use super::metrics::NodeGauges;
+use super::peer_links::{self, PeerLinks};
+use super::platform;
+use super::router_links::{self, RouterLinks};
+use super::sockets::Acceptor;
+use crate::node::config::NodeConfig;
+use crate::node::error::NodeError;
+use crate::node::ControlNode;
+
+/// Sockets that are listened on already, for addresses with port 0; the settings' addresses are used
+/// for the others.
+#[derive(Debug, Default)]
+pub struct Listeners {
+    /// For other replicas.
+    pub peer: Option<TcpListener>,
+    /// For routers.
+    pub router: Option<TcpListener>,
+}
+
+/// Where a running replica is reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// By other replicas.
+    pub peer: SocketAddr,
+    /// By routers.
+    pub router: SocketAddr,
+    /// By operators.
+    pub admin: SocketAddr,
+}
+
+/// A running replica; it stops when told so or when its node fails.
+pub struct RunningControl {
+    data_dir: PathBuf,
+    addresses: Addresses,
+    inbox: Inbox,
+    stop: StopFlag,
+    platform_stop: Sender<()>,
+    control: JoinHandle<Result<(), NodeError>>,
+    acceptors: Vec<Acceptor>,
+    admin: AdminServer,
+}
+
+/// Tells a running replica to stop.
+#[derive(Clone)]
+pub struct Stopper {
+    inbox: Inbox,
+}
+
+impl Stopper {
+    /// Tells the replica to stop; it finishes what it has taken in.
+    pub fn stop(&self) {
+        let _ = self.inbox.send(Message::Stop);
+    }
+}
+
+/// Starts a replica with checked settings.
+///
+/// # Errors
+/// An address can't be listened on, or the data folder can't be used.
+pub fn start(
+    mut settings: ControlSettings,
+    listeners: Listeners,
+) -> Result<RunningControl, RunError> {
+    let started = Instant::now();
+    let data_dir = settings.data_dir.clone();
+    let disk = RealDisk::new(&data_dir).map_err(|source| RunError::Folder {
+        path: data_dir.clone(),
+        source,
+    })?;
+    let peer = bind("peer_address", settings.peer_address, listeners.peer)?;
+    let router = bind("router_address", settings.router_address, listeners.router)?;
+    settings.peer_address = peer.local_addr()?;
+    settings.router_address = router.local_addr()?;
+    let stop = StopFlag::default();
+    let (inbox, messages) = channel();
+    let liveness = Liveness::new(started);
+    let gauges = Arc::new(NodeGauges::new()?);
+    let context = AdminContext {
+        inbox: inbox.clone(),
+        liveness: liveness.clone(),
+        gauges: Arc::clone(&gauges),
+    };
+    let admin = AdminServer::start(settings.admin_address, context, stop.clone());
+    let admin =
+        admin.map_err(|reason| listen_error("admin_address", settings.admin_address, reason))?;
+    settings.admin_address = admin.address();
+
+    let config = NodeConfig::from_settings(&settings, fresh_replica(), rand::random());
+    let node = ControlNode::open(config, disk, liveness.now());
+    let node = node.map_err(|error| {
+        stop.set();
+        RunError::node(data_dir.clone(), error)
+    })?;
+    let replica = node.replica();
+    event!(
+        Event::ControlStarted,
+        replica = replica,
+        admin = settings.admin_address
+    );
+    let sent_bytes = gauges.metrics.sent_bytes.clone();
+    let timing = &settings.timing;
+    let thread = ControlThread {
+        node,
+        inbox: messages,
+        peers: PeerLinks::new(timing.election_timeout, sent_bytes.clone()),
+        routers: RouterLinks::default(),
+        back_ends: BackEnds::new(
+            timing.server_heartbeat * 2,
+            timing.server_lease,
+            inbox.clone(),
+        ),
+        liveness,
+        replies: Replies::default(),
+    };
+    let control = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || thread.run())?;
+    let acceptors = vec![
+        peer_links::listen(peer, inbox.clone(), stop.clone())?,
+        router_links::listen(router, inbox.clone(), stop.clone(), sent_bytes)?,
+    ];
+    let (platform_stop, stopped) = crossbeam_channel::bounded(0);
+    if let Some(address) = settings.platform_address {
+        platform::start(address, timing.platform_poll, inbox.clone(), stopped)?;
+    }
+    Ok(RunningControl {
+        data_dir,
+        addresses: Addresses {
+            peer: settings.peer_address,
+            router: settings.router_address,
+            admin: settings.admin_address,
+        },
+        inbox,
+        stop,
+        platform_stop,
+        control,
+        acceptors,
+        admin,
+    })
+}
+
+impl RunningControl {
+    /// Where the replica is reached.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// A handle that tells the replica to stop.
+    pub fn stopper(&self) -> Stopper {
+        Stopper {
+            inbox: self.inbox.clone(),
+        }
+    }
+
+    /// Waits until the replica stops, then ends its threads.
+    ///
+    /// # Errors
+    /// Why the replica could not go on.
+    pub fn wait(self) -> Result<(), RunError> {
+        let result = self.control.join();
+        self.stop.set();
+        drop(self.inbox);
+        drop(self.platform_stop);
+        for acceptor in self.acceptors {
+            acceptor.stop();
+        }
+        self.admin.stop();
+        match result {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => {
+                event!(Event::ReplicaFailed, reason = error);
+                Err(RunError::node(self.data_dir, error))
+            }
+            Err(_) => Err(RunError::Panicked),
+        }
+    }
+
+    /// Tells the replica to stop and waits for it.
+    ///
+    /// # Errors
+    /// Why the replica could not go on.
+    pub fn stop(self) -> Result<(), RunError> {
+        self.stopper().stop();
+        self.wait()
+    }
+}
+
+fn bind(
+    field: &'static str,
+    address: SocketAddr,
+    listener: Option<TcpListener>,
+) -> Result<TcpListener, RunError> {
+    match listener {
+        Some(listener) => Ok(listener),
+        None => TcpListener::bind(address)
+            .map_err(|error| listen_error(field, address, error.to_string())),
+    }
+}
+
+fn listen_error(field: &'static str, address: SocketAddr, reason: String) -> RunError {
+    RunError::Listen {
+        field,
+        address: address.to_string(),
+        reason,
+    }
+}
+
+/// An identity that no folder ever had, but for a chance of one in 2^64 for each folder made.
+fn fresh_replica() -> ReplicaId {
+    ReplicaId(rand::random())
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,13 +2,19 @@
 //!
 //! [`ControlNode`] decides; the daemon round it moves bytes and keeps the time.
 
+mod daemon;
 mod node;
 pub mod thin;
 
-pub use node::config::{default_timing, NodeConfig};
+pub use daemon::{
+    run, start, Addresses, Listeners, RunError, RunningControl, Stopper, DAMAGED_EXIT_CODE,
+};
+pub use grebepin_settings::{ControlSettings, ControlTiming};
+pub use node::config::{schema_address, NodeConfig, NodeGuards};
 pub use node::error::NodeError;
 pub use node::input::{
     AdminRequest, BackEndAnswer, CallFailure, CallId, ConnectionId, NodeInput, ReplyId,
 };
 pub use node::output::{AdminAnswer, BackEndRequest, NodeMetrics, NodeOutput, Notice};
+pub use node::tolerance::tolerated_losses;
 pub use node::ControlNode;
--- /dev/null
+++ b/crates/control/src/node/admin.rs
@@ -0,0 +1,206 @@
+//! Requests of operators.
+//!
+//! Invariant: a change is answered only after it is committed and applied, or refused with a type that
+//! says whether it may have taken effect.
+
+use std::time::Duration;
+
+use grebepin_bundle::VerifyError;
+use grebepin_ownership::{Applied, BundleOutcome, BundleRefusal, Outcome, StandingOutcome};
+use grebepin_schema::{
+    AcceptBundle, ApiError, ApiErrorKind, BundleRecord, Command, DrainServerAnswer,
+    DrainServerRequest, LogIndex, RollAnswer, ServerStanding, SetStanding, SignedBundle,
+    StandingOrigin,
+};
+use grebepin_storage::Disk;
+
+use super::error::NodeError;
+use super::input::{AdminRequest, ReplyId};
+use super::leadership::{api_error, internal};
+use super::output::{AdminAnswer, NodeOutput, Notice};
+use super::waiting::{EntryWaiter, ReadWaiter};
+use super::ControlNode;
+
+impl<D: Disk> ControlNode<D> {
+    pub(super) fn take_in_admin(
+        &mut self,
+        now: Duration,
+        reply: ReplyId,
+        request: AdminRequest,
+    ) -> Result<(), NodeError> {
+        let answer = match request {
+            AdminRequest::Found(request) => self.found(now, request)?.map(AdminAnswer::Founded),
+            AdminRequest::Identity => Ok(AdminAnswer::Identity(self.identity())),
+            AdminRequest::Status => Ok(AdminAnswer::Status(Box::new(self.status(now)))),
+            AdminRequest::Metrics => Ok(AdminAnswer::Metrics(Box::new(self.metrics()))),
+            AdminRequest::Ready => Ok(AdminAnswer::Ready(self.is_ready())),
+            AdminRequest::SubmitBundle(signed) => {
+                self.submit_bundle(now, reply, *signed);
+                return Ok(());
+            }
+            AdminRequest::Bundle => {
+                self.read_bundle(now, reply);
+                return Ok(());
+            }
+            AdminRequest::Drain(request) => {
+                self.drain(now, reply, request);
+                return Ok(());
+            }
+            AdminRequest::RemoveMember(request) => {
+                self.remove_member(now, reply, request);
+                return Ok(());
+            }
+        };
+        self.reply(reply, answer);
+        Ok(())
+    }
+
+    pub(super) fn reply(&mut self, reply: ReplyId, result: Result<AdminAnswer, ApiError>) {
+        self.outputs.push(NodeOutput::AdminReply { reply, result });
+    }
+
+    /// Why this replica can't take a change now, though it may lead.
+    pub(super) fn no_leadership(&mut self) -> ApiError {
+        let leader = self.consensus.leader();
+        let leader = leader.filter(|leader| *leader != self.replica);
+        self.refusal(grebepin_consensus::ProposeError::NotLeader { leader })
+    }
+
+    fn submit_bundle(&mut self, now: Duration, reply: ReplyId, signed: SignedBundle) {
+        match self.check_bundle(&signed) {
+            Ok(command) => self.propose_for(now, &command, EntryWaiter::Bundle(reply)),
+            Err(error) => self.reply(reply, Err(error)),
+        }
+    }
+
+    fn check_bundle(&self, signed: &SignedBundle) -> Result<Command, ApiError> {
+        let trusted = &self.config.operators;
+        let required = self.config.required_signatures;
+        let digest = grebepin_bundle::verify(signed, trusted, required).map_err(sign_off_error)?;
+        grebepin_bundle::check(&signed.bundle).map_err(|findings| {
+            let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            api_error(ApiErrorKind::InvalidBundle, lines.join("; "))
+        })?;
+        Ok(Command::AcceptBundle(AcceptBundle {
+            signed: signed.clone(),
+            digest,
+        }))
+    }
+
+    fn read_bundle(&mut self, now: Duration, reply: ReplyId) {
+        match self.consensus.request_read(now) {
+            Ok(read) => self.waiting.add_read(read, ReadWaiter::Bundle(reply)),
+            Err(error) => {
+                let error = self.refusal(error);
+                self.reply(reply, Err(error));
+            }
+        }
+    }
+
+    fn drain(&mut self, now: Duration, reply: ReplyId, request: DrainServerRequest) {
+        let standing = match request.draining {
+            true => ServerStanding::Draining,
+            false => ServerStanding::Active,
+        };
+        let command = Command::SetStanding(SetStanding {
+            server: request.server,
+            standing,
+            origin: StandingOrigin::Operator,
+        });
+        self.propose_for(now, &command, EntryWaiter::Drain(reply));
+    }
+
+    /// Answers the reads that are confirmed and whose index is applied.
+    pub(super) fn answer_reads(&mut self) {
+        for waiter in self.waiting.take_reads(self.applied) {
+            match waiter {
+                ReadWaiter::Follow(connection) => self.start_following(connection),
+                ReadWaiter::Bundle(reply) => {
+                    let answer = self.state.bundle().cloned().map(Box::new);
+                    let answer = answer.map(AdminAnswer::Bundle).ok_or_else(no_bundle);
+                    self.reply(reply, answer);
+                }
+            }
+        }
+    }
+
+    /// Answers the operator who asked for a command, once it is applied.
+    pub(super) fn answer_applied(
+        &mut self,
+        waiter: Option<EntryWaiter>,
+        index: LogIndex,
+        applied: &Applied,
+    ) {
+        if let Outcome::Bundle(BundleOutcome::Accepted { record, repeated }) = &applied.outcome {
+            if !repeated {
+                let version = record.version;
+                self.notice(Notice::BundleAccepted { index, version });
+            }
+        }
+        if let Some(waiter) = waiter {
+            self.reply(waiter.reply(), answer(index, &applied.outcome));
+        }
+    }
+}
+
+fn answer(index: LogIndex, outcome: &Outcome) -> Result<AdminAnswer, ApiError> {
+    match outcome {
+        Outcome::Bundle(BundleOutcome::Accepted { record, repeated }) => {
+            Ok(AdminAnswer::Rolled(RollAnswer {
+                digest: record.digest.clone(),
+                index: record.index,
+                repeated: *repeated,
+                version: record.version,
+            }))
+        }
+        Outcome::Bundle(BundleOutcome::Refused(refusal)) => Err(bundle_refusal(refusal)),
+        Outcome::Standing(StandingOutcome::Set { shards, .. }) => {
+            Ok(AdminAnswer::Drained(DrainServerAnswer {
+                index,
+                shards: *shards,
+            }))
+        }
+        Outcome::Standing(StandingOutcome::UnknownServer { server }) => {
+            let message = format!("no server {} in the bundle in force", server.as_str());
+            Err(api_error(ApiErrorKind::UnknownServer, message))
+        }
+        Outcome::Assigned(_) | Outcome::Boot(_) => {
+            Err(internal("an operator's command became another".to_owned()))
+        }
+    }
+}
+
+fn sign_off_error(error: VerifyError) -> ApiError {
+    let kind = match &error {
+        VerifyError::TooFewSignatures { .. } => ApiErrorKind::TooFewSignatures,
+        VerifyError::BadSignature { .. } | VerifyError::InvalidPublicKey { .. } => {
+            ApiErrorKind::BadSignature
+        }
+    };
+    api_error(kind, error.to_string())
+}
+
+fn bundle_refusal(refusal: &BundleRefusal) -> ApiError {
+    let (kind, accepted): (ApiErrorKind, Option<&BundleRecord>) = match refusal {
+        BundleRefusal::VersionConflict { accepted } => {
+            (ApiErrorKind::VersionConflict, Some(accepted))
+        }
+        BundleRefusal::OlderVersion { accepted, .. } => {
+            (ApiErrorKind::ParentMismatch, Some(accepted))
+        }
+        BundleRefusal::ParentMismatch { accepted } => {
+            (ApiErrorKind::ParentMismatch, accepted.as_ref())
+        }
+        _ => (ApiErrorKind::InvalidBundle, None),
+    };
+    ApiError {
+        accepted_digest: accepted.map(|record| record.digest.clone()),
+        accepted_version: accepted.map(|record| record.version),
+        ..api_error(kind, refusal.to_string())
+    }
+}
+
+fn no_bundle() -> ApiError {
+    let message = "no bundle is in force yet; roll the first one with `grebepin roll`";
+    api_error(ApiErrorKind::NotFound, message.to_owned())
+}
--- a/crates/control/src/node/config.rs
+++ b/crates/control/src/node/config.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use grebepin_schema::{
-    ControlSettings, ControlTiming, GroupId, Member, MemberRole, ReplicaId, SocketAddress,
-    TrustedOperator, ZoneName,
+    GroupId, Member, MemberRole, ReplicaId, SocketAddress, TrustedOperator, ZoneName,
 };
+use grebepin_settings::{ControlSettings, ControlTiming};
 
 /// Settings of one control node, with everything random already drawn.
 #[derive(Clone, Debug)]
@@ -32,25 +32,39 @@
     pub required_signatures: u32,
     /// Times of the group.
     pub timing: ControlTiming,
-    /// Seed of the election timeouts.
+    /// Seed of the election timeouts; a fresh one at each start.
     pub seed: u64,
+    /// Guards in force.
+    pub guards: NodeGuards,
+}
+
+/// The guards of the parts that a node is made of.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NodeGuards {
+    /// Of the replicated log.
+    pub consensus: grebepin_consensus::Guards,
+    /// Of the disk.
+    pub storage: grebepin_storage::Guards,
+    /// Of the ownership state and its leases.
+    pub ownership: grebepin_ownership::Guards,
 }
 
 impl NodeConfig {
-    /// Configuration from a checked settings file, a fresh identity and a seed.
+    /// Configuration from checked settings, a fresh identity and a seed.
     pub fn from_settings(settings: &ControlSettings, fresh_replica: ReplicaId, seed: u64) -> Self {
         Self {
-            group: GroupId(settings.group),
+            group: settings.group,
             fresh_replica,
             zone: settings.zone.clone(),
-            peer_address: settings.peer_address.clone(),
-            router_address: settings.router_address.clone(),
-            admin_address: settings.admin_address.clone(),
-            peers: settings.peers.clone(),
+            peer_address: schema_address(settings.peer_address),
+            router_address: schema_address(settings.router_address),
+            admin_address: schema_address(settings.admin_address),
+            peers: settings.peers.iter().copied().map(schema_address).collect(),
             operators: settings.operators.clone(),
-            required_signatures: settings.required_signatures.get(),
-            timing: settings.timing.clone().unwrap_or_else(default_timing),
+            required_signatures: settings.required_signatures,
+            timing: settings.timing.clone(),
             seed,
+            guards: NodeGuards::default(),
         }
     }
 
@@ -66,31 +80,28 @@
         }
     }
 
-    /// Least silence of a leader before an election; also the leader lease before drift.
-    pub fn election_timeout(&self) -> Duration {
-        Duration::from_millis(self.timing.election_timeout_ms)
-    }
-
-    /// Time between a leader's rounds.
-    pub fn replica_heartbeat(&self) -> Duration {
-        Duration::from_millis(self.timing.replica_heartbeat_ms)
-    }
-
-    /// Time between heartbeats to a server, and between `current` frames to a router.
-    pub fn server_heartbeat(&self) -> Duration {
-        Duration::from_millis(self.timing.server_heartbeat_ms)
+    pub(super) fn consensus(&self, id: ReplicaId) -> grebepin_consensus::Config {
+        grebepin_consensus::Config {
+            group: self.group,
+            id,
+            election_timeout: self.timing.election_timeout,
+            heartbeat: self.timing.replica_heartbeat,
+            drift_percent: self.timing.drift_percent,
+            seed: self.seed,
+            guards: self.guards.consensus,
+        }
     }
 
-    /// Lease of a server.
-    pub fn server_lease(&self) -> Duration {
-        Duration::from_millis(self.timing.server_lease_ms)
+    /// Silence after which a member or a server counts as lost in reports.
+    pub(super) fn silence_limit(&self) -> Duration {
+        self.timing.election_timeout * 2
     }
 }
 
-/// The timing of a settings file that states none: every default of the schema.
-pub fn default_timing() -> ControlTiming {
-    let empty = serde::de::value::MapDeserializer::<_, serde::de::value::Error>::new(
-        std::iter::empty::<(String, u64)>(),
-    );
-    serde::Deserialize::deserialize(empty).expect("every field of the timing has a default")
+/// An address of the operating system as the schema writes it.
+pub fn schema_address(address: std::net::SocketAddr) -> SocketAddress {
+    address
+        .to_string()
+        .parse()
+        .expect("an IP number and a port are an address of the schema")
 }
--- /dev/null
+++ b/crates/control/src/node/members.rs
@@ -0,0 +1,172 @@
+//! Members that come and go: learners join, are promoted when caught up, and replace the member whose
+//! address they took over.
+//!
+//! Invariant: one change at a time, each committed before the next; a voter is removed only while the
+//! voters heard from are a majority without it.
+
+use std::time::Duration;
+
+use grebepin_schema::{
+    ApiErrorKind, JoinRequest, JoinResponse, LogIndex, Member, MemberRole, Membership, PeerFrame,
+    RemoveMemberAnswer, RemoveMemberRequest, ReplicaId, SocketAddress,
+};
+use grebepin_storage::Disk;
+
+use super::input::ReplyId;
+use super::leadership::api_error;
+use super::output::AdminAnswer;
+use super::tolerance::voters;
+use super::waiting::EntryWaiter;
+use super::ControlNode;
+
+impl<D: Disk> ControlNode<D> {
+    pub(super) fn take_in_join(&mut self, now: Duration, request: JoinRequest) {
+        let address = request.member.peer_address.clone();
+        if let Some(response) = self.join(now, request) {
+            self.send_frame(address, PeerFrame::JoinResponse(response));
+        }
+    }
+
+    /// Answer to a join request; none while no leader is known.
+    fn join(&mut self, now: Duration, request: JoinRequest) -> Option<JoinResponse> {
+        if request.group != self.config.group {
+            let text = format!("this is group {}", self.config.group);
+            return Some(JoinResponse::Refused(text));
+        }
+        if !self.is_founded() {
+            return Some(JoinResponse::NotFounded);
+        }
+        if self.leadership.is_none() {
+            let leader = self.leader_member()?;
+            let address = leader.peer_address.clone();
+            return Some(JoinResponse::TryLeader(address));
+        }
+        if request.member.peer_address == self.config.peer_address {
+            let text = "the peer address is the leader's own".to_owned();
+            return Some(JoinResponse::Refused(text));
+        }
+        if self.member(request.member.replica).is_none() {
+            self.admit(now, request.member);
+        }
+        Some(JoinResponse::Joining)
+    }
+
+    /// Adds a learner; an older learner at the same address, whose folder must be lost, goes first.
+    fn admit(&mut self, now: Duration, member: Member) {
+        let members = &self.consensus.membership().members;
+        let stale = members.iter().find(|other| {
+            other.role == MemberRole::Learner && other.peer_address == member.peer_address
+        });
+        let next = match stale {
+            Some(stale) => self.membership_without(stale.replica),
+            None => {
+                let mut members = members.clone();
+                members.push(Member {
+                    role: MemberRole::Learner,
+                    ..member
+                });
+                Membership { members }
+            }
+        };
+        // A refused change is made again when the replica asks again.
+        let _ = self.consensus.propose_membership(now, next);
+    }
+
+    fn membership_without(&self, replica: ReplicaId) -> Membership {
+        let members = self.consensus.membership().members.iter();
+        let members = members.filter(|member| member.replica != replica);
+        Membership {
+            members: members.cloned().collect(),
+        }
+    }
+
+    /// Moves one learner on: first the voter at its address goes, then the learner becomes a voter.
+    pub(super) fn keep_members(&mut self, now: Duration) {
+        if self.leadership.is_none() {
+            return;
+        }
+        let Some(next) = self.next_membership(now) else {
+            return;
+        };
+        // A refused change is made again at the next look.
+        let _ = self.consensus.propose_membership(now, next);
+    }
+
+    fn next_membership(&self, now: Duration) -> Option<Membership> {
+        let membership = self.consensus.membership();
+        let learner = membership.members.iter().find(|member| {
+            member.role == MemberRole::Learner
+                && self.consensus.learner_is_caught_up(member.replica)
+        })?;
+        if let Some(replaced) = self.voter_at(&learner.peer_address) {
+            let allowed = self.keeps_quorum_without(now, replaced);
+            return allowed.then(|| self.membership_without(replaced));
+        }
+        let mut next = membership.clone();
+        for member in &mut next.members {
+            if member.replica == learner.replica {
+                member.role = MemberRole::Voter;
+            }
+        }
+        Some(next)
+    }
+
+    fn voter_at(&self, address: &SocketAddress) -> Option<ReplicaId> {
+        voters(self.consensus.membership())
+            .find(|member| member.peer_address == *address)
+            .map(|member| member.replica)
+    }
+
+    /// Whether the voters heard from lately are a majority of those that remain.
+    fn keeps_quorum_without(&self, now: Duration, removed: ReplicaId) -> bool {
+        let alive = self.alive_members(now);
+        let remaining: Vec<ReplicaId> = voters(self.consensus.membership())
+            .map(|member| member.replica)
+            .filter(|replica| *replica != removed)
+            .collect();
+        let heard = remaining
+            .iter()
+            .filter(|replica| alive.contains(replica))
+            .count();
+        heard > remaining.len() / 2
+    }
+
+    pub(super) fn remove_member(
+        &mut self,
+        now: Duration,
+        reply: ReplyId,
+        request: RemoveMemberRequest,
+    ) {
+        let replica = request.replica;
+        if self.leadership.is_none() {
+            let error = self.no_leadership();
+            return self.reply(reply, Err(error));
+        }
+        let Some(member) = self.member(replica) else {
+            let message = format!("replica {replica} is no member; see `grebepin status`");
+            let error = api_error(ApiErrorKind::UnknownMember, message);
+            return self.reply(reply, Err(error));
+        };
+        if member.role == MemberRole::Voter && !self.keeps_quorum_without(now, replica) {
+            let message = "too few of the other voters are heard from; bring one back first";
+            let error = api_error(ApiErrorKind::MembershipBusy, message.to_owned());
+            return self.reply(reply, Err(error));
+        }
+        let next = self.membership_without(replica);
+        match self.consensus.propose_membership(now, next) {
+            Ok((term, index)) => {
+                let waiter = EntryWaiter::RemoveMember(reply);
+                self.waiting.add_entry(term, index, waiter);
+            }
+            Err(error) => {
+                let error = self.refusal(error);
+                self.reply(reply, Err(error));
+            }
+        }
+    }
+
+    pub(super) fn answer_membership(&mut self, waiter: EntryWaiter, index: LogIndex) {
+        let answer = AdminAnswer::Removed(RemoveMemberAnswer { index });
+        self.reply(waiter.reply(), Ok(answer));
+    }
+}
--- a/crates/control/src/node/output.rs
+++ b/crates/control/src/node/output.rs
@@ -2,6 +2,8 @@
 //!
 //! Invariant: an output is handed out only after everything it rests on is synced.
 
+use std::sync::Arc;
+
 use grebepin_schema::{
     ApiError, ControlFrame, DrainRequest, DrainServerAnswer, GrantRequest, GroupId,
     HeartbeatRequest, IdentityAnswer, LogIndex, PeerFrame, ReleaseRequest, RemoveMemberAnswer,
@@ -35,7 +37,7 @@
         /// Connection of the router.
         connection: ConnectionId,
         /// The frame.
-        frame: ControlFrame,
+        frame: Arc<ControlFrame>,
     },
     /// Answer an operator.
     AdminReply {
@@ -101,6 +103,10 @@
     pub applied: u64,
     /// Index of the last change of the table.
     pub table_index: u64,
+    /// Version of the bundle in force; 0 before the first.
+    pub bundle_version: u64,
+    /// Commands this replica proposed since the start.
+    pub proposals: u64,
     /// Syncs of the log since the start.
     pub syncs: u64,
     /// Entries appended since the start.
--- /dev/null
+++ b/crates/control/src/node/replication.rs
@@ -0,0 +1,194 @@
+//! Makes durable what consensus asks for, sends its messages and applies what is committed.
+//!
+//! Invariant: messages leave only after the snapshot, the hard state and the entries of the same
+//! [`Ready`] are synced; entries are applied in the order of the log, each once.
+
+use std::time::Duration;
+
+use grebepin_consensus::Ready;
+use grebepin_ownership::Applied;
+use grebepin_schema::framing::decode;
+use grebepin_schema::{
+    Command, Entry, EntryPayload, HardState, LogIndex, MemberRole, Membership, PeerFrame,
+    PeerMessage, ReplicaId, SnapshotMeta, SocketAddress, Term,
+};
+use grebepin_storage::Disk;
+
+use super::error::NodeError;
+use super::output::{NodeOutput, Notice};
+use super::waiting::EntryWaiter;
+use super::ControlNode;
+
+/// Rounds of work in one call, so that a node that makes its own work still returns.
+const MAXIMUM_ROUNDS: usize = 8;
+
+impl<D: Disk> ControlNode<D> {
+    /// Works until nothing is left to do now.
+    pub(super) fn advance(&mut self, now: Duration) -> Result<(), NodeError> {
+        for _ in 0..MAXIMUM_ROUNDS {
+            self.follow_leadership(now);
+            self.keep_members(now);
+            let ready = self.consensus.ready();
+            if ready.is_empty() {
+                break;
+            }
+            self.work_off(now, ready)?;
+        }
+        self.keep_joining(now);
+        self.push_tables(now);
+        self.save_snapshot_when_due()
+    }
+
+    fn work_off(&mut self, now: Duration, ready: Ready) -> Result<(), NodeError> {
+        self.make_durable(&ready)?;
+        self.consensus.synced(now);
+        for message in ready.messages {
+            self.send(message);
+        }
+        if let Some((meta, data)) = ready.snapshot {
+            self.take_over_snapshot(&meta, &data)?;
+        }
+        for entry in ready.committed {
+            self.apply(now, entry)?;
+        }
+        for (read, index) in ready.reads {
+            self.waiting.confirm_read(read, index);
+        }
+        self.answer_reads();
+        if ready.lost_leadership {
+            self.end_leadership();
+        }
+        Ok(())
+    }
+
+    fn make_durable(&mut self, ready: &Ready) -> Result<(), NodeError> {
+        if let Some((meta, data)) = &ready.snapshot {
+            self.storage.install_snapshot(meta, data)?;
+            self.metrics.syncs += 1;
+        }
+        let hard_state = ready.hard_state.as_ref();
+        let vote_changed = hard_state.is_some_and(|state| vote_of(state) != self.durable_vote);
+        if !vote_changed && ready.entries.is_empty() {
+            // A commit index alone may be forgotten: the leader tells it again.
+            return Ok(());
+        }
+        self.storage.persist(hard_state, &ready.entries)?;
+        self.metrics.syncs += 1;
+        self.metrics.entries += ready.entries.len() as u64;
+        if let Some(state) = hard_state {
+            self.durable_vote = vote_of(state);
+        }
+        Ok(())
+    }
+
+    /// Sends a message to the addressee; to every configured replica while its address isn't known,
+    /// as at a replica whose log is still empty. The others drop it.
+    fn send(&mut self, message: PeerMessage) {
+        let known = self.address_of(message.to);
+        let addresses = match known {
+            Some(address) => vec![address],
+            None => self.config.peers.clone(),
+        };
+        for address in addresses {
+            let frame = PeerFrame::Message(message.clone());
+            self.send_frame(address, frame);
+        }
+    }
+
+    pub(super) fn send_frame(&mut self, address: SocketAddress, frame: PeerFrame) {
+        self.metrics.peer_frames += 1;
+        self.outputs.push(NodeOutput::Peer { address, frame });
+    }
+
+    fn address_of(&self, replica: ReplicaId) -> Option<SocketAddress> {
+        let members = &self.consensus.membership().members;
+        let member = members.iter().find(|member| member.replica == replica);
+        member.map(|member| member.peer_address.clone())
+    }
+
+    fn take_over_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), NodeError> {
+        self.state
+            .restore(data)
+            .map_err(|error| NodeError::Snapshot(error.to_string()))?;
+        self.applied = meta.index;
+        self.metrics.snapshots += 1;
+        self.notice(Notice::SnapshotSaved {
+            index: meta.index,
+            bytes: data.len(),
+        });
+        Ok(())
+    }
+
+    fn apply(&mut self, now: Duration, entry: Entry) -> Result<(), NodeError> {
+        let waiter = self.waiting.take_entry(entry.term, entry.index);
+        self.applied = entry.index;
+        match entry.payload {
+            EntryPayload::Noop => self.state.skip(entry.index),
+            EntryPayload::Membership(membership) => {
+                self.state.skip(entry.index);
+                self.apply_membership(entry.index, &membership, waiter);
+            }
+            EntryPayload::Command(bytes) => {
+                let command: Command = decode(&bytes.0)?;
+                self.apply_command(now, entry.index, &command, waiter);
+            }
+        }
+        Ok(())
+    }
+
+    fn apply_membership(
+        &mut self,
+        index: LogIndex,
+        membership: &Membership,
+        waiter: Option<EntryWaiter>,
+    ) {
+        let count = |role| {
+            let members = membership.members.iter();
+            members.filter(|member| member.role == role).count()
+        };
+        self.notice(Notice::MembershipCommitted {
+            index,
+            voters: count(MemberRole::Voter),
+            learners: count(MemberRole::Learner),
+        });
+        if let Some(waiter) = waiter {
+            self.answer_membership(waiter, index);
+        }
+    }
+
+    fn apply_command(
+        &mut self,
+        now: Duration,
+        index: LogIndex,
+        command: &Command,
+        waiter: Option<EntryWaiter>,
+    ) {
+        let applied: Applied = self.state.apply(index, command);
+        self.coordinate_applied(now, &applied);
+        self.answer_applied(waiter, index, &applied);
+    }
+
+    fn save_snapshot_when_due(&mut self) -> Result<(), NodeError> {
+        let covered = self.storage.snapshot_index();
+        if self.applied.0.saturating_sub(covered.0) < self.config.timing.snapshot_every_entries {
+            return Ok(());
+        }
+        let Some(meta) = self.consensus.snapshot_meta(self.applied) else {
+            return Ok(());
+        };
+        let data = self.state.snapshot();
+        self.storage.save_snapshot(&meta, &data)?;
+        self.metrics.syncs += 1;
+        self.metrics.snapshots += 1;
+        self.notice(Notice::SnapshotSaved {
+            index: meta.index,
+            bytes: data.len(),
+        });
+        self.consensus.compact(meta, data);
+        Ok(())
+    }
+}
+
+fn vote_of(state: &HardState) -> (Term, Option<ReplicaId>) {
+    (state.term, state.vote)
+}
--- /dev/null
+++ b/crates/control/src/node/routers.rs
@@ -0,0 +1,252 @@
+//! Routers that follow the table.
+//!
+//! Invariant: a router's first table comes from a linearizable read; after it, each frame follows the
+//! index of the frame before it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use grebepin_ownership::CoordinatorInput;
+use grebepin_schema::{
+    ControlFrame, FollowRequest, LoadReport, LogIndex, Redirect, RouterFrame, RouterName,
+    RouterStatus, SocketAddress, ZoneName,
+};
+use grebepin_storage::Disk;
+
+use super::input::ConnectionId;
+use super::output::NodeOutput;
+use super::waiting::ReadWaiter;
+use super::ControlNode;
+
+/// Silence after which a router that is gone no longer counts in reports.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+/// What is known of one connection.
+#[derive(Debug)]
+struct Follower {
+    request: FollowRequest,
+    /// Index of the last table or delta sent; absent until the first read is confirmed.
+    sent: Option<LogIndex>,
+}
+
+/// What a router last told.
+#[derive(Debug)]
+struct Report {
+    zone: ZoneName,
+    in_force: LogIndex,
+    heard: Duration,
+}
+
+/// Every router that follows this replica, and what it told.
+#[derive(Debug)]
+pub(super) struct Routers {
+    followers: BTreeMap<ConnectionId, Follower>,
+    reports: BTreeMap<RouterName, Report>,
+    interval: Duration,
+    next_current: Duration,
+}
+
+impl Routers {
+    pub(super) fn new(interval: Duration) -> Self {
+        Self {
+            followers: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            interval,
+            next_current: Duration::ZERO,
+        }
+    }
+
+    pub(super) fn close(&mut self, connection: ConnectionId) {
+        self.followers.remove(&connection);
+    }
+
+    /// When the routers must hear next that their table is current.
+    pub(super) fn next_wake(&self) -> Duration {
+        match self.followers.is_empty() {
+            true => Duration::MAX,
+            false => self.next_current,
+        }
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.followers.len()
+    }
+
+    fn note(&mut self, name: &RouterName, zone: &ZoneName, in_force: LogIndex, heard: Duration) {
+        let report = Report {
+            zone: zone.clone(),
+            in_force,
+            heard,
+        };
+        self.reports.insert(name.clone(), report);
+    }
+
+    fn forget_silent(&mut self, now: Duration) {
+        self.reports
+            .retain(|_, report| now.saturating_sub(report.heard) <= FORGET_AFTER);
+    }
+
+    pub(super) fn status(&self, now: Duration) -> Vec<RouterStatus> {
+        let reports = self.reports.iter();
+        reports
+            .map(|(router, report)| RouterStatus {
+                router: router.clone(),
+                zone: report.zone.clone(),
+                in_force: report.in_force,
+                last_heard_ms: now.saturating_sub(report.heard).as_millis() as u64,
+            })
+            .collect()
+    }
+}
+
+impl<D: Disk> ControlNode<D> {
+    pub(super) fn take_in_router(
+        &mut self,
+        now: Duration,
+        connection: ConnectionId,
+        frame: RouterFrame,
+    ) {
+        match frame {
+            RouterFrame::Follow(request) => self.take_in_follow(now, connection, request),
+            RouterFrame::Report(report) => self.take_in_report(now, connection, report),
+        }
+    }
+
+    fn take_in_follow(&mut self, now: Duration, connection: ConnectionId, request: FollowRequest) {
+        if request.group != self.config.group {
+            return self.redirect(connection, None);
+        }
+        match self.consensus.request_read(now) {
+            Ok(read) => {
+                let waiter = ReadWaiter::Follow(connection);
+                self.waiting.add_read(read, waiter);
+                let follower = Follower {
+                    request,
+                    sent: None,
+                };
+                self.routers.followers.insert(connection, follower);
+            }
+            Err(_) => {
+                let leader = self.leader_member();
+                let address = leader
+                    .filter(|member| member.replica != self.replica)
+                    .map(|member| member.router_address.clone());
+                self.redirect(connection, address);
+            }
+        }
+    }
+
+    fn take_in_report(&mut self, now: Duration, connection: ConnectionId, report: LoadReport) {
+        let Some(follower) = self.routers.followers.get(&connection) else {
+            return;
+        };
+        let zone = follower.request.zone.clone();
+        self.routers
+            .note(&report.router, &zone, report.in_force, now);
+        self.coordinate(now, CoordinatorInput::LoadReported(&report));
+    }
+
+    /// Sends the first table to a router whose read is confirmed and applied.
+    pub(super) fn start_following(&mut self, connection: ConnectionId) {
+        let Some(follower) = self.routers.followers.get(&connection) else {
+            return;
+        };
+        let have = follower.request.have_index;
+        let frame = self.frame_after(have);
+        self.send_router(connection, Arc::new(frame));
+        if let Some(follower) = self.routers.followers.get_mut(&connection) {
+            follower.sent = Some(self.state.table_index());
+        }
+    }
+
+    /// What brings a router from the table at `have` to the present one.
+    fn frame_after(&mut self, have: LogIndex) -> ControlFrame {
+        let index = self.state.table_index();
+        if have == index && have > LogIndex(0) {
+            return ControlFrame::Current(self.applied);
+        }
+        let delta = (have > LogIndex(0) && have < index).then(|| self.state.delta_since(have));
+        match delta.flatten() {
+            Some(delta) => {
+                self.metrics.table_deltas += 1;
+                ControlFrame::Delta(delta)
+            }
+            None => {
+                self.metrics.table_snapshots += 1;
+                ControlFrame::Snapshot(self.state.table())
+            }
+        }
+    }
+
+    /// Sends every change to every follower, and at intervals tells them that they are current.
+    pub(super) fn push_tables(&mut self, now: Duration) {
+        if self.leadership.is_none() {
+            return;
+        }
+        let index = self.state.table_index();
+        let mut frames: BTreeMap<LogIndex, Arc<ControlFrame>> = BTreeMap::new();
+        for (connection, sent) in self.followers_behind(index) {
+            let frame = match frames.get(&sent) {
+                Some(frame) => Arc::clone(frame),
+                None => Arc::new(self.frame_after(sent)),
+            };
+            frames.insert(sent, Arc::clone(&frame));
+            self.send_router(connection, frame);
+            if let Some(follower) = self.routers.followers.get_mut(&connection) {
+                follower.sent = Some(index);
+            }
+        }
+        self.tell_current(now);
+    }
+
+    fn followers_behind(&self, index: LogIndex) -> Vec<(ConnectionId, LogIndex)> {
+        let followers = self.routers.followers.iter();
+        followers
+            .filter_map(|(connection, follower)| Some((*connection, follower.sent?)))
+            .filter(|(_, sent)| *sent < index)
+            .collect()
+    }
+
+    fn tell_current(&mut self, now: Duration) {
+        if now < self.routers.next_current {
+            return;
+        }
+        self.routers.next_current = now + self.routers.interval;
+        self.routers.forget_silent(now);
+        let lease_until = self.consensus.leader_lease_until().unwrap_or_default();
+        if lease_until <= now {
+            return;
+        }
+        let frame = Arc::new(ControlFrame::Current(self.applied));
+        let followers = self.routers.followers.iter();
+        let started: Vec<ConnectionId> = followers
+            .filter(|(_, follower)| follower.sent.is_some())
+            .map(|(connection, _)| *connection)
+            .collect();
+        for connection in started {
+            self.send_router(connection, Arc::clone(&frame));
+        }
+    }
+
+    /// Sends every follower to the new leader.
+    pub(super) fn redirect_routers(&mut self) {
+        let leader = self.leader_member();
+        let address = leader
+            .filter(|member| member.replica != self.replica)
+            .map(|member| member.router_address.clone());
+        let followers = std::mem::take(&mut self.routers.followers);
+        for connection in followers.into_keys() {
+            self.redirect(connection, address.clone());
+        }
+    }
+
+    fn redirect(&mut self, connection: ConnectionId, router_address: Option<SocketAddress>) {
+        let frame = ControlFrame::Redirect(Redirect { router_address });
+        self.send_router(connection, Arc::new(frame));
+    }
+
+    fn send_router(&mut self, connection: ConnectionId, frame: Arc<ControlFrame>) {
+        self.outputs.push(NodeOutput::Router { connection, frame });
+    }
+}
--- /dev/null
+++ b/crates/control/tests/group.rs
@@ -0,0 +1,299 @@
+//! A control group of pure nodes under the failures it must bear.
+
+mod support;
+
+use std::time::Duration;
+
+use grebepin_control::{AdminAnswer, AdminRequest, ControlTiming, NodeError};
+use grebepin_schema::{ApiErrorKind, MemberRole, RemoveMemberRequest, ReplicaRole, RollAnswer};
+use grebepin_storage::{Crash, StorageError};
+use support::bundles::{bundle, digest_of};
+use support::{kind, Cluster};
+
+fn rolled(answer: Result<AdminAnswer, grebepin_schema::ApiError>) -> RollAnswer {
+    match answer {
+        Ok(AdminAnswer::Rolled(answer)) => answer,
+        other => panic!("not rolled: {other:?}"),
+    }
+}
+
+#[test]
+fn founding_is_explicit_and_may_be_sent_again() {
+    let mut cluster = Cluster::new(3);
+    cluster.run(Duration::from_secs(3));
+    assert_eq!(
+        cluster.leader(),
+        None,
+        "an empty replica never founds itself"
+    );
+    let refused = cluster.roll_at(0, &bundle(1, None, ""));
+    assert_eq!(kind(&refused), Some(ApiErrorKind::NotFounded));
+
+    cluster.found();
+    cluster.found();
+    cluster.settle();
+    cluster.found();
+    let mut other = cluster.found_request();
+    other.cluster = "ffffffffffffffffffffffffffffffff".parse().expect("an id");
+    let answer = cluster.ask(1, AdminRequest::Found(other));
+    assert_eq!(kind(&answer), Some(ApiErrorKind::AlreadyFounded));
+}
+
+#[test]
+fn a_lost_folder_is_not_founded_again() {
+    let mut cluster = Cluster::new(3);
+    let request = cluster.found_request();
+    cluster.found();
+    cluster.settle();
+    cluster.lose_disk(2);
+    cluster.start(2).expect("an empty folder opens");
+    let answer = cluster.ask(2, AdminRequest::Found(request));
+    assert_eq!(kind(&answer), Some(ApiErrorKind::BadRequest));
+}
+
+#[test]
+fn an_accepted_bundle_survives_the_loss_of_the_leader() {
+    let mut cluster = Cluster::founded(3);
+    let first = bundle(1, None, "");
+    let accepted = rolled(cluster.roll(&first));
+    assert!(!accepted.repeated);
+
+    let old = cluster.expect_leader();
+    cluster.kill(old);
+    cluster.settle();
+    let again = rolled(cluster.roll(&first));
+    assert!(again.repeated);
+    assert_eq!(
+        (again.index, again.digest),
+        (accepted.index, accepted.digest)
+    );
+
+    cluster.start(old).expect("a whole folder opens");
+    cluster.settle();
+    let status = cluster.status(old);
+    assert_eq!(status.role, ReplicaRole::Follower);
+    assert_eq!(status.bundle_version, Some(1));
+}
+
+#[test]
+fn a_follower_names_the_leader() {
+    let mut cluster = Cluster::founded(3);
+    let leader = cluster.expect_leader();
+    let follower = (leader + 1) % 3;
+    let error = cluster
+        .roll_at(follower, &bundle(1, None, ""))
+        .expect_err("a follower takes no bundle");
+    assert_eq!(error.kind, ApiErrorKind::NotLeader);
+    assert_eq!(
+        error.leader_admin_address,
+        Some(cluster.member(leader).admin_address)
+    );
+}
+
+#[test]
+fn a_bundle_sent_again_after_a_lost_answer_is_one_bundle() {
+    let mut cluster = Cluster::founded(3);
+    let first = bundle(1, None, "");
+    let leader = cluster.expect_leader();
+    // The leader is cut off right after it took the bundle in: its operator never learns the outcome.
+    let lost = cluster.begin(leader, submit(&first));
+    cluster.step();
+    cluster.cut.insert(leader);
+    cluster.settle();
+    let answer = rolled(cluster.roll(&first));
+    cluster.run(Duration::from_secs(2));
+    let unknown = cluster.take_answer(lost).expect("the old leader answers");
+    assert_eq!(kind(&unknown), Some(ApiErrorKind::LostLeadership));
+
+    cluster.cut.clear();
+    cluster.settle();
+    let again = rolled(cluster.roll(&first));
+    assert_eq!((again.version, again.index), (answer.version, answer.index));
+    assert!(again.repeated);
+}
+
+#[test]
+fn of_racing_operators_with_equal_numbers_one_wins() {
+    let mut cluster = Cluster::founded(3);
+    let first = bundle(1, None, "");
+    rolled(cluster.roll(&first));
+    let parent = Some(digest_of(&first));
+    let one = bundle(2, parent.clone(), "one");
+    let two = bundle(2, parent, "two");
+    let leader = cluster.expect_leader();
+    let replies = [&one, &two].map(|signed| cluster.begin(leader, submit(signed)));
+    cluster.run(Duration::from_millis(100));
+    let winner = rolled(cluster.take_answer(replies[0]).expect("an answer"));
+    assert_eq!(winner.digest, digest_of(&one));
+    let loser = cluster.take_answer(replies[1]).expect("an answer");
+    let error = loser.expect_err("only one wins");
+    assert_eq!(error.kind, ApiErrorKind::VersionConflict);
+    assert_eq!(error.accepted_digest, Some(digest_of(&one)));
+}
+
+#[test]
+fn bundles_that_must_not_be_proposed() {
+    let mut cluster = Cluster::founded(1);
+    let good = bundle(1, None, "");
+    let mut unsigned = good.clone();
+    unsigned.signatures.clear();
+    let mut changed = good.clone();
+    changed.bundle.version = 2;
+    let cases = [
+        (unsigned, ApiErrorKind::TooFewSignatures),
+        (changed, ApiErrorKind::BadSignature),
+    ];
+    for (signed, expected) in cases {
+        assert_eq!(kind(&cluster.roll(&signed)), Some(expected));
+    }
+    assert_eq!(
+        kind(&cluster.ask(0, AdminRequest::Bundle)),
+        Some(ApiErrorKind::NotFound)
+    );
+    rolled(cluster.roll(&good));
+    let answer = cluster.ask(0, AdminRequest::Bundle);
+    assert!(matches!(answer, Ok(AdminAnswer::Bundle(signed)) if *signed == good));
+}
+
+#[test]
+fn a_lost_disk_comes_back_as_a_new_member_in_place_of_the_old() {
+    let mut cluster = Cluster::founded(3);
+    rolled(cluster.roll(&bundle(1, None, "")));
+    let lost = (cluster.expect_leader() + 1) % 3;
+    let old = cluster.node(lost).replica();
+    cluster.lose_disk(lost);
+    cluster.start(lost).expect("an empty folder opens");
+    let new = cluster.node(lost).replica();
+    assert_ne!(old, new);
+    cluster.run_until(
+        "the new replica is a voter and the old one gone",
+        |cluster| {
+            let leader = cluster.leader();
+            leader.is_some_and(|leader| {
+                let members = &cluster.node(leader).consensus().membership().members;
+                members.len() == 3
+                    && members
+                        .iter()
+                        .any(|member| member.replica == new && member.role == MemberRole::Voter)
+            })
+        },
+    );
+    cluster.settle();
+    assert_eq!(cluster.status(lost).bundle_version, Some(1));
+    let leader = cluster.expect_leader();
+    assert_eq!(cluster.status(leader).tolerated.replicas, 1);
+
+    // A second machine is lost right after the repair.
+    let second = (0..3).find(|machine| *machine != lost && *machine != leader);
+    cluster.lose_disk(second.expect("a third machine"));
+    cluster.run(Duration::from_secs(1));
+    rolled(cluster.roll(&bundle(1, None, "")));
+}
+
+#[test]
+fn a_damaged_folder_is_refused_with_its_file() {
+    let mut cluster = Cluster::founded(3);
+    rolled(cluster.roll(&bundle(1, None, "")));
+    let victim = (cluster.expect_leader() + 1) % 3;
+    cluster.kill(victim);
+    let disk = cluster.machines[victim].disk.clone();
+    assert!(
+        disk.corrupt("identity", 20, 0xff),
+        "the identity file is there"
+    );
+    let Err(error) = cluster.start(victim) else {
+        panic!("a damaged folder must be refused");
+    };
+    assert!(error.is_damage());
+    let NodeError::Storage(StorageError::Damaged { file, .. }) = error else {
+        panic!("the error must name the file: {error}");
+    };
+    assert_eq!(file, "identity");
+}
+
+#[test]
+fn a_replica_that_missed_hundreds_of_changes_catches_up_by_snapshot() {
+    let timing = ControlTiming {
+        snapshot_every_entries: 20,
+        ..ControlTiming::default()
+    };
+    let mut cluster = Cluster::with_timing(3, timing);
+    cluster.found();
+    cluster.settle();
+    let absent = (cluster.expect_leader() + 1) % 3;
+    cluster.kill(absent);
+    let mut parent = None;
+    for version in 1..=300 {
+        let next = bundle(version, parent, "");
+        rolled(cluster.roll(&next));
+        parent = Some(digest_of(&next));
+    }
+    cluster.start(absent).expect("a whole folder opens");
+    cluster.settle();
+    assert_eq!(cluster.status(absent).bundle_version, Some(300));
+    cluster.kill(absent);
+    cluster
+        .start(absent)
+        .expect("the folder is whole after the snapshot");
+    cluster.settle();
+    assert_eq!(cluster.status(absent).bundle_version, Some(300));
+}
+
+#[test]
+fn a_voter_is_removed_only_while_the_others_keep_a_majority() {
+    let mut cluster = Cluster::founded(3);
+    let leader = cluster.expect_leader();
+    let [down, other] = [(leader + 1) % 3, (leader + 2) % 3];
+    let [down_id, other_id] = [down, other].map(|machine| cluster.node(machine).replica());
+    cluster.kill(down);
+    cluster.run(Duration::from_secs(1));
+    let remove = |replica| AdminRequest::RemoveMember(RemoveMemberRequest { replica });
+    let refused = cluster.ask(leader, remove(other_id));
+    assert_eq!(kind(&refused), Some(ApiErrorKind::MembershipBusy));
+    let removed = cluster.ask(leader, remove(down_id));
+    assert!(
+        matches!(removed, Ok(AdminAnswer::Removed(_))),
+        "{removed:?}"
+    );
+    let unknown = cluster.ask(leader, remove(down_id));
+    assert_eq!(kind(&unknown), Some(ApiErrorKind::UnknownMember));
+
+    // The removed replica stays out: it disturbs no one and does not join by itself.
+    cluster.start(down).expect("a whole folder opens");
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(
+        cluster.node(leader).consensus().membership().members.len(),
+        2
+    );
+}
+
+#[test]
+fn a_failed_sync_stops_the_replica_and_the_group_goes_on() {
+    let mut cluster = Cluster::founded(3);
+    let leader = cluster.expect_leader();
+    cluster.machines[leader].disk.fail_next_sync();
+    cluster.begin(leader, submit(&bundle(1, None, "")));
+    cluster.run(Duration::from_millis(50));
+    assert!(cluster.machines[leader].node.is_none());
+    cluster.settle();
+    rolled(cluster.roll(&bundle(1, None, "")));
+    cluster.machines[leader].disk.crash(Crash::TearWrites);
+    cluster.start(leader).expect("a torn tail is cut");
+    cluster.settle();
+    assert_eq!(cluster.status(leader).bundle_version, Some(1));
+}
+
+fn submit(signed: &grebepin_schema::SignedBundle) -> AdminRequest {
+    AdminRequest::SubmitBundle(Box::new(signed.clone()))
+}
+
+impl Cluster {
+    fn roll_at(
+        &mut self,
+        machine: usize,
+        signed: &grebepin_schema::SignedBundle,
+    ) -> Result<AdminAnswer, grebepin_schema::ApiError> {
+        self.ask(machine, submit(signed))
+    }
+}
--- /dev/null
+++ b/crates/control/tests/support/bundles.rs
@@ -0,0 +1,58 @@
+//! Small signed bundles.
+
+use grebepin_bundle::{digest, public_key, sign, SigningKey};
+use grebepin_schema::{Bundle, Digest, OperatorName, SignedBundle, TrustedOperator};
+use serde_json::json;
+
+/// Operator who signs every bundle of these tests.
+pub fn operator() -> TrustedOperator {
+    TrustedOperator {
+        name: operator_name(),
+        public_key: public_key(&key()),
+    }
+}
+
+fn operator_name() -> OperatorName {
+    "rosa".parse().expect("a name")
+}
+
+fn key() -> SigningKey {
+    SigningKey::from_bytes(&[7; 32])
+}
+
+/// A bundle of one service with four shards; `note` makes bundles of one version differ.
+pub fn bundle(version: u64, parent: Option<Digest>, note: &str) -> SignedBundle {
+    let bundle: Bundle = serde_json::from_value(json!({
+        "deployment": "test",
+        "version": version,
+        "parent": parent,
+        "note": note,
+        "services": [{
+            "name": "ledger",
+            "shards": 4,
+            "sides": [{"side": "old", "share": 1}],
+            "servers": [{
+                "name": "ledger-1", "address": "127.0.0.1:9001", "zone": "a", "side": "old",
+                "slots": 2, "connections": 10
+            }],
+            "classes": [{
+                "name": "all", "path_prefix": "/", "repeatable": true, "priority": 0,
+                "deadline_ms": 1000
+            }],
+            "queue": {"waiting_per_server": 10},
+            "retry": {"budget_percent": 10, "attempts": 2},
+            "churn": {"concurrent_moves": 4, "imbalance_percent": 10, "moves_per_minute": 100}
+        }]
+    }))
+    .expect("a bundle of the schema");
+    let signature = sign(&bundle, &operator_name(), &key());
+    SignedBundle {
+        bundle,
+        signatures: vec![signature],
+    }
+}
+
+/// Digest of a bundle, for the next one's parent.
+pub fn digest_of(signed: &SignedBundle) -> Digest {
+    digest(&signed.bundle)
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -38,6 +38,20 @@
 catalogue! {
     // Control replicas.
     ControlStarted = 100, Info, "control replica started";
+    GroupFounded = 101, Info, "the group was founded here";
+    BecameLeader = 102, Info, "this replica leads";
+    LostLeadership = 103, Info, "this replica leads no more";
+    Joining = 104, Info, "the group takes this replica in as a learner";
+    JoinRefused = 105, Warn, "the group refuses this replica";
+    MembershipCommitted = 106, Info, "a new membership is committed";
+    BundleAccepted = 107, Info, "a bundle is in force";
+    SnapshotSaved = 108, Info, "a snapshot was saved or installed";
+    TornTailCut = 109, Warn, "an unfinished write was cut off the log";
+    ReplicaFailed = 110, Error, "the replica can't go on";
+    PeerReachable = 111, Info, "another replica is reached again";
+    PeerUnreachable = 112, Warn, "another replica can't be reached";
+    RouterTooSlow = 113, Warn, "a router took frames too slowly and was cut off";
+    PlatformUnreachable = 114, Warn, "the platform's list of machines can't be read";
     // Routers.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
