--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! Invariant: a stand-in never hides a stall: times count from when something should have happened.
 
 pub mod back_end;
+pub mod contract;
 pub mod history;
 pub mod http;
 
