grebepin: keys, bundles, founding, status, drain, members, plan, check, replay

Cause: operators had no way to sign, roll, found, watch or check anything. Partial: plan against a running group asks GET /v1/table, which control does not serve yet; found, status, drain, members, roll and replay have no test yet.

--- a/crates/admin-client/src/client.rs
+++ b/crates/admin-client/src/client.rs
@@ -7,7 +7,7 @@
 use grebepin_schema::{
     ApiError, ApiErrorKind, DrainServerAnswer, DrainServerRequest, FoundRequest, IdentityAnswer,
     RemoveMemberAnswer, RemoveMemberRequest, ReplicaId, RollAnswer, ServerName, SignedBundle,
-    Status,
+    Status, TableSnapshot,
 };
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -89,6 +89,11 @@
         }
     }
 
+    /// The routing table in force, from a linearizable read.
+    pub fn table(&self) -> Result<TableSnapshot, ClientError> {
+        self.ask_leader::<(), _>("/v1/table", &Call::Get)
+    }
+
     /// Status as the leader sees it.
     pub fn status(&self) -> Result<Status, ClientError> {
         self.ask_leader::<(), _>("/v1/status", &Call::Get)
--- a/crates/admin-client/src/error.rs
+++ b/crates/admin-client/src/error.rs
@@ -57,10 +57,21 @@
         }
     }
 
+    /// Whether the request may have reached the replica.
+    fn may_have_arrived(source: &ureq::Error) -> bool {
+        match source {
+            ureq::Error::Io(error) => error.kind() != std::io::ErrorKind::ConnectionRefused,
+            ureq::Error::Timeout(ureq::Timeout::Connect) => false,
+            ureq::Error::ConnectionFailed => false,
+            _ => true,
+        }
+    }
+
     /// Whether the request may have taken effect though no answer came.
     pub fn outcome_is_unknown(&self) -> bool {
         match self {
-            Self::Unreachable { .. } | Self::Malformed { .. } => true,
+            Self::Unreachable { source, .. } => Self::may_have_arrived(source),
+            Self::Malformed { .. } => true,
             Self::Refused { error, .. } => error.kind == ApiErrorKind::LostLeadership,
             Self::NoLeader { attempts } => attempts.iter().any(|one| one.outcome_is_unknown),
             Self::NoAddresses | Self::Encode(_) => false,
--- /dev/null
+++ b/crates/cli/src/commands/status.rs
@@ -0,0 +1,209 @@
+//! `grebepin status`: the control group as its leader, or one replica, sees it.
+
+use std::fmt;
+
+use grebepin_schema::{
+    MemberRole, ReplicaRole, RouterStatus, ServerStanding, ServerStatus, Status,
+};
+use serde::Serialize;
+
+use crate::arguments;
+use crate::error::CliError;
+use crate::output::Format;
+use crate::text::{milliseconds, TextTable};
+
+#[derive(Serialize)]
+#[serde(transparent)]
+struct View(Status);
+
+pub(crate) fn run(arguments: &arguments::Status, format: Format) -> Result<(), CliError> {
+    let client = arguments.connection.client();
+    let status = match arguments.replica {
+        Some(address) => client.status_of(address)?,
+        None => client.status()?,
+    };
+    format.print(&View(status))
+}
+
+impl fmt::Display for View {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let status = &self.0;
+        write_group(status, formatter)?;
+        write_losses(status, formatter)?;
+        write_members(status, formatter)?;
+        write_shards(status, formatter)?;
+        write_servers(&status.servers, formatter)?;
+        write_routers(status, formatter)
+    }
+}
+
+fn write_group(status: &Status, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let leader = match status.leader {
+        Some(leader) => format!("leader {leader}"),
+        None => "no leader known".to_owned(),
+    };
+    writeln!(
+        formatter,
+        "group {}: {leader}, term {}, committed {}, applied {}",
+        status.group, status.term, status.commit, status.applied
+    )?;
+    if status.role != ReplicaRole::Leader {
+        let role = status.role;
+        writeln!(
+            formatter,
+            "seen by replica {}, {role}; may be old",
+            status.replica
+        )?;
+    }
+    match (&status.bundle_version, &status.bundle_digest) {
+        (Some(version), Some(digest)) => {
+            writeln!(
+                formatter,
+                "bundle: version {version}, digest {}",
+                digest.as_str()
+            )
+        }
+        _ => writeln!(formatter, "bundle: none accepted yet"),
+    }
+}
+
+fn write_losses(status: &Status, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let tolerated = &status.tolerated;
+    let zones: Vec<_> = tolerated.zones.iter().map(|zone| zone.as_str()).collect();
+    let zones = match zones.is_empty() {
+        true => "no zone".to_owned(),
+        false => format!("one zone of {}", zones.join(", ")),
+    };
+    writeln!(
+        formatter,
+        "may now lose: {} replica(s), {zones}",
+        tolerated.replicas
+    )?;
+    if tolerated.replicas == 0 {
+        writeln!(
+            formatter,
+            "WARNING: the next loss of a replica stops all changes"
+        )?;
+    }
+    Ok(())
+}
+
+fn write_members(status: &Status, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    if status.members.is_empty() {
+        return Ok(());
+    }
+    writeln!(formatter, "members:")?;
+    let headings = [
+        "replica",
+        "role",
+        "zone",
+        "peer address",
+        "matches",
+        "behind",
+        "heard",
+    ];
+    let mut table = TextTable::new(&headings);
+    for entry in &status.members {
+        let role = match entry.member.role {
+            MemberRole::Voter => "voter",
+            MemberRole::Learner => "learner",
+        };
+        table.row([
+            entry.member.replica.to_string(),
+            role.to_owned(),
+            entry.member.zone.to_string(),
+            entry.member.peer_address.to_string(),
+            entry.match_index.to_string(),
+            status
+                .commit
+                .0
+                .saturating_sub(entry.match_index.0)
+                .to_string(),
+            milliseconds(entry.last_heard_ms),
+        ]);
+    }
+    write!(formatter, "{table}")
+}
+
+fn write_shards(status: &Status, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    writeln!(
+        formatter,
+        "shards: {} without an owner, {} being handed over",
+        status.unowned_shards, status.moving_shards
+    )?;
+    let draining: Vec<_> = status
+        .servers
+        .iter()
+        .filter(|server| server.standing == ServerStanding::Draining)
+        .map(|server| format!("{} ({} shards left)", server.server.as_str(), server.shards))
+        .collect();
+    match draining.is_empty() {
+        true => writeln!(formatter, "draining: none"),
+        false => writeln!(formatter, "draining: {}", draining.join(", ")),
+    }
+}
+
+fn write_servers(servers: &[ServerStatus], formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    if servers.is_empty() {
+        return Ok(());
+    }
+    writeln!(formatter, "servers:")?;
+    let headings = [
+        "service",
+        "server",
+        "side",
+        "zone",
+        "standing",
+        "owns",
+        "holds",
+        "lease left",
+        "heard",
+    ];
+    let mut table = TextTable::new(&headings);
+    for server in servers {
+        table.row([
+            server.service.to_string(),
+            server.server.to_string(),
+            server.side.to_string(),
+            server.zone.to_string(),
+            server.standing.to_string(),
+            server.shards.to_string(),
+            server.held.to_string(),
+            milliseconds(server.lease_remaining_ms),
+            milliseconds(server.last_heard_ms),
+        ]);
+    }
+    write!(formatter, "{table}")
+}
+
+fn write_routers(status: &Status, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let table_index = status.table_index.0;
+    let behind = |router: &RouterStatus| table_index.saturating_sub(router.in_force.0);
+    writeln!(
+        formatter,
+        "routers: {}, table at index {table_index}",
+        status.routers.len()
+    )?;
+    if let Some(slowest) = &status.slowest_router {
+        let name = slowest.router.as_str();
+        writeln!(
+            formatter,
+            "slowest router: {name}, {} behind",
+            behind(slowest)
+        )?;
+    }
+    if status.routers.is_empty() {
+        return Ok(());
+    }
+    let mut table = TextTable::new(&["router", "zone", "in force", "behind", "heard"]);
+    for router in &status.routers {
+        table.row([
+            router.router.to_string(),
+            router.zone.to_string(),
+            router.in_force.to_string(),
+            behind(router).to_string(),
+            milliseconds(router.last_heard_ms),
+        ]);
+    }
+    write!(formatter, "{table}")
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,42 @@
+//! Printing of results: text for people, JSON for programs.
+
+use std::fmt::Display;
+use std::io::Write;
+
+use serde::Serialize;
+
+use crate::error::CliError;
+
+/// Form of a result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    Text,
+    Json,
+}
+
+impl Format {
+    pub(crate) fn new(json: bool) -> Self {
+        match json {
+            true => Self::Json,
+            false => Self::Text,
+        }
+    }
+
+    /// Prints a result to standard output.
+    pub(crate) fn print<T: Serialize + Display>(self, result: &T) -> Result<(), CliError> {
+        let text = match self {
+            Self::Text => result.to_string(),
+            Self::Json => serde_json::to_string_pretty(result)?,
+        };
+        print_text(&text)
+    }
+}
+
+/// Prints text to standard output, ending it with a line break.
+pub(crate) fn print_text(text: &str) -> Result<(), CliError> {
+    let mut output = std::io::stdout().lock();
+    let end = if text.ends_with('\n') { "" } else { "\n" };
+    write!(output, "{text}{end}")
+        .and_then(|()| output.flush())
+        .map_err(CliError::Print)
+}
