Storage: filling a folder in a module of its own

Change: creation.rs fills an empty folder; writing a segment moved to segment.rs. No change of behaviour.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! The layout of the files is described in `docs/design/storage.md`.
 
+mod creation;
 mod disk;
 mod error;
 mod frame;
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -29,6 +29,15 @@
     pub highest: Option<LogIndex>,
 }
 
+impl SegmentInfo {
+    pub(crate) fn new(segment: u64) -> Self {
+        Self {
+            segment,
+            highest: None,
+        }
+    }
+}
+
 /// Where the newest segment ends.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LogEnd {
@@ -119,10 +128,7 @@
         let (start, frame) = read_start(segment, bytes)?;
         self.check_start(&name, &start, frame.number)?;
         self.hard_state = start.hard_state;
-        self.segments.push(SegmentInfo {
-            segment,
-            highest: None,
-        });
+        self.segments.push(SegmentInfo::new(segment));
         let mut offset = frame.end;
         while offset < bytes.len() {
             match frame::read(bytes, offset, FrameKind::Batch) {
--- a/crates/storage/src/replica_storage.rs
+++ b/crates/storage/src/replica_storage.rs
@@ -3,22 +3,20 @@
 //! Invariant: a batch is acknowledged only after its one sync; after any failed write nothing more is
 //! taken, since what reached the disk is not known.
 
-use grebepin_schema::{ClusterId, Entry, HardState, LogIndex, SnapshotMeta, Term};
+use grebepin_schema::{ClusterId, Entry, HardState, LogIndex, SnapshotMeta};
 
+use crate::creation;
 use crate::disk::Disk;
 use crate::error::StorageError;
 use crate::frame::{self, FrameKind};
 use crate::guards::{Guard, Guards};
-use crate::record::{self, BatchView, FixedIdentity, Identity, SegmentStart};
+use crate::record::{self, BatchView, Identity, SegmentStart};
 use crate::replay::{Replay, SegmentInfo, MAXIMUM_BATCH_BYTES, MAXIMUM_SEGMENT_BYTES};
-use crate::segment::{
-    segment_name, snapshot_name, write_file, FileFrame, CREATING_FILE, IDENTITY_FILE,
-};
+use crate::segment::{self, segment_name, snapshot_name};
 use crate::snapshot_file;
 use crate::startup::{self, Opened};
 
 const DEFAULT_SEGMENT_BYTES: u64 = 8 << 20;
-const FIRST_SEGMENT: u64 = 1;
 
 /// Bounds on files.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,35 +75,16 @@
         identity: Identity,
         initial: Option<(SnapshotMeta, Vec<u8>)>,
     ) -> Result<Self, StorageError> {
-        if !startup::clear_unused(&mut disk)? {
-            return Err(StorageError::NotEmpty);
-        }
-        write_file(&mut disk, CREATING_FILE, &[])?;
-        write_identity(&mut disk, &identity)?;
-        if let Some((meta, data)) = &initial {
-            snapshot_file::write(&mut disk, FIRST_SEGMENT, meta, data)?;
-        }
-        let snapshot_index = initial.as_ref().map(|(meta, _)| meta.index);
-        let snapshot_index = snapshot_index.unwrap_or_default();
-        let start = SegmentStart {
-            segment: FIRST_SEGMENT,
-            oldest_segment: FIRST_SEGMENT,
-            identity,
-            snapshot: initial.map(|_| FIRST_SEGMENT),
-            hard_state: initial_hard_state(),
-        };
-        let (file, length) = write_segment(&mut disk, &start, 0)?;
-        disk.remove(CREATING_FILE)
-            .map_err(StorageError::disk(CREATING_FILE))?;
-        disk.sync_dir().map_err(StorageError::disk(""))?;
+        let (file, start, length) = creation::fill(&mut disk, identity, initial.as_ref())?;
+        let snapshot_index = initial.map_or(LogIndex(0), |(meta, _)| meta.index);
         Ok(Self {
             disk,
             file,
-            segments: vec![new_segment(FIRST_SEGMENT)],
-            hard_state: initial_hard_state(),
+            segments: vec![SegmentInfo::new(start.segment)],
+            hard_state: start.hard_state.clone(),
             snapshot_index,
             last: snapshot_index,
-            next_number: 1,
+            next_number: creation::FIRST_NUMBER + 1,
             length,
             poisoned: false,
             guards: Guards::all(),
@@ -319,11 +298,11 @@
             snapshot: change.snapshot,
             hard_state: self.hard_state.clone(),
         };
-        let (file, length) = write_segment(&mut self.disk, &start, self.next_number)?;
+        let (file, length) = segment::write_segment(&mut self.disk, &start, self.next_number)?;
         self.file = file;
         self.length = length;
         self.next_number += 1;
-        self.segments.push(new_segment(start.segment));
+        self.segments.push(SegmentInfo::new(start.segment));
         self.start = start;
         Ok(())
     }
@@ -409,48 +388,3 @@
         self.start.segment + 1
     }
 }
-
-fn new_segment(segment: u64) -> SegmentInfo {
-    SegmentInfo {
-        segment,
-        highest: None,
-    }
-}
-
-fn initial_hard_state() -> HardState {
-    HardState {
-        commit: LogIndex(0),
-        term: Term(0),
-        vote: None,
-    }
-}
-
-fn write_identity<D: Disk>(disk: &mut D, identity: &Identity) -> Result<(), StorageError> {
-    let body = record::encode(&FixedIdentity {
-        replica: identity.replica,
-        group: identity.group,
-    })?;
-    let frame = FileFrame {
-        kind: FrameKind::Identity,
-        number: 0,
-        body: &body,
-    };
-    write_file(disk, IDENTITY_FILE, &[frame])?;
-    Ok(())
-}
-
-fn write_segment<D: Disk>(
-    disk: &mut D,
-    start: &SegmentStart,
-    number: u64,
-) -> Result<(D::File, u64), StorageError> {
-    let body = record::encode(start)?;
-    let frame = FileFrame {
-        kind: FrameKind::SegmentStart,
-        number,
-        body: &body,
-    };
-    let file = write_file(disk, &segment_name(start.segment), &[frame])?;
-    let length = body.len() + frame::FRAME_OVERHEAD_BYTES;
-    Ok((file, length as u64))
-}
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -3,6 +3,7 @@
 use crate::disk::Disk;
 use crate::error::StorageError;
 use crate::frame::{self, FrameKind};
+use crate::record::{self, SegmentStart};
 
 /// Exists while a new folder is being filled; a folder that has it was never used.
 pub(crate) const CREATING_FILE: &str = "creating";
@@ -89,3 +90,20 @@
     disk.sync_dir().map_err(StorageError::disk(""))?;
     Ok(file)
 }
+
+/// Starts a segment. Returns it, open, and its length in bytes.
+pub(crate) fn write_segment<D: Disk>(
+    disk: &mut D,
+    start: &SegmentStart,
+    number: u64,
+) -> Result<(D::File, u64), StorageError> {
+    let body = record::encode(start)?;
+    let frame = FileFrame {
+        kind: FrameKind::SegmentStart,
+        number,
+        body: &body,
+    };
+    let file = write_file(disk, &segment_name(start.segment), &[frame])?;
+    let length = body.len() + frame::FRAME_OVERHEAD_BYTES;
+    Ok((file, length as u64))
+}
