control: admin HTTP that silent clients can't hold up; tests over loopback

Cause: with rouille, eight silent connections to the admin address held up an operator's request for longer than its 2 s limit (test a_silent_connection_holds_up_no_other was red): tiny_http queues new connections behind silent ones on its pool of four threads. Ruled out: rouille with a larger pool (its connection threads are not the pool that can be set); a proxy in front of it (the queue stays). Change: connections on threads of their own with limits on count, idle time and transfer, heads parsed by httparse; the same acceptor as for replicas and routers; a stop lets answers under way finish. Tests over loopback: a stopped leader, a lost folder, a second loss right after, a router over TCP, probes and metrics, silent clients; exit codes of the process.

--- a/crates/control/src/daemon/admin.rs
+++ b/crates/control/src/daemon/admin.rs
@@ -3,39 +3,33 @@
 //! Invariant: every request gets one JSON answer; a change whose outcome isn't known in time is
 //! answered with `lost-leadership`, which tells the operator to send it again.
 
-use std::io::Read;
-use std::net::SocketAddr;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use grebepin_schema::limits::MAXIMUM_BUNDLE_BYTES;
 use grebepin_schema::{ApiError, ApiErrorKind};
 use grebepin_telemetry::metrics::METRICS_CONTENT_TYPE;
-use rouille::{Request, Response};
 use serde::de::DeserializeOwned;
+use serde::Serialize;
 
+use super::http::{self, HttpAnswer, HttpRequest};
 use super::liveness::Liveness;
 use super::message::{Inbox, Message, StopFlag};
 use super::metrics::NodeGauges;
+use super::sockets::Acceptor;
+use crate::node::api_error;
 use crate::node::input::AdminRequest;
 use crate::node::output::AdminAnswer;
 
-/// Threads that serve operators.
-const THREADS: usize = 16;
+/// Operators and probes connected at once.
+const CONNECTION_LIMIT: usize = 128;
+
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; charset=utf-8";
 
 /// Longest wait for the outcome of a change.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Between two looks whether the process stops.
-const STOP_POLL: Duration = Duration::from_millis(50);
-
-/// The running interface.
-pub(super) struct AdminServer {
-    address: SocketAddr,
-    thread: JoinHandle<()>,
-}
-
 /// What the interface needs.
 #[derive(Clone)]
 pub(super) struct AdminContext {
@@ -44,41 +38,26 @@
     pub(super) gauges: Arc<NodeGauges>,
 }
 
-impl AdminServer {
-    /// Listens on `address`.
-    pub(super) fn start(
-        address: SocketAddr,
-        context: AdminContext,
-        stop: StopFlag,
-    ) -> Result<Self, String> {
-        let server = rouille::Server::new(address, move |request| answer(&context, request))
-            .map_err(|error| error.to_string())?
-            .pool_size(THREADS);
-        let address = server.server_addr();
-        let thread = thread::Builder::new()
-            .name("admin".to_owned())
-            .spawn(move || {
-                while !stop.is_set() {
-                    server.poll_timeout(STOP_POLL);
-                }
-                server.join();
-            })
-            .map_err(|error| error.to_string())?;
-        Ok(Self { address, thread })
-    }
-
-    pub(super) fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Waits for the requests under way; the stop flag must be set before.
-    pub(super) fn stop(self) {
-        let _ = self.thread.join();
-    }
+/// Starts to answer operators.
+pub(super) fn listen(
+    listener: TcpListener,
+    context: AdminContext,
+    stop: StopFlag,
+) -> std::io::Result<Acceptor> {
+    Acceptor::start(
+        "admin",
+        listener,
+        CONNECTION_LIMIT,
+        stop,
+        move |_, stream: TcpStream| {
+            let refuse = |status, reason| json(status, &api_error(ApiErrorKind::BadRequest, reason));
+            http::serve(stream, |request| answer(&context, request), refuse);
+        },
+    )
 }
 
-fn answer(context: &AdminContext, request: &Request) -> Response {
-    let result = match (request.method(), request.url().as_str()) {
+fn answer(context: &AdminContext, request: &HttpRequest) -> HttpAnswer {
+    let result = match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/live") => return live(context),
         ("GET", "/ready") => context.ask(AdminRequest::Ready),
         ("GET", "/metrics") => context.ask(AdminRequest::Metrics),
@@ -91,21 +70,21 @@
         }),
         ("POST", "/v1/drain") => context.change(request, AdminRequest::Drain),
         ("POST", "/v1/members/remove") => context.change(request, AdminRequest::RemoveMember),
-        (_, path) => Err(error(
+        (method, path) => Err(api_error(
             ApiErrorKind::NotFound,
-            format!("no {} {path}; see docs/operators", request.method()),
+            format!("no {method} {path}; see docs/operators"),
         )),
     };
     match result {
         Ok(answer) => success(context, &answer),
-        Err(error) => Response::json(&error).with_status_code(status_code(error.kind)),
+        Err(error) => json(status_code(error.kind), &error),
     }
 }
 
 impl AdminContext {
     fn change<T: DeserializeOwned>(
         &self,
-        request: &Request,
+        request: &HttpRequest,
         make: impl FnOnce(T) -> AdminRequest,
     ) -> Result<AdminAnswer, ApiError> {
         self.ask(make(read_body(request)?))
@@ -114,7 +93,7 @@
     fn ask(&self, request: AdminRequest) -> Result<AdminAnswer, ApiError> {
         let (answer, answered) = crossbeam_channel::bounded(1);
         let unknown = || {
-            error(
+            api_error(
                 ApiErrorKind::LostLeadership,
                 "the replica stopped or found no outcome in time; send the same request again"
                     .to_owned(),
@@ -129,55 +108,58 @@
     }
 }
 
-fn read_body<T: DeserializeOwned>(request: &Request) -> Result<T, ApiError> {
-    let limit = MAXIMUM_BUNDLE_BYTES as u64;
-    let mut bytes = Vec::new();
-    let body = request.data().ok_or_else(|| {
-        let message = "the request has no body".to_owned();
-        error(ApiErrorKind::BadRequest, message)
-    })?;
-    body.take(limit + 1)
-        .read_to_end(&mut bytes)
-        .map_err(|cause| error(ApiErrorKind::BadRequest, cause.to_string()))?;
-    if bytes.len() as u64 > limit {
-        let message = format!("the body is over the limit of {limit} bytes");
-        return Err(error(ApiErrorKind::TooLarge, message));
-    }
-    serde_json::from_slice(&bytes)
-        .map_err(|cause| error(ApiErrorKind::BadRequest, cause.to_string()))
+fn read_body<T: DeserializeOwned>(request: &HttpRequest) -> Result<T, ApiError> {
+    serde_json::from_slice(&request.body)
+        .map_err(|cause| api_error(ApiErrorKind::BadRequest, cause.to_string()))
 }
 
-fn live(context: &AdminContext) -> Response {
+fn live(context: &AdminContext) -> HttpAnswer {
     match context.liveness.is_alive() {
-        true => Response::text("live\n"),
-        false => Response::text("the control thread does not answer\n").with_status_code(503),
+        true => text(200, "live\n"),
+        false => text(503, "the control thread does not answer\n"),
     }
 }
 
-fn success(context: &AdminContext, answer: &AdminAnswer) -> Response {
+fn success(context: &AdminContext, answer: &AdminAnswer) -> HttpAnswer {
     match answer {
-        AdminAnswer::Founded(identity) | AdminAnswer::Identity(identity) => {
-            Response::json(identity)
-        }
-        AdminAnswer::Rolled(answer) => Response::json(answer),
-        AdminAnswer::Bundle(signed) => Response::json(signed),
-        AdminAnswer::Status(status) => Response::json(status),
-        AdminAnswer::Drained(answer) => Response::json(answer),
-        AdminAnswer::Removed(answer) => Response::json(answer),
-        AdminAnswer::Ready(true) => Response::text("ready\n"),
+        AdminAnswer::Founded(identity) | AdminAnswer::Identity(identity) => json(200, identity),
+        AdminAnswer::Rolled(answer) => json(200, answer),
+        AdminAnswer::Bundle(signed) => json(200, signed),
+        AdminAnswer::Status(status) => json(200, status),
+        AdminAnswer::Drained(answer) => json(200, answer),
+        AdminAnswer::Removed(answer) => json(200, answer),
+        AdminAnswer::Ready(true) => text(200, "ready\n"),
         AdminAnswer::Ready(false) => {
-            Response::text("no leader is known, or entries wait to be applied\n")
-                .with_status_code(503)
+            text(503, "no leader is known, or entries wait to be applied\n")
         }
         AdminAnswer::Metrics(metrics) => match context.gauges.render(metrics) {
-            Ok(text) => Response::from_data(METRICS_CONTENT_TYPE, text),
-            Err(cause) => Response::text(cause.to_string()).with_status_code(500),
+            Ok(body) => HttpAnswer {
+                status: 200,
+                content_type: METRICS_CONTENT_TYPE,
+                body: body.into_bytes(),
+            },
+            Err(cause) => text(500, &cause.to_string()),
+        },
+    }
+}
+
+fn json(status: u16, value: &impl Serialize) -> HttpAnswer {
+    match serde_json::to_vec(value) {
+        Ok(body) => HttpAnswer {
+            status,
+            content_type: JSON,
+            body,
         },
+        Err(cause) => text(500, &cause.to_string()),
     }
 }
 
-fn error(kind: ApiErrorKind, message: String) -> ApiError {
-    crate::node::api_error(kind, message)
+fn text(status: u16, body: &str) -> HttpAnswer {
+    HttpAnswer {
+        status,
+        content_type: TEXT,
+        body: body.as_bytes().to_vec(),
+    }
 }
 
 fn status_code(kind: ApiErrorKind) -> u16 {
--- a/crates/control/src/daemon/running.rs
+++ b/crates/control/src/daemon/running.rs
@@ -12,7 +12,7 @@
 use grebepin_storage::RealDisk;
 use grebepin_telemetry::{event, Event};
 
-use super::admin::{AdminContext, AdminServer};
+use super::admin::{self, AdminContext};
 use super::back_ends::BackEnds;
 use super::control_thread::{ControlThread, Replies};
 use super::error::RunError;
@@ -35,6 +35,8 @@
     pub peer: Option<TcpListener>,
     /// For routers.
     pub router: Option<TcpListener>,
+    /// For operators.
+    pub admin: Option<TcpListener>,
 }
 
 /// Where a running replica is reached.
@@ -57,7 +59,6 @@
     platform_stop: Sender<()>,
     control: JoinHandle<Result<(), NodeError>>,
     acceptors: Vec<Acceptor>,
-    admin: AdminServer,
 }
 
 /// Tells a running replica to stop.
@@ -89,8 +90,10 @@
     })?;
     let peer = bind("peer_address", settings.peer_address, listeners.peer)?;
     let router = bind("router_address", settings.router_address, listeners.router)?;
+    let admin = bind("admin_address", settings.admin_address, listeners.admin)?;
     settings.peer_address = peer.local_addr()?;
     settings.router_address = router.local_addr()?;
+    settings.admin_address = admin.local_addr()?;
     let stop = StopFlag::default();
     let (inbox, messages) = channel();
     let liveness = Liveness::new(started);
@@ -100,17 +103,9 @@
         liveness: liveness.clone(),
         gauges: Arc::clone(&gauges),
     };
-    let admin = AdminServer::start(settings.admin_address, context, stop.clone());
-    let admin =
-        admin.map_err(|reason| listen_error("admin_address", settings.admin_address, reason))?;
-    settings.admin_address = admin.address();
-
     let config = NodeConfig::from_settings(&settings, fresh_replica(), rand::random());
     let node = ControlNode::open(config, disk, liveness.now());
-    let node = node.map_err(|error| {
-        stop.set();
-        RunError::node(data_dir.clone(), error)
-    })?;
+    let node = node.map_err(|error| RunError::node(data_dir.clone(), error))?;
     let replica = node.replica();
     event!(
         Event::ControlStarted,
@@ -138,6 +133,7 @@
     let acceptors = vec![
         peer_links::listen(peer, inbox.clone(), stop.clone())?,
         router_links::listen(router, inbox.clone(), stop.clone(), sent_bytes)?,
+        admin::listen(admin, context, stop.clone())?,
     ];
     let (platform_stop, stopped) = crossbeam_channel::bounded(0);
     if let Some(address) = settings.platform_address {
@@ -155,7 +151,6 @@
         platform_stop,
         control,
         acceptors,
-        admin,
     })
 }
 
@@ -184,7 +179,6 @@
         for acceptor in self.acceptors {
             acceptor.stop();
         }
-        self.admin.stop();
         match result {
             Ok(Ok(())) => Ok(()),
             Ok(Err(error)) => {
--- a/crates/control/src/daemon/sockets.rs
+++ b/crates/control/src/daemon/sockets.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::{SockRef, TcpKeepalive};
 
@@ -22,6 +22,10 @@
 /// Wait of the stopping thread for its own connection, which wakes the listener.
 const WAKE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Longest wait at a stop for connections that still answer, and the steps of that wait.
+const DRAIN_LIMIT: Duration = Duration::from_secs(1);
+const DRAIN_POLL: Duration = Duration::from_millis(5);
+
 /// Connections accepted and still open.
 #[derive(Clone)]
 pub(super) struct Connections {
@@ -61,9 +65,20 @@
         })
     }
 
+    /// Ends the reading side at once, so that idle connections end, and the others once they have
+    /// answered or their time is up.
     fn close_all(&self) {
+        self.shut_down(Shutdown::Read);
+        let started = Instant::now();
+        while !self.lock().is_empty() && started.elapsed() < DRAIN_LIMIT {
+            thread::sleep(DRAIN_POLL);
+        }
+        self.shut_down(Shutdown::Both);
+    }
+
+    fn shut_down(&self, how: Shutdown) {
         for stream in self.lock().values() {
-            let _ = stream.shutdown(Shutdown::Both);
+            let _ = stream.shutdown(how);
         }
     }
 
--- /dev/null
+++ b/crates/control/tests/process.rs
@@ -0,0 +1,69 @@
+//! The daemon's process: its exit codes and what it prints.
+
+use std::fs;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("its address").port()
+}
+
+fn settings(folder: &Path, extra: &str) -> std::path::PathBuf {
+    let ports = [free_port(), free_port(), free_port()];
+    let text = format!(
+        "zone = \"a\"\ndata_dir = \"{}\"\npeer_address = \"127.0.0.1:{}\"\n\
+         router_address = \"127.0.0.1:{}\"\nadmin_address = \"127.0.0.1:{}\"\npeers = []\n\
+         required_signatures = 1\n{extra}\n[[operators]]\nname = \"rosa\"\npublic_key = \"{}\"\n",
+        folder.join("data").display(),
+        ports[0],
+        ports[1],
+        ports[2],
+        // The public half of the key of 32 bytes of 7.
+        "ea4a6c63e29c520abef5507b132ec5f9954776aebebe7b92421eea691446d22c",
+    );
+    let path = folder.join("control.toml");
+    fs::write(&path, text).expect("a settings file");
+    path
+}
+
+fn run(settings: &Path, more: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_grebepin-control"))
+        .arg("--settings")
+        .arg(settings)
+        .args(more)
+        .output()
+        .expect("it runs")
+}
+
+#[test]
+fn refused_settings_exit_with_2() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let unknown = settings(folder.path(), "colour = \"red\"");
+    let output = run(&unknown, &[]);
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("colour"), "{text}");
+}
+
+#[test]
+fn checked_settings_exit_with_0_and_start_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let good = settings(folder.path(), "");
+    let output = run(&good, &["--check-settings"]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
+#[test]
+fn a_damaged_folder_exits_with_3_and_says_what_to_do() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = settings(folder.path(), "");
+    let data = folder.path().join("data");
+    fs::create_dir_all(&data).expect("a folder");
+    fs::write(data.join("identity"), b"not an identity").expect("a file");
+    let output = run(&path, &[]);
+    assert_eq!(output.status.code(), Some(3), "{output:?}");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains("Move the folder away"), "{text}");
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its part")]
 
 pub mod bundles;
+pub mod group;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
