--- a/crates/control/src/daemon/admin.rs
+++ b/crates/control/src/daemon/admin.rs
@@ -50,7 +50,8 @@
         CONNECTION_LIMIT,
         stop,
         move |_, stream: TcpStream| {
-            let refuse = |status, reason| json(status, &api_error(ApiErrorKind::BadRequest, reason));
+            let refuse =
+                |status, reason| json(status, &api_error(ApiErrorKind::BadRequest, reason));
             http::serve(stream, |request| answer(&context, request), refuse);
         },
     )
--- a/crates/control/tests/support/group.rs
+++ b/crates/control/tests/support/group.rs
@@ -70,7 +70,9 @@
     pub fn found(&self) {
         let client = self.client();
         let replicas = 0..self.settings.len();
-        let members = replicas.clone().map(|replica| self.member(&client, replica));
+        let members = replicas
+            .clone()
+            .map(|replica| self.member(&client, replica));
         let request = FoundRequest {
             cluster: "00112233445566778899aabbccddeeff".parse().expect("an id"),
             members: members.collect(),
