--- a/crates/standin/src/back_end/control_api.rs
+++ b/crates/standin/src/back_end/control_api.rs
@@ -10,9 +10,10 @@
 };
 use serde::de::DeserializeOwned;
 
-use super::node::{milliseconds, Node};
+use super::node::Node;
 use super::Lie;
 use crate::http::{Answer, Question};
+use crate::milliseconds;
 
 impl Node {
     pub(crate) fn answer_control(&self, question: &Question) -> Answer {
--- a/crates/standin/src/back_end/handover.rs
+++ b/crates/standin/src/back_end/handover.rs
@@ -44,6 +44,7 @@
     fn new() -> Self {
         let config = ureq::Agent::config_builder()
             .timeout_global(Some(FETCH_TIME))
+            .proxy(None)
             .build();
         Self {
             agent: config.into(),
--- a/crates/standin/src/back_end/node.rs
+++ b/crates/standin/src/back_end/node.rs
@@ -18,7 +18,7 @@
 use super::{Args, Lie};
 use crate::history::HistoryWriter;
 use crate::http::{Answer, Question, ServerHooks};
-use crate::lock;
+use crate::{lock, milliseconds};
 
 /// Boots stay below 2^53, so that any language's JSON numbers hold them.
 const BOOT_BITS: u32 = 53;
@@ -164,8 +164,3 @@
         answer
     }
 }
-
-/// A time from a flag; not a number or below zero counts as zero.
-pub(crate) fn milliseconds(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value / 1000.0).unwrap_or_default()
-}
--- a/crates/standin/src/back_end/serving.rs
+++ b/crates/standin/src/back_end/serving.rs
@@ -7,11 +7,11 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use super::node::{milliseconds, Node};
+use super::node::Node;
 use super::slots::SlotRefusal;
 use super::ServiceDistribution;
 use crate::http::{Answer, Question};
-use crate::lock;
+use crate::{lock, milliseconds};
 
 /// Longest service time, whatever the distribution or the request says.
 const LONGEST_SERVICE: Duration = Duration::from_secs(60);
--- /dev/null
+++ b/crates/standin/src/caller/client.rs
@@ -0,0 +1,149 @@
+//! Sends one attempt to a router and reads its answer.
+//!
+//! Invariant: an answer counts as whole only when all its bytes came and its body names the request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebepin_holder::headers;
+use grebepin_schema::{Outcome, OutcomeLookup, Reject, RequestId, RequestState};
+use serde::de::DeserializeOwned;
+use ureq::http::{HeaderMap, Response};
+use ureq::Body;
+
+use super::rules::AttemptResult;
+use super::{Args, ClassSpec};
+use crate::back_end::AnswerBody;
+
+/// Header with the outcome.
+const OUTCOME: &str = "Grebepin-Outcome";
+
+/// Largest answer read.
+const MAXIMUM_ANSWER_BYTES: u64 = 16 << 20;
+
+/// Longest time to look an outcome up.
+const LOOK_UP_TIME: Duration = Duration::from_secs(2);
+
+/// One attempt of a request.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt<'a> {
+    pub(super) router: SocketAddr,
+    pub(super) class: &'a ClassSpec,
+    pub(super) key: &'a str,
+    pub(super) request_id: &'a RequestId,
+    pub(super) attempt: u32,
+}
+
+/// HTTP client of all callers of a process.
+#[derive(Debug)]
+pub(super) struct Client {
+    agent: ureq::Agent,
+    patience: Duration,
+}
+
+impl Client {
+    pub(super) fn new(arguments: &Args) -> Self {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .max_idle_connections(arguments.threads)
+            .max_idle_connections_per_host(arguments.threads)
+            .build();
+        Self {
+            agent: config.into(),
+            patience: Duration::from_millis(arguments.patience_ms),
+        }
+    }
+
+    /// Sends an attempt and waits for its answer until its deadline and the patience are over.
+    pub(super) fn send(&self, attempt: &Attempt<'_>) -> AttemptResult {
+        let class = attempt.class;
+        let service = class.service.as_str();
+        let url = format!("http://{}/{service}{}", attempt.router, class.path);
+        let time = Duration::from_millis(class.deadline_ms) + self.patience;
+        let answer = match class.method.as_str() {
+            "GET" => {
+                let call = self.agent.get(url).config().timeout_global(Some(time));
+                fill(call.build(), attempt).call()
+            }
+            _ => {
+                let call = self.agent.post(url).config().timeout_global(Some(time));
+                fill(call.build(), attempt).send(attempt.key)
+            }
+        };
+        answer.map_or_else(|_| AttemptResult::default(), |answer| read(answer, attempt))
+    }
+
+    /// Asks a router what became of a request.
+    pub(super) fn look_up(&self, attempt: &Attempt<'_>) -> Option<RequestState> {
+        let url = format!(
+            "http://{}/-/outcome/{}/{}",
+            attempt.router,
+            attempt.class.service.as_str(),
+            attempt.request_id.as_str()
+        );
+        let call = self
+            .agent
+            .get(url)
+            .config()
+            .timeout_global(Some(LOOK_UP_TIME));
+        let mut answer = call.build().header(headers::KEY, attempt.key).call().ok()?;
+        let body = answer.body_mut().read_to_vec().ok()?;
+        let lookup: OutcomeLookup = serde_json::from_slice(&body).ok()?;
+        Some(lookup.state)
+    }
+}
+
+fn fill<B>(call: ureq::RequestBuilder<B>, attempt: &Attempt<'_>) -> ureq::RequestBuilder<B> {
+    call.header(headers::KEY, attempt.key)
+        .header(headers::REQUEST_ID, attempt.request_id.as_str())
+        .header(headers::ATTEMPT, attempt.attempt.to_string())
+        .header(headers::DEADLINE_MS, attempt.class.deadline_ms.to_string())
+}
+
+fn read(mut answer: Response<Body>, attempt: &Attempt<'_>) -> AttemptResult {
+    let outcome = parsed::<Outcome>(answer.headers(), OUTCOME);
+    let answer_for = parsed::<RequestId>(answer.headers(), headers::REQUEST_ID);
+    let body = answer
+        .body_mut()
+        .with_config()
+        .limit(MAXIMUM_ANSWER_BYTES)
+        .read_to_vec();
+    let Ok(body) = body else {
+        return AttemptResult {
+            answer_for,
+            ..AttemptResult::default()
+        };
+    };
+    match outcome {
+        Some(Outcome::Answered) => AttemptResult {
+            outcome,
+            answer_for,
+            whole: names_request(&body, attempt),
+            ..AttemptResult::default()
+        },
+        _ => rejected(outcome, answer_for, &body),
+    }
+}
+
+fn names_request(body: &[u8], attempt: &Attempt<'_>) -> bool {
+    let body: Result<AnswerBody, _> = serde_json::from_slice(body);
+    body.is_ok_and(|body| body.request_id == *attempt.request_id && body.key == attempt.key)
+}
+
+fn rejected(outcome: Option<Outcome>, answer_for: Option<RequestId>, body: &[u8]) -> AttemptResult {
+    let reject: Option<Reject> = serde_json::from_slice(body).ok();
+    let retry_after = reject.as_ref().and_then(|reject| reject.retry_after_ms);
+    AttemptResult {
+        outcome,
+        answer_for,
+        whole: reject.is_some(),
+        rejected: reject.map(|reject| reject.kind.to_string()),
+        retry_after: retry_after.map(Duration::from_millis),
+    }
+}
+
+fn parsed<T: DeserializeOwned>(headers: &HeaderMap, name: &str) -> Option<T> {
+    let text = headers.get(name)?.to_str().ok()?;
+    serde_json::from_value(text.into()).ok()
+}
--- a/crates/standin/src/contract/peer.rs
+++ b/crates/standin/src/contract/peer.rs
@@ -70,6 +70,7 @@
     pub(super) fn new(options: ContractOptions) -> Self {
         let config = ureq::Agent::config_builder()
             .timeout_global(Some(CALL_TIME))
+            .proxy(None)
             .http_status_as_error(false)
             .build();
         Self {
