GET /v1/table; a server may change its address

Cause: plan needs the owner of each shard; and check_successor refused a server that changes its address, though the coordinator keeps the former process's lease bound (link.change_address), so the rule refused what is safe. Ruled out: following the router port for the table, since the command line would then stand among the routers in status. Change: control answers GET /v1/table by a linearizable read; check_successor refuses only a server that changes its service. The message without a bundle names the right command.

--- a/crates/bundle/src/finding.rs
+++ b/crates/bundle/src/finding.rs
@@ -124,12 +124,10 @@
         /// Count in the accepted bundle.
         accepted: u32,
     },
-    /// A server's name now means another process, while the former may still hold a lease.
-    #[error(
-        "the server was {accepted}; give the new one a new name, since the old may hold a lease"
-    )]
-    ServerReplaced {
-        /// Service and address in the accepted bundle.
+    /// A server serves another service, while it may still hold shards of the former.
+    #[error("the server served {accepted}; give the new one a new name, the old may hold shards")]
+    ServerChangedService {
+        /// Service in the accepted bundle.
         accepted: String,
     },
 }
--- a/crates/bundle/src/successor.rs
+++ b/crates/bundle/src/successor.rs
@@ -18,7 +18,8 @@
 /// Checks that `new` may follow the accepted bundle `old`.
 ///
 /// The version grows, the parent is `old`'s digest, the deployment and each service's count of
-/// shards stay, and a server that stays keeps its service and address.
+/// shards stay, and a server that stays keeps its service. (It may change its address: the leader waits until a lease
+/// at the former address has ended.)
 pub fn check_successor(old: &Bundle, new: &Bundle) -> Result<(), Vec<Finding>> {
     let mut findings = Vec::new();
     check_lineage(old, new, &mut findings);
@@ -78,28 +79,23 @@
 
 fn check_servers(old: &Bundle, new: &Bundle, findings: &mut Vec<Finding>) {
     let accepted: BTreeMap<_, _> = servers(old)
-        .map(|(service, server)| (&server.name, (service, server)))
+        .map(|(service, server)| (&server.name, &service.name))
         .collect();
     for (service, server) in servers(new) {
-        let Some((old_service, old_server)) = accepted.get(&server.name) else {
+        let former = accepted.get(&server.name);
+        let Some(former) = former.filter(|former| **former != &service.name) else {
             continue;
         };
-        if old_service.name != service.name || old_server.address != server.address {
-            let field = format!(
-                "services[{}].servers[{}]",
-                service.name.as_str(),
-                server.name.as_str()
-            );
-            let accepted = format!(
-                "{} of {}",
-                old_server.address.as_str(),
-                old_service.name.as_str()
-            );
-            findings.push(Finding {
-                field,
-                kind: FindingKind::ServerReplaced { accepted },
-            });
-        }
+        let field = format!(
+            "services[{}].servers[{}]",
+            service.name.as_str(),
+            server.name.as_str()
+        );
+        let accepted = former.to_string();
+        findings.push(Finding {
+            field,
+            kind: FindingKind::ServerChangedService { accepted },
+        });
     }
 }
 
--- a/crates/control/src/daemon/admin.rs
+++ b/crates/control/src/daemon/admin.rs
@@ -64,6 +64,7 @@
         ("GET", "/metrics") => context.ask(AdminRequest::Metrics),
         ("GET", "/v1/identity") => context.ask(AdminRequest::Identity),
         ("GET", "/v1/status") => context.ask(AdminRequest::Status),
+        ("GET", "/v1/table") => context.ask(AdminRequest::Table),
         ("GET", "/v1/bundle") => context.ask(AdminRequest::Bundle),
         ("POST", "/v1/found") => context.change(request, AdminRequest::Found),
         ("POST", "/v1/bundles") => context.change(request, |signed| {
@@ -125,6 +126,7 @@
     match answer {
         AdminAnswer::Founded(identity) | AdminAnswer::Identity(identity) => json(200, identity),
         AdminAnswer::Rolled(answer) => json(200, answer),
+        AdminAnswer::Table(table) => json(200, table),
         AdminAnswer::Bundle(signed) => json(200, signed),
         AdminAnswer::Status(status) => json(200, status),
         AdminAnswer::Drained(answer) => json(200, answer),
--- a/crates/control/src/node/admin.rs
+++ b/crates/control/src/node/admin.rs
@@ -39,7 +39,11 @@
                 return Ok(());
             }
             AdminRequest::Bundle => {
-                self.read_bundle(now, reply);
+                self.read_for(now, reply, ReadWaiter::Bundle(reply));
+                return Ok(());
+            }
+            AdminRequest::Table => {
+                self.read_for(now, reply, ReadWaiter::Table(reply));
                 return Ok(());
             }
             AdminRequest::Drain(request) => {
@@ -87,9 +91,9 @@
         }))
     }
 
-    fn read_bundle(&mut self, now: Duration, reply: ReplyId) {
+    fn read_for(&mut self, now: Duration, reply: ReplyId, waiter: ReadWaiter) {
         match self.consensus.request_read(now) {
-            Ok(read) => self.waiting.add_read(read, ReadWaiter::Bundle(reply)),
+            Ok(read) => self.waiting.add_read(read, waiter),
             Err(error) => {
                 let error = self.refusal(error);
                 self.reply(reply, Err(error));
@@ -115,6 +119,10 @@
         for waiter in self.waiting.take_reads(self.applied) {
             match waiter {
                 ReadWaiter::Follow(connection) => self.start_following(connection),
+                ReadWaiter::Table(reply) => {
+                    let table = Box::new(self.state.table());
+                    self.reply(reply, Ok(AdminAnswer::Table(table)));
+                }
                 ReadWaiter::Bundle(reply) => {
                     let answer = self.state.bundle().cloned().map(Box::new);
                     let answer = answer.map(AdminAnswer::Bundle).ok_or_else(no_bundle);
@@ -201,6 +209,6 @@
 }
 
 fn no_bundle() -> ApiError {
-    let message = "no bundle is in force yet; roll the first one with `grebepin roll`";
+    let message = "no bundle is in force yet; roll the first one with `grebepin bundle roll`";
     api_error(ApiErrorKind::NotFound, message.to_owned())
 }
--- a/crates/control/src/node/input.rs
+++ b/crates/control/src/node/input.rs
@@ -99,6 +99,8 @@
     SubmitBundle(Box<SignedBundle>),
     /// `GET /v1/bundle`, a linearizable read.
     Bundle,
+    /// `GET /v1/table`, a linearizable read.
+    Table,
     /// `GET /v1/status`, as this replica sees it.
     Status,
     /// `POST /v1/drain`.
--- a/crates/control/src/node/leadership.rs
+++ b/crates/control/src/node/leadership.rs
@@ -80,7 +80,7 @@
         }
         for waiter in reads {
             // Routers are sent on below, all at once.
-            if let ReadWaiter::Bundle(reply) = waiter {
+            if let ReadWaiter::Bundle(reply) | ReadWaiter::Table(reply) = waiter {
                 self.reply(reply, Err(lost_leadership()));
             }
         }
--- a/crates/control/src/node/output.rs
+++ b/crates/control/src/node/output.rs
@@ -7,7 +7,7 @@
 use grebepin_schema::{
     ApiError, ControlFrame, DrainRequest, DrainServerAnswer, GrantRequest, GroupId,
     HeartbeatRequest, IdentityAnswer, LogIndex, PeerFrame, ReleaseRequest, RemoveMemberAnswer,
-    ReplicaId, RollAnswer, SignedBundle, SocketAddress, Status, Term,
+    ReplicaId, RollAnswer, SignedBundle, SocketAddress, Status, TableSnapshot, Term,
 };
 
 use super::error::NodeError;
@@ -78,6 +78,8 @@
     Rolled(RollAnswer),
     /// The bundle in force.
     Bundle(Box<SignedBundle>),
+    /// The routing table in force.
+    Table(Box<TableSnapshot>),
     /// The group as this replica sees it.
     Status(Box<Status>),
     /// The drain is committed.
--- a/crates/control/src/node/waiting.rs
+++ b/crates/control/src/node/waiting.rs
@@ -34,6 +34,8 @@
 pub(super) enum ReadWaiter {
     /// Asked for the bundle in force.
     Bundle(ReplyId),
+    /// Asked for the routing table.
+    Table(ReplyId),
     /// A router that asked for the table.
     Follow(ConnectionId),
 }
