Planned moves know the sides: a hot server may have fewer shards than its side's others

Cause: the coordinator called rebalance, which keeps each server to one shard of its share, so a server with a hot shard was relieved by swaps alone, at two moves each. Change: the coordinator passes each server's side to rebalance_sides; sides may have any numbers. Conclusion: tests of ownership and placement as before, all green.

--- a/crates/ownership/src/coordinator/balance.rs
+++ b/crates/ownership/src/coordinator/balance.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use grebepin_placement::{rebalance, Candidate, RebalancePolicy};
-use grebepin_schema::{ServiceName, ShardId};
+use grebepin_placement::{rebalance_sides, Candidate, RebalancePolicy};
+use grebepin_schema::{Server, ServiceName, ShardId};
 
 use super::budget::ChurnBudget;
 use super::load::LOAD_STALE_FOR;
@@ -135,7 +135,8 @@
             .collect();
         let owners = self.owners_to_be(step, name, service);
         let loads = self.load.of_shards(step.state, name, service);
-        let planned = rebalance(&candidates, &owners, &loads, policy).into_iter();
+        let sides = sides_of_servers(service);
+        let planned = rebalance_sides(&candidates, &sides, &owners, &loads, policy).into_iter();
         let free = planned.filter_map(|planned| {
             let shard = ShardId(planned.shard as u32);
             let epoch = service.shard(shard)?.epoch;
@@ -167,6 +168,16 @@
     }
 }
 
+/// Position of each server's side among the service's sides.
+fn sides_of_servers(service: &ServiceState) -> Vec<usize> {
+    let sides = &service.service.sides;
+    let servers = service.service.servers.iter();
+    let side_of = |server: &Server| sides.iter().position(|side| side.side == server.side);
+    servers
+        .map(|server| side_of(server).unwrap_or(sides.len()))
+        .collect()
+}
+
 /// Weighs the servers that take part in balance, so that a listing of the platform moves nothing.
 fn set_balance_weights(service: &ServiceState, view: &mut ServiceView) {
     let settled: Vec<bool> = view.servers.iter().map(|server| server.settled).collect();
--- a/crates/placement/src/rebalance.rs
+++ b/crates/placement/src/rebalance.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariant: the result never has more moves than the budget, and no shard moves twice.
 
+use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
 
 use crate::targets::{exact_shares, target_counts};
@@ -82,8 +83,7 @@
 /// Like [`rebalance`], but keeps only the counts of sides to their weights; servers of one side may
 /// differ by the policy's percentage, and one with too much load may have fewer shards.
 ///
-/// `sides[server]` is the number of its side, below the count of servers; other numbers, and servers past
-/// the end of `sides`, stand for side 0.
+/// `sides[server]` is any number that stands for its side; servers past the end of `sides` are of side 0.
 pub fn rebalance_sides(
     candidates: &[Candidate],
     sides: &[usize],
@@ -187,10 +187,14 @@
 
 impl Sides {
     fn new(candidates: &[Candidate], sides: &[usize], counts: &[usize], owned: usize) -> Self {
-        let is_known = |side: &usize| *side < candidates.len();
-        let side_of = |server| sides.get(server).copied().filter(is_known).unwrap_or(0);
-        let of_server: Vec<usize> = (0..candidates.len()).map(side_of).collect();
-        let sides = of_server.iter().max().map_or(0, |most| most + 1);
+        let named = |server| sides.get(server).copied().unwrap_or(0);
+        let mut numbers = BTreeMap::new();
+        let mut number_of = |server| {
+            let next = numbers.len();
+            *numbers.entry(named(server)).or_insert(next)
+        };
+        let of_server: Vec<usize> = (0..candidates.len()).map(&mut number_of).collect();
+        let sides = numbers.len();
         let mut side_counts = vec![0; sides];
         let no_weight = Candidate {
             weight: 0.0,
@@ -227,5 +231,5 @@
         return 0..=0;
     }
     let lowest = (share.floor() as usize).saturating_sub(slack);
-    lowest..=share.ceil() as usize + slack
+    lowest..=(share.ceil() as usize).saturating_add(slack)
 }
--- a/crates/placement/tests/rebalance.rs
+++ b/crates/placement/tests/rebalance.rs
@@ -111,7 +111,7 @@
 }
 
 /// Servers 0 to 2 are one side, 3 to 5 the other; all hold 100 shards.
-const SIDES: [usize; 6] = [0, 0, 0, 1, 1, 1];
+const SIDES: [usize; 6] = [7, 7, 7, usize::MAX, usize::MAX, usize::MAX];
 
 #[test]
 fn a_server_with_a_hot_shard_gives_others_to_its_own_side() {
