--- a/crates/cli/src/commands/replay.rs
+++ b/crates/cli/src/commands/replay.rs
@@ -33,6 +33,8 @@
 struct Decision {
     index: LogIndex,
     term: Term,
+    /// Whether the folder knows that the entry is committed; one that isn't may never count.
+    committed: bool,
     text: String,
 }
 
@@ -51,6 +53,7 @@
         decisions.push(Decision {
             index: entry.index,
             term: entry.term,
+            committed: entry.index <= folder.restored.hard_state.commit,
             text,
         });
     }
@@ -90,11 +93,13 @@
         return Ok(committed);
     };
     let snapshot = snapshot_index(folder);
-    if to < snapshot || to > committed.0 {
+    let last = folder.restored.entries.last();
+    let last = last.map_or(snapshot, |entry| entry.index.0);
+    if to < snapshot || to > last {
         return Err(CliError::Argument {
             argument: "--to",
             value: to.to_string(),
-            reason: format!("this folder holds the states {snapshot} to {committed}"),
+            reason: format!("this folder holds the states {snapshot} to {last}"),
         });
     }
     Ok(LogIndex(to))
@@ -124,6 +129,17 @@
     }
 }
 
+impl fmt::Display for Decision {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let doubt = match self.committed {
+            true => "",
+            false => " (not known to be committed)",
+        };
+        let (index, term, text) = (self.index, self.term, &self.text);
+        write!(formatter, "{index:>8} term {term}: {text}{doubt}")
+    }
+}
+
 impl fmt::Display for ReplayReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let cluster = self.cluster.as_deref().unwrap_or("none, not founded");
@@ -134,8 +150,7 @@
             self.snapshot_index, self.committed, self.beyond_committed
         )?;
         for decision in &self.decisions {
-            let Decision { index, term, text } = decision;
-            writeln!(formatter, "{index:>8} term {term}: {text}")?;
+            writeln!(formatter, "{decision}")?;
         }
         write!(formatter, "{}", self.state)
     }
