admin client: status comes from the leader, or says that it doesn't

Cause: any replica answers GET /v1/status, so that grebepin status showed a follower's view, with tolerated losses of none and all members silent. Ruled out: asking the leader only, since status must work without one. Change: status asks all replicas, and the members that they tell of, for three rounds; without a leader the newest view is shown and says that only a leader knows what may be lost. The search has a module of its own.

--- a/crates/admin-client/src/client.rs
+++ b/crates/admin-client/src/client.rs
@@ -1,25 +1,28 @@
 //! Calls of the admin interface, and the search for the leader.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use grebepin_schema::{
-    ApiError, ApiErrorKind, DrainServerAnswer, DrainServerRequest, FoundRequest, IdentityAnswer,
-    RemoveMemberAnswer, RemoveMemberRequest, ReplicaId, RollAnswer, ServerName, SignedBundle,
-    Status, TableSnapshot,
+    ApiErrorKind, DrainServerAnswer, DrainServerRequest, FoundRequest, IdentityAnswer,
+    RemoveMemberAnswer, RemoveMemberRequest, ReplicaId, ReplicaRole, RollAnswer, ServerName,
+    SignedBundle, Status, TableSnapshot,
 };
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use crate::error::{Attempt, ClientError};
+use crate::error::ClientError;
 use crate::http::{agent, exchange, exchange_bytes, Call};
+use crate::search::{is_worth_another, Search, StatusSearch};
 
 /// Pause before the replicas are asked once more, when none of them led.
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Replicas asked in a row because the one before named them; two that name each other end there.
-const MAXIMUM_HINTS: usize = 2;
+/// How often all replicas are asked for their status before a follower's is taken.
+const STATUS_ROUNDS: u32 = 3;
+
+/// Pause between two such rounds, about the time of an election.
+const STATUS_PAUSE: Duration = Duration::from_millis(300);
 
 /// Times of an [`AdminClient`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,9 +97,26 @@
         self.ask_leader::<(), _>("/v1/table", &Call::Get)
     }
 
-    /// Status as the leader sees it.
+    /// Status as the leader sees it; the newest that another replica has when none leads.
     pub fn status(&self) -> Result<Status, ClientError> {
-        self.ask_leader::<(), _>("/v1/status", &Call::Get)
+        if self.addresses.is_empty() {
+            return Err(ClientError::NoAddresses);
+        }
+        let mut search = StatusSearch::default();
+        for round in 0..STATUS_ROUNDS {
+            if round > 0 {
+                std::thread::sleep(STATUS_PAUSE);
+            }
+            for address in search.addresses(&self.addresses) {
+                match self.status_of(address) {
+                    Ok(status) if status.role == ReplicaRole::Leader => return Ok(status),
+                    Ok(status) => search.found(status),
+                    Err(error) if is_worth_another(&error) => search.failed(address, &error),
+                    Err(error) => return Err(error),
+                }
+            }
+        }
+        search.into_result()
     }
 
     /// Status as one replica sees it, leader or not.
@@ -160,78 +180,3 @@
         }
     }
 }
-
-/// Whether another replica, or the same one later, may answer.
-fn is_worth_another(error: &ClientError) -> bool {
-    match error {
-        ClientError::Unreachable { .. } => true,
-        ClientError::Refused { error, .. } => matches!(
-            error.kind,
-            ApiErrorKind::NotLeader | ApiErrorKind::NoLeader | ApiErrorKind::LostLeadership
-        ),
-        _ => false,
-    }
-}
-
-/// Which replica is asked next.
-struct Search<'a> {
-    addresses: &'a [SocketAddr],
-    position: usize,
-    named_leader: Option<SocketAddr>,
-    hints_followed: usize,
-    attempts: BTreeMap<SocketAddr, Attempt>,
-}
-
-impl<'a> Search<'a> {
-    fn new(addresses: &'a [SocketAddr]) -> Self {
-        Self {
-            addresses,
-            position: 0,
-            named_leader: None,
-            hints_followed: 0,
-            attempts: BTreeMap::new(),
-        }
-    }
-
-    fn next(&mut self) -> SocketAddr {
-        if let Some(leader) = self.named_leader.take() {
-            self.hints_followed += 1;
-            return leader;
-        }
-        self.hints_followed = 0;
-        let address = self.addresses[self.position % self.addresses.len()];
-        self.position += 1;
-        address
-    }
-
-    fn failed(&mut self, address: SocketAddr, error: &ClientError) {
-        let before = self.attempts.get(&address);
-        let was_unknown = before.is_some_and(|attempt| attempt.outcome_is_unknown);
-        let attempt = Attempt {
-            address,
-            reason: error.to_string(),
-            outcome_is_unknown: was_unknown || error.outcome_is_unknown(),
-        };
-        self.attempts.insert(address, attempt);
-        if self.hints_followed >= MAXIMUM_HINTS {
-            return;
-        }
-        if let ClientError::Refused { error, .. } = error {
-            self.named_leader = named_leader(error).filter(|leader| *leader != address);
-        }
-    }
-
-    fn round_is_over(&self) -> bool {
-        self.named_leader.is_none() && self.position.is_multiple_of(self.addresses.len())
-    }
-
-    fn into_error(self) -> ClientError {
-        ClientError::NoLeader {
-            attempts: self.attempts.into_values().collect(),
-        }
-    }
-}
-
-fn named_leader(error: &ApiError) -> Option<SocketAddr> {
-    error.leader_admin_address.as_ref()?.parse().ok()
-}
--- a/crates/admin-client/src/lib.rs
+++ b/crates/admin-client/src/lib.rs
@@ -7,6 +7,7 @@
 mod client;
 mod error;
 mod http;
+mod search;
 
 pub use client::{AdminClient, ClientOptions};
 pub use error::{Attempt, ClientError};
--- a/crates/admin-client/tests/leader.rs
+++ b/crates/admin-client/tests/leader.rs
@@ -152,6 +152,43 @@
     assert_eq!(odd.answers.lock().expect("not poisoned").len(), 2);
 }
 
+fn status(replica: u64, role: &str, term: u64, admin_addresses: &[SocketAddr]) -> (u16, Value) {
+    let member = |address: &SocketAddr| {
+        let address = address.to_string();
+        json!({"match_index": 1, "last_heard_ms": 0, "member": {
+            "replica": 1, "role": "voter", "zone": "a", "peer_address": address,
+            "router_address": address, "admin_address": address}})
+    };
+    let members: Vec<_> = admin_addresses.iter().map(member).collect();
+    let body = json!({"group": 0, "replica": replica, "role": role, "term": term, "commit": 1,
+        "applied": 1, "members": members, "tolerated": {"replicas": 0, "zones": []},
+        "servers": [], "routers": [], "unowned_shards": 0, "moving_shards": 0, "table_index": 0});
+    (200, body)
+}
+
+#[test]
+fn status_is_the_leaders_or_else_the_newest() {
+    let leader = replica(&[status(1, "leader", 3, &[])]);
+    let follower = replica(&[status(2, "follower", 3, &[leader.address])]);
+    let stale = replica(&[status(3, "follower", 2, &[])]);
+    let cases = [
+        ("told of by a follower", vec![follower.address], 1),
+        (
+            "among the addresses",
+            vec![stale.address, dead_address(), leader.address],
+            1,
+        ),
+        ("nowhere", vec![stale.address, dead_address()], 3),
+    ];
+    for (case, addresses, expected) in cases {
+        let status = client(addresses, Duration::ZERO).status().expect(case);
+        assert_eq!(status.replica, ReplicaId(expected), "{case}");
+    }
+    let newest = replica(&[status(4, "candidate", 4, &[])]);
+    let client = client(vec![stale.address, newest.address], Duration::ZERO);
+    assert_eq!(client.status().expect("a follower's").replica, ReplicaId(4));
+}
+
 #[test]
 fn before_the_first_bundle_there_is_none() {
     let empty = replica(&[(404, json!({"kind": "not-found", "message": "none yet"}))]);
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -68,6 +68,12 @@
 }
 
 fn write_losses(status: &Status, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    if status.role != ReplicaRole::Leader {
+        return writeln!(
+            formatter,
+            "may now lose: only a leader knows, and none answered"
+        );
+    }
     let tolerated = &status.tolerated;
     let zones: Vec<_> = tolerated.zones.iter().map(|zone| zone.as_str()).collect();
     let zones = match zones.is_empty() {
--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -104,7 +104,7 @@
     let mut group = Group::start();
     group
         .run(&["status", "--replica", &group.admin()])
-        .expect(0, &["none accepted yet"]);
+        .expect(0, &["none accepted yet", "only a leader knows"]);
     group
         .run(&["found"])
         .expect(0, &["founded cluster", "may lose 0 replica(s), no zone"]);
