--- /dev/null
+++ b/crates/control/tests/ownership.rs
@@ -0,0 +1,63 @@
+//! A control group with back ends that speak the contract, over loopback.
+
+mod support;
+
+use grebepin_schema::{ServerName, Status, TableSnapshot};
+use grebepin_standin::back_end::{Args, BackEnd};
+use support::bundles::bundle_of;
+use support::group::LoopbackGroup;
+
+const SHARDS: u32 = 24;
+
+#[derive(clap::Parser)]
+struct Flags {
+    #[command(flatten)]
+    back_end: Args,
+}
+
+fn back_end(name: &str) -> (ServerName, BackEnd) {
+    let flags = ["back-end", "--name", name, "--listen", "127.0.0.1:0"];
+    let flags = <Flags as clap::Parser>::parse_from(flags);
+    let started = BackEnd::start(&flags.back_end).expect("it starts");
+    (flags.back_end.name, started)
+}
+
+fn all_held(status: &Status) -> bool {
+    let held: u32 = status.servers.iter().map(|server| server.held).sum();
+    let owned: u32 = status.servers.iter().map(|server| server.shards).sum();
+    status.unowned_shards == 0 && status.moving_shards == 0 && held == SHARDS && owned == SHARDS
+}
+
+fn owners(table: &TableSnapshot) -> Vec<(u64, Option<u32>)> {
+    let service = &table.table.services[0];
+    let owners = service.owners.iter();
+    owners.map(|owner| (owner.epoch.0, owner.server)).collect()
+}
+
+#[test]
+fn shards_are_held_kept_through_a_change_of_leader_and_moved_by_a_drain() {
+    let back_ends: Vec<(ServerName, BackEnd)> = ["one", "two", "three"].map(back_end).into();
+    let mut group = LoopbackGroup::start(3);
+    group.found();
+    let client = group.client();
+    let servers: Vec<_> = back_ends
+        .iter()
+        .map(|(name, back_end)| (name.as_str(), back_end.address()))
+        .collect();
+    client.roll(&bundle_of(SHARDS, &servers)).expect("accepted");
+    let (leader, _) = group.wait_for_leader("every shard is held", all_held);
+    let before = owners(&client.table().expect("a table"));
+
+    group.stop(leader);
+    group.wait_for_leader("every shard is held under the new leader", all_held);
+    let after = owners(&client.table().expect("a table"));
+    assert_eq!(before, after, "a change of leader moves nothing");
+
+    let (name, _) = &back_ends[0];
+    client.drain(name, true).expect("the drain is committed");
+    let (_, status) = group.wait_for_leader("the drained server holds nothing", |status| {
+        let drained = status.servers.iter().find(|server| server.server == *name);
+        drained.is_some_and(|server| server.held == 0 && server.shards == 0) && all_held(status)
+    });
+    assert_eq!(status.servers.len(), 3);
+}
