--- a/crates/ownership/src/coordinator/mod.rs
+++ b/crates/ownership/src/coordinator/mod.rs
@@ -49,6 +49,8 @@
     to_flush: BTreeSet<ServerIndex>,
     /// Servers with releases to ask for.
     to_release: BTreeSet<ServerIndex>,
+    /// When the first of them may be asked again.
+    next_release: Option<Duration>,
     pending: Pending,
     moves: Moves,
     balances: BTreeMap<ServiceName, Balance>,
@@ -73,6 +75,7 @@
             silent: BTreeSet::new(),
             to_flush: BTreeSet::new(),
             to_release: BTreeSet::new(),
+            next_release: None,
             pending: Pending::default(),
             moves: Moves::default(),
             balances: BTreeMap::new(),
@@ -106,7 +109,7 @@
     pub fn next_wake(&self) -> Duration {
         let wakes = [
             self.due.first().map(|(due, _)| *due),
-            self.next_release(),
+            self.next_release,
             Some(self.load.ends()),
             Some(self.next_look),
         ];
--- a/crates/ownership/src/coordinator/moves.rs
+++ b/crates/ownership/src/coordinator/moves.rs
@@ -142,6 +142,7 @@
 
     /// Asks for the releases that are due.
     pub(super) fn send_releases(&mut self, step: &mut Step<'_>) {
+        self.next_release = None;
         if !step.leads() {
             return;
         }
@@ -154,6 +155,8 @@
                 continue;
             }
             if link.next_release > step.now {
+                let earliest = self.next_release.unwrap_or(link.next_release);
+                self.next_release = Some(earliest.min(link.next_release));
                 later.insert(server);
                 continue;
             }
@@ -177,15 +180,6 @@
         self.to_release = later;
     }
 
-    /// When a release is asked again at the earliest.
-    pub(super) fn next_release(&self) -> Option<std::time::Duration> {
-        let waiting = self
-            .to_release
-            .iter()
-            .filter_map(|server| self.links.get(server));
-        waiting.map(|link| link.next_release).min()
-    }
-
     pub(super) fn release_answered(
         &mut self,
         step: &mut Step<'_>,
--- a/crates/ownership/src/state/bundle.rs
+++ b/crates/ownership/src/state/bundle.rs
@@ -218,7 +218,7 @@
     }
 
     /// Lists removed servers that still own shards behind the bundle's servers.
-    pub(super) fn retain_owners(&mut self) {
+    fn retain_owners(&mut self) {
         for service in self.services.values_mut().filter(|service| service.removed) {
             service.servers.clear();
         }
--- a/crates/ownership/src/state/snapshot.rs
+++ b/crates/ownership/src/state/snapshot.rs
@@ -61,12 +61,13 @@
             });
         }
         let mut next = Self::with_guards(self.group, self.guards);
-        next.restore_header(header);
+        next.restore_header(header)?;
+        let mut filled = BTreeMap::new();
         while (reader.position() as usize) < bytes.len() {
             let chunk: OwnershipChunk = read_frame(&mut reader)?;
-            next.restore_chunk(&chunk)?;
+            next.restore_chunk(&chunk, &mut filled)?;
         }
-        next.restore_positions();
+        next.check_filled(&filled)?;
         *self = next;
         Ok(())
     }
@@ -84,33 +85,58 @@
             services: services
                 .map(|service| ServiceRecord {
                     service: service.service.clone(),
+                    servers: service.servers.iter().map(|server| server.0).collect(),
                     removed: service.removed,
                 })
                 .collect(),
         }
     }
 
-    fn restore_header(&mut self, header: OwnershipHeader) {
+    fn restore_header(&mut self, header: OwnershipHeader) -> Result<(), RestoreError> {
         self.applied = header.applied;
         self.table_index = header.table_index;
         self.bundle = header.bundle;
         self.accepted = header.accepted;
         let slots = header.servers.into_iter();
         self.servers = Servers::from_slots(slots.map(|slot| slot.server.map(entry)).collect());
-        self.services = header
-            .services
-            .into_iter()
-            .map(|record| {
-                let mut state = ServiceState::new(record.service);
-                state.removed = record.removed;
-                (state.service.name.clone(), state)
-            })
-            .collect::<BTreeMap<_, _>>();
+        for record in header.services {
+            self.restore_service(record)?;
+        }
         self.changes = Changes::default();
         self.changes.reset(header.applied);
+        Ok(())
     }
 
-    fn restore_chunk(&mut self, chunk: &OwnershipChunk) -> Result<(), RestoreError> {
+    fn restore_service(&mut self, record: ServiceRecord) -> Result<(), RestoreError> {
+        let mut state = ServiceState::new(record.service);
+        state.removed = record.removed;
+        for (position, slot) in record.servers.into_iter().enumerate() {
+            let index = ServerIndex(slot);
+            if self.servers.try_get(index).is_none() {
+                return Err(RestoreError::Inconsistent {
+                    service: state.service.name,
+                });
+            }
+            self.servers.get_mut(index).position = position as u32;
+            state.servers.push(index);
+        }
+        self.services.insert(state.service.name.clone(), state);
+        Ok(())
+    }
+
+    /// Fills the next shards of a service; `filled` counts those that earlier frames gave.
+    fn restore_chunk(
+        &mut self,
+        chunk: &OwnershipChunk,
+        filled: &mut BTreeMap<ServiceName, usize>,
+    ) -> Result<(), RestoreError> {
+        let next = filled.entry(chunk.service.clone()).or_default();
+        if chunk.first.0 as usize != *next || chunk.epochs.is_empty() {
+            return Err(RestoreError::Inconsistent {
+                service: chunk.service.clone(),
+            });
+        }
+        *next += chunk.epochs.len();
         for offset in 0..chunk.epochs.len() {
             let shard = ShardId(chunk.first.0.saturating_add(offset as u32));
             let restored = self.shard_of_chunk(chunk, offset, shard);
@@ -134,6 +160,17 @@
         Ok(())
     }
 
+    fn check_filled(&self, filled: &BTreeMap<ServiceName, usize>) -> Result<(), RestoreError> {
+        for (name, service) in &self.services {
+            if filled.get(name) != Some(&service.shards.len()) {
+                return Err(RestoreError::Inconsistent {
+                    service: name.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
     /// Reads one row of the columns; `None` when it names something that isn't there.
     fn shard_of_chunk(
         &self,
@@ -165,24 +202,6 @@
         self.servers.slots().get(slot as usize)?.as_ref()?;
         Some(Some(ServerIndex(slot)))
     }
-
-    /// Lists the servers of each service in the bundle's order, removed owners behind.
-    fn restore_positions(&mut self) {
-        for service in self
-            .services
-            .values_mut()
-            .filter(|service| !service.removed)
-        {
-            let listed = service.service.servers.iter();
-            service.servers = listed
-                .filter_map(|server| self.servers.find(&server.name))
-                .collect();
-            for (position, &index) in service.servers.iter().enumerate() {
-                self.servers.get_mut(index).position = position as u32;
-            }
-        }
-        self.retain_owners();
-    }
 }
 
 fn write<T: serde::Serialize>(bytes: &mut Vec<u8>, frame: &T) {
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Bundles, and a world in which a coordinator talks to real holders over a simulated network.
-#![allow(dead_code)] // Each test file uses a part.
+#![allow(dead_code, unused_imports)] // Each test file uses a part.
 
 mod network;
 mod world;
--- a/crates/ownership/tests/support/world.rs
+++ b/crates/ownership/tests/support/world.rs
@@ -184,7 +184,11 @@
                     let event = self.queue.remove(&key).expect("it was first");
                     self.take_event(event);
                 }
-                _ => self.tell(CoordinatorInput::Tick),
+                _ => {
+                    self.tell(CoordinatorInput::Tick);
+                    let wake = self.coordinator.next_wake();
+                    assert!(wake > self.now, "asks to be woken at once, again and again");
+                }
             }
             self.tick_former();
             self.assert_sole_holders();
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -3192,6 +3192,8 @@
 pub struct ServiceRecord {
     ///Whether the bundle in force no longer lists it.
     pub removed: bool,
+    ///Slots of its servers, in the order of their positions in the routing table.
+    pub servers: ::std::vec::Vec<u32>,
     pub service: Service,
 }
 ///Routing of one service.
