Demonstration on the whole system; fleets run experiments; thin parts go

Cause: the thin control process kept its state in memory and took unsigned bundles. Change: the demonstration and `grebepin-bench fleet` run the replicated control group, the routers and the stand-in back ends of a deployment under deployments/, with signed bundles and the faults of a file under experiments/; the thin control process, back end and demonstration are removed. Ruled out: judging readiness by a follower's status: it knows no servers, so the fleet waits for the leader's.

--- a/crates/bench/src/fleet/error.rs
+++ b/crates/bench/src/fleet/error.rs
@@ -89,12 +89,4 @@
         /// Cause.
         source: ReadError,
     },
-    /// A summary of the callers can't be read.
-    #[error("{path}: {source}")]
-    Summary {
-        /// File.
-        path: PathBuf,
-        /// Cause.
-        source: serde_json::Error,
-    },
 }
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! A deployment as separate processes on loopback, with faults on a schedule.
 
+pub mod callers;
 pub mod cluster;
 pub mod deployment;
 pub mod error;
@@ -10,6 +11,7 @@
 pub mod observer;
 pub mod plans;
 pub mod process;
+pub mod run;
 
 pub use cluster::Fleet;
 pub use deployment::{Deployment, DeploymentError};
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
-use grebepin_bench::{demo, thin_back_end};
+use grebepin_bench::{commands, hollow};
+use grebepin_standin::{back_end, caller, platform};
+use grebepin_telemetry::log::LevelFilter;
 
 #[derive(Parser)]
 #[command(
@@ -18,7 +20,11 @@
 #[derive(Subcommand)]
 enum Command {
     /// Run a small deployment, kill an owner, roll a second bundle, and print the measures.
-    Demo(demo::DemoArguments),
+    Demo(commands::DemoArguments),
+    /// Run a whole deployment with load and faults from a file, and report it.
+    Fleet(commands::FleetArguments),
+    /// Measure control replicas against many hollow nodes that share a process.
+    Hollow(hollow::HollowArguments),
     /// Run one process of a fleet.
     #[command(hide = true)]
     Daemon {
@@ -31,16 +37,34 @@
 enum Role {
     Control { settings: PathBuf },
     Router { settings: PathBuf },
-    BackEnd(thin_back_end::BackEndArguments),
+    BackEnd(Box<back_end::Args>),
+    Callers(Box<caller::Args>),
+    Platform(platform::Args),
+    HollowNodes(hollow::HollowNodesArguments),
 }
 
 fn main() -> anyhow::Result<()> {
     match Arguments::parse().command {
-        Command::Demo(arguments) => demo::run(&arguments),
-        Command::Daemon { role } => match role {
-            Role::Control { settings } => Ok(grebepin_control::thin::run(&settings)?),
-            Role::Router { settings } => Ok(grebepin_router::run(&settings, false)?),
-            Role::BackEnd(arguments) => thin_back_end::run(&arguments),
-        },
+        Command::Demo(arguments) => Ok(commands::demo(&arguments)?),
+        Command::Fleet(arguments) => Ok(commands::fleet(&arguments)?),
+        Command::Hollow(arguments) => {
+            let report = hollow::run(&arguments)?;
+            println!("{}", serde_json::to_string_pretty(&report)?);
+            Ok(())
+        }
+        Command::Daemon { role } => run_daemon(role),
     }
 }
+
+fn run_daemon(role: Role) -> anyhow::Result<()> {
+    grebepin_telemetry::start_logging(LevelFilter::Info);
+    match role {
+        Role::Control { settings } => grebepin_control::run(&settings, false)?,
+        Role::Router { settings } => grebepin_router::run(&settings, false)?,
+        Role::BackEnd(arguments) => back_end::run(&arguments)?,
+        Role::Callers(arguments) => drop(caller::run(&arguments)?),
+        Role::Platform(arguments) => platform::run(&arguments)?,
+        Role::HollowNodes(arguments) => hollow::run_nodes(&arguments)?,
+    }
+    Ok(())
+}
--- a/crates/bench/src/report/latency.rs
+++ b/crates/bench/src/report/latency.rs
@@ -7,6 +7,8 @@
 
 const SIGNIFICANT_DIGITS: u8 = 3;
 const MICROSECONDS_PER_SECOND: u64 = 1_000_000;
+/// Longest latency told apart; a longer one counts as this.
+const LONGEST_US: u64 = 3600 * MICROSECONDS_PER_SECOND;
 
 /// Outcomes and latencies of one class; times in microseconds from the intended start.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
@@ -103,7 +105,8 @@
 }
 
 fn empty_histogram() -> Histogram<u64> {
-    Histogram::new(SIGNIFICANT_DIGITS).expect("three significant digits are allowed")
+    Histogram::new_with_max(LONGEST_US, SIGNIFICANT_DIGITS)
+        .expect("an hour and three significant digits are allowed")
 }
 
 fn with_percentiles(class: ClassLatencies, histogram: &Histogram<u64>) -> ClassLatencies {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,6 @@
 
 mod daemon;
 mod node;
-pub mod thin;
 
 pub use daemon::{
     run, start, Addresses, Listeners, RunError, RunningControl, Stopper, DAMAGED_EXIT_CODE,
