control: only a silent voter is replaced; tables made once; syncs and calls counted

Cause: a second process with another replica's peer address could, once caught up, have had a live voter removed; each router that asked for the whole table had it built anew on the control thread; a table over the frame limit failed without a word; metrics of syncs and back-end calls stood at zero. Change: the voter at a newcomer's address must be silent before it goes; at most 15 members; the whole table is kept for its index; event 115; a disk that times its syncs; small stacks for I/O threads.

--- a/crates/control/src/daemon/back_ends.rs
+++ b/crates/control/src/daemon/back_ends.rs
@@ -10,10 +10,12 @@
 use crossbeam_channel::{Receiver, Sender};
 use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
 use grebepin_schema::SocketAddress;
+use grebepin_telemetry::ControlMetrics;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
 use super::message::{Inbox, Message};
+use super::sockets::STACK_BYTES;
 use crate::node::input::{BackEndAnswer, CallFailure, CallId, NodeInput};
 use crate::node::output::BackEndRequest;
 
@@ -58,16 +60,23 @@
     heartbeats: ureq::Agent,
     others: ureq::Agent,
     inbox: Inbox,
+    metrics: ControlMetrics,
 }
 
 impl BackEnds {
     /// No calls yet. `heartbeat_timeout` and `timeout` bound a heartbeat and any other call.
-    pub(super) fn new(heartbeat_timeout: Duration, timeout: Duration, inbox: Inbox) -> Self {
+    pub(super) fn new(
+        heartbeat_timeout: Duration,
+        timeout: Duration,
+        inbox: Inbox,
+        metrics: ControlMetrics,
+    ) -> Self {
         Self {
             lanes: BTreeMap::new(),
             heartbeats: agent(heartbeat_timeout),
             others: agent(timeout),
             inbox,
+            metrics,
         }
     }
 
@@ -105,15 +114,27 @@
                 LaneKind::Others => self.others.clone(),
             },
             inbox: self.inbox.clone(),
+            metrics: self.metrics.clone(),
         };
         thread::Builder::new()
             .name(format!("back-end-{}", address.as_str()))
+            .stack_size(STACK_BYTES)
             .spawn(move || lane.run(&calls))
             .ok()?;
         Some(sender)
     }
 }
 
+fn kind_of(request: &BackEndRequest) -> &'static str {
+    match request {
+        BackEndRequest::Heartbeat(_) => "heartbeat",
+        BackEndRequest::Grant(_) => "grant",
+        BackEndRequest::Release(_) => "release",
+        BackEndRequest::Holdings(_) => "holdings",
+        BackEndRequest::Drain(_) => "drain",
+    }
+}
+
 fn busy(call: CallId) -> NodeInput {
     NodeInput::BackEnd {
         call,
@@ -138,14 +159,23 @@
     base: String,
     agent: ureq::Agent,
     inbox: Inbox,
+    metrics: ControlMetrics,
 }
 
 impl Lane {
     fn run(&self, calls: &Receiver<Call>) {
         while let Ok(call) = calls.recv_timeout(IDLE_LIMIT) {
+            let answer = self.call(&call.request);
+            let result = match answer {
+                Ok(_) => "answered",
+                Err(_) => "failed",
+            };
+            let labels = [kind_of(&call.request), result];
+            let counters = &self.metrics.back_end_requests;
+            counters.with_label_values(&labels).inc();
             let input = NodeInput::BackEnd {
                 call: call.id,
-                answer: self.call(&call.request),
+                answer,
             };
             if self.inbox.send(Message::Input(input)).is_err() {
                 return;
--- a/crates/control/src/daemon/control_thread.rs
+++ b/crates/control/src/daemon/control_thread.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
-use grebepin_storage::RealDisk;
 
 use super::back_ends::BackEnds;
 use super::events;
@@ -15,6 +14,7 @@
 use super::message::{AnswerSender, Message};
 use super::peer_links::PeerLinks;
 use super::router_links::RouterLinks;
+use super::timed_disk::TimedDisk;
 use crate::node::error::NodeError;
 use crate::node::input::{NodeInput, ReplyId};
 use crate::node::output::NodeOutput;
@@ -28,7 +28,7 @@
 
 /// The control thread's state.
 pub(super) struct ControlThread {
-    pub(super) node: ControlNode<RealDisk>,
+    pub(super) node: ControlNode<TimedDisk>,
     pub(super) inbox: Receiver<Message>,
     pub(super) peers: PeerLinks,
     pub(super) routers: RouterLinks,
--- a/crates/control/src/daemon/mod.rs
+++ b/crates/control/src/daemon/mod.rs
@@ -16,6 +16,7 @@
 mod router_links;
 mod running;
 mod sockets;
+mod timed_disk;
 
 use std::path::Path;
 
--- a/crates/control/src/daemon/router_links.rs
+++ b/crates/control/src/daemon/router_links.rs
@@ -11,13 +11,13 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, Sender, TrySendError};
-use grebepin_schema::framing::{read_frame, write_frame};
+use grebepin_schema::framing::{read_frame, write_frame, FrameError};
 use grebepin_schema::{ControlFrame, RouterFrame};
 use grebepin_telemetry::metrics::Counter;
 use grebepin_telemetry::{event, Event};
 
 use super::message::{Inbox, Message, StopFlag};
-use super::sockets::Acceptor;
+use super::sockets::{Acceptor, STACK_BYTES};
 use crate::node::input::{ConnectionId, NodeInput};
 
 /// Frames that may wait for one router.
@@ -122,6 +122,7 @@
     let writer = stream.try_clone().ok()?;
     thread::Builder::new()
         .name(format!("to-router-{}", connection.0))
+        .stack_size(STACK_BYTES)
         .spawn(move || write_all(writer, &frames, &sent_bytes))
         .ok()?;
     Some(RouterLink {
@@ -134,7 +135,12 @@
     while let Ok(frame) = frames.recv() {
         match write_frame(&mut stream, frame.as_ref()) {
             Ok(bytes) => sent_bytes.inc_by(bytes as u64),
-            Err(_) => break,
+            Err(error) => {
+                if let FrameError::TooLong { bytes } = error {
+                    event!(Event::TableTooLarge, bytes = bytes);
+                }
+                break;
+            }
         }
     }
     let _ = stream.shutdown(Shutdown::Both);
--- a/crates/control/src/daemon/running.rs
+++ b/crates/control/src/daemon/running.rs
@@ -23,6 +23,7 @@
 use super::platform;
 use super::router_links::{self, RouterLinks};
 use super::sockets::Acceptor;
+use super::timed_disk::TimedDisk;
 use crate::node::config::NodeConfig;
 use crate::node::error::NodeError;
 use crate::node::ControlNode;
@@ -104,6 +105,7 @@
         gauges: Arc::clone(&gauges),
     };
     let config = NodeConfig::from_settings(&settings, fresh_replica(), rand::random());
+    let disk = TimedDisk::new(disk, gauges.metrics.sync_seconds.clone());
     let node = ControlNode::open(config, disk, liveness.now());
     let node = node.map_err(|error| RunError::node(data_dir.clone(), error))?;
     let replica = node.replica();
@@ -123,6 +125,7 @@
             timing.server_heartbeat * 2,
             timing.server_lease,
             inbox.clone(),
+            gauges.metrics.clone(),
         ),
         liveness,
         replies: Replies::default(),
--- a/crates/control/src/daemon/sockets.rs
+++ b/crates/control/src/daemon/sockets.rs
@@ -22,6 +22,9 @@
 /// Wait of the stopping thread for its own connection, which wakes the listener.
 const WAKE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Stack of a thread that moves bytes; there may be a few thousand.
+pub(super) const STACK_BYTES: usize = 512 << 10;
+
 /// Longest wait at a stop for connections that still answer, and the steps of that wait.
 const DRAIN_LIMIT: Duration = Duration::from_secs(1);
 const DRAIN_POLL: Duration = Duration::from_millis(5);
@@ -155,6 +158,7 @@
         // A connection without a thread is dropped, and the other side tries again.
         let _ = thread::Builder::new()
             .name(format!("{name}-{number}"))
+            .stack_size(STACK_BYTES)
             .spawn(move || {
                 let _open = open;
                 serve(number, stream);
--- a/crates/control/src/node/members.rs
+++ b/crates/control/src/node/members.rs
@@ -2,7 +2,7 @@
 //! address they took over.
 //!
 //! Invariant: one change at a time, each committed before the next; a voter is removed only while the
-//! voters heard from are a majority without it.
+//! voters heard from are a majority without it, and by itself only when it is silent.
 
 use std::time::Duration;
 
@@ -19,6 +19,9 @@
 use super::waiting::EntryWaiter;
 use super::ControlNode;
 
+/// Most members of one group, voters and learners.
+const MAXIMUM_MEMBERS: usize = 15;
+
 impl<D: Disk> ControlNode<D> {
     pub(super) fn take_in_join(&mut self, now: Duration, request: JoinRequest) {
         let address = request.member.peer_address.clone();
@@ -46,6 +49,10 @@
             return Some(JoinResponse::Refused(text));
         }
         if self.member(request.member.replica).is_none() {
+            if self.consensus.membership().members.len() >= MAXIMUM_MEMBERS {
+                let text = format!("the group has {MAXIMUM_MEMBERS} members already");
+                return Some(JoinResponse::Refused(text));
+            }
             self.admit(now, request.member);
         }
         Some(JoinResponse::Joining)
@@ -99,7 +106,8 @@
                 && self.consensus.learner_is_caught_up(member.replica)
         })?;
         if let Some(replaced) = self.voter_at(&learner.peer_address) {
-            let allowed = self.keeps_quorum_without(now, replaced);
+            let is_lost = !self.alive_members(now).contains(&replaced);
+            let allowed = is_lost && self.keeps_quorum_without(now, replaced);
             return allowed.then(|| self.membership_without(replaced));
         }
         let mut next = membership.clone();
--- a/crates/control/src/node/routers.rs
+++ b/crates/control/src/node/routers.rs
@@ -45,6 +45,8 @@
     reports: BTreeMap<RouterName, Report>,
     interval: Duration,
     next_current: Duration,
+    /// The whole table at its index, made once for all routers that need it.
+    table: Option<(LogIndex, Arc<ControlFrame>)>,
 }
 
 impl Routers {
@@ -54,6 +56,7 @@
             reports: BTreeMap::new(),
             interval,
             next_current: Duration::ZERO,
+            table: None,
         }
     }
 
@@ -154,29 +157,40 @@
         };
         let have = follower.request.have_index;
         let frame = self.frame_after(have);
-        self.send_router(connection, Arc::new(frame));
+        self.send_router(connection, frame);
         if let Some(follower) = self.routers.followers.get_mut(&connection) {
             follower.sent = Some(self.state.table_index());
         }
     }
 
     /// What brings a router from the table at `have` to the present one.
-    fn frame_after(&mut self, have: LogIndex) -> ControlFrame {
+    fn frame_after(&mut self, have: LogIndex) -> Arc<ControlFrame> {
         let index = self.state.table_index();
         if have == index && have > LogIndex(0) {
-            return ControlFrame::Current(self.applied);
+            return Arc::new(ControlFrame::Current(self.applied));
         }
         let delta = (have > LogIndex(0) && have < index).then(|| self.state.delta_since(have));
         match delta.flatten() {
             Some(delta) => {
                 self.metrics.table_deltas += 1;
-                ControlFrame::Delta(delta)
+                Arc::new(ControlFrame::Delta(delta))
             }
             None => {
                 self.metrics.table_snapshots += 1;
-                ControlFrame::Snapshot(self.state.table())
+                self.whole_table(index)
+            }
+        }
+    }
+
+    fn whole_table(&mut self, index: LogIndex) -> Arc<ControlFrame> {
+        if let Some((made_at, frame)) = &self.routers.table {
+            if *made_at == index {
+                return Arc::clone(frame);
             }
         }
+        let frame = Arc::new(ControlFrame::Snapshot(self.state.table()));
+        self.routers.table = Some((index, Arc::clone(&frame)));
+        frame
     }
 
     /// Sends every change to every follower, and at intervals tells them that they are current.
@@ -189,7 +203,7 @@
         for (connection, sent) in self.followers_behind(index) {
             let frame = match frames.get(&sent) {
                 Some(frame) => Arc::clone(frame),
-                None => Arc::new(self.frame_after(sent)),
+                None => self.frame_after(sent),
             };
             frames.insert(sent, Arc::clone(&frame));
             self.send_router(connection, frame);
@@ -235,6 +249,7 @@
         let address = leader
             .filter(|member| member.replica != self.replica)
             .map(|member| member.router_address.clone());
+        self.routers.table = None;
         let followers = std::mem::take(&mut self.routers.followers);
         for connection in followers.into_keys() {
             self.redirect(connection, address.clone());
--- a/crates/control/tests/group.rs
+++ b/crates/control/tests/group.rs
@@ -4,8 +4,11 @@
 
 use std::time::Duration;
 
-use grebepin_control::{AdminAnswer, AdminRequest, ControlTiming, NodeError};
-use grebepin_schema::{ApiErrorKind, MemberRole, RemoveMemberRequest, ReplicaRole, RollAnswer};
+use grebepin_control::{AdminAnswer, AdminRequest, ControlTiming, NodeError, NodeInput};
+use grebepin_schema::{
+    ApiErrorKind, GroupId, JoinRequest, Member, MemberRole, PeerFrame, RemoveMemberRequest,
+    ReplicaId, ReplicaRole, RollAnswer,
+};
 use grebepin_storage::{Crash, StorageError};
 use support::bundles::{bundle, digest_of};
 use support::{kind, Cluster};
@@ -190,6 +193,75 @@
     rolled(cluster.roll(&bundle(1, None, "")));
 }
 
+#[test]
+fn a_disk_lost_again_during_the_repair_and_two_lost_at_once() {
+    // Machines of the group, and the disks that are lost one after the other, a second apart.
+    let cases: [(usize, &[usize]); 3] = [(3, &[1, 1]), (5, &[1, 2]), (5, &[1, 2, 1])];
+    for (machines, lost) in cases {
+        let mut cluster = Cluster::founded(machines);
+        rolled(cluster.roll(&bundle(1, None, "")));
+        let leader = cluster.expect_leader();
+        for offset in lost {
+            let machine = (leader + offset) % machines;
+            cluster.lose_disk(machine);
+            cluster.start(machine).expect("an empty folder opens");
+            cluster.run(Duration::from_millis(40));
+        }
+        let present: Vec<_> = (0..machines)
+            .map(|machine| cluster.node(machine).replica())
+            .collect();
+        cluster.run_until("the group is whole again", |cluster| {
+            cluster.leader().is_some_and(|leader| {
+                let members = &cluster.node(leader).consensus().membership().members;
+                let voters = members.iter().filter(|m| m.role == MemberRole::Voter);
+                members.len() == machines
+                    && voters.clone().count() == machines
+                    && voters.into_iter().all(|m| present.contains(&m.replica))
+            })
+        });
+        assert!(rolled(cluster.roll(&bundle(1, None, ""))).repeated);
+    }
+}
+
+#[test]
+fn a_live_voter_is_not_replaced_by_a_second_process_at_its_address() {
+    let mut cluster = Cluster::founded(3);
+    let leader = cluster.expect_leader();
+    let voter = cluster.member((leader + 1) % 3);
+    let impostor = Member {
+        replica: ReplicaId(999),
+        role: MemberRole::Learner,
+        ..voter.clone()
+    };
+    let request = JoinRequest {
+        group: GroupId(0),
+        member: impostor,
+    };
+    cluster.input(leader, NodeInput::Peer(PeerFrame::JoinRequest(request)));
+    cluster.run(Duration::from_secs(2));
+    let members = &cluster.node(leader).consensus().membership().members;
+    let kept = members
+        .iter()
+        .find(|member| member.replica == voter.replica);
+    assert_eq!(kept.map(|member| member.role), Some(MemberRole::Voter));
+}
+
+#[test]
+fn a_leader_may_be_removed() {
+    let mut cluster = Cluster::founded(3);
+    let leader = cluster.expect_leader();
+    let replica = cluster.node(leader).replica();
+    let answer = cluster.ask(
+        leader,
+        AdminRequest::RemoveMember(RemoveMemberRequest { replica }),
+    );
+    assert!(matches!(answer, Ok(AdminAnswer::Removed(_))), "{answer:?}");
+    cluster.run(Duration::from_secs(2));
+    let new = cluster.expect_leader();
+    assert_ne!(new, leader);
+    rolled(cluster.roll(&bundle(1, None, "")));
+}
+
 #[test]
 fn a_damaged_folder_is_refused_with_its_file() {
     let mut cluster = Cluster::founded(3);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -52,6 +52,7 @@
     PeerUnreachable = 112, Warn, "another replica can't be reached";
     RouterTooSlow = 113, Warn, "a router took frames too slowly and was cut off";
     PlatformUnreachable = 114, Warn, "the platform's list of machines can't be read";
+    TableTooLarge = 115, Error, "the table is too large for one frame";
     // Routers.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
