--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -213,7 +213,8 @@
 
 #[derive(Debug, Args)]
 pub(crate) struct Check {
-    /// Settings (.toml), bundles (.json), histories (.jsonl), or folders of them
+    /// Settings (.toml), bundles (.json), histories (.jsonl), or folders of them; a folder is one
+    /// deployment, and its histories are one run
     #[arg(required = true)]
     pub(crate) paths: Vec<PathBuf>,
     /// Error of a history's times between two processes, in µs
--- a/crates/cli/src/check/history.rs
+++ b/crates/cli/src/check/history.rs
@@ -1,4 +1,7 @@
 //! Recorded histories against the promises.
+//!
+//! Invariant: the files of one run are one history, since a promise may be broken by two processes that
+//! each wrote a file of their own.
 
 use std::fmt;
 use std::fs::File;
@@ -6,52 +9,99 @@
 use std::path::{Path, PathBuf};
 
 use grebepin_check::{
-    check as check_promises, measure, read_history, CheckLimits, Measures, Report,
+    check as check_promises, measure, read_history, CheckLimits, Counts, Measures, Violation,
 };
+use grebepin_schema::HistoryRecord;
 use serde::Serialize;
 
 use crate::error::CliError;
 use crate::files::file_error;
 
-/// What a history shows.
+/// What a run's history shows.
 #[derive(Serialize)]
 pub(crate) struct HistoryReport {
-    file: PathBuf,
-    #[serde(flatten)]
-    report: Report,
+    files: Vec<PathBuf>,
+    counts: Counts,
     measures: Measures,
+    violations: Vec<BrokenPromise>,
+}
+
+/// A broken promise with the records that show it.
+#[derive(Serialize)]
+struct BrokenPromise {
+    promise: &'static str,
+    at_us: u64,
+    explanation: String,
+    records: Vec<RecordPlace>,
+}
+
+/// Where a record stands.
+#[derive(Clone, Serialize)]
+struct RecordPlace {
+    file: PathBuf,
+    /// Number of the record within its file, from 1; empty lines don't count.
+    number: usize,
+}
+
+/// Checks every promise over the files of one run.
+pub(crate) fn check(paths: &[PathBuf], limits: &CheckLimits) -> Result<HistoryReport, CliError> {
+    let mut records = Vec::new();
+    let mut places = Vec::new();
+    for path in paths {
+        for (position, record) in read(path)?.into_iter().enumerate() {
+            places.push(RecordPlace {
+                file: path.clone(),
+                number: position + 1,
+            });
+            records.push(record);
+        }
+    }
+    let report = check_promises(&records, limits);
+    let violations = report.violations.into_iter();
+    Ok(HistoryReport {
+        files: paths.to_vec(),
+        counts: report.counts,
+        measures: measure(&records),
+        violations: violations.map(|one| located(one, &places)).collect(),
+    })
 }
 
-/// Checks every promise over one history.
-pub(crate) fn check(path: &Path, limits: &CheckLimits) -> Result<HistoryReport, CliError> {
+fn read(path: &Path) -> Result<Vec<HistoryRecord>, CliError> {
     let file = File::open(path).map_err(|source| file_error(path, source))?;
-    let records: Vec<_> = read_history(BufReader::new(file))
+    read_history(BufReader::new(file))
         .collect::<Result<_, _>>()
         .map_err(|source| CliError::History {
             path: path.to_owned(),
             source,
-        })?;
-    Ok(HistoryReport {
-        file: path.to_owned(),
-        report: check_promises(&records, limits),
-        measures: measure(&records),
-    })
+        })
+}
+
+fn located(violation: Violation, places: &[RecordPlace]) -> BrokenPromise {
+    let events = violation.events.iter();
+    BrokenPromise {
+        promise: violation.promise.name(),
+        at_us: violation.at_us,
+        explanation: violation.explanation,
+        records: events
+            .filter_map(|event| places.get(*event).cloned())
+            .collect(),
+    }
 }
 
 impl HistoryReport {
     pub(crate) fn violations(&self) -> usize {
-        self.report.violations.len()
+        self.violations.len()
     }
 }
 
 impl fmt::Display for HistoryReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let counts = &self.report.counts;
+        let counts = &self.counts;
         writeln!(
             formatter,
-            "{}: {} records; {} attempts: {} answered, {} not run, {} unknown, {} without answer; \
-             {} effects, {} faults",
-            self.file.display(),
+            "history of {} file(s): {} records; {} attempts: {} answered, {} not run, {} unknown, \
+             {} without answer; {} effects, {} faults",
+            self.files.len(),
             counts.records,
             counts.sent,
             counts.answered,
@@ -70,16 +120,28 @@
                 measures.longest_unanswered_us / 1000
             )?;
         }
-        for violation in &self.report.violations {
-            writeln!(
+        for violation in &self.violations {
+            write!(formatter, "{violation}")?;
+        }
+        match (self.violations.is_empty(), counts.sent + counts.effects) {
+            (false, _) => Ok(()),
+            (true, 0) => writeln!(
                 formatter,
-                "  BROKEN {} at {} us: {} (records {:?})",
-                violation.promise, violation.at_us, violation.explanation, violation.events
-            )?;
+                "  nothing was sent or run, so this shows nothing"
+            ),
+            (true, _) => writeln!(formatter, "  every promise kept"),
         }
-        match self.report.is_clean() {
-            true => writeln!(formatter, "  every promise kept"),
-            false => Ok(()),
+    }
+}
+
+impl fmt::Display for BrokenPromise {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (promise, at_us, explanation) = (self.promise, self.at_us, &self.explanation);
+        writeln!(formatter, "  BROKEN {promise} at {at_us} us: {explanation}")?;
+        for record in &self.records {
+            let file = record.file.display();
+            writeln!(formatter, "    {file} record {}", record.number)?;
         }
+        Ok(())
     }
 }
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -27,8 +27,9 @@
     for deployment in &inputs {
         report.files += deployment.count();
         report.findings.extend(deployment::check(deployment)?);
-        for path in &deployment.histories {
-            report.histories.push(history::check(path, &limits)?);
+        if !deployment.histories.is_empty() {
+            let history = history::check(&deployment.histories, &limits)?;
+            report.histories.push(history);
         }
     }
     format.print(&report)?;
--- a/crates/cli/src/commands/replay/state.rs
+++ b/crates/cli/src/commands/replay/state.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use grebepin_ownership::OwnershipState;
-use grebepin_schema::ServiceTable;
+use grebepin_schema::{Bundle, ServiceTable};
 use serde::Serialize;
 
 use crate::text::TextTable;
@@ -16,6 +16,8 @@
     bundle_version: u64,
     bundle_digest: Option<String>,
     unowned_shards: u64,
+    /// The bundle in force, whole.
+    bundle: Option<Bundle>,
     servers: Vec<ServerReport>,
 }
 
@@ -36,6 +38,7 @@
             bundle_version: table.bundle_version,
             bundle_digest: table.bundle_digest.map(|digest| digest.to_string()),
             unowned_shards: state.unowned_shards(),
+            bundle: state.bundle().map(|signed| signed.bundle.clone()),
             servers: table.services.iter().flat_map(servers).collect(),
         }
     }
--- a/crates/cli/tests/files.rs
+++ b/crates/cli/tests/files.rs
@@ -206,6 +206,18 @@
     std::fs::write(&file, twice).expect("writes");
     grebepin(&["check", text(&file)]).expect(1, &["BROKEN at-most-once", "broken promise(s)"]);
     assert!(!good.output.contains("at-most-once"), "{good:#?}");
+    let run = folder.path().join("run");
+    std::fs::create_dir(&run).expect("a folder");
+    for (server, at_us) in [("av-01", 10), ("av-02", 20)] {
+        let file = run.join(format!("{server}.jsonl"));
+        std::fs::write(file, effect(server, at_us)).expect("writes");
+    }
+    let apart = [
+        "av-02.jsonl record 1",
+        "av-01.jsonl record 1",
+        "history of 2 file(s)",
+    ];
+    grebepin(&["check", text(&run)]).expect(1, &apart);
     std::fs::write(&file, "not a record\n").expect("writes");
     grebepin(&["check", text(&file)]).expect(6, &["line 1"]);
 }
--- a/crates/cli/tests/group.rs
+++ b/crates/cli/tests/group.rs
@@ -193,6 +193,9 @@
         let short = grebepin(&["replay", &data, "--to", "2", "--json"]);
         let report: Value = serde_json::from_str(&short.output).expect("JSON");
         assert_eq!(report["state"]["bundle_version"], 0);
+        let whole = grebepin(&["replay", &data, "--json"]);
+        let report: Value = serde_json::from_str(&whole.output).expect("JSON");
+        assert_eq!(report["state"]["bundle"]["deployment"], "recife");
         grebepin(&["replay", &data, "--to", "999999"]).expect(2, &["this folder holds"]);
         grebepin(&["plan", next, "--data", &data]).expect(0, &["from version 1"]);
         assert_eq!(
