Shards without an owner avoid servers that their load fills

Cause: a server that gave shards away since some are hot has few, so it is the first to be given the shards of a lost server, and then gives them away again: two moves for each. Change: LeastLoaded::with_loads counts a server's load as shards where that is more; the coordinator passes busy times as the routers counted them, and none while they are too small to say something. Conclusion: a table of cases for the function; tests of ownership as before, all green. No run with a whole fleet was made for this.

--- a/crates/ownership/src/coordinator/load.rs
+++ b/crates/ownership/src/coordinator/load.rs
@@ -162,6 +162,18 @@
         loads
     }
 
+    /// Busy time of each server of a service; empty while that is too little to say something.
+    pub fn of_servers(&self, view: &ServiceView) -> Vec<f64> {
+        let servers = view.servers.iter();
+        let busy: Vec<u64> = servers
+            .map(|server| self.server_busy_us(server.index))
+            .collect();
+        if busy.iter().all(|&busy| busy < LEAST_BUSY_US) {
+            return Vec::new();
+        }
+        busy.into_iter().map(|busy| busy as f64).collect()
+    }
+
     fn server_busy_us(&self, server: ServerIndex) -> u64 {
         self.last.busy_us(server).min(self.before.busy_us(server))
     }
--- a/crates/ownership/src/coordinator/supervise.rs
+++ b/crates/ownership/src/coordinator/supervise.rs
@@ -69,7 +69,7 @@
 
     fn look_over(&mut self, step: &mut Step<'_>, name: &ServiceName, service: &ServiceState) {
         let view = self.view(step.now, step.state, name, service);
-        let mut receivers = view.receivers();
+        let mut receivers = view.receivers(&self.load);
         let mut batch = Vec::new();
         self.take_lost(step, name, service, &view, &mut receivers, &mut batch);
         self.place_unowned(step, name, service, &view, &mut receivers, &mut batch);
--- a/crates/ownership/src/coordinator/view.rs
+++ b/crates/ownership/src/coordinator/view.rs
@@ -7,6 +7,7 @@
 use grebepin_schema::{MachineState, ServerStanding, ServiceName, ShardId};
 
 use super::link::ServerLink;
+use super::load::Load;
 use super::Coordinator;
 use crate::state::{OwnershipState, ServerEntry, ServerIndex, ServiceState};
 
@@ -39,10 +40,10 @@
 
 impl ServiceView {
     /// Receivers of shards, the least loaded first.
-    pub fn receivers(&self) -> LeastLoaded {
+    pub fn receivers(&self, load: &Load) -> LeastLoaded {
         let weights = self.servers.iter().map(|server| server.weight).collect();
         let counts = self.servers.iter().map(|server| server.count).collect();
-        LeastLoaded::new(weights, counts)
+        LeastLoaded::with_loads(weights, counts, &load.of_servers(self))
     }
 
     pub fn is_eligible(&self, index: ServerIndex) -> bool {
--- a/crates/placement/src/heap.rs
+++ b/crates/placement/src/heap.rs
@@ -56,6 +56,26 @@
         }
     }
 
+    /// Like [`Self::new`], but a server whose load is a larger part of all load than its count is of all
+    /// shards counts as if it had that many; so a server that gave shards away since some are hot isn't
+    /// given others in their place. Without any load the same as [`Self::new`].
+    pub fn with_loads(weights: Vec<f64>, mut counts: Vec<usize>, loads: &[f64]) -> Self {
+        let load = |server: usize| match loads.get(server) {
+            Some(&load) if load.is_finite() && weights[server] > 0.0 => load.max(0.0),
+            _ => 0.0,
+        };
+        let receiving = || (0..counts.len()).filter(|&server| weights[server] > 0.0);
+        let total: f64 = receiving().map(load).sum();
+        let shards: usize = receiving().map(|server| counts[server]).sum();
+        if total > 0.0 {
+            for (server, count) in counts.iter_mut().enumerate() {
+                let by_load = (load(server) / total * shards as f64) as usize;
+                *count = by_load.max(*count);
+            }
+        }
+        Self::new(weights, counts)
+    }
+
     /// Gives one shard to the least loaded server; `None` when there is no server.
     pub fn take(&mut self) -> Option<usize> {
         let mut top = self.heap.peek_mut()?;
--- a/crates/placement/tests/orphans.rs
+++ b/crates/placement/tests/orphans.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{any_fleet, can_own, candidates, counts, fixed_cases, round_robin};
-use grebepin_placement::{assign_orphans, owners_after_loss, Candidate};
+use grebepin_placement::{assign_orphans, owners_after_loss, Candidate, LeastLoaded};
 use proptest::prelude::*;
 
 /// The rule in its plainest form: each orphan to the least count for its weight, first server on ties.
@@ -63,3 +63,22 @@
         vec![]
     );
 }
+
+#[test]
+fn load_counts_as_shards() {
+    let cases: [(&[f64], [usize; 3]); 4] = [
+        (&[], [37, 7, 6]),
+        (&[0.0, 0.0, 0.0], [37, 7, 6]),
+        // The first has few shards, and a load that would be 105 ordinary ones.
+        (&[50.0, 25.0, 25.0], [0, 25, 25]),
+        (&[f64::NAN, -1.0, f64::INFINITY], [37, 7, 6]),
+    ];
+    for (loads, expected) in cases {
+        let mut servers = LeastLoaded::with_loads(vec![1.0; 3], vec![50, 80, 80], loads);
+        let mut taken = [0; 3];
+        for _ in 0..50 {
+            taken[servers.take().expect("a server")] += 1;
+        }
+        assert_eq!(taken, expected, "{loads:?}");
+    }
+}
