--- a/crates/placement/tests/rebalance.rs
+++ b/crates/placement/tests/rebalance.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeSet;
 
 use common::{any_fleet, can_own, candidates, counts, fixed_cases, round_robin};
-use grebepin_placement::{rebalance, rebalance_sides, Candidate, Move, RebalancePolicy};
+use grebepin_placement::{
+    rebalance, rebalance_sides, Candidate, LeastLoaded, Move, RebalancePolicy,
+};
 use proptest::prelude::*;
 
 const NO_BOUND: RebalancePolicy = RebalancePolicy {
@@ -277,3 +279,33 @@
         prop_assert!(false, "still moving");
     }
 }
+
+/// Moves for load after server 1 of 6 is lost, while server 0 was relieved of its hot shard's neighbours.
+fn moves_after_loss(with_loads: bool) -> usize {
+    let mut loads = vec![1.0; 600];
+    loads[0] = 60.0;
+    let mut fleet = candidates(&[1.0; 6]);
+    let sides = [0; 6];
+    let owners = round_robin(6, 600);
+    let planned = rebalance_sides(&fleet, &sides, &owners, &loads, &NO_BOUND);
+    let mut owners = apply(&owners, &planned);
+    let before = server_loads(6, &owners, &loads);
+    fleet[1].eligible = false;
+    let weights = vec![1.0, 0.0, 1.0, 1.0, 1.0, 1.0];
+    let held = counts(6, &owners);
+    let mut receivers = if with_loads {
+        LeastLoaded::with_loads(weights, held, &before)
+    } else {
+        LeastLoaded::new(weights, held)
+    };
+    for owner in owners.iter_mut().filter(|owner| **owner == Some(1)) {
+        *owner = receivers.take();
+    }
+    rebalance_sides(&fleet, &sides, &owners, &loads, &NO_BOUND).len()
+}
+
+#[test]
+fn a_loss_beside_a_hot_server_calls_for_no_second_moves() {
+    assert_eq!(moves_after_loss(true), 0);
+    assert!(moves_after_loss(false) > 20);
+}
