standin: a start of a back end ends its earlier leaving in the history

Cause: a run of the fleet by hand (3 control replicas, 2 routers, 4 back ends, freeze of 3 s, planned stop, restart, kill) was reported as 263 broken promises; all came from the history: the restarted server still stood as leaving, and the script had not noted the kill.

--- a/crates/standin/src/back_end/mod.rs
+++ b/crates/standin/src/back_end/mod.rs
@@ -18,6 +18,7 @@
 
 use grebepin_holder::Guards;
 use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
+use grebepin_schema::HistoryEvent;
 use grebepin_telemetry::{event, Event};
 
 pub use arguments::{Args, Lie, ServiceDistribution};
@@ -78,6 +79,8 @@
         let (sender, fetches) = crossbeam_channel::unbounded();
         let node = Node::new(arguments, guards, sender).map_err(BackEndError::History)?;
         let node = Arc::new(node);
+        // A start ends an earlier leaving.
+        node.record(HistoryEvent::Staying(arguments.name.clone()));
         handover::start_workers(&node, &fetches).map_err(BackEndError::Start)?;
         stop::start_ticker(&node).map_err(BackEndError::Start)?;
         let options = ServerOptions {
--- a/crates/standin/tests/stand_ins.rs
+++ b/crates/standin/tests/stand_ins.rs
@@ -196,7 +196,8 @@
             .count();
         assert_eq!(effects, number + 1);
     }
-    assert!(matches!(history(&path)[0], HistoryEvent::Acquired(_)));
+    assert!(matches!(history(&path)[0], HistoryEvent::Staying(_)));
+    assert!(matches!(history(&path)[1], HistoryEvent::Acquired(_)));
 }
 
 #[test]
