--- a/crates/ownership/src/coordinator/balance.rs
+++ b/crates/ownership/src/coordinator/balance.rs
@@ -21,6 +21,9 @@
 /// Least time between two plans of a service, in heartbeats.
 const HEARTBEATS_BETWEEN_PLANS: u32 = 1;
 
+/// Time until the next plan of a service for which a plan found nothing to move, in heartbeats.
+const HEARTBEATS_AFTER_EMPTY_PLAN: u32 = 10;
+
 /// Distance of a server's count from its share, in shards, that calls for no plan.
 const COUNT_SLACK: f64 = 1.0;
 
@@ -78,7 +81,11 @@
         }
         if let Some(balance) = self.balances.get_mut(name) {
             balance.budget.spend(step.now, started);
-            balance.next_plan = step.now + self.config.heartbeat * HEARTBEATS_BETWEEN_PLANS;
+            let heartbeats = match started {
+                0 => HEARTBEATS_AFTER_EMPTY_PLAN,
+                _ => HEARTBEATS_BETWEEN_PLANS,
+            };
+            balance.next_plan = step.now + self.config.heartbeat * heartbeats;
             if started > 0 {
                 balance.load_stale_until = step.now + LOAD_STALE_FOR;
             }
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use grebepin_schema::{Bundle, ServerName, ServiceName, SideName, Table};
+use grebepin_placement::{assign_orphans, rebalance_sides, targets, Candidate, RebalancePolicy};
+use grebepin_schema::{
+    Bundle, Server, ServerName, ServerStanding, Service, ServiceName, ServiceTable, SideName, Table,
+};
 
 use crate::state::OwnershipState;
 
@@ -89,7 +92,289 @@
     plan_table(&state.table().table, bundle)
 }
 
-/// What rolling `bundle` would move, given the routing table in force.
-pub fn plan_table(_table: &Table, _bundle: &Bundle) -> Plan {
-    Plan::default()
+/// What rolling `bundle` would move, given the routing table in force, if every server is up.
+pub fn plan_table(table: &Table, bundle: &Bundle) -> Plan {
+    let listed = bundle.services.iter();
+    let mut services: Vec<ServicePlan> = listed
+        .map(|service| {
+            let known = table.services.iter();
+            let mut same = known.filter(|known| known.service.name == service.name);
+            plan_service(same.next(), service)
+        })
+        .collect();
+    let is_listed = |known: &&ServiceTable| {
+        let mut listed = bundle.services.iter();
+        listed.any(|service| service.name == known.service.name)
+    };
+    let removed = table.services.iter().filter(|known| !is_listed(known));
+    services.extend(removed.map(removed_service));
+    Plan { services }
+}
+
+fn plan_service(known: Option<&ServiceTable>, next: &Service) -> ServicePlan {
+    let before = owners_before(known, next);
+    let eligible = may_receive(known, next);
+    let weights = targets(&next.sides, &next.servers, &eligible);
+    let after = owners_after(next, &before, &weights);
+    let pairs = before.iter().zip(&after);
+    let moves = pairs
+        .filter(|(before, after)| **before != Owner::Nobody && before.server() != **after)
+        .count() as u32;
+    let mut plan = ServicePlan {
+        service: next.name.clone(),
+        moves,
+        at_least: time_of(moves, next.churn.moves_per_minute),
+        imbalance_before: known.map_or(1.0, imbalance_of_table),
+        imbalance_after: imbalance(&counts(&after, next.servers.len()), &weights),
+        servers: server_plans(known, next, &after),
+        risks: Vec::new(),
+    };
+    plan.risks = risks(known, next, &plan, &weights);
+    plan
+}
+
+/// Who owns a shard now, as seen from the next bundle.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Owner {
+    Nobody,
+    /// A server that the next bundle doesn't list, or that may receive nothing.
+    Leaving,
+    /// Position in the next bundle's servers.
+    Listed(usize),
+}
+
+impl Owner {
+    fn server(self) -> Option<usize> {
+        match self {
+            Self::Listed(server) => Some(server),
+            Self::Nobody | Self::Leaving => None,
+        }
+    }
+}
+
+fn owners_before(known: Option<&ServiceTable>, next: &Service) -> Vec<Owner> {
+    let nobody = vec![Owner::Nobody; next.shards.get() as usize];
+    let Some(known) = known else {
+        return nobody;
+    };
+    let position_in_next = |server: &Server| {
+        let mut servers = next.servers.iter();
+        servers.position(|next| next.name == server.name)
+    };
+    let known_servers = known.service.servers.iter().zip(&known.standings);
+    let owners_of: Vec<Owner> = known_servers
+        .map(|(server, standing)| match position_in_next(server) {
+            Some(position) if *standing == ServerStanding::Active => Owner::Listed(position),
+            _ => Owner::Leaving,
+        })
+        .collect();
+    let mut owners = nobody;
+    for (owner, shard) in owners.iter_mut().zip(&known.owners) {
+        let server = shard
+            .server
+            .and_then(|server| owners_of.get(server as usize));
+        *owner = server.copied().unwrap_or(Owner::Nobody);
+    }
+    owners
+}
+
+/// A server that drains keeps its standing over a roll.
+fn may_receive(known: Option<&ServiceTable>, next: &Service) -> Vec<bool> {
+    let standing = |name: &ServerName| {
+        let known = known?;
+        let mut servers = known.service.servers.iter().zip(&known.standings);
+        let (_, standing) = servers.find(|(server, _)| server.name == *name)?;
+        Some(*standing)
+    };
+    let servers = next.servers.iter();
+    servers
+        .map(|server| standing(&server.name) != Some(ServerStanding::Draining))
+        .collect()
+}
+
+fn owners_after(next: &Service, before: &[Owner], weights: &[f64]) -> Vec<Option<usize>> {
+    let candidates: Vec<Candidate> = weights
+        .iter()
+        .map(|&weight| Candidate {
+            weight,
+            eligible: true,
+        })
+        .collect();
+    let mut owners: Vec<Option<usize>> = before.iter().map(|owner| owner.server()).collect();
+    for (shard, server) in assign_orphans(&candidates, &owners) {
+        owners[shard] = Some(server);
+    }
+    let names: Vec<&SideName> = next.servers.iter().map(|server| &server.side).collect();
+    let side = |name: &&SideName| names.iter().position(|other| other == name).unwrap_or(0);
+    let sides: Vec<usize> = names.iter().map(side).collect();
+    let policy = RebalancePolicy {
+        budget: owners.len(),
+        imbalance_percent: next.churn.imbalance_percent,
+    };
+    for planned in rebalance_sides(&candidates, &sides, &owners, &[], &policy) {
+        owners[planned.shard] = Some(planned.to);
+    }
+    owners
+}
+
+fn removed_service(known: &ServiceTable) -> ServicePlan {
+    let owned = known.owners.iter().filter(|owner| owner.server.is_some());
+    ServicePlan {
+        service: known.service.name.clone(),
+        moves: owned.count() as u32,
+        at_least: Some(Duration::ZERO),
+        imbalance_before: imbalance_of_table(known),
+        imbalance_after: 1.0,
+        servers: server_plans(Some(known), &known.service, &[]),
+        risks: vec![PlanRisk::RemovesService {
+            service: known.service.name.clone(),
+        }],
+    }
+}
+
+fn counts(owners: &[Option<usize>], servers: usize) -> Vec<u32> {
+    let mut counts = vec![0; servers];
+    for server in owners.iter().flatten() {
+        counts[*server] += 1;
+    }
+    counts
+}
+
+fn counts_of_table(known: &ServiceTable) -> Vec<u32> {
+    let owners = known.owners.iter();
+    let owners: Vec<Option<usize>> = owners
+        .map(|owner| owner.server.map(|server| server as usize))
+        .filter(|server| server.is_none_or(|server| server < known.service.servers.len()))
+        .collect();
+    counts(&owners, known.service.servers.len())
+}
+
+fn imbalance_of_table(known: &ServiceTable) -> f64 {
+    let active = known.standings.iter();
+    let mut eligible: Vec<bool> = active
+        .map(|standing| *standing == ServerStanding::Active)
+        .collect();
+    eligible.resize(known.service.servers.len(), false);
+    let weights = targets(&known.service.sides, &known.service.servers, &eligible);
+    imbalance(&counts_of_table(known), &weights)
+}
+
+/// Highest count over its share; 1 when nothing is owned.
+fn imbalance(counts: &[u32], weights: &[f64]) -> f64 {
+    let weighed = || {
+        counts
+            .iter()
+            .zip(weights)
+            .filter(|(_, weight)| **weight > 0.0)
+    };
+    let shards: u32 = weighed().map(|(count, _)| *count).sum();
+    let weights: f64 = weighed().map(|(_, weight)| *weight).sum();
+    if shards == 0 {
+        return 1.0;
+    }
+    let share = |weight: f64| f64::from(shards) * weight / weights;
+    weighed()
+        .map(|(count, weight)| f64::from(*count) / share(*weight))
+        .fold(0.0, f64::max)
+}
+
+fn time_of(moves: u32, moves_per_minute: u32) -> Option<Duration> {
+    match (moves, moves_per_minute) {
+        (0, _) => Some(Duration::ZERO),
+        (_, 0) => None,
+        (moves, limit) => Some(Duration::from_secs(60) * moves / limit),
+    }
+}
+
+/// The next bundle's servers, then those that it removes.
+fn server_plans(
+    known: Option<&ServiceTable>,
+    next: &Service,
+    after: &[Option<usize>],
+) -> Vec<ServerPlan> {
+    let after = counts(after, next.servers.len());
+    let listed = next
+        .servers
+        .iter()
+        .zip(after)
+        .map(|(server, after)| ServerPlan {
+            server: server.name.clone(),
+            side: server.side.clone(),
+            before: owned_before(known, &server.name),
+            after,
+        });
+    let removed = removed_servers(known, next).map(|server| ServerPlan {
+        server: server.name.clone(),
+        side: server.side.clone(),
+        before: owned_before(known, &server.name),
+        after: 0,
+    });
+    listed.chain(removed).collect()
+}
+
+fn removed_servers<'a>(
+    known: Option<&'a ServiceTable>,
+    next: &'a Service,
+) -> impl Iterator<Item = &'a Server> {
+    let known = known.into_iter().flat_map(|known| &known.service.servers);
+    known.filter(|server| next.servers.iter().all(|next| next.name != server.name))
+}
+
+fn owned_before(known: Option<&ServiceTable>, name: &ServerName) -> u32 {
+    let Some(known) = known else {
+        return 0;
+    };
+    let mut servers = known.service.servers.iter().zip(counts_of_table(known));
+    let found = servers.find(|(server, _)| server.name == *name);
+    found.map_or(0, |(_, count)| count)
+}
+
+fn risks(
+    known: Option<&ServiceTable>,
+    next: &Service,
+    plan: &ServicePlan,
+    weights: &[f64],
+) -> Vec<PlanRisk> {
+    let mut risks = Vec::new();
+    for server in removed_servers(known, next) {
+        let shards = owned_before(known, &server.name);
+        if shards > 0 {
+            risks.push(PlanRisk::RemovesOwner {
+                server: server.name.clone(),
+                shards,
+            });
+        }
+    }
+    for server in moved_servers(known, next) {
+        let shards = owned_before(known, &server.name);
+        if shards > 0 {
+            risks.push(PlanRisk::ChangesAddress {
+                server: server.name.clone(),
+                shards,
+            });
+        }
+    }
+    if weights.iter().all(|weight| *weight <= 0.0) {
+        risks.push(PlanRisk::NoReceiver {
+            service: next.name.clone(),
+        });
+    }
+    if plan.at_least.is_none() {
+        risks.push(PlanRisk::MovesForbidden {
+            service: next.name.clone(),
+        });
+    }
+    risks
+}
+
+/// Servers whose address changes.
+fn moved_servers<'a>(
+    known: Option<&'a ServiceTable>,
+    next: &'a Service,
+) -> impl Iterator<Item = &'a Server> {
+    let known = known.into_iter().flat_map(|known| &known.service.servers);
+    known.filter(|server| {
+        let mut servers = next.servers.iter();
+        servers.any(|next| next.name == server.name && next.address != server.address)
+    })
 }
