--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -5,7 +5,9 @@
 
 use std::time::Duration;
 
-use grebepin_schema::{HardState, LogIndex, PeerBody, PeerMessage, ReplicaId, SnapshotMeta, Term};
+use grebepin_schema::{
+    HardState, LogIndex, MemberRole, PeerBody, PeerMessage, ReplicaId, SnapshotMeta, Term,
+};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
@@ -13,7 +15,7 @@
 use crate::election::Votes;
 use crate::leader::Leadership;
 use crate::log::{Log, Snapshot};
-use crate::membership::{is_member, is_voter, MembershipHistory};
+use crate::membership::{is_member, MembershipHistory};
 use crate::ready::{ReadId, Ready, Restored};
 use crate::snapshot::IncomingSnapshot;
 
@@ -192,7 +194,8 @@
     }
 
     /// The commit index alone is not worth a sync: a replica learns it again from the leader. It
-    /// goes along when something else is synced.
+    /// goes along when something else is synced, and covers only entries synced before: a crash
+    /// within this sync may leave the hard state without the entries, over older ones.
     fn take_hard_state(&mut self, syncs_anyway: bool) -> Option<HardState> {
         let present = (self.term, self.vote);
         if present == self.saved && !syncs_anyway {
@@ -202,7 +205,7 @@
         Some(HardState {
             term: self.term,
             vote: self.vote,
-            commit: self.log.commit(),
+            commit: self.log.commit().min(self.log.durable()),
         })
     }
 
@@ -256,17 +259,27 @@
 
     /// Members that count towards majorities.
     pub(crate) fn counted_members(&self) -> Vec<ReplicaId> {
-        let membership = self.memberships.current();
-        let learners_count = !self.config.guards.has(Guard::LearnerRule);
-        let counted = membership
-            .members
-            .iter()
-            .filter(|member| learners_count || is_voter(membership, member.replica));
+        let members = &self.memberships.current().members;
+        let counted = members.iter().filter(|member| self.counts(member.role));
         counted.map(|member| member.replica).collect()
     }
 
-    /// Whether this replica counts towards majorities, and so may lead.
+    fn counts(&self, role: MemberRole) -> bool {
+        role == MemberRole::Voter || !self.config.guards.has(Guard::LearnerRule)
+    }
+
+    /// Whether this replica counts towards majorities.
     pub(crate) fn is_counted(&self) -> bool {
         self.counted_members().contains(&self.config.id)
     }
+
+    /// Whether this replica may seek election: also one whose removal is not known to be committed
+    /// may be needed, since its log may be the only one with that entry. It doesn't count its own vote.
+    pub(crate) fn may_lead(&self) -> bool {
+        let mut undecided = self.memberships.undecided(self.log.commit());
+        undecided.any(|membership| {
+            let mut members = membership.members.iter();
+            members.any(|member| member.replica == self.config.id && self.counts(member.role))
+        })
+    }
 }
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -25,7 +25,7 @@
         if self.now < self.election_deadline {
             return;
         }
-        if !self.is_counted() {
+        if !self.may_lead() {
             self.leader = None;
             self.reset_election_deadline();
             return;
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -51,6 +51,15 @@
         self.versions[self.versions.len() - 1].0
     }
 
+    /// The last committed membership and those after it: any of them may turn out to be in force.
+    pub fn undecided(&self, commit: LogIndex) -> impl Iterator<Item = &Membership> {
+        let committed = self.versions.iter().filter(|(at, _)| *at <= commit).count();
+        let first = committed.saturating_sub(1);
+        self.versions[first..]
+            .iter()
+            .map(|(_, membership)| membership)
+    }
+
     /// The membership in force at an index.
     pub fn at(&self, index: LogIndex) -> Option<&Membership> {
         let version = self.versions.iter().rev().find(|(at, _)| *at <= index);
@@ -74,21 +83,10 @@
     }
 }
 
-/// Whether a membership lists a replica as a voter.
-pub(crate) fn is_voter(membership: &Membership, replica: ReplicaId) -> bool {
-    role_of(membership, replica) == Some(MemberRole::Voter)
-}
-
 /// Whether a membership lists a replica.
 pub(crate) fn is_member(membership: &Membership, replica: ReplicaId) -> bool {
-    role_of(membership, replica).is_some()
-}
-
-fn role_of(membership: &Membership, replica: ReplicaId) -> Option<MemberRole> {
     let mut members = membership.members.iter();
-    members
-        .find(|member| member.replica == replica)
-        .map(|member| member.role)
+    members.any(|member| member.replica == replica)
 }
 
 /// Checks a change of membership and tells which learner it promotes, if any.
--- a/crates/consensus/src/ready.rs
+++ b/crates/consensus/src/ready.rs
@@ -54,7 +54,7 @@
 pub struct Ready {
     /// A snapshot received from the leader, which replaces the whole log and the applied state.
     pub snapshot: Option<(SnapshotMeta, Vec<u8>)>,
-    /// New term, vote or commit index.
+    /// New term, vote or commit index. The index covers no entry of this `Ready`.
     pub hard_state: Option<HardState>,
     /// Entries without a gap. Stored entries at or after the first one's index are overwritten.
     pub entries: Vec<Entry>,
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -23,7 +23,7 @@
     pub fn role(&self) -> Role {
         match &self.state {
             State::Leader(_) => Role::Leader,
-            _ if !self.is_counted() => Role::Learner,
+            _ if !self.may_lead() => Role::Learner,
             State::Follower => Role::Follower,
             State::PreCandidate(_) => Role::PreCandidate,
             State::Candidate(_) => Role::Candidate,
--- a/crates/consensus/tests/membership.rs
+++ b/crates/consensus/tests/membership.rs
@@ -101,6 +101,24 @@
     assert_eq!(cluster.violations(), []);
 }
 
+#[test]
+fn a_leader_that_could_not_commit_its_own_removal_is_still_of_use() {
+    let mut cluster = Cluster::new(4, &[1, 2], &[], Guards::all());
+    let leader = cluster.elect();
+    cluster.network.partition(&[1], &[2]);
+    let without = cluster.changed_membership(leader, leader, None);
+    cluster.propose_membership(leader, without).unwrap();
+    cluster.run(LONG);
+    cluster.network.heal();
+    let last = cluster.elect();
+    assert_ne!(
+        last, leader,
+        "its log is longer, and it isn't needed any more"
+    );
+    assert_eq!(cluster.core(last).membership().members.len(), 1);
+    assert_eq!(cluster.violations(), []);
+}
+
 fn change(cluster: &mut Cluster, replica: u64, role: Option<MemberRole>) {
     let leader = cluster.elect();
     let changed = cluster.changed_membership(leader, replica, role);
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use grebepin_consensus::Guards;
+use grebepin_schema::limits::SNAPSHOT_CHUNK_BYTES;
 use support::cluster::Cluster;
+use support::network::Conditions;
 
 const LONG: Duration = Duration::from_secs(30);
 
@@ -49,3 +51,52 @@
         assert_eq!(cluster.violations(), []);
     }
 }
+
+/// Follower 3 lost touch; since then the leader took a snapshot of this many chunks.
+fn behind_a_large_snapshot(chunks: usize) -> (Cluster, u64, usize) {
+    let mut cluster = Cluster::new(4, &[1, 2, 3], &[], Guards::all());
+    cluster.crash(3);
+    let leader = cluster.elect();
+    cluster.snapshot_every = 300;
+    let command = vec![7; chunks * SNAPSHOT_CHUNK_BYTES / 300];
+    for _ in 0..300 {
+        cluster.propose(leader, &command).unwrap();
+        cluster.run(Duration::from_millis(5));
+    }
+    cluster.restart(3);
+    (cluster, leader, 300 * command.len())
+}
+
+#[test]
+fn a_large_snapshot_arrives_over_a_bad_network() {
+    let (mut cluster, leader, _) = behind_a_large_snapshot(6);
+    cluster.network.conditions = Conditions::bad();
+    let commit = cluster.core(leader).commit();
+    assert!(cluster.settle(commit, LONG * 4));
+    assert_eq!(cluster.replica(3).snapshots_received, 1);
+    assert_eq!(cluster.violations(), []);
+}
+
+#[test]
+fn the_transfer_of_a_snapshot_goes_on_where_it_stopped() {
+    for leader_is_lost in [false, true] {
+        let (mut cluster, leader, size) = behind_a_large_snapshot(8);
+        let half_sent = |cluster: &Cluster| cluster.network.snapshot_bytes > size / 2;
+        assert!(cluster.run_until(LONG, half_sent));
+        let commit = cluster.core(leader).commit();
+        if leader_is_lost {
+            cluster.crash(leader);
+        } else {
+            cluster.network.partition(&[3], &[1, 2]);
+            cluster.run(LONG);
+            cluster.network.heal();
+        }
+        assert!(cluster.settle(commit, LONG));
+        assert_eq!(cluster.replica(3).snapshots_received, 1);
+        let again = cluster.network.snapshot_bytes - size;
+        assert!(
+            again <= 2 * SNAPSHOT_CHUNK_BYTES,
+            "{again} bytes sent again"
+        );
+    }
+}
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -155,6 +155,20 @@
     assert_eq!(core.ready().committed.len(), 1);
 }
 
+#[test]
+fn a_saved_commit_index_covers_no_entry_of_the_same_sync() {
+    let mut core = replica(&[2, 2]);
+    let entries = vec![Entry {
+        index: LogIndex(3),
+        term: Term(3),
+        payload: EntryPayload::Noop,
+    }];
+    let ready = step(&mut core, LATER, 2, 3, append((2, 2), entries, 3));
+    assert_eq!(ready.committed.len(), 2);
+    let saved = ready.hard_state.map(|hard_state| hard_state.commit);
+    assert_eq!(saved, Some(LogIndex(2)), "entry 3 replaces one of term 2");
+}
+
 #[test]
 fn a_follower_commits_only_what_matched_the_leader() {
     let mut core = replica(&[2, 2, 2]);
@@ -235,3 +249,48 @@
         assert_eq!(config.leader_lease().as_millis(), lease);
     }
 }
+
+#[test]
+fn a_refusal_skips_a_whole_term_of_entries_that_differ() {
+    // Entries 2 to 101 of term 2, 102 to 201 of term 4; what the leader tries and where to go on.
+    let table = [
+        ((300, 5), 201),
+        ((150, 5), 101),
+        ((101, 5), 1),
+        ((150, 3), 101),
+        ((150, 1), 1),
+    ];
+    let terms = [[2; 100], [4; 100]].concat();
+    for (previous, hint) in table {
+        let mut core = replica(&terms);
+        let ready = step(&mut core, LATER, 2, 5, append(previous, Vec::new(), 0));
+        let refused = PeerBody::AppendResponse(AppendResponse {
+            accepted: false,
+            last_index: LogIndex(hint),
+            round: 1,
+        });
+        assert_eq!(ready.messages[0].body, refused, "{previous:?}");
+    }
+}
+
+#[test]
+fn a_silent_follower_and_a_silent_majority_hold_back_only_so_much() {
+    let mut core = replica(&[]);
+    lead(&mut core);
+    step(&mut core, LATER, 2, 2, accept(2, 1));
+    let (mut proposed, mut batches) = (0, 0);
+    let refused = loop {
+        match core.propose(LATER, vec![0; 1000]) {
+            Ok(_) => proposed += 1,
+            Err(refused) => break refused,
+        }
+        let messages = core.ready().messages;
+        batches += messages
+            .iter()
+            .filter(|message| message.to == ReplicaId(2))
+            .count();
+        core.synced(LATER);
+    };
+    assert_eq!((proposed, batches), (8192, 16));
+    assert_eq!(refused, ProposeError::Overloaded { waiting: 8192 });
+}
--- a/crates/consensus/tests/support/network.rs
+++ b/crates/consensus/tests/support/network.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use grebepin_schema::{PeerMessage, ReplicaId};
+use grebepin_schema::{PeerBody, PeerMessage, ReplicaId};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -47,6 +47,8 @@
     pub cut: BTreeSet<(ReplicaId, ReplicaId)>,
     /// Time added to messages to a replica.
     pub lag: BTreeMap<ReplicaId, Duration>,
+    /// Bytes of snapshots sent so far.
+    pub snapshot_bytes: usize,
     on_the_way: BTreeMap<(Duration, u64), PeerMessage>,
     random: SmallRng,
     sent: u64,
@@ -58,6 +60,7 @@
             conditions,
             cut: BTreeSet::new(),
             lag: BTreeMap::new(),
+            snapshot_bytes: 0,
             on_the_way: BTreeMap::new(),
             random: SmallRng::seed_from_u64(seed),
             sent: 0,
@@ -65,6 +68,9 @@
     }
 
     pub fn send(&mut self, at: Duration, message: PeerMessage) {
+        if let PeerBody::SnapshotRequest(request) = &message.body {
+            self.snapshot_bytes += request.chunk.0.len();
+        }
         if self.random.random_bool(self.conditions.duplication) {
             self.send_once(at, message.clone());
         }
