Flow: charges the retry budget only for the same ownership, and waits as each refusal asks

Cause: 'releasing' comes from an old owner that gives the shard away and from a new one that fetches the record. Waiting for a change only would have kept a request at a new owner until its patience ended, and the budget was charged before it was known whether the shard had moved. Change: refusals are asked again after 20 ms (100 ms when releasing) at the same epoch, which is charged; another owner or epoch gets the request at once, uncharged. Patience is 1.5 s, so that a request with time left outlives a server lease of 1 s. Ran: cargo test -p grebepin-traffic -p grebepin-router: all pass.

--- a/crates/traffic/src/flow.rs
+++ b/crates/traffic/src/flow.rs
@@ -3,6 +3,7 @@
 //! Invariant: each action but the last is answered by one input.
 
 mod machine;
+mod tried;
 
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 
 use crate::admission::AdmissionRefusal;
 
-pub use machine::{RequestFlow, CANCEL_TIME, DRAIN_GRACE, FIRST_PAUSE, PATIENCE};
+pub use machine::{RequestFlow, CANCEL_TIME, DRAIN_GRACE, FIRST_PAUSE, PATIENCE, RELEASE_PAUSE};
 
 /// What a flow must know of its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/traffic/src/flow/machine.rs
+++ b/crates/traffic/src/flow/machine.rs
@@ -8,17 +8,19 @@
 
 use grebepin_schema::{CancelAnswer, LogIndex, Outcome, Refusal, RejectKind, RequestState};
 
+use super::tried::{Again, Failure, Tried};
 use super::{FinalAnswer, Finding, FlowAction, FlowInput, RequestSpec, Target};
 use crate::admission::AdmissionRefusal;
 
 /// Longest time one request waits, in all, for the table to change or an owner to come back.
-pub const PATIENCE: Duration = Duration::from_millis(500);
+pub const PATIENCE: Duration = Duration::from_millis(1500);
 
-/// First pause before an owner that refused or could not be reached is asked again; each further one is longer.
+/// Pause before an owner is asked again at the same epoch: the time in which a new owner gets its grant.
+/// A second pause lasts to the end of the patience.
 pub const FIRST_PAUSE: Duration = Duration::from_millis(20);
 
-/// How many times longer each further pause is.
-const PAUSE_GROWTH: u32 = 3;
+/// The same for an owner that releases the shard or fetches its record: most often it gives it away.
+pub const RELEASE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Longest time for the cancellation of a request.
 pub const CANCEL_TIME: Duration = Duration::from_millis(100);
@@ -34,7 +36,6 @@
 
 const LONGEST_CANCEL_RESERVE: Duration = Duration::from_millis(50);
 const RETRY_AFTER_SHED: Duration = Duration::from_millis(100);
-const RETRY_AFTER_OWNER: Duration = Duration::from_millis(500);
 const RETRY_AFTER_BUDGET: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
@@ -43,38 +44,12 @@
     Admitting(Target),
     Sending(Target),
     Cancelling(Target),
-    AskingRetry {
-        failure: Failure,
-        beyond: Option<LogIndex>,
-    },
+    /// With the owner that is asked again, if it was looked up already.
+    AskingRetry(Option<Target>),
     Waiting(Failure),
     Finished(FinalAnswer),
 }
 
-/// What the caller is told if nothing better comes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Failure {
-    kind: RejectKind,
-    retry_after: Duration,
-}
-
-impl Failure {
-    fn of(kind: RejectKind) -> Self {
-        Self::after(kind, RETRY_AFTER_OWNER)
-    }
-
-    fn after(kind: RejectKind, retry_after: Duration) -> Self {
-        Self { kind, retry_after }
-    }
-}
-
-/// An ownership that is of no more use: its owner is gone or gives the shard away.
-#[derive(Clone, Debug)]
-struct Spent {
-    target: Target,
-    failure: Failure,
-}
-
 /// One request on its way; feed it [`FlowInput`]s, do the [`FlowAction`]s.
 #[derive(Clone, Debug)]
 pub struct RequestFlow {
@@ -82,9 +57,9 @@
     state: State,
     sent: u32,
     doubt: bool,
-    spent: Option<Spent>,
+    tried: Option<Tried>,
     patience_end: Option<Duration>,
-    pause: Duration,
+    paused: bool,
 }
 
 impl RequestFlow {
@@ -95,9 +70,9 @@
             state: State::LookingUp,
             sent: 0,
             doubt: spec.attempt > 1,
-            spent: None,
+            tried: None,
             patience_end: None,
-            pause: FIRST_PAUSE,
+            paused: false,
         };
         let action = flow.look_up(now);
         (flow, action)
@@ -111,15 +86,13 @@
             (State::LookingUp, FlowInput::Found(finding)) => self.found(now, finding),
             (State::Admitting(target), FlowInput::Admitted) => self.send(now, target),
             (State::Admitting(_), FlowInput::NotAdmitted(refusal)) => self.not_admitted(refusal),
-            (State::Admitting(target), FlowInput::NotSent) => {
-                self.await_change(now, target, Failure::of(RejectKind::OwnerLost))
-            }
+            (State::Admitting(target), FlowInput::NotSent) => self.not_sent(now, target),
             (State::Sending(target), input) => self.sent(now, target, input),
             (State::Cancelling(target), FlowInput::Cancelled(answer)) => {
                 self.cancelled(&target, answer)
             }
-            (State::AskingRetry { failure, beyond }, FlowInput::Retry(allowed)) => {
-                self.retry(now, failure, beyond, allowed)
+            (State::AskingRetry(resend), FlowInput::Retry(allowed)) => {
+                self.retry(now, resend, allowed)
             }
             (State::Waiting(_), FlowInput::Woken) => self.look_up(now),
             (State::Waiting(failure), FlowInput::CannotWait) => self.finish(failure),
@@ -151,16 +124,37 @@
                 let until = self.patience_end(now);
                 self.wait(now, table_index, until, Failure::of(RejectKind::NoOwner))
             }
-            Finding::Owner(target) => match self.spent.take() {
-                Some(spent) if spent.is(&target) => self.await_change(now, target, spent.failure),
-                _ => {
-                    self.state = State::Admitting(target.clone());
-                    FlowAction::Admit(target)
-                }
-            },
+            Finding::Owner(target) => self.found_owner(now, target),
         }
     }
 
+    /// Another owner or epoch gets it at once, which costs nothing of the retry budget, since no
+    /// server gets more requests by it. The same one gets it again only where that can help.
+    fn found_owner(&mut self, now: Duration, target: Target) -> FlowAction {
+        let Some(tried) = self.tried.take().filter(|tried| tried.is(&target)) else {
+            self.paused = false;
+            return self.admit(target);
+        };
+        match tried.again_at {
+            Some(at) if now >= at => {
+                self.state = State::AskingRetry(Some(target));
+                FlowAction::TakeRetry
+            }
+            again_at => {
+                let until = again_at.unwrap_or(self.patience_end(now));
+                let beyond = target.table_index;
+                let failure = tried.failure;
+                self.tried = Some(tried);
+                self.wait(now, beyond, until, failure)
+            }
+        }
+    }
+
+    fn admit(&mut self, target: Target) -> FlowAction {
+        self.state = State::Admitting(target.clone());
+        FlowAction::Admit(target)
+    }
+
     fn not_admitted(&mut self, refusal: AdmissionRefusal) -> FlowAction {
         let (kind, retry_after) = match refusal {
             AdmissionRefusal::QueueFull { retry_after } => (RejectKind::QueueFull, retry_after),
@@ -192,25 +186,28 @@
                 reject: None,
                 retry_after: None,
             }),
-            FlowInput::NotSent => {
-                self.await_change(now, target, Failure::of(RejectKind::OwnerLost))
-            }
+            FlowInput::NotSent => self.not_sent(now, target),
             FlowInput::Refused(refusal) => self.refused(now, target, refusal),
             FlowInput::Lost(_) => self.lost(now, target),
             _ => self.protocol_error(),
         }
     }
 
+    /// An owner that cannot be reached is gone: when it comes back, it gets its shards at new epochs.
+    fn not_sent(&mut self, now: Duration, target: Target) -> FlowAction {
+        let failure = Failure::of(RejectKind::OwnerLost);
+        self.not_run(now, target, failure, Again::Never)
+    }
+
     fn refused(&mut self, now: Duration, target: Target, refusal: Refusal) -> FlowAction {
         let failure = Failure::of(RejectKind::OwnerRefused);
-        let beyond = Some(target.table_index);
         match refusal {
-            Refusal::Releasing | Refusal::Draining => self.await_change(now, target, failure),
-            Refusal::WrongEpoch | Refusal::NoLease => self.ask_retry(now, failure, beyond),
-            Refusal::Shed => {
-                let shed = Failure::after(RejectKind::OwnerRefused, RETRY_AFTER_SHED);
-                self.ask_retry(now, shed, beyond)
+            Refusal::Draining => self.not_run(now, target, failure, Again::Never),
+            Refusal::WrongEpoch | Refusal::NoLease => {
+                self.not_run(now, target, failure, Again::After(FIRST_PAUSE))
             }
+            Refusal::Releasing => self.not_run(now, target, failure, Again::After(RELEASE_PAUSE)),
+            Refusal::Shed => self.shed(now, target),
             Refusal::Deadline => self.finish(Failure::after(
                 RejectKind::DeadlineTooNear,
                 RETRY_AFTER_SHED,
@@ -227,10 +224,19 @@
         }
     }
 
+    /// A server that has too much to do is asked once more.
+    fn shed(&mut self, now: Duration, target: Target) -> FlowAction {
+        let failure = Failure::after(RejectKind::OwnerRefused, RETRY_AFTER_SHED);
+        if self.paused {
+            return self.finish(failure);
+        }
+        self.not_run(now, target, failure, Again::After(FIRST_PAUSE))
+    }
+
     fn lost(&mut self, now: Duration, target: Target) -> FlowAction {
         if self.spec.repeatable {
             self.doubt = true;
-            return self.ask_retry(now, Failure::of(RejectKind::OutcomeUnknown), None);
+            return self.send_again(now, Failure::of(RejectKind::OutcomeUnknown));
         }
         if self.time_left(now) < LEAST_TIME_LEFT {
             self.doubt = true;
@@ -255,49 +261,48 @@
         self.finish(Failure::of(RejectKind::OutcomeUnknown))
     }
 
-    /// Sends it again only to another owner or epoch, which costs nothing of the retry budget: no
-    /// server gets more requests by it.
-    fn await_change(&mut self, now: Duration, target: Target, failure: Failure) -> FlowAction {
-        if self.sent >= self.spec.sends {
+    /// This send is proven not to have run: waits for another owner or epoch, or for the time to ask
+    /// the same one again.
+    fn not_run(
+        &mut self,
+        now: Duration,
+        target: Target,
+        failure: Failure,
+        again: Again,
+    ) -> FlowAction {
+        let end = self.patience_end(now);
+        if self.sent >= self.spec.sends || now >= end {
             return self.finish(failure);
         }
-        let until = self.patience_end(now);
+        let again_at = match (again, std::mem::replace(&mut self.paused, true)) {
+            (Again::Never, _) => None,
+            (Again::After(pause), false) => Some((now + pause).min(end)),
+            (Again::After(_), true) => Some(end),
+        };
         let beyond = target.table_index;
-        self.spent = Some(Spent { target, failure });
-        self.wait(now, beyond, until, failure)
+        self.tried = Some(Tried {
+            target,
+            failure,
+            again_at,
+        });
+        self.wait(now, beyond, again_at.unwrap_or(end), failure)
     }
 
-    /// Sends it again, after a pause or a change of the table above `beyond`; at once without one.
-    fn ask_retry(
-        &mut self,
-        now: Duration,
-        failure: Failure,
-        beyond: Option<LogIndex>,
-    ) -> FlowAction {
-        let sent_enough = self.sent >= self.spec.sends;
-        if sent_enough || self.time_left(now) < LEAST_TIME_LEFT || now >= self.patience_end(now) {
+    /// Sends a request that may be repeated again, at once.
+    fn send_again(&mut self, now: Duration, failure: Failure) -> FlowAction {
+        if self.sent >= self.spec.sends || self.time_left(now) < LEAST_TIME_LEFT {
             return self.finish(failure);
         }
-        self.state = State::AskingRetry { failure, beyond };
+        self.state = State::AskingRetry(None);
         FlowAction::TakeRetry
     }
 
-    fn retry(
-        &mut self,
-        now: Duration,
-        failure: Failure,
-        beyond: Option<LogIndex>,
-        allowed: bool,
-    ) -> FlowAction {
-        if !allowed {
-            return self.finish(Failure::after(RejectKind::RetryBudget, RETRY_AFTER_BUDGET));
+    fn retry(&mut self, now: Duration, resend: Option<Target>, allowed: bool) -> FlowAction {
+        match (allowed, resend) {
+            (false, _) => self.finish(Failure::after(RejectKind::RetryBudget, RETRY_AFTER_BUDGET)),
+            (true, Some(target)) => self.admit(target),
+            (true, None) => self.look_up(now),
         }
-        let Some(beyond) = beyond else {
-            return self.look_up(now);
-        };
-        let until = (now + self.pause).min(self.patience_end(now));
-        self.pause *= PAUSE_GROWTH;
-        self.wait(now, beyond, until, failure)
     }
 
     fn wait(
@@ -356,9 +361,3 @@
         FlowAction::Finish(answer)
     }
 }
-
-impl Spent {
-    fn is(&self, target: &Target) -> bool {
-        self.target.server == target.server && self.target.epoch == target.epoch
-    }
-}
