--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -3,6 +3,7 @@
 //! Invariant: a bundle without findings can be placed, routed and served; every finding of a bundle
 //! is reported, not just the first.
 
+mod place;
 mod service;
 mod unique;
 
@@ -11,6 +12,7 @@
 
 use crate::canonical::canonical_bytes;
 use crate::finding::{Finding, FindingKind};
+use place::Place;
 use unique::Unique;
 
 /// Most services of one bundle.
@@ -22,7 +24,7 @@
 /// Checks a bundle by itself; see [`crate::check_successor`] for the rules between two bundles.
 pub fn check(bundle: &Bundle) -> Result<(), Vec<Finding>> {
     let mut findings = Findings::default();
-    findings.range("version", bundle.version, 1, u64::MAX);
+    findings.range(Place::Bundle, "version", bundle.version, 1, u64::MAX);
     let note_bytes = bundle.note.as_ref().map_or(0, String::len);
     findings.size("note", note_bytes, MAXIMUM_NOTE_BYTES);
     let bytes = canonical_bytes(bundle).len();
@@ -33,19 +35,18 @@
 
 fn check_services(bundle: &Bundle, findings: &mut Findings) {
     let count = bundle.services.len() as u64;
-    findings.range("services", count, 1, MAXIMUM_SERVICES as u64);
+    findings.range(Place::Bundle, "services", count, 1, MAXIMUM_SERVICES as u64);
     let mut names = Unique::default();
     let mut servers = Unique::default();
     let mut addresses = Unique::default();
     for service in &bundle.services {
-        let path = format!("services[{}]", service.name.as_str());
-        names.insert(service.name.as_str(), &path, findings);
-        service::check_service(service, &path, findings);
+        let place = Place::Service(&service.name);
+        names.insert(&service.name, place, "", findings);
+        service::check_service(service, place, findings);
         for server in &service.servers {
-            let path = format!("{path}.servers[{}]", server.name.as_str());
-            servers.insert(server.name.as_str(), &path, findings);
-            let path = format!("{path}.address");
-            addresses.insert(server.address.as_str(), &path, findings);
+            let place = place.entry("servers", &server.name);
+            servers.insert(&server.name, place, "", findings);
+            addresses.insert(&server.address, place, "address", findings);
         }
     }
 }
@@ -55,19 +56,19 @@
 struct Findings(Vec<Finding>);
 
 impl Findings {
-    fn push(&mut self, field: impl Into<String>, kind: FindingKind) {
-        let field = field.into();
+    fn push(&mut self, place: Place<'_>, field: &str, kind: FindingKind) {
+        let field = place.field(field);
         self.0.push(Finding { field, kind });
     }
 
-    fn range(&mut self, field: impl Into<String>, value: u64, minimum: u64, maximum: u64) {
+    fn range(&mut self, place: Place<'_>, field: &str, value: u64, minimum: u64, maximum: u64) {
         if value < minimum || value > maximum {
             let kind = FindingKind::OutOfRange {
                 value,
                 minimum,
                 maximum,
             };
-            self.push(field, kind);
+            self.push(place, field, kind);
         }
     }
 
@@ -77,7 +78,7 @@
                 bytes: bytes as u64,
                 maximum: maximum as u64,
             };
-            self.push(field, kind);
+            self.push(Place::Bundle, field, kind);
         }
     }
 
--- a/crates/bundle/src/check/service.rs
+++ b/crates/bundle/src/check/service.rs
@@ -4,6 +4,7 @@
 
 use grebepin_schema::{RequestClass, Server, Service};
 
+use super::place::Place;
 use super::unique::Unique;
 use super::Findings;
 use crate::finding::FindingKind;
@@ -22,69 +23,69 @@
 const MAXIMUM_CONCURRENT_MOVES: u64 = 100_000;
 const MAXIMUM_IMBALANCE_PERCENT: u64 = 10_000;
 
-pub(super) fn check_service(service: &Service, path: &str, findings: &mut Findings) {
-    let shards = u64::from(service.shards.get());
-    findings.range(format!("{path}.shards"), shards, 1, MAXIMUM_SHARDS);
-    check_sides(service, path, findings);
-    check_servers(service, path, findings);
-    check_classes(&service.classes, path, findings);
-    check_policies(service, path, findings);
+pub(super) fn check_service(service: &Service, place: Place<'_>, findings: &mut Findings) {
+    let shards = service.shards.get().into();
+    findings.range(place, "shards", shards, 1, MAXIMUM_SHARDS);
+    check_sides(service, place, findings);
+    check_servers(service, place, findings);
+    check_classes(&service.classes, place, findings);
+    check_policies(service, place, findings);
 }
 
-fn check_sides(service: &Service, path: &str, findings: &mut Findings) {
+fn check_sides(service: &Service, place: Place<'_>, findings: &mut Findings) {
     if service.sides.is_empty() {
-        findings.push(format!("{path}.sides"), FindingKind::Empty);
+        findings.push(place, "sides", FindingKind::Empty);
         return;
     }
     let mut names = Unique::default();
     for side in &service.sides {
-        let path = format!("{path}.sides[{}]", side.side.as_str());
-        names.insert(side.side.as_str(), &path, findings);
-        let share = u64::from(side.share);
-        findings.range(format!("{path}.share"), share, 0, MAXIMUM_SHARE);
-        let has_servers = service
-            .servers
-            .iter()
-            .any(|server| server.side == side.side);
-        if side.share > 0 && !has_servers {
-            findings.push(path, FindingKind::SideWithoutServers);
+        let place = place.entry("sides", &side.side);
+        names.insert(&side.side, place, "", findings);
+        findings.range(place, "share", side.share.into(), 0, MAXIMUM_SHARE);
+        let mut servers = service.servers.iter();
+        if side.share > 0 && !servers.any(|server| server.side == side.side) {
+            findings.push(place, "", FindingKind::SideWithoutServers);
         }
     }
     if service.sides.iter().all(|side| side.share == 0) {
-        findings.push(format!("{path}.sides"), FindingKind::NoShares);
+        findings.push(place, "sides", FindingKind::NoShares);
     }
 }
 
-fn check_servers(service: &Service, path: &str, findings: &mut Findings) {
+fn check_servers(service: &Service, place: Place<'_>, findings: &mut Findings) {
     if service.servers.is_empty() {
-        findings.push(format!("{path}.servers"), FindingKind::Empty);
+        findings.push(place, "servers", FindingKind::Empty);
     }
     for server in &service.servers {
-        let path = format!("{path}.servers[{}]", server.name.as_str());
+        let place = place.entry("servers", &server.name);
         if !service.sides.iter().any(|side| side.side == server.side) {
             let side = server.side.to_string();
-            findings.push(format!("{path}.side"), FindingKind::UnknownSide { side });
+            findings.push(place, "side", FindingKind::UnknownSide { side });
         }
-        check_server(server, &path, findings);
+        check_server(server, place, findings);
     }
 }
 
-fn check_server(server: &Server, path: &str, findings: &mut Findings) {
-    if !is_reachable(server.address.as_str()) {
+fn check_server(server: &Server, place: Place<'_>, findings: &mut Findings) {
+    if !is_reachable(&server.address) {
         let address = server.address.to_string();
-        let kind = FindingKind::InvalidAddress { address };
-        findings.push(format!("{path}.address"), kind);
+        findings.push(place, "address", FindingKind::InvalidAddress { address });
     }
     let slots = server.slots.get();
     let connections = server.connections.get();
-    let weight = u64::from(server.weight.get());
-    findings.range(format!("{path}.slots"), slots.into(), 1, MAXIMUM_SLOTS);
-    let field = format!("{path}.connections");
-    findings.range(field.clone(), connections.into(), 1, MAXIMUM_CONNECTIONS);
-    findings.range(format!("{path}.weight"), weight, 1, MAXIMUM_WEIGHT);
+    let weight = server.weight.get();
+    findings.range(place, "slots", slots.into(), 1, MAXIMUM_SLOTS);
+    findings.range(
+        place,
+        "connections",
+        connections.into(),
+        1,
+        MAXIMUM_CONNECTIONS,
+    );
+    findings.range(place, "weight", weight.into(), 1, MAXIMUM_WEIGHT);
     if connections < slots {
         let kind = FindingKind::FewerConnectionsThanSlots { connections, slots };
-        findings.push(field, kind);
+        findings.push(place, "connections", kind);
     }
 }
 
@@ -96,45 +97,39 @@
     address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
 }
 
-fn check_classes(classes: &[RequestClass], path: &str, findings: &mut Findings) {
+fn check_classes(classes: &[RequestClass], place: Place<'_>, findings: &mut Findings) {
     if classes.is_empty() {
-        findings.push(format!("{path}.classes"), FindingKind::Empty);
+        findings.push(place, "classes", FindingKind::Empty);
     }
     let mut names = Unique::default();
     for (position, class) in classes.iter().enumerate() {
-        let path = format!("{path}.classes[{}]", class.name.as_str());
-        names.insert(class.name.as_str(), &path, findings);
-        check_class(class, &path, findings);
+        let place = place.entry("classes", &class.name);
+        names.insert(&class.name, place, "", findings);
+        check_class(class, place, findings);
         let hiding = classes[..position].iter().find(|other| hides(other, class));
         if let Some(earlier) = hiding {
             let earlier = earlier.name.to_string();
-            findings.push(path, FindingKind::HiddenClass { earlier });
+            findings.push(place, "", FindingKind::HiddenClass { earlier });
         }
     }
 }
 
-fn check_class(class: &RequestClass, path: &str, findings: &mut Findings) {
-    let priority = u64::from(class.priority);
-    findings.range(format!("{path}.priority"), priority, 0, LOWEST_PRIORITY);
+fn check_class(class: &RequestClass, place: Place<'_>, findings: &mut Findings) {
+    findings.range(place, "priority", class.priority.into(), 0, LOWEST_PRIORITY);
     let deadline = class.deadline_ms.get();
-    findings.range(
-        format!("{path}.deadline_ms"),
-        deadline,
-        1,
-        MAXIMUM_DEADLINE_MS,
-    );
+    findings.range(place, "deadline_ms", deadline, 1, MAXIMUM_DEADLINE_MS);
     if !is_path_prefix(&class.path_prefix) {
         let prefix = class.path_prefix.clone();
-        let kind = FindingKind::InvalidPathPrefix { prefix };
-        findings.push(format!("{path}.path_prefix"), kind);
+        findings.push(
+            place,
+            "path_prefix",
+            FindingKind::InvalidPathPrefix { prefix },
+        );
     }
     let method = class.method.as_deref().unwrap_or("GET");
     if method.is_empty() || !method.bytes().all(|byte| byte.is_ascii_uppercase()) {
         let method = method.to_owned();
-        findings.push(
-            format!("{path}.method"),
-            FindingKind::InvalidMethod { method },
-        );
+        findings.push(place, "method", FindingKind::InvalidMethod { method });
     }
 }
 
@@ -149,7 +144,7 @@
     method_covers && later.path_prefix.starts_with(&earlier.path_prefix)
 }
 
-fn check_policies(service: &Service, path: &str, findings: &mut Findings) {
+fn check_policies(service: &Service, place: Place<'_>, findings: &mut Findings) {
     let queue = &service.queue;
     let retry = &service.retry;
     let churn = &service.churn;
@@ -187,6 +182,6 @@
         ),
     ];
     for (field, value, minimum, maximum) in limits {
-        findings.range(format!("{path}.{field}"), value.into(), minimum, maximum);
+        findings.range(place, field, value.into(), minimum, maximum);
     }
 }
--- a/crates/bundle/src/check/unique.rs
+++ b/crates/bundle/src/check/unique.rs
@@ -2,24 +2,31 @@
 
 use std::collections::BTreeMap;
 
+use super::place::Place;
 use super::Findings;
 use crate::finding::FindingKind;
 
-/// Values seen so far, with the path of the first use.
+/// Values seen so far, with the place of the first use.
 #[derive(Default)]
-pub(super) struct Unique(BTreeMap<String, String>);
+pub(super) struct Unique<'a>(BTreeMap<&'a str, Place<'a>>);
 
-impl Unique {
-    /// Notes a value; a finding when it was noted before.
-    pub(super) fn insert(&mut self, value: &str, path: &str, findings: &mut Findings) {
+impl<'a> Unique<'a> {
+    /// Notes the value of a field; a finding when it was noted before.
+    pub(super) fn insert(
+        &mut self,
+        value: &'a str,
+        place: Place<'a>,
+        field: &str,
+        findings: &mut Findings,
+    ) {
         let Some(first) = self.0.get(value) else {
-            self.0.insert(value.to_owned(), path.to_owned());
+            self.0.insert(value, place);
             return;
         };
         let kind = FindingKind::Duplicate {
             value: value.to_owned(),
-            first: first.clone(),
+            first: first.field(field),
         };
-        findings.push(path, kind);
+        findings.push(place, field, kind);
     }
 }
--- a/crates/bundle/src/sign_off.rs
+++ b/crates/bundle/src/sign_off.rs
@@ -66,7 +66,12 @@
     let message = signed_message(&digest);
     let mut keys = BTreeSet::new();
     let mut untrusted = Vec::new();
+    let mut seen = BTreeSet::new();
     for signature in &signed.signatures {
+        // A repeated signature costs no second verification.
+        if !seen.insert((&signature.operator, &signature.signature)) {
+            continue;
+        }
         let Some(operator) = trusted
             .iter()
             .find(|known| known.name == signature.operator)
--- a/crates/bundle/tests/sign_off.rs
+++ b/crates/bundle/tests/sign_off.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::{changed, recife, RECIFE};
 use grebepin_bundle::{digest, parse_signing_key, public_key, sign, verify, KeyError, VerifyError};
 use grebepin_schema::{Bundle, OperatorName, Signature, SignedBundle, TrustedOperator};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use serde_json::json;
+use serde_json::{json, Value};
 
 fn name(text: &str) -> OperatorName {
     text.parse().expect("a name")
@@ -47,6 +49,37 @@
     );
 }
 
+/// JSON without white space whose fields are sorted by name, written without the generated types.
+fn sorted(value: &Value) -> String {
+    match value {
+        Value::Object(fields) => {
+            let fields: BTreeMap<_, _> = fields.iter().collect();
+            let fields = fields
+                .iter()
+                .map(|(name, value)| format!("{name:?}:{}", sorted(value)));
+            format!("{{{}}}", fields.collect::<Vec<_>>().join(","))
+        }
+        Value::Array(items) => {
+            let items = items.iter().map(sorted);
+            format!("[{}]", items.collect::<Vec<_>>().join(","))
+        }
+        scalar => scalar.to_string(),
+    }
+}
+
+#[test]
+fn the_canonical_form_sorts_the_fields() {
+    let changes = [
+        ("/parent", json!("0".repeat(64))),
+        ("/note", json!("açúcar \"x\" \n")),
+    ];
+    for bundle in [recife(), changed(&recife(), &changes)] {
+        let value = serde_json::to_value(&bundle).expect("encodes");
+        let bytes = grebepin_bundle::canonical_bytes(&bundle);
+        assert_eq!(String::from_utf8(bytes).expect("UTF-8"), sorted(&value));
+    }
+}
+
 #[test]
 fn sign_off_counts_distinct_trusted_keys() {
     let bundle = recife();
