Placement: a plan looks at the servers before it sorts the shards

Cause: every plan sorted all shards by load, also when no server is over the trigger. Change: ask for a server over the trigger first.

--- a/crates/placement/src/rebalance/load.rs
+++ b/crates/placement/src/rebalance/load.rs
@@ -34,9 +34,13 @@
 
 /// Relieves each server that is over its share by more than the allowed part, down to half of that.
 pub(super) fn move_away_from_load(plan: &mut Plan<'_>) {
+    let trigger = 1.0 + plan.allowed;
+    if !usable(plan).any(|server| plan.load_ratio(server) > trigger) {
+        return;
+    }
     let mut search = Search::new(plan);
     while let Some(giver) = search.most_loaded(plan) {
-        if plan.load_ratio(giver) <= 1.0 + plan.allowed {
+        if plan.load_ratio(giver) <= trigger {
             return;
         }
         while plan.load_ratio(giver) > search.aim {
