Storage: sync the names of only those folders that were made

Cause: each start opened the data folder's parent to sync it, which fails where that may not be read. Change: folders that were missing are made, and the parent of each is synced.

--- a/crates/storage/src/real_disk.rs
+++ b/crates/storage/src/real_disk.rs
@@ -27,8 +27,7 @@
     /// [`DiskError::Locked`] when another process holds the lock.
     pub fn new(path: impl AsRef<Path>) -> Result<Self, DiskError> {
         let path = path.as_ref().to_owned();
-        fs::create_dir_all(&path)?;
-        sync_parent(&path)?;
+        create_folder(&path)?;
         let lock = OpenOptions::new()
             .create(true)
             .truncate(false)
@@ -52,12 +51,16 @@
     }
 }
 
-/// Makes the folder's own name durable where its parent can be opened.
-fn sync_parent(path: &Path) -> Result<(), DiskError> {
-    match path.canonicalize()?.parent() {
-        Some(parent) => sync_error(File::open(parent)?.sync_all()),
-        None => Ok(()),
+/// Makes the folder and those above it that are missing, and makes their names durable.
+fn create_folder(path: &Path) -> Result<(), DiskError> {
+    let missing: Vec<&Path> = path.ancestors().take_while(|one| !one.exists()).collect();
+    fs::create_dir_all(path)?;
+    for created in missing {
+        if let Some(parent) = created.canonicalize()?.parent() {
+            sync_error(File::open(parent)?.sync_all())?;
+        }
     }
+    Ok(())
 }
 
 fn sync_error(result: std::io::Result<()>) -> Result<(), DiskError> {
--- a/crates/storage/tests/round_trip.rs
+++ b/crates/storage/tests/round_trip.rs
@@ -245,4 +245,5 @@
     ));
     drop(first);
     assert!(RealDisk::new(folder.path()).is_ok());
+    assert!(RealDisk::new(folder.path().join("made/with/parents")).is_ok());
 }
