--- a/crates/storage/src/real_disk.rs
+++ b/crates/storage/src/real_disk.rs
@@ -53,7 +53,9 @@
 
 /// Makes the folder and those above it that are missing, and makes their names durable.
 fn create_folder(path: &Path) -> Result<(), DiskError> {
-    let missing: Vec<&Path> = path.ancestors().take_while(|one| !one.exists()).collect();
+    // The last ancestor of a relative path is empty and stands for the present folder.
+    let is_missing = |one: &&Path| !one.as_os_str().is_empty() && !one.exists();
+    let missing: Vec<&Path> = path.ancestors().take_while(is_missing).collect();
     fs::create_dir_all(path)?;
     for created in missing {
         if let Some(parent) = created.canonicalize()?.parent() {
--- a/crates/storage/tests/round_trip.rs
+++ b/crates/storage/tests/round_trip.rs
@@ -245,5 +245,15 @@
     ));
     drop(first);
     assert!(RealDisk::new(folder.path()).is_ok());
+}
+
+#[test]
+fn a_missing_folder_is_made() {
+    let folder = tempfile::tempdir().expect("a folder");
     assert!(RealDisk::new(folder.path().join("made/with/parents")).is_ok());
+    let relative = tempfile::tempdir_in(".").expect("a folder");
+    let name = relative.path().file_name().expect("a name").to_owned();
+    std::fs::remove_dir(&name).expect("an empty folder");
+    assert!(RealDisk::new(&name).is_ok());
+    assert!(std::path::Path::new(&name).is_dir());
 }
