An ejected server is tried again at least every 500 ms

Cause: a server that was cut off and came back got no requests for up to 3 s more, since the time between two probes doubled up to 3 s. Ruled out: leases (its shards were held again within 0.2 s of its return) and the retry budget.

--- a/crates/traffic/src/ejection.rs
+++ b/crates/traffic/src/ejection.rs
@@ -28,7 +28,7 @@
         Self {
             failures: 5,
             first: Duration::from_millis(200),
-            longest: Duration::from_secs(3),
+            longest: Duration::from_millis(500),
             floor_percent: 50,
         }
     }
