A leaving server gets back no shard that it lost with a lease

Ruled out: the holder, which had not been told to leave before the leader died. Change: a server whose standing isn't active gets no grants while another active server of its service has a lease; the look that follows moves the shard on at once.

--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -5,7 +5,7 @@
 
 use grebepin_schema::{
     Grant, GrantAnswer, GrantRefusalReason, GrantRequest, HeartbeatAnswer, HeldShard,
-    HoldingsAnswer, PreviousOwner, ReleaseRequest, ServerName, ShardId,
+    HoldingsAnswer, PreviousOwner, ReleaseRequest, ServerName, ServerStanding, ShardId,
 };
 
 use super::link::ServerLink;
@@ -41,6 +41,9 @@
         let Some(session) = link.session else {
             return;
         };
+        if self.gives_up_unheld(step.state, server) {
+            return self.supervise_soon(step.now);
+        }
         let grants = self.grants_for(step.state, link, entry);
         let Some(link) = self.links.get_mut(&server).filter(|_| !grants.is_empty()) else {
             return;
@@ -58,6 +61,23 @@
         });
     }
 
+    /// Whether a server that leaves is to get back nothing that it lost with a lease, since another
+    /// server can take it.
+    fn gives_up_unheld(&self, state: &OwnershipState, leaving: ServerIndex) -> bool {
+        let entry = state.servers().get(leaving);
+        if entry.effective_standing() == ServerStanding::Active {
+            return false;
+        }
+        let Some(service) = state.services().get(&entry.service) else {
+            return false;
+        };
+        service.servers.iter().any(|&other| {
+            let active = state.servers().get(other).effective_standing() == ServerStanding::Active;
+            let link = self.links.get(&other);
+            other != leaving && active && link.is_some_and(|link| link.leased)
+        })
+    }
+
     /// Shards on their way elsewhere are left out.
     fn grants_for(
         &self,
