check: beliefs count as the latest of each replica

Cause: with the sync taken out, every replica lost its log and the checker was content, since the largest belief ever recorded counted as the belief at the end. Change: the latest belief of each replica counts; epoch 0 says that it lost what it knew. The table's case of a lagging follower now names another replica, as its title says; the same history with one replica is now a violation and stands in the table as such.

--- a/crates/check/src/promises/assignments.rs
+++ b/crates/check/src/promises/assignments.rs
@@ -5,11 +5,12 @@
 //! 2. an assignment that a replica applied follows the latest acknowledged one before it, so no
 //!    acknowledged epoch lies between the epoch it names as replaced and its own;
 //! 3. one replica never acknowledges an earlier epoch after a later one;
-//! 4. at the end some replica believes the latest acknowledged epoch, or a later one.
+//! 4. at the end some replica believes the latest acknowledged epoch, or a later one. A replica that
+//!    lost what it knew says so by a belief in epoch 0.
 
 use std::collections::BTreeMap;
 
-use grebepin_schema::{AssignmentRecord, Epoch, HistoryEvent, ServerName};
+use grebepin_schema::{AssignmentRecord, Epoch, HistoryEvent, ReplicaId, ServerName};
 
 use crate::holdings::Shard;
 use crate::{CheckLimits, History, Promise, Violation};
@@ -20,7 +21,8 @@
     owners: BTreeMap<Epoch, (Option<ServerName>, usize)>,
     acknowledged: BTreeMap<Epoch, (u64, usize)>,
     replaced: BTreeMap<Epoch, (Epoch, usize)>,
-    last_believed: Epoch,
+    /// Latest belief of each replica.
+    believed: BTreeMap<ReplicaId, Epoch>,
 }
 
 pub(crate) fn check(history: &History<'_>, _limits: &CheckLimits) -> Vec<Violation> {
@@ -55,7 +57,7 @@
 }
 
 fn note_belief(shard: &mut ShardHistory, record: &AssignmentRecord, position: usize) {
-    shard.last_believed = shard.last_believed.max(record.epoch);
+    shard.believed.insert(record.replica, record.epoch);
     if let Some(previous) = record.previous {
         shard
             .replaced
@@ -132,13 +134,14 @@
 
 fn check_end(name: &Shard, shard: &ShardHistory, end_us: u64) -> Option<Violation> {
     let (latest, (_, position)) = shard.acknowledged.last_key_value()?;
-    (shard.last_believed < *latest).then(|| {
+    let believed = shard.believed.values().max().copied().unwrap_or(Epoch(0));
+    (believed < *latest).then(|| {
         violation(
             end_us,
             vec![*position],
             format!(
                 "acknowledged epoch {latest} of {}/{} is held by no replica at the end, which know {}",
-                *name.0, name.1, shard.last_believed
+                *name.0, name.1, believed
             ),
         )
     })
--- a/crates/check/tests/promises.rs
+++ b/crates/check/tests/promises.rs
@@ -54,10 +54,13 @@
     let broken = Some(Promise::AssignmentSurvives);
     run(vec![
         ("one after the other", vec![(1, acknowledged("a", 5)), (1, believed("a", 5, Some(0))), (2, believed("b", 9, Some(5))), (3, acknowledged("b", 9))], None),
-        ("a follower lags", vec![(1, believed("a", 5, None)), (2, believed("b", 9, None)), (2, acknowledged("b", 9)), (3, believed("a", 5, None))], None),
+        ("a follower lags", vec![(1, believed("a", 5, None)), (2, believed("b", 9, None)), (2, acknowledged("b", 9)), (3, believed_by_follower("a", 5))], None),
+        ("the only one that knew goes back", vec![(1, believed("a", 5, None)), (2, believed("b", 9, None)), (2, acknowledged("b", 9)), (3, believed("a", 5, None))], broken),
         ("an assignment nobody acknowledged is replaced", vec![(1, believed("a", 5, Some(0))), (2, believed("b", 9, Some(3)))], None),
         ("two owners of one epoch", vec![(1, believed("a", 5, None)), (2, believed("b", 5, None))], broken),
         ("lost and replaced", vec![(1, believed("a", 5, Some(3))), (1, acknowledged("a", 5)), (2, believed("b", 9, Some(3)))], broken),
+        ("forgotten and learnt again", vec![(1, believed("a", 5, None)), (1, acknowledged("a", 5)), (2, forgot()), (3, believed("a", 5, None))], None),
+        ("forgotten", vec![(1, believed("a", 5, None)), (1, acknowledged("a", 5)), (2, forgot())], broken),
         ("lost for good", vec![(1, acknowledged("a", 5)), (2, believed("b", 3, None))], broken),
         ("acknowledged backwards", vec![(1, acknowledged("b", 9)), (1, believed("b", 9, None)), (2, acknowledged("a", 5))], broken),
     ]);
--- a/crates/check/tests/support/mod.rs
+++ b/crates/check/tests/support/mod.rs
@@ -117,6 +117,23 @@
     HistoryEvent::Acknowledged(assignment(server, epoch, None))
 }
 
+/// A belief of another replica than the others.
+pub fn believed_by_follower(server: &str, epoch: u64) -> HistoryEvent {
+    let record = assignment(server, epoch, None);
+    HistoryEvent::Believed(AssignmentRecord {
+        replica: ReplicaId(2),
+        ..record
+    })
+}
+
+pub fn forgot() -> HistoryEvent {
+    let record = assignment("a", 0, None);
+    HistoryEvent::Believed(AssignmentRecord {
+        server: None,
+        ..record
+    })
+}
+
 pub fn believed(server: &str, epoch: u64, previous: Option<u64>) -> HistoryEvent {
     HistoryEvent::Believed(assignment(server, epoch, previous))
 }
