Simulator: the product's own code on a virtual clock, under a table of faults

Change: crates/sim drives ControlNode, RequestFlow, RoutingTable, Admission and Holder with simulated network, disks, clocks, callers, operators and platform; scenarios.toml holds the rows, from which follow each row twice and each pair. The checkers judge the records; besides, no two leaders, no commit without a majority of voters, no differing logs, and recovery at the end.

--- /dev/null
+++ b/crates/sim/src/actors/server.rs
@@ -0,0 +1,378 @@
+//! A back-end server: the product's holder, driven by the simulator.
+//!
+//! Invariant: an effect is recorded only between the holder's permission and the end of the request.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use grebepin_control::{BackEndAnswer, BackEndRequest, CallId};
+use grebepin_holder::{Begun, Effect, Guards, Holder, HolderConfig, Permit, Request};
+use grebepin_schema::{
+    CancelAnswer, CancelRequest, EffectRecord, HandoverAnswer, HeldShard, Refusal, RequestId,
+    ServerName, ShardKey, SocketAddress,
+};
+
+use crate::message::{Asker, ServerInput, WorkReply};
+use crate::random::Random;
+
+/// Time that a request takes, in microseconds.
+const SERVICE_TIME: [u64; 2] = [2_000, 25_000];
+
+/// Time that a slow request takes, in microseconds; often longer than its deadline.
+const SLOW_SERVICE_TIME: [u64; 2] = [100_000, 1_600_000];
+
+/// Slow requests, in percent.
+const SLOW_PERCENT: u64 = 3;
+
+/// Time until a server gives up fetching a record.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the shell is to do.
+#[derive(Debug)]
+pub enum ServerEffect {
+    /// Answer a control leader.
+    CallAnswer {
+        /// Who asked.
+        to: Asker,
+        /// The call.
+        call: CallId,
+        /// The answer.
+        answer: BackEndAnswer,
+    },
+    /// Answer a router's request.
+    WorkAnswer {
+        /// Who asked.
+        to: Asker,
+        /// The exchange.
+        exchange: u64,
+        /// The answer.
+        reply: WorkReply,
+    },
+    /// Answer a router's cancellation.
+    CancelAnswer {
+        /// Who asked.
+        to: Asker,
+        /// The exchange.
+        exchange: u64,
+        /// The answer.
+        answer: CancelAnswer,
+    },
+    /// Ask a shard's previous owner for its record.
+    FetchRecord {
+        /// The previous owner.
+        address: SocketAddress,
+        /// The shard.
+        key: ShardKey,
+        /// Epoch at which it was released.
+        epoch: grebepin_schema::Epoch,
+        /// Shard and epoch of this server.
+        granted: HeldShard,
+    },
+    /// Answer the next owner.
+    Record {
+        /// Who asked.
+        to: Asker,
+        /// Shard and epoch of the next owner.
+        granted: HeldShard,
+        /// The record.
+        answer: HandoverAnswer,
+    },
+    /// Wake up with this input.
+    Timer {
+        /// When, on the server's clock.
+        at: Duration,
+        /// What then.
+        input: ServerInput,
+    },
+    /// New work was taken.
+    WorkStarted(EffectRecord),
+    /// An effect was made.
+    EffectMade(EffectRecord),
+}
+
+/// A request that is worked on.
+struct Running {
+    permit: Permit,
+    from: Asker,
+    exchange: u64,
+    record: EffectRecord,
+}
+
+/// A server and what it does now.
+pub struct ServerActor {
+    name: ServerName,
+    holder: Holder,
+    running: BTreeMap<u64, Running>,
+    next_token: u64,
+    random: Random,
+    slots: usize,
+    /// Whether it tells the control group less than it runs.
+    pub misleads: bool,
+    /// Whether it refuses all work as if it had too much.
+    pub sheds: bool,
+    /// Whether its answers name requests they do not belong to.
+    pub crosses: bool,
+    /// Whether connections of the control group are refused.
+    pub refuses_calls: bool,
+    last_answered: Option<RequestId>,
+}
+
+impl ServerActor {
+    /// A server that has just started.
+    pub fn new(name: ServerName, boot: u64, guards: Guards, slots: usize, random: Random) -> Self {
+        let config = HolderConfig {
+            report_changes: true,
+            guards,
+            ..HolderConfig::new(boot)
+        };
+        Self {
+            name,
+            holder: Holder::new(config),
+            running: BTreeMap::new(),
+            next_token: 0,
+            random,
+            slots,
+            misleads: false,
+            sheds: false,
+            crosses: false,
+            refuses_calls: false,
+            last_answered: None,
+        }
+    }
+
+    /// What it holds, for records and for the check at the end.
+    pub fn holder(&mut self) -> &mut Holder {
+        &mut self.holder
+    }
+
+    /// Epoch at which it holds a shard; 0 for none.
+    pub fn held_epoch(&self, key: &ShardKey) -> grebepin_schema::Epoch {
+        self.holder.held_epoch(key)
+    }
+
+    /// Requests that are worked on, with who asked for them.
+    pub fn running(&self) -> impl Iterator<Item = (Asker, u64, &EffectRecord)> {
+        self.running
+            .values()
+            .map(|running| (running.from, running.exchange, &running.record))
+    }
+
+    /// Whether it may be stopped without cutting anything.
+    pub fn is_idle(&mut self, now: Duration) -> bool {
+        self.holder.tick(now);
+        self.running.is_empty() && self.holder.held_shards() == 0
+    }
+
+    /// Takes what reached the server; returns what to do.
+    pub fn handle(&mut self, now: Duration, input: ServerInput) -> Vec<ServerEffect> {
+        match input {
+            ServerInput::Call {
+                from,
+                call,
+                request,
+            } => self.answer_call(now, from, call, request),
+            ServerInput::Work {
+                from,
+                exchange,
+                request,
+            } => self.take_work(now, from, exchange, &request),
+            ServerInput::Cancel {
+                from,
+                exchange,
+                request,
+                attempt,
+            } => vec![self.cancel(now, from, exchange, &request, attempt)],
+            ServerInput::Handover {
+                from,
+                key,
+                epoch,
+                granted,
+            } => vec![ServerEffect::Record {
+                to: from,
+                granted,
+                answer: self.holder.handover(now, &key, epoch),
+            }],
+            ServerInput::HandedOver { granted, answer } => {
+                self.holder
+                    .complete_handover(now, &granted, answer.as_ref());
+                Vec::new()
+            }
+            ServerInput::WorkDone(token) => self.end_work(now, token),
+        }
+    }
+
+    fn answer_call(
+        &mut self,
+        now: Duration,
+        from: Asker,
+        call: CallId,
+        request: BackEndRequest,
+    ) -> Vec<ServerEffect> {
+        let mut effects = Vec::new();
+        let answer = match request {
+            BackEndRequest::Heartbeat(request) => {
+                let mut answer = self.holder.heartbeat(now, &request);
+                if self.misleads {
+                    answer.in_flight = 0;
+                }
+                BackEndAnswer::Heartbeat(answer)
+            }
+            BackEndRequest::Grant(request) => {
+                let outcome = self.holder.grant(now, &request);
+                for fetch in outcome.fetch {
+                    effects.extend(fetch_record(now, fetch));
+                }
+                BackEndAnswer::Grant(outcome.answer)
+            }
+            BackEndRequest::Release(request) => {
+                BackEndAnswer::Release(self.holder.release(now, &request))
+            }
+            BackEndRequest::Holdings(group) => {
+                BackEndAnswer::Holdings(self.holder.holdings(now, group))
+            }
+            BackEndRequest::Drain(request) => {
+                self.holder.drain(now, request.draining);
+                BackEndAnswer::Drain
+            }
+        };
+        effects.push(ServerEffect::CallAnswer {
+            to: from,
+            call,
+            answer,
+        });
+        effects
+    }
+
+    fn take_work(
+        &mut self,
+        now: Duration,
+        from: Asker,
+        exchange: u64,
+        request: &Request,
+    ) -> Vec<ServerEffect> {
+        let answer = |reply| ServerEffect::WorkAnswer {
+            to: from,
+            exchange,
+            reply,
+        };
+        if self.sheds || self.running.len() >= self.slots {
+            return vec![answer(WorkReply::Refused(Refusal::Shed))];
+        }
+        let permit = match self.holder.begin(now, request) {
+            Ok(Begun::Run(permit)) => permit,
+            Ok(Begun::RanEarlier) => {
+                let reply = self.answered(&request.request_id);
+                return vec![answer(reply)];
+            }
+            Err(refusal) => return vec![answer(WorkReply::Refused(refusal))],
+        };
+        self.next_token += 1;
+        let record = self.effect_record(request);
+        let running = Running {
+            permit,
+            from,
+            exchange,
+            record: record.clone(),
+        };
+        self.running.insert(self.next_token, running);
+        let time = self.service_time();
+        vec![
+            ServerEffect::WorkStarted(record),
+            ServerEffect::Timer {
+                at: now + Duration::from_micros(time),
+                input: ServerInput::WorkDone(self.next_token),
+            },
+        ]
+    }
+
+    fn end_work(&mut self, now: Duration, token: u64) -> Vec<ServerEffect> {
+        let Some(running) = self.running.remove(&token) else {
+            return Vec::new();
+        };
+        let mut effects = Vec::new();
+        let reply = match self.holder.before_effect(now, &running.permit) {
+            Ok(()) => {
+                self.holder.finish(now, running.permit, Effect::Made);
+                let reply = self.answered(&running.record.request_id);
+                effects.push(ServerEffect::EffectMade(running.record));
+                reply
+            }
+            Err(refusal) => {
+                self.holder.finish(now, running.permit, Effect::NotMade);
+                WorkReply::Refused(refusal)
+            }
+        };
+        effects.push(ServerEffect::WorkAnswer {
+            to: running.from,
+            exchange: running.exchange,
+            reply,
+        });
+        effects
+    }
+
+    fn cancel(
+        &mut self,
+        now: Duration,
+        to: Asker,
+        exchange: u64,
+        request: &CancelRequest,
+        attempt: u32,
+    ) -> ServerEffect {
+        ServerEffect::CancelAnswer {
+            to,
+            exchange,
+            answer: self.holder.cancel(now, request, Some(attempt)),
+        }
+    }
+
+    /// The whole answer to a request, or now and then one that belongs to the request before it.
+    fn answered(&mut self, request: &RequestId) -> WorkReply {
+        let previous = self.last_answered.replace(request.clone());
+        let named = match previous {
+            Some(previous) if self.crosses && self.random.chance(30) => previous,
+            _ => request.clone(),
+        };
+        WorkReply::Answered { request: named }
+    }
+
+    fn service_time(&mut self) -> u64 {
+        if self.random.chance(SLOW_PERCENT) {
+            return self.random.range(SLOW_SERVICE_TIME);
+        }
+        self.random.range(SERVICE_TIME)
+    }
+
+    fn effect_record(&self, request: &Request) -> EffectRecord {
+        EffectRecord {
+            server: self.name.clone(),
+            service: request.service.clone(),
+            shard: request.shard,
+            epoch: request.epoch,
+            key: request.key.clone(),
+            request_id: request.request_id.clone(),
+            repeatable: request.repeatable,
+        }
+    }
+}
+
+fn fetch_record(now: Duration, fetch: grebepin_holder::HandoverFetch) -> [ServerEffect; 2] {
+    let key = ShardKey {
+        service: fetch.shard.service.clone(),
+        shard: fetch.shard.shard,
+    };
+    [
+        ServerEffect::FetchRecord {
+            address: fetch.previous.address,
+            key,
+            epoch: fetch.previous.epoch,
+            granted: fetch.shard.clone(),
+        },
+        ServerEffect::Timer {
+            at: now + HANDOVER_TIMEOUT,
+            input: ServerInput::HandedOver {
+                granted: fetch.shard,
+                answer: None,
+            },
+        },
+    ]
+}
--- /dev/null
+++ b/crates/sim/src/clock.rs
@@ -0,0 +1,45 @@
+//! The run's one clock and the clocks of its processes.
+//!
+//! Invariant: a process's clock never goes backwards, and no time of the machine that runs the
+//! simulation enters a run.
+
+use std::time::Duration;
+
+/// Time of a run in microseconds since its start.
+pub type Instant = u64;
+
+/// Microseconds in a millisecond.
+pub const MILLISECOND: u64 = 1_000;
+
+/// Microseconds in a second.
+pub const SECOND: u64 = 1_000_000;
+
+const MILLION: u128 = 1_000_000;
+
+/// Clock of one process: it starts with an offset and runs at its own rate.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessClock {
+    started: Instant,
+    rate_ppm: u64,
+}
+
+impl ProcessClock {
+    /// A clock that shows zero at `started` and then runs at `rate_ppm` millionths of the run's rate.
+    pub fn new(started: Instant, rate_ppm: u64) -> Self {
+        Self { started, rate_ppm }
+    }
+
+    /// What the clock shows at `now`.
+    pub fn local(&self, now: Instant) -> Duration {
+        let elapsed = u128::from(now.saturating_sub(self.started));
+        Duration::from_nanos((elapsed * 1_000 * u128::from(self.rate_ppm) / MILLION) as u64)
+    }
+
+    /// The first moment at which the clock shows `local` or more.
+    pub fn moment(&self, local: Duration) -> Instant {
+        let nanoseconds = local.as_nanos() * MILLION;
+        let elapsed = nanoseconds.div_ceil(1_000 * u128::from(self.rate_ppm));
+        self.started
+            .saturating_add(u64::try_from(elapsed).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/sim/src/run.rs
@@ -0,0 +1,162 @@
+//! Runs scenarios over seeds, on as many threads as are asked for.
+//!
+//! Invariant: the order of the results is that of the seeds, however many threads there are.
+
+use std::ops::Range;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use grebepin_check::{check, measure, CheckLimits, Counts, Measures, Violation};
+use grebepin_schema::HistoryRecord;
+use serde::Serialize;
+use sha2::{Digest as _, Sha256};
+
+use crate::deployment::CONTROLS;
+use crate::removal::RunGuards;
+use crate::scenario::Scenario;
+use crate::unavailable::{self, Unavailable};
+use crate::world::{Finding, World};
+
+/// What came of one run.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunOutcome {
+    /// Scenario.
+    pub scenario: String,
+    /// Seed.
+    pub seed: u64,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// What else must not be.
+    pub findings: Vec<Finding>,
+    /// What the history holds.
+    pub counts: Counts,
+    /// Churn, imbalance and unavailable time.
+    pub measures: Measures,
+    /// Times without an owner and without a leader.
+    pub unavailable: Unavailable,
+    /// SHA-256 of the records as lines of JSON.
+    pub digest: String,
+    /// The records.
+    #[serde(skip)]
+    pub records: Vec<HistoryRecord>,
+}
+
+impl RunOutcome {
+    /// Whether all promises were kept and nothing else was found.
+    pub fn is_clean(&self) -> bool {
+        self.violations.is_empty() && self.findings.is_empty()
+    }
+
+    /// The records as lines of JSON.
+    pub fn lines(&self) -> impl Iterator<Item = String> + '_ {
+        self.records.iter().map(line)
+    }
+}
+
+fn line(record: &HistoryRecord) -> String {
+    serde_json::to_string(record).expect("records encode as JSON")
+}
+
+/// Runs one scenario with one seed.
+pub fn run(scenario: &Scenario, seed: u64, guards: RunGuards) -> RunOutcome {
+    let mut world = World::new(scenario, seed, guards);
+    world.run();
+    let without_leader_us = world.longest_without_leader();
+    let (records, findings) = world.into_parts();
+    let limits = CheckLimits {
+        control_replicas: CONTROLS,
+        ..CheckLimits::default()
+    };
+    let report = check(&records, &limits);
+    let mut hash = Sha256::new();
+    for record in &records {
+        hash.update(line(record));
+        hash.update("\n");
+    }
+    RunOutcome {
+        scenario: scenario.name.clone(),
+        seed,
+        violations: report.violations,
+        findings,
+        counts: report.counts,
+        measures: measure(&records),
+        unavailable: unavailable::measure(&records, without_leader_us),
+        digest: hex::encode(hash.finalize()),
+        records,
+    }
+}
+
+/// Runs of one scenario.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Batch {
+    /// Scenario.
+    pub scenario: String,
+    /// Runs.
+    pub runs: u64,
+    /// Runs that broke a promise.
+    pub broken: u64,
+    /// Runs in which something else was found.
+    pub found: u64,
+    /// Requests answered over all runs.
+    pub answered: u64,
+    /// Effects over all runs.
+    pub effects: u64,
+    /// Runs that were not clean, without their records; the first few.
+    pub unclean: Vec<RunOutcome>,
+    /// Unavailable times of all runs.
+    #[serde(skip)]
+    pub unavailable: Vec<Unavailable>,
+}
+
+/// Outcomes that a batch keeps whole.
+const KEPT_OUTCOMES: usize = 20;
+
+/// Runs a scenario with every seed of a range, on `threads` threads.
+pub fn run_many(
+    scenario: &Scenario,
+    seeds: Range<u64>,
+    guards: RunGuards,
+    threads: usize,
+) -> Batch {
+    let count = usize::try_from(seeds.end.saturating_sub(seeds.start)).unwrap_or(usize::MAX);
+    let next = AtomicUsize::new(0);
+    let outcomes = Mutex::new(Vec::with_capacity(count));
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| loop {
+                let place = next.fetch_add(1, Ordering::Relaxed);
+                if place >= count {
+                    break;
+                }
+                let mut outcome = run(scenario, seeds.start + place as u64, guards);
+                outcome.records = Vec::new();
+                let mut outcomes = outcomes.lock().unwrap_or_else(PoisonError::into_inner);
+                outcomes.push(outcome);
+            });
+        }
+    });
+    let mut outcomes = outcomes
+        .into_inner()
+        .unwrap_or_else(PoisonError::into_inner);
+    outcomes.sort_by_key(|outcome| outcome.seed);
+    summarise(scenario, outcomes)
+}
+
+fn summarise(scenario: &Scenario, outcomes: Vec<RunOutcome>) -> Batch {
+    let mut batch = Batch {
+        scenario: scenario.name.clone(),
+        ..Batch::default()
+    };
+    for outcome in outcomes {
+        batch.runs += 1;
+        batch.broken += u64::from(!outcome.violations.is_empty());
+        batch.found += u64::from(!outcome.findings.is_empty());
+        batch.answered += outcome.counts.answered;
+        batch.effects += outcome.counts.effects;
+        batch.unavailable.push(outcome.unavailable.clone());
+        if !outcome.is_clean() && batch.unclean.len() < KEPT_OUTCOMES {
+            batch.unclean.push(outcome);
+        }
+    }
+    batch
+}
--- /dev/null
+++ b/crates/sim/src/world/ending.rs
@@ -0,0 +1,245 @@
+//! The end of a run: is everything well again, and do the logs on the disks agree?
+
+use std::collections::BTreeMap;
+
+use grebepin_ownership::{Outcome as CommandOutcome, OwnershipState};
+use grebepin_schema::framing::decode;
+use grebepin_schema::{
+    AssignmentRecord, Command, Entry, EntryPayload, Epoch, HistoryEvent, LogIndex, ReplicaId,
+    ServerName, ShardId, Term,
+};
+use grebepin_storage::{Crash, Opened, ReplicaStorage};
+
+use super::controls::{service_name, GROUP};
+use super::World;
+use crate::clock::Instant;
+use crate::deployment::{server_name, CONTROLS, SERVERS, SHARDS};
+use crate::process::Process;
+
+/// Requests of a run's last stretch that must be answered, in percent. One of the eight shards may be
+/// moving, which waits for its longest request; one of the four servers must not be missing.
+const LEAST_ANSWERED_PERCENT: u64 = 80;
+
+/// Something that no promise names and that must not be.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Finding {
+    /// When, in microseconds.
+    pub at_us: Instant,
+    /// Kind, in a word.
+    pub kind: &'static str,
+    /// What happened, for people.
+    pub explanation: String,
+}
+
+impl Finding {
+    /// Two replicas may act as leaders at the same moment.
+    pub const TWO_LEADERS: &'static str = "two-leaders";
+    /// At the end of the run not everything was well again.
+    pub const NOT_RECOVERED: &'static str = "not-recovered";
+    /// A leader committed an entry that a majority of its voters does not have.
+    pub const COMMITTED_WITHOUT_MAJORITY: &'static str = "committed-without-majority";
+    /// Two replicas committed different entries at one index.
+    pub const LOGS_DIFFER: &'static str = "logs-differ";
+
+    pub(super) fn new(at_us: Instant, kind: &'static str, explanation: String) -> Self {
+        Self {
+            at_us,
+            kind,
+            explanation,
+        }
+    }
+}
+
+/// What a replica's disk holds at the end.
+struct FinalLog {
+    replica: ReplicaId,
+    commit: LogIndex,
+    after_snapshot: bool,
+    entries: Vec<Entry>,
+}
+
+impl World {
+    pub(super) fn look_at_the_end(&mut self) {
+        for server in 0..SERVERS {
+            self.flush_server(server);
+        }
+        self.look_at_owners();
+        self.look_at_jobs();
+        self.look_at_last_requests();
+        let logs: Vec<FinalLog> = (0..CONTROLS)
+            .filter_map(|number| self.final_log(number))
+            .collect();
+        self.compare_logs(&logs);
+        if let Some(latest) = logs.iter().max_by_key(|log| log.commit) {
+            self.replay(latest);
+        }
+    }
+
+    fn not_recovered(&mut self, explanation: String) {
+        let finding = Finding::new(self.now, Finding::NOT_RECOVERED, explanation);
+        self.findings.push(finding);
+    }
+
+    /// Every shard has an owner that holds it, and every router knows it.
+    fn look_at_owners(&mut self) {
+        let Some(leader) = self.leader() else {
+            return self.not_recovered("no control replica leads".to_string());
+        };
+        let Some(node) = self.controls[leader].node.as_ref() else {
+            return;
+        };
+        let table = node.state().table();
+        let mut lost = Vec::new();
+        for service in &table.table.services {
+            for (shard, owner) in service.owners.iter().enumerate() {
+                let place = owner.server.map(|place| place as usize);
+                let server = place.and_then(|place| service.service.servers.get(place));
+                let server = server.map(|server| server.name.clone());
+                lost.push((ShardId(shard as u32), owner.epoch, server));
+            }
+        }
+        let held = lost.iter().filter(|(shard, epoch, server)| {
+            server
+                .as_ref()
+                .is_some_and(|server| self.holds(server, *shard, *epoch))
+        });
+        let held = held.count();
+        if held != SHARDS as usize {
+            self.not_recovered(format!(
+                "{held} of {SHARDS} shards are held by their owners"
+            ));
+        }
+        for (number, router) in self.routers.iter().enumerate() {
+            if router.table_index() != table.index {
+                let name = Process::Router(number).name();
+                let explanation = format!(
+                    "{name} has the table of index {}, not {}",
+                    router.table_index(),
+                    table.index
+                );
+                let finding = Finding::new(self.now, Finding::NOT_RECOVERED, explanation);
+                self.findings.push(finding);
+            }
+        }
+    }
+
+    fn holds(&self, server: &ServerName, shard: ShardId, epoch: Epoch) -> bool {
+        let Some(number) = (0..SERVERS).find(|number| server_name(*number) == *server) else {
+            return false;
+        };
+        let key = grebepin_schema::ShardKey {
+            service: service_name(),
+            shard,
+        };
+        self.servers[number].held_epoch(&key) == epoch
+    }
+
+    fn look_at_jobs(&mut self) {
+        let unfinished = self.operators.unfinished();
+        if unfinished > 0 {
+            self.not_recovered(format!("{unfinished} requests of operators have no answer"));
+        }
+    }
+
+    /// Requests of the last stretch are answered.
+    fn look_at_last_requests(&mut self) {
+        let (sent, answered) = self.callers.last_requests();
+        if answered * 100 < sent * LEAST_ANSWERED_PERCENT {
+            self.not_recovered(format!(
+                "{answered} of the last {sent} requests were answered"
+            ));
+        }
+    }
+
+    fn final_log(&mut self, number: usize) -> Option<FinalLog> {
+        let commit = self.controls[number].node.as_ref()?.consensus().commit();
+        let disk = self.controls[number].disk.clone();
+        disk.crash(Crash::KeepAll);
+        match ReplicaStorage::open(disk) {
+            Ok(Opened::Present {
+                identity, restored, ..
+            }) => Some(FinalLog {
+                replica: identity.replica,
+                commit,
+                after_snapshot: restored
+                    .snapshot
+                    .is_some_and(|(meta, _)| meta.index > LogIndex(1)),
+                entries: restored.entries,
+            }),
+            Ok(Opened::Empty(_)) => None,
+            Err(error) => {
+                let explanation = format!("the disk of control-{} is damaged: {error}", number + 1);
+                self.findings
+                    .push(Finding::new(self.now, "disk", explanation));
+                None
+            }
+        }
+    }
+
+    /// Committed entries of one index are the same everywhere.
+    fn compare_logs(&mut self, logs: &[FinalLog]) {
+        let mut known: BTreeMap<LogIndex, (Term, ReplicaId)> = BTreeMap::new();
+        for log in logs {
+            for entry in log.entries.iter().filter(|entry| entry.index <= log.commit) {
+                let (term, replica) = *known
+                    .entry(entry.index)
+                    .or_insert((entry.term, log.replica));
+                if term != entry.term {
+                    let explanation = format!(
+                        "replicas {replica} and {} committed different entries at {}",
+                        log.replica, entry.index
+                    );
+                    let finding = Finding::new(self.now, Finding::LOGS_DIFFER, explanation);
+                    self.findings.push(finding);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Applies the log that is left to an empty state, and records each assignment with the epoch
+    /// that it replaced. A log whose beginning is in a snapshot is left out.
+    fn replay(&mut self, log: &FinalLog) {
+        if log.after_snapshot {
+            return;
+        }
+        let mut state = OwnershipState::new(GROUP);
+        let mut epochs: BTreeMap<ShardId, Epoch> = BTreeMap::new();
+        for entry in log.entries.iter().filter(|entry| entry.index <= log.commit) {
+            let EntryPayload::Command(bytes) = &entry.payload else {
+                continue;
+            };
+            let Ok(command) = decode::<Command>(&bytes.0) else {
+                continue;
+            };
+            let applied = state.apply(entry.index, &command);
+            if let CommandOutcome::Assigned(assigned) = applied.outcome {
+                for one in assigned.accepted {
+                    let previous = epochs.insert(one.shard, one.epoch).unwrap_or(Epoch(0));
+                    self.record(HistoryEvent::Believed(AssignmentRecord {
+                        service: one.service,
+                        shard: one.shard,
+                        epoch: one.epoch,
+                        replica: log.replica,
+                        server: one.server,
+                        previous: Some(previous),
+                    }));
+                }
+            } else {
+                // A new start of a server gives its shards fresh epochs.
+                for (shard, epoch) in current_epochs(&state) {
+                    epochs.insert(shard, epoch);
+                }
+            }
+        }
+    }
+}
+
+fn current_epochs(state: &OwnershipState) -> Vec<(ShardId, Epoch)> {
+    let table = state.table();
+    let services = table.table.services.iter();
+    services
+        .flat_map(|service| service.owners.iter().enumerate())
+        .map(|(shard, owner)| (ShardId(shard as u32), owner.epoch))
+        .collect()
+}
