holder: a lost owner that comes back hands its record over

Cause: after a freeze longer than the lease the next owner's record was not whole, so that every resend of a request whose answer was lost got unknown for 900 s, though the frozen server came back with the whole truth three seconds later. Ruled out: letting the frozen server answer for itself; it isn't the owner, and a router asks the owner. Weighed: fetching only once; the server is still frozen then. Change: a holder that dropped a shard at a lapse answers its record as complete once nothing of that epoch runs, and refuses the epoch from then on; the next owner asks again until its record is whole, also for a shard that it has released again, and a server that got the shard back still answers for its earlier epoch, so that chains of owners become whole. Tombstones that could not be proven are proven by then. Tests: a table and a test that expected no fetch and an ignored answer after a lost owner now expect the late one; two more follow a lost owner and a chain. Clause on the record after a lapse added to the contract check.

--- a/crates/holder/src/holder.rs
+++ b/crates/holder/src/holder.rs
@@ -33,6 +33,8 @@
     pub(crate) in_flight: u32,
     /// The record of the previous owner is being fetched.
     pub(crate) awaiting_record: bool,
+    /// An earlier epoch held here, up to which the record is whole.
+    pub(crate) whole_through: Option<Epoch>,
     /// Released with a record that no next owner has fetched yet.
     pub(crate) record_unfetched: bool,
     /// Hash of the held shard, for the checksum.
@@ -50,11 +52,28 @@
             released: Epoch(0),
             in_flight: 0,
             awaiting_record: false,
+            whole_through: None,
             record_unfetched: false,
             hash: 0,
             record: Record::default(),
         }
     }
+
+    /// Whether the shard is held at `epoch`, or was last, with a record that isn't whole. Also a
+    /// record of a shard that has moved on is worth to be made whole, for the next owner.
+    pub(crate) fn lacks_record(&self, now: Duration, epoch: Epoch) -> bool {
+        self.epoch == epoch && !self.record.is_whole(now)
+    }
+
+    /// Whether nothing of `epoch` runs or will run here, and whether the record is whole up to it.
+    pub(crate) fn ended(&self, now: Duration, epoch: Epoch) -> (bool, bool) {
+        if self.epoch == epoch {
+            let settled = !self.held && self.in_flight == 0;
+            return (settled, settled && self.record.is_whole(now));
+        }
+        let earlier = self.whole_through == Some(epoch) && !self.record.overflowed(now);
+        (earlier, earlier)
+    }
 }
 
 /// Whether a shard was acquired or forfeited.
--- a/crates/holder/src/ownership.rs
+++ b/crates/holder/src/ownership.rs
@@ -15,6 +15,10 @@
 
 /// A record that the driver fetches from a shard's previous owner, with
 /// `GET /grebepin/v1/handover`, and hands to [`Holder::complete_handover`].
+///
+/// When the previous owner released the shard, requests wait for it, so that it is fetched at once.
+/// Otherwise the previous owner was lost; it may come back with its record, so that the driver asks
+/// now and then, as long as [`Holder::wants_record`] says so.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HandoverFetch {
     /// Shard and the epoch it was granted at.
@@ -87,7 +91,8 @@
         answer
     }
 
-    /// The record of a shard that this server released at `epoch`, for the next owner.
+    /// The record of a shard that this server held at `epoch` and released, or lost with its lease;
+    /// for the next owner. Once handed over, the shard is not taken again at that epoch.
     pub fn handover(&mut self, now: Duration, key: &ShardKey, epoch: Epoch) -> HandoverAnswer {
         self.lapse(now);
         let Some(shard) = self.shards.get_mut(key) else {
@@ -97,19 +102,26 @@
             };
         };
         shard.record.expire(now, &self.config);
-        let settled = !shard.held && shard.in_flight == 0;
-        let same_epoch = shard.epoch == epoch && shard.released >= epoch;
-        if settled && same_epoch {
-            shard.record_unfetched = false;
+        let (settled, complete) = shard.ended(now, epoch);
+        if settled {
+            // The next owner asks, so that this epoch is over for good.
+            shard.released = shard.released.max(epoch);
+            shard.record_unfetched &= shard.epoch != epoch;
         }
         HandoverAnswer {
-            complete: settled && same_epoch && shard.record.is_whole(now),
+            complete,
             entries: shard.record.handover_entries(),
         }
     }
 
-    /// Takes in the record fetched for a grant; `None` when it could not be had. An answer for an
-    /// epoch no longer held is ignored.
+    /// Whether the record of a shard held at this epoch, now or last, is still to be fetched.
+    pub fn wants_record(&self, now: Duration, shard: &HeldShard) -> bool {
+        let known = self.shards.get(&shard_key(shard));
+        known.is_some_and(|known| known.lacks_record(now, shard.epoch))
+    }
+
+    /// Takes in the record fetched for a grant; `None` when it could not be had. An answer for
+    /// another epoch than the one held now or last is ignored.
     pub fn complete_handover(
         &mut self,
         now: Duration,
@@ -120,17 +132,12 @@
         let key = shard_key(shard);
         let config = &self.config;
         let known = self.shards.get_mut(&key);
-        let Some(held) = known.filter(|known| known.epoch == shard.epoch && known.awaiting_record)
-        else {
+        let Some(held) = known.filter(|known| known.lacks_record(now, shard.epoch)) else {
             return;
         };
         held.awaiting_record = false;
-        let Some(answer) = answer else {
-            return;
-        };
-        let merged = held.record.merge(now, &answer.entries, config);
-        if answer.complete && merged {
-            held.record.set_whole(now);
+        if let Some(answer) = answer {
+            held.record.take_over(now, answer, config);
         }
     }
 
@@ -176,9 +183,13 @@
         if shard.held && shard.epoch == grant.epoch {
             return None;
         }
-        let continues = shard.epoch == grant.epoch
-            || continues_own_record(shard.epoch, grant.previous.as_ref());
+        let previous_is_self = continues_own_record(shard.epoch, grant.previous.as_ref());
+        let continues = shard.epoch == grant.epoch || previous_is_self;
         let whole_now = shard.record.is_whole(now);
+        if shard.epoch != grant.epoch {
+            let settled = whole_now && shard.in_flight == 0;
+            shard.whole_through = settled.then_some(shard.epoch);
+        }
         match &grant.previous {
             _ if continues && whole_now => {}
             None if shard.epoch == Epoch(0) => shard.record.set_whole(now),
@@ -187,15 +198,12 @@
         }
         let incomplete = !shard.record.is_whole(now);
         self.acquire(now, &key, grant.epoch);
-        let previous = grant
-            .previous
-            .clone()
-            .filter(|previous| previous.released)?;
-        if !incomplete {
+        let previous = grant.previous.clone()?;
+        if !incomplete || previous_is_self {
             return None;
         }
         if let Some(shard) = self.shards.get_mut(&key) {
-            shard.awaiting_record = true;
+            shard.awaiting_record = previous.released;
         }
         let shard = held_shard(&key, grant.epoch);
         Some(HandoverFetch { shard, previous })
--- a/crates/holder/src/record.rs
+++ b/crates/holder/src/record.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use grebepin_schema::{RecordEntry, RequestId, RequestState};
+use grebepin_schema::{HandoverAnswer, RecordEntry, RequestId, RequestState};
 
 use crate::HolderConfig;
 
@@ -63,6 +63,8 @@
     generation: u64,
     /// From when on the record is whole; `None` until its first owner's grant or hand-over says.
     whole_from: Option<Duration>,
+    /// Until when requests within the retention are missing since there were too many.
+    overflowed_until: Duration,
 }
 
 impl Record {
@@ -71,6 +73,11 @@
         self.whole_from.is_some_and(|from| from <= now)
     }
 
+    /// Whether requests within the retention were dropped since there were too many.
+    pub(crate) fn overflowed(&self, now: Duration) -> bool {
+        self.overflowed_until > now
+    }
+
     /// States that nothing is missing.
     pub(crate) fn set_whole(&mut self, now: Duration) {
         self.whole_from = Some(now);
@@ -154,13 +161,31 @@
             .collect()
     }
 
-    /// Takes in the previous owner's entries; `false` when one of them has no final state.
-    pub(crate) fn merge(
+    /// Takes in the previous owner's record, and is whole from now on if that one is.
+    pub(crate) fn take_over(
         &mut self,
         now: Duration,
-        entries: &[RecordEntry],
+        handed_over: &HandoverAnswer,
         config: &HolderConfig,
-    ) -> bool {
+    ) {
+        if !handed_over.complete {
+            self.merge(now, &handed_over.entries, config);
+            return;
+        }
+        // What was cancelled here and isn't in the whole record before did not run.
+        let unproven = EntryState::Tombstone { proven: false };
+        for entry in self.entries.values_mut() {
+            if entry.state == unproven {
+                entry.state = EntryState::Tombstone { proven: true };
+            }
+        }
+        if self.merge(now, &handed_over.entries, config) {
+            self.set_whole(now);
+        }
+    }
+
+    /// Takes in the previous owner's entries; `false` when one of them has no final state.
+    fn merge(&mut self, now: Duration, entries: &[RecordEntry], config: &HolderConfig) -> bool {
         let mut whole = true;
         for entry in entries {
             let state = match entry.state {
@@ -183,7 +208,9 @@
     fn yields_to(&self, request_id: &RequestId, handed_over: EntryState) -> bool {
         match self.state(request_id) {
             None | Some(EntryState::Admitted(_)) => true,
-            Some(EntryState::Tombstone { .. }) => handed_over == EntryState::Ran,
+            Some(EntryState::Tombstone { .. }) => {
+                handed_over != EntryState::Tombstone { proven: true }
+            }
             Some(EntryState::Committing(_) | EntryState::Ran) => false,
         }
     }
@@ -193,6 +220,7 @@
         while self.kept.len() > config.entries_per_shard {
             self.forget(false);
             self.set_incomplete(now, config);
+            self.overflowed_until = now + config.retention;
         }
         while self.repeatable.len() > config.entries_per_shard {
             self.forget(true);
--- a/crates/holder/tests/requests.rs
+++ b/crates/holder/tests/requests.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{id, key, ms, previous, request, resend, Server, BOOT, LEASE_MS};
+use common::{held, id, key, ms, previous, request, resend, Server, BOOT, LEASE_MS};
 use grebepin_holder::{Guard, Guards, HeaderError, HolderConfig, Request};
 use grebepin_schema::{Epoch, HandoverAnswer, RecordEntry, Refusal, RequestState, ShardId};
 
@@ -338,8 +338,11 @@
     for (name, previous, fetched, expected) in table {
         let mut server = Server::leased(Guards::all());
         let outcome = server.grant_outcome(0, 0, 7, previous.clone());
-        let wants_fetch = previous.is_some_and(|previous| previous.released);
-        assert_eq!(outcome.fetch.len(), usize::from(wants_fetch), "{name}");
+        assert_eq!(
+            outcome.fetch.len(),
+            usize::from(previous.is_some()),
+            "{name}"
+        );
         if let Some(answer) = fetched {
             server.handed_over(1, 7, answer);
         }
@@ -438,11 +441,16 @@
         entries: Vec::new(),
     };
     server.handed_over(2, 6, Some(whole.clone()));
-    server.handed_over(2, 9, Some(whole));
     assert_eq!(
         server.run(3, &resend("a", 9)),
         Err(Refusal::RecordIncomplete)
     );
+    assert!(server.holder.wants_record(ms(4), &held(0, 9)));
+    server.renew_at(LEASE_MS);
+    let again = server.grant_outcome(LEASE_MS, 0, 9, Some(previous(8, false)));
+    assert_eq!(again.fetch.len(), 1, "granted again after a lapse");
+    server.handed_over(LEASE_MS, 9, Some(whole));
+    assert_eq!(server.run(LEASE_MS, &resend("a", 9)), Ok(true));
 }
 
 #[test]
@@ -598,3 +606,87 @@
         );
     }
 }
+
+#[test]
+fn a_lost_owner_that_comes_back_hands_its_record_over() {
+    let mut lost = Server::serving(Guards::all());
+    assert_eq!(lost.run(1, &request("ran", 5)), Ok(true));
+    let frozen = lost.begin(2, &request("frozen", 5)).unwrap();
+    let mut next = Server::leased(Guards::all());
+    let fetch = next.grant_outcome(0, 0, 9, Some(previous(5, false))).fetch;
+    assert!(!fetch[0].previous.released);
+    assert_eq!(
+        next.cancel(1, "before", 9, Some(2)).state,
+        RequestState::Unknown
+    );
+    assert_eq!(
+        next.cancel(1, "ran", 9, Some(2)).state,
+        RequestState::Unknown
+    );
+
+    // Back after its lease: first with a request that has not noticed yet.
+    let early = lost.holder.handover(ms(3000), &key(0), Epoch(5));
+    assert!(!early.complete);
+    next.handed_over(2, 9, Some(early));
+    assert_eq!(
+        next.outcome(2, "ran"),
+        RequestState::Ran,
+        "what is known counts"
+    );
+    assert_eq!(next.outcome(2, "before"), RequestState::Unknown);
+    assert!(lost.complete(3001, frozen).is_err());
+
+    let whole = lost.holder.handover(ms(3002), &key(0), Epoch(5));
+    assert!(whole.complete);
+    next.handed_over(3, 9, Some(whole));
+    assert!(!next.holder.wants_record(ms(3), &held(0, 9)));
+    assert_eq!(
+        next.outcome(3, "before"),
+        RequestState::NotRun,
+        "proven by now"
+    );
+    assert_eq!(next.run(3, &resend("ran", 9)), Ok(false));
+    assert_eq!(next.run(3, &resend("frozen", 9)), Ok(true));
+
+    lost.renew_at(3003);
+    let refused = lost.grant(3003, 0, 5, None);
+    assert_eq!(
+        refused,
+        Some(grebepin_schema::GrantRefusalReason::StaleEpoch)
+    );
+}
+
+#[test]
+fn records_become_whole_along_a_chain_of_owners() {
+    let mut first = Server::serving(Guards::all());
+    assert_eq!(first.run(1, &request("ran", 5)), Ok(true));
+    // Lost, so that the second owner's record isn't whole when it releases the shard again.
+    let mut second = Server::leased(Guards::all());
+    second.grant(0, 0, 6, Some(previous(5, false)));
+    assert_eq!(second.run(1, &request("ran-second", 6)), Ok(true));
+    second.release(2, 0, 6);
+    let early = second.holder.handover(ms(3), &key(0), Epoch(6));
+    assert!(!early.complete);
+    // The first owner is back and gets the shard again.
+    first.renew_at(3000);
+    first.grant(3000, 0, 7, Some(previous(6, true)));
+    first.handed_over(3001, 7, Some(early));
+    assert_eq!(
+        first.run(3002, &resend("new", 7)),
+        Err(Refusal::RecordIncomplete)
+    );
+
+    assert!(
+        !first.holder.handover(ms(3003), &key(0), Epoch(6)).complete,
+        "never held"
+    );
+    let early = first.holder.handover(ms(3003), &key(0), Epoch(5));
+    assert!(early.complete, "an epoch held before");
+    assert!(second.holder.wants_record(ms(4), &held(0, 6)));
+    second.handed_over(4, 6, Some(early));
+    let whole = second.holder.handover(ms(5), &key(0), Epoch(6));
+    assert!(whole.complete);
+    first.handed_over(3004, 7, Some(whole));
+    assert_eq!(first.run(3005, &resend("ran-second", 7)), Ok(false));
+    assert_eq!(first.run(3005, &resend("new", 7)), Ok(true));
+}
--- a/crates/standin/src/back_end/control_api.rs
+++ b/crates/standin/src/back_end/control_api.rs
@@ -97,7 +97,7 @@
     fn grant(&self, request: GrantRequest) -> Answer {
         let outcome = self.with_holder(|holder, now| holder.grant(now, &request));
         for fetch in outcome.fetch {
-            self.fetches.send(fetch).ok();
+            self.fetches.put(fetch);
         }
         Answer::json(&outcome.answer)
     }
--- a/crates/standin/src/back_end/handover.rs
+++ b/crates/standin/src/back_end/handover.rs
@@ -1,13 +1,13 @@
 //! Fetches the records of shards from their previous owners, in the background.
 //!
-//! Invariant: every fetch ends, with a record or without, so that no shard waits for ever.
+//! Invariant: every fetch that requests wait for ends, with a record or without.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::sync::{Arc, Weak};
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::Receiver;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use grebepin_holder::HandoverFetch;
 use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
 use grebepin_schema::{HandoverAnswer, SocketAddress};
@@ -23,15 +23,55 @@
 /// How long a server that did not answer is not asked again by the same worker.
 const DEAF_TIME: Duration = Duration::from_secs(2);
 
-/// Starts the threads that fetch records.
-pub(crate) fn start_workers(node: &Arc<Node>, fetches: &Receiver<HandoverFetch>) -> io::Result<()> {
+/// Pause before a lost owner is asked again for a record.
+const LATE_PAUSE: Duration = Duration::from_secs(2);
+
+/// Where fetches go: those that requests wait for, and those from lost owners.
+#[derive(Clone, Debug)]
+pub(crate) struct FetchQueues {
+    urgent: Sender<HandoverFetch>,
+    late: Sender<HandoverFetch>,
+}
+
+/// The other end of the queues.
+#[derive(Clone, Debug)]
+pub(crate) struct FetchReceivers {
+    urgent: Receiver<HandoverFetch>,
+    late: Receiver<HandoverFetch>,
+}
+
+impl FetchQueues {
+    pub(crate) fn new() -> (Self, FetchReceivers) {
+        let (urgent, urgent_receiver) = crossbeam_channel::unbounded();
+        let (late, late_receiver) = crossbeam_channel::unbounded();
+        let receivers = FetchReceivers {
+            urgent: urgent_receiver,
+            late: late_receiver,
+        };
+        (Self { urgent, late }, receivers)
+    }
+
+    pub(crate) fn put(&self, fetch: HandoverFetch) {
+        let queue = match fetch.previous.released {
+            true => &self.urgent,
+            false => &self.late,
+        };
+        queue.send(fetch).ok();
+    }
+}
+
+/// Starts the threads that fetch records; they end with the node.
+pub(crate) fn start_workers(node: &Arc<Node>, fetches: &FetchReceivers) -> io::Result<()> {
     for _ in 0..WORKERS {
-        let node = Arc::downgrade(node);
-        let fetches = fetches.clone();
+        let (node, fetches) = (Arc::downgrade(node), fetches.urgent.clone());
         std::thread::Builder::new()
             .name("handover".into())
             .spawn(move || Worker::new().run(&node, &fetches))?;
     }
+    let (node, fetches) = (Arc::downgrade(node), fetches.late.clone());
+    std::thread::Builder::new()
+        .name("late-handover".into())
+        .spawn(move || Worker::new().run_late(&node, &fetches))?;
     Ok(())
 }
 
@@ -52,16 +92,43 @@
         }
     }
 
+    /// Fetches what requests wait for, once; what fails is tried again among the late ones.
     fn run(mut self, node: &Weak<Node>, fetches: &Receiver<HandoverFetch>) {
         for fetch in fetches {
             let answer = self.fetch(&fetch);
             let Some(node) = node.upgrade() else {
                 return;
             };
-            node.faults.wait_while_frozen();
-            node.with_holder(|holder, now| {
-                holder.complete_handover(now, &fetch.shard, answer.as_ref());
+            hand_in(&node, &fetch, answer.as_ref());
+            node.fetches.late.send(fetch).ok();
+        }
+    }
+
+    /// Asks lost owners for their records until they answer or nobody wants the record any more.
+    fn run_late(mut self, node: &Weak<Node>, fetches: &Receiver<HandoverFetch>) {
+        let mut waiting: VecDeque<(Instant, HandoverFetch)> = VecDeque::new();
+        loop {
+            let due = waiting.front().map(|(due, _)| *due);
+            let pause = due.map_or(LATE_PAUSE, |due| {
+                due.saturating_duration_since(Instant::now())
             });
+            let next = match fetches.recv_timeout(pause) {
+                Ok(fetch) => Some(fetch),
+                Err(RecvTimeoutError::Timeout) => waiting.pop_front().map(|(_, fetch)| fetch),
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let Some(fetch) = next else {
+                continue;
+            };
+            if !wanted(node, &fetch) {
+                continue;
+            }
+            let answer = self.fetch(&fetch);
+            let Some(node) = node.upgrade() else {
+                return;
+            };
+            hand_in(&node, &fetch, answer.as_ref());
+            waiting.push_back((Instant::now() + LATE_PAUSE, fetch));
         }
     }
 
@@ -98,3 +165,13 @@
         serde_json::from_slice(&body).ok()
     }
 }
+
+fn wanted(node: &Weak<Node>, fetch: &HandoverFetch) -> bool {
+    node.upgrade()
+        .is_some_and(|node| node.with_holder(|holder, now| holder.wants_record(now, &fetch.shard)))
+}
+
+fn hand_in(node: &Node, fetch: &HandoverFetch, answer: Option<&HandoverAnswer>) {
+    node.faults.wait_while_frozen();
+    node.with_holder(|holder, now| holder.complete_handover(now, &fetch.shard, answer));
+}
--- a/crates/standin/src/back_end/mod.rs
+++ b/crates/standin/src/back_end/mod.rs
@@ -25,6 +25,7 @@
 pub use serving::AnswerBody;
 
 use crate::http::{HttpServer, ServerOptions};
+use handover::FetchQueues;
 use node::Node;
 
 /// Why a stand-in could not start.
@@ -76,8 +77,8 @@
         let address = arguments.listen;
         let listener = TcpListener::bind(address)
             .map_err(|source| BackEndError::Listen { address, source })?;
-        let (sender, fetches) = crossbeam_channel::unbounded();
-        let node = Node::new(arguments, guards, sender).map_err(BackEndError::History)?;
+        let (queues, fetches) = FetchQueues::new();
+        let node = Node::new(arguments, guards, queues).map_err(BackEndError::History)?;
         let node = Arc::new(node);
         // A start ends an earlier leaving.
         node.record(HistoryEvent::Staying(arguments.name.clone()));
--- a/crates/standin/src/back_end/node.rs
+++ b/crates/standin/src/back_end/node.rs
@@ -7,15 +7,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::Sender;
-use grebepin_holder::{
-    Guards, HandoverFetch, Holder, HolderConfig, HoldingChange, HoldingChangeKind,
-};
+use grebepin_holder::{Guards, Holder, HolderConfig, HoldingChange, HoldingChangeKind};
 use grebepin_schema::{EffectRecord, HealthState, HistoryEvent, Holding, LoadAnswer};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
 use super::faults::Faults;
+use super::handover::FetchQueues;
 use super::slots::Slots;
 use super::{Args, Lie};
 use crate::history::HistoryWriter;
@@ -35,18 +33,14 @@
     pub(crate) faults: Faults,
     pub(crate) history: HistoryWriter,
     pub(crate) random: Mutex<SmallRng>,
-    pub(crate) fetches: Sender<HandoverFetch>,
+    pub(crate) fetches: FetchQueues,
     pub(crate) running: Mutex<BTreeMap<u64, EffectRecord>>,
     started: Instant,
     holder: Mutex<Holder>,
 }
 
 impl Node {
-    pub(crate) fn new(
-        arguments: &Args,
-        guards: Guards,
-        fetches: Sender<HandoverFetch>,
-    ) -> io::Result<Self> {
+    pub(crate) fn new(arguments: &Args, guards: Guards, fetches: FetchQueues) -> io::Result<Self> {
         let boot = rand::random::<u64>() >> (u64::BITS - BOOT_BITS);
         let mut config = HolderConfig::new(boot);
         config.guards = guards;
--- a/crates/standin/src/contract/clauses.rs
+++ b/crates/standin/src/contract/clauses.rs
@@ -118,6 +118,10 @@
         "lapse: everything is dropped, the session ends",
         leases::lapse,
     ),
+    clause(
+        "lapse: the record is handed over all the same",
+        leases::handover_after_lapse,
+    ),
     slow_clause(
         "lapse: no effect after the lease",
         leases::no_effect_after_lapse,
--- a/crates/standin/src/contract/clauses/leases.rs
+++ b/crates/standin/src/contract/clauses/leases.rs
@@ -219,3 +219,18 @@
     );
     expect_that("effect after the lease", refused, reply, "no-lease")
 }
+
+pub(super) fn handover_after_lapse(peer: &mut Peer) -> Result<(), Breach> {
+    let (shard, epoch) = peer.own_shard()?;
+    let ask = peer.ask(shard, epoch);
+    expect("request", peer.send(&ask)?, Reply::Ran)?;
+    peer.wait_for_lapse()?;
+    let record = peer.handover(shard, epoch)?;
+    expect("complete", record.complete, true)?;
+    let mut entries = record.entries.iter();
+    let listed = entries.any(|entry| entry.request_id.as_str() == ask.id);
+    expect("entry", listed, true)?;
+    peer.renew()?;
+    let stale = Some(GrantRefusalReason::StaleEpoch);
+    expect("handed over", peer.grant(shard, epoch, None)?, stale)
+}
--- a/examples/back_end.py
+++ b/examples/back_end.py
@@ -128,7 +128,8 @@
 
 def handover(query):
     shard = shard_of(query["service"], query["shard"])
-    settled = not shard.held and not shard.in_flight and shard.released >= shard.epoch == int(query["epoch"])
+    settled = not shard.held and not shard.in_flight and shard.epoch == int(query["epoch"])
+    shard.released = max(shard.released, shard.epoch) if settled else shard.released
     entries = [{"request_id": request, "state": state} for request, state in shard.record.items()]
     return {"complete": settled and shard.whole_from <= now(), "entries": entries}
 
