--- a/crates/consensus/tests/guards.rs
+++ b/crates/consensus/tests/guards.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use grebepin_consensus::{Guard, Guards};
+use grebepin_schema::ReplicaId;
 use support::checks::Violation;
 use support::cluster::Cluster;
 
@@ -38,6 +39,16 @@
     }
 }
 
+/// The leader's clock runs at half speed, far beyond the bound, and the leader is cut off.
+fn slow_clock(cluster: &mut Cluster, leader: u64) {
+    let at = cluster.at;
+    let replica = cluster.replica_mut(ReplicaId(leader));
+    replica.clock.change_rate(at, 0.5);
+    let others: Vec<u64> = (1..=3).filter(|id| *id != leader).collect();
+    cluster.network.partition(&[leader], &others);
+    cluster.run(Duration::from_secs(6));
+}
+
 type Scenario = fn(&mut Cluster, u64);
 
 fn violations(guards: Guards, scenario: Scenario, seeds: u64) -> Vec<Violation> {
@@ -68,3 +79,12 @@
         assert_eq!(found, [], "with every guard, in the scenario of {guard:?}");
     }
 }
+
+#[test]
+fn the_checks_notice_a_clock_beyond_the_drift_bound() {
+    let found = violations(Guards::all(), slow_clock, SEEDS);
+    let overlaps = found
+        .iter()
+        .filter(|violation| matches!(violation, Violation::LeaseOverlap { .. }));
+    assert!(overlaps.count() > 0, "{found:?}");
+}
--- a/crates/consensus/tests/support/replica.rs
+++ b/crates/consensus/tests/support/replica.rs
@@ -72,6 +72,12 @@
         self.offset + at.mul_f64(self.rate)
     }
 
+    /// Lets the clock run at another rate from now on.
+    pub fn change_rate(&mut self, at: Duration, rate: f64) {
+        self.offset = self.read(at).saturating_sub(at.mul_f64(rate));
+        self.rate = rate;
+    }
+
     /// When in the simulation this clock shows `local`.
     pub fn time_of(&self, local: Duration) -> Duration {
         let elapsed = local.saturating_sub(self.offset);
