Fleet: starting a running process leaves it alone; a restarted back end is no longer leaving

The schedule starts all three control replicas after the leader's kill, since it can't name the one that led, and the runner then killed the two that ran: the whole group was down. And the runner recorded a planned stop as leaving but never the start after it as staying, so the checker blamed the work that a restarted back end took. Ruled out: the product: no back end took work between its leaving and its stop. Change: a start of a running process does nothing; a back end's start is recorded as staying.

--- a/crates/bench/src/fleet/cluster.rs
+++ b/crates/bench/src/fleet/cluster.rs
@@ -90,7 +90,7 @@
             .ok_or_else(|| self.unknown(name))
     }
 
-    /// A running process.
+    /// A process that was started.
     pub fn process(&mut self, name: &str) -> Result<&mut Process, FleetError> {
         if !self.running.contains_key(name) {
             return Err(self.unknown(name));
@@ -112,6 +112,11 @@
         Ok(())
     }
 
+    /// Whether a process was started and neither killed nor stopped since.
+    pub fn is_running(&mut self, name: &str) -> Result<bool, FleetError> {
+        Ok(self.process(name)?.is_running()?)
+    }
+
     /// Kills a process.
     pub fn kill(&mut self, name: &str) -> Result<(), FleetError> {
         Ok(self.process(name)?.kill()?)
--- a/crates/bench/src/fleet/faults.rs
+++ b/crates/bench/src/fleet/faults.rs
@@ -70,7 +70,14 @@
     fleet.record(HistoryEvent::Killed(name.to_string()))
 }
 
+/// Starts a process; one that runs is left alone.
 fn start(fleet: &mut Fleet, name: &str) -> Result<(), FleetError> {
+    if fleet.is_running(name)? {
+        return Ok(());
+    }
+    if fleet.kind(name)? == Kind::BackEnd {
+        fleet.record(HistoryEvent::Staying(server_name(name)))?;
+    }
     fleet.record(HistoryEvent::Returned(name.to_string()))?;
     fleet.launch(name)
 }
@@ -133,9 +140,6 @@
     };
     for name in fleet.names(kind) {
         stop(fleet, &name)?;
-        if kind == Kind::BackEnd {
-            fleet.record(HistoryEvent::Staying(server_name(&name)))?;
-        }
         start(fleet, &name)?;
         thread::sleep(RESTART_PAUSE);
     }
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -80,6 +80,14 @@
         self.child.id()
     }
 
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> Result<bool, ProcessError> {
+        match self.child.try_wait() {
+            Ok(status) => Ok(status.is_none()),
+            Err(source) => Err(self.signal_error(source)),
+        }
+    }
+
     /// Kills the process at once, as a machine's loss would, and waits for its end.
     pub fn kill(&mut self) -> Result<(), ProcessError> {
         let killed = self.child.kill().and_then(|()| self.child.wait().map(drop));
