control: a founding names all configured peers

Cause: two operators could found disjoint halves of one group, such as {1} and {2, 3}; both would grant shards to the same back ends. Ruled out: a check in the command line only, since the interface is open to others; asking peers before founding, since a lost answer makes that racy. Change: a replica refuses a founding that leaves out one of its configured peers, so any two foundings share a replica, which takes only one.

--- a/crates/control/src/node/founding.rs
+++ b/crates/control/src/node/founding.rs
@@ -1,6 +1,7 @@
 //! Founding a group: explicit, once, and safe to send again.
 //!
-//! Invariant: a replica is founded only under the identity of its own folder, and never when it holds
+//! Invariant: a founding names this replica and all its configured peers, so that no two foundings of a
+//! group can be disjoint; and a replica is founded only under the identity of its own folder, and never when it holds
 //! a copy of any log; so a replica that lost its folder can't be founded a second time.
 
 use std::time::Duration;
@@ -8,8 +9,8 @@
 use grebepin_consensus::{Consensus, Restored};
 use grebepin_ownership::OwnershipState;
 use grebepin_schema::{
-    ApiError, ApiErrorKind, FoundRequest, IdentityAnswer, LogIndex, MemberRole, Membership,
-    SnapshotMeta, Term,
+    ApiError, ApiErrorKind, FoundRequest, IdentityAnswer, LogIndex, Member, MemberRole, Membership,
+    SnapshotMeta, SocketAddress, Term,
 };
 use grebepin_storage::Disk;
 
@@ -72,9 +73,29 @@
             let message = "a replica is listed twice".to_owned();
             return Err(api_error(ApiErrorKind::BadRequest, message));
         }
+        self.check_peers_listed(members)?;
         self.check_cluster(request)
     }
 
+    fn check_peers_listed(&self, members: &[Member]) -> Result<(), ApiError> {
+        let is_listed = |peer: &SocketAddress| {
+            let mut voters = members
+                .iter()
+                .filter(|member| member.role == MemberRole::Voter);
+            voters.any(|member| member.peer_address == *peer)
+        };
+        let missing = self.config.peers.iter().find(|peer| !is_listed(peer));
+        let Some(missing) = missing else {
+            return Ok(());
+        };
+        let message = format!(
+            "{} in the settings' peers is not among the founding voters; found all replicas in one \
+             request, or take it out of peers",
+            missing.as_str()
+        );
+        Err(api_error(ApiErrorKind::BadRequest, message))
+    }
+
     fn check_cluster(&self, request: &FoundRequest) -> Result<(), ApiError> {
         let same = match &self.storage.identity().cluster {
             Some(cluster) => *cluster == request.cluster,
--- a/crates/control/tests/group.rs
+++ b/crates/control/tests/group.rs
@@ -42,6 +42,21 @@
     assert_eq!(kind(&answer), Some(ApiErrorKind::AlreadyFounded));
 }
 
+#[test]
+fn two_foundings_of_a_group_are_never_disjoint() {
+    let mut cluster = Cluster::new(3);
+    for left_out in 0..3 {
+        let mut partial = cluster.found_request();
+        partial.members.remove(left_out);
+        for machine in 0..3 {
+            let answer = cluster.ask(machine, AdminRequest::Found(partial.clone()));
+            assert_eq!(kind(&answer), Some(ApiErrorKind::BadRequest));
+        }
+    }
+    cluster.run(Duration::from_secs(3));
+    assert_eq!(cluster.leader(), None);
+}
+
 #[test]
 fn a_lost_folder_is_not_founded_again() {
     let mut cluster = Cluster::new(3);
