consensus: no entries again to a member that doesn't answer

Cause: while a member was silent, each heartbeat carried the whole first batch (up to 256 KiB) to it again. Change: a probe that was not answered goes again without entries; the first answer starts batches. Progress::rejected no longer returns what nobody used. Conclusion: a silent member costs a heartbeat's bytes.

--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -103,18 +103,18 @@
         };
     }
 
-    /// The member has no match just before `next` and proposes to try after `hint`. Tells whether
-    /// to try again at once; an answer from before an acceptance changes nothing.
-    pub fn rejected(&mut self, hint: LogIndex) -> bool {
+    /// The member has no match just before `next` and proposes to try after `hint`: a probe goes out
+    /// from there at once, or with the next round if that is where the last one started. An answer
+    /// from before an acceptance changes nothing.
+    pub fn rejected(&mut self, hint: LogIndex) {
         if hint < self.matched || matches!(self.sending, Sending::Snapshot(_)) {
-            return false;
+            return;
         }
         let lower = LogIndex(hint.0.saturating_add(1)).min(LogIndex(self.next.0 - 1));
         let next = lower.max(LogIndex(self.matched.0 + 1));
-        let moved = next < self.next;
+        let waiting = next == self.next;
         self.next = next;
-        self.sending = Sending::Probe { waiting: !moved };
-        moved
+        self.sending = Sending::Probe { waiting };
     }
 
     /// Index after which this member still needs the log.
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -136,7 +136,9 @@
 }
 
 fn entries_due(log: &Log, progress: &Progress) -> Vec<Entry> {
-    if !progress.may_send_batch() {
+    // A probe that was not answered goes again without entries: the member may be down.
+    let unanswered = matches!(progress.sending, Sending::Probe { waiting: true });
+    if unanswered || !progress.may_send_batch() {
         return Vec::new();
     }
     log.batch(progress.next, BATCH_ENTRIES, BATCH_BYTES)
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -10,7 +10,7 @@
     PeerBody, PeerMessage, ReplicaId, SnapshotMeta, SnapshotRequest, Term, VoteRequest,
     VoteResponse,
 };
-use support::members::{config, membership, ELECTION_TIMEOUT};
+use support::members::{config, membership, ELECTION_TIMEOUT, HEARTBEAT};
 
 /// A time after the wait that follows a start.
 const LATER: Duration = Duration::from_secs(5);
@@ -294,3 +294,24 @@
     assert_eq!((proposed, batches), (8192, 16));
     assert_eq!(refused, ProposeError::Overloaded { waiting: 8192 });
 }
+
+#[test]
+fn a_silent_member_is_sent_entries_once_and_heartbeats_after_that() {
+    let mut core = replica(&[]);
+    lead(&mut core);
+    step(&mut core, LATER, 2, 2, accept(2, 1));
+    let mut entries_sent = Vec::new();
+    for round in 1..10 {
+        let at = LATER + HEARTBEAT * round;
+        core.propose(at, vec![1]).unwrap();
+        step(&mut core, at, 2, 2, accept(2, 1));
+        core.tick(at);
+        for message in core.ready().messages {
+            if let (3, PeerBody::AppendRequest(request)) = (message.to.0, message.body) {
+                entries_sent.push(request.entries.len());
+            }
+        }
+        core.synced(at);
+    }
+    assert_eq!(entries_sent, [0; 9]);
+}
