Admission sends nothing that will time out, and a frozen request hardly moves the estimate

Cause: at 2 and 5 times the capacity 2 to 4 approvals of 7850 and 20000 ended as unknown: they got a slot with less time left than a request takes, and timed out. Change: a request needs the estimate and a quarter more, unless the server is idle; one sample counts for at most four times the estimate, so that a frozen server does not shut its callers out later. Ran: cargo test -p grebepin-traffic: all pass.

--- a/crates/traffic/src/admission.rs
+++ b/crates/traffic/src/admission.rs
@@ -21,6 +21,9 @@
 /// Weight of the newest sample in the estimate of the service time: one part in this many.
 const ESTIMATE_PARTS: u32 = 8;
 
+/// A sample counts for at most this many times the estimate.
+const GREATEST_SAMPLE: u32 = 4;
+
 /// Bounds in front of one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionConfig {
@@ -137,6 +140,9 @@
             return Offer::Refused(self.too_near());
         }
         if self.queue.is_empty() && self.in_flight < self.limit(now) {
+            if self.is_too_late(now, deadline) {
+                return Offer::Refused(self.too_near());
+            }
             self.in_flight += 1;
             return Offer::Admitted;
         }
@@ -171,11 +177,7 @@
     /// A request that was admitted is over, after `taken` in flight; admits those that wait.
     pub fn finish(&mut self, now: Duration, taken: Duration) -> Vec<AdmissionEvent> {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.service_time = if self.service_time.is_zero() {
-            taken
-        } else {
-            (self.service_time * (ESTIMATE_PARTS - 1) + taken) / ESTIMATE_PARTS
-        };
+        self.learn(taken);
         self.admit(now)
     }
 
@@ -232,13 +234,28 @@
         self.service_time
     }
 
+    /// One request that took very long, as at a server that froze, must not shut the others out.
+    fn learn(&mut self, taken: Duration) {
+        if self.service_time.is_zero() {
+            self.service_time = taken;
+            return;
+        }
+        let sample = taken.min(self.service_time * GREATEST_SAMPLE);
+        self.service_time = (self.service_time * (ESTIMATE_PARTS - 1) + sample) / ESTIMATE_PARTS;
+    }
+
+    /// Time that a request needs once it has a slot: the estimate and a quarter more.
+    fn time_needed(&self) -> Duration {
+        self.service_time + self.service_time / 4
+    }
+
     fn admit(&mut self, now: Duration) -> Vec<AdmissionEvent> {
         let mut events = self.refuse_hopeless(now);
         while self.in_flight < self.limit(now) {
             let Some((rank, ())) = self.queue.pop_first() else {
                 break;
             };
-            if self.is_too_late(now, &rank) {
+            if self.is_too_late(now, rank.deadline) {
                 events.push(AdmissionEvent::Refused(rank.ticket, self.too_near()));
             } else {
                 self.in_flight += 1;
@@ -255,7 +272,7 @@
         let mut ahead = 0;
         let mut hopeless = Vec::new();
         for rank in self.queue.keys() {
-            let least = self.service_time * (ahead / limit) + self.service_time / 2;
+            let least = self.service_time * (ahead / limit) + self.time_needed();
             let idle = ahead == 0 && self.in_flight == 0;
             if now + least > rank.deadline && !idle {
                 hopeless.push(*rank);
@@ -271,11 +288,11 @@
         hopeless.into_iter().map(refused).collect()
     }
 
-    /// Running it would waste a slot. An idle server takes any request with time left, so that the
-    /// estimate cannot shut it out for good.
-    fn is_too_late(&self, now: Duration, rank: &Rank) -> bool {
-        let left = rank.deadline.saturating_sub(now);
-        left.is_zero() || (self.in_flight > 0 && left < self.service_time / 2)
+    /// Running it would waste a slot, and leave its outcome unknown. An idle server takes any request
+    /// with time left, so that the estimate cannot shut it out for good.
+    fn is_too_late(&self, now: Duration, deadline: Duration) -> bool {
+        let left = deadline.saturating_sub(now);
+        left.is_zero() || (self.in_flight > 0 && left < self.time_needed())
     }
 
     fn time_to_answer(&self, now: Duration, rank: &Rank) -> Duration {
