--- a/crates/holder/src/config.rs
+++ b/crates/holder/src/config.rs
@@ -22,6 +22,11 @@
     pub repeatable_retention: Duration,
     /// Finished requests kept for one shard; beyond it the oldest go and the record isn't whole.
     pub entries_per_shard: usize,
+    /// Finished requests that may not be repeated, kept for all shards together, at some 240 bytes
+    /// each; beyond it the shard whose record grows loses its oldest, and isn't whole.
+    pub entries: usize,
+    /// Finished repeatable requests kept for all shards together.
+    pub repeatable_entries: usize,
     /// How long a shard that is being released takes no requests after the last time the release
     /// was asked; then it serves again, since the leader that asked has given up or is gone.
     pub release_patience: Duration,
@@ -45,6 +50,8 @@
             retention: Duration::from_secs(900),
             repeatable_retention: Duration::from_secs(60),
             entries_per_shard: 20_000,
+            entries: 350_000,
+            repeatable_entries: 50_000,
             release_patience: Duration::from_secs(2),
             drain_grace: Duration::from_millis(1500),
             effect_margin: Duration::from_millis(20),
--- a/crates/holder/src/holder.rs
+++ b/crates/holder/src/holder.rs
@@ -12,7 +12,7 @@
 
 use crate::config::MAXIMUM_GROUPS;
 use crate::lease::GroupLease;
-use crate::record::Record;
+use crate::record::{Counts, Record};
 use crate::HolderConfig;
 
 /// Most changes kept for [`Holder::take_changes`]; older ones go first.
@@ -106,6 +106,8 @@
     pub(crate) draining_since: Option<Duration>,
     pub(crate) in_flight: u32,
     pub(crate) next_token: u64,
+    /// Finished requests in all records.
+    recorded: Counts,
     last_nonce: u64,
     changes: Vec<HoldingChange>,
 }
@@ -121,6 +123,7 @@
             draining_since: None,
             in_flight: 0,
             next_token: 0,
+            recorded: Counts::default(),
             changes: Vec::new(),
         }
     }
@@ -168,6 +171,8 @@
         for shard in self.shards.values_mut() {
             shard.record.expire(now, &self.config);
         }
+        let records = self.shards.values().map(|shard| shard.record.counts());
+        self.recorded = records.fold(Counts::default(), Counts::plus);
     }
 
     /// When the first lease ends, if there is one.
@@ -243,6 +248,27 @@
             .accept_term(term)
     }
 
+    /// Changes a shard's record, within the bound on all records together.
+    pub(crate) fn change_record<T>(
+        &mut self,
+        now: Duration,
+        key: &ShardKey,
+        change: impl FnOnce(&mut Shard, &HolderConfig) -> T,
+    ) -> Option<T> {
+        let shard = self.shards.get_mut(key)?;
+        let others = self.recorded.minus(shard.record.counts());
+        let result = change(shard, &self.config);
+        let bound = Counts {
+            kept: self.config.entries,
+            repeatable: self.config.repeatable_entries,
+        };
+        shard
+            .record
+            .shrink_to(now, bound.minus(others), &self.config);
+        self.recorded = others.plus(shard.record.counts());
+        Some(result)
+    }
+
     /// Drops every shard whose lease has ended.
     pub(crate) fn lapse(&mut self, now: Duration) {
         let lapsed: Vec<_> = self
--- a/crates/holder/src/ownership.rs
+++ b/crates/holder/src/ownership.rs
@@ -130,15 +130,16 @@
     ) {
         self.lapse(now);
         let key = shard_key(shard);
-        let config = &self.config;
-        let known = self.shards.get_mut(&key);
-        let Some(held) = known.filter(|known| known.lacks_record(now, shard.epoch)) else {
-            return;
-        };
-        held.awaiting_record = false;
-        if let Some(answer) = answer {
-            held.record.take_over(now, answer, config);
-        }
+        let epoch = shard.epoch;
+        self.change_record(now, &key, |known, config| {
+            if !known.lacks_record(now, epoch) {
+                return;
+            }
+            known.awaiting_record = false;
+            if let Some(answer) = answer {
+                known.record.take_over(now, answer, config);
+            }
+        });
     }
 
     fn check_grant(
--- a/crates/holder/src/record.rs
+++ b/crates/holder/src/record.rs
@@ -54,6 +54,30 @@
     generation: u64,
 }
 
+/// Finished requests of a record, or of many.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Counts {
+    /// That may not be repeated.
+    pub(crate) kept: usize,
+    pub(crate) repeatable: usize,
+}
+
+impl Counts {
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            kept: self.kept + other.kept,
+            repeatable: self.repeatable + other.repeatable,
+        }
+    }
+
+    pub(crate) fn minus(self, other: Self) -> Self {
+        Self {
+            kept: self.kept.saturating_sub(other.kept),
+            repeatable: self.repeatable.saturating_sub(other.repeatable),
+        }
+    }
+}
+
 /// The record of one shard.
 #[derive(Debug, Default)]
 pub(crate) struct Record {
@@ -98,6 +122,23 @@
             .is_some_and(|entry| entry.repeatable)
     }
 
+    pub(crate) fn counts(&self) -> Counts {
+        Counts {
+            kept: self.kept.len(),
+            repeatable: self.repeatable.len(),
+        }
+    }
+
+    /// Forgets the oldest finished requests until at most `room` are left.
+    pub(crate) fn shrink_to(&mut self, now: Duration, room: Counts, config: &HolderConfig) {
+        while self.repeatable.len() > room.repeatable {
+            self.forget(true);
+        }
+        while self.kept.len() > room.kept {
+            self.overflow(now, config);
+        }
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
@@ -218,15 +259,20 @@
     fn bound(&mut self, now: Duration, config: &HolderConfig) {
         self.expire(now, config);
         while self.kept.len() > config.entries_per_shard {
-            self.forget(false);
-            self.set_incomplete(now, config);
-            self.overflowed_until = now + config.retention;
+            self.overflow(now, config);
         }
         while self.repeatable.len() > config.entries_per_shard {
             self.forget(true);
         }
     }
 
+    /// Forgets the oldest request that may not be repeated, within its retention.
+    fn overflow(&mut self, now: Duration, config: &HolderConfig) {
+        self.forget(false);
+        self.set_incomplete(now, config);
+        self.overflowed_until = now + config.retention;
+    }
+
     fn forget(&mut self, repeatable: bool) {
         let queue = match repeatable {
             true => &mut self.repeatable,
--- a/crates/holder/src/requests.rs
+++ b/crates/holder/src/requests.rs
@@ -81,7 +81,7 @@
         if self.refuses_new_work(now) {
             return Err(Refusal::Draining);
         }
-        Ok(Begun::Run(self.admit(key, request)))
+        Ok(Begun::Run(self.admit(now, key, request)))
     }
 
     /// Looks again whether the effect may be made; call it right before, and make the effect
@@ -116,27 +116,24 @@
     /// Ends a request that was begun.
     pub fn finish(&mut self, now: Duration, permit: Permit, effect: Effect) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        let Some(shard) = self.shards.get_mut(&permit.key) else {
-            return;
-        };
-        shard.in_flight = shard.in_flight.saturating_sub(1);
-        let id = &permit.request_id;
-        let own = match shard.record.state(id) {
-            Some(EntryState::Admitted(token) | EntryState::Committing(token)) => {
-                token == permit.token
-            }
-            _ => false,
-        };
-        match effect {
-            Effect::Made => {
-                let ran = EntryState::Ran;
-                shard
-                    .record
-                    .put_finished(now, id, ran, permit.repeatable, &self.config);
+        self.change_record(now, &permit.key, |shard, config| {
+            shard.in_flight = shard.in_flight.saturating_sub(1);
+            let id = &permit.request_id;
+            let record = &mut shard.record;
+            let own = match record.state(id) {
+                Some(EntryState::Admitted(token) | EntryState::Committing(token)) => {
+                    token == permit.token
+                }
+                _ => false,
+            };
+            match effect {
+                Effect::Made => {
+                    record.put_finished(now, id, EntryState::Ran, permit.repeatable, config);
+                }
+                Effect::NotMade if own => record.remove(id),
+                Effect::NotMade => {}
             }
-            Effect::NotMade if own => shard.record.remove(id),
-            Effect::NotMade => {}
-        }
+        });
     }
 
     /// Cancels a request. `attempt` is the attempt the asking router sent, 1 for the caller's
@@ -246,18 +243,18 @@
             .is_some_and(|since| now.saturating_sub(since) >= grace)
     }
 
-    fn admit(&mut self, key: ShardKey, request: &Request) -> Permit {
+    fn admit(&mut self, now: Duration, key: ShardKey, request: &Request) -> Permit {
         self.next_token += 1;
         self.in_flight += 1;
-        let mut group = GroupId(0);
-        if let Some(shard) = self.shards.get_mut(&key) {
-            group = shard.group;
+        let token = self.next_token;
+        let group = self.change_record(now, &key, |shard, _| {
             shard.in_flight += 1;
-            let admitted = EntryState::Admitted(self.next_token);
-            shard
-                .record
-                .put_running(&request.request_id, admitted, request.repeatable);
-        }
+            let admitted = EntryState::Admitted(token);
+            let record = &mut shard.record;
+            record.put_running(&request.request_id, admitted, request.repeatable);
+            shard.group
+        });
+        let group = group.unwrap_or_default();
         Permit {
             session: self.session(group),
             key,
@@ -265,7 +262,7 @@
             epoch: request.epoch,
             request_id: request.request_id.clone(),
             repeatable: request.repeatable,
-            token: self.next_token,
+            token,
         }
     }
 
@@ -277,21 +274,19 @@
         request: &CancelRequest,
         attempt: Option<u32>,
     ) -> EntryState {
-        let config = &self.config;
-        let Some(shard) = self.shards.get_mut(key) else {
-            return EntryState::Tombstone { proven: false };
-        };
-        let id = &request.request_id;
-        let begun_here = matches!(shard.record.state(id), Some(EntryState::Admitted(_)));
-        let first_attempt = attempt == Some(1);
-        let proven = first_attempt || begun_here || shard.record.is_whole(now);
-        let tombstone = EntryState::Tombstone { proven };
-        if config.guards.has(Guard::Tombstone) {
-            let repeatable = shard.record.is_repeatable(id);
-            shard
-                .record
-                .put_finished(now, id, tombstone, repeatable, config);
-        }
-        tombstone
+        let buried = self.change_record(now, key, |shard, config| {
+            let id = &request.request_id;
+            let record = &mut shard.record;
+            let begun_here = matches!(record.state(id), Some(EntryState::Admitted(_)));
+            let first_attempt = attempt == Some(1);
+            let proven = first_attempt || begun_here || record.is_whole(now);
+            let tombstone = EntryState::Tombstone { proven };
+            if config.guards.has(Guard::Tombstone) {
+                let repeatable = record.is_repeatable(id);
+                record.put_finished(now, id, tombstone, repeatable, config);
+            }
+            tombstone
+        });
+        buried.unwrap_or(EntryState::Tombstone { proven: false })
     }
 }
--- a/crates/holder/tests/requests.rs
+++ b/crates/holder/tests/requests.rs
@@ -690,3 +690,46 @@
     assert_eq!(first.run(3005, &resend("ran-second", 7)), Ok(false));
     assert_eq!(first.run(3005, &resend("new", 7)), Ok(true));
 }
+
+#[test]
+fn records_of_all_shards_together_are_bounded() {
+    let config = HolderConfig {
+        entries: 10,
+        repeatable_entries: 4,
+        ..HolderConfig::new(BOOT)
+    };
+    let mut server = Server::with_config(config);
+    server.renew_at(0);
+    server.grant(0, 0, 5, None);
+    server.grant(0, 1, 5, None);
+    let other = |name: &str| Request {
+        shard: ShardId(1),
+        ..request(name, 5)
+    };
+    for number in 0..8 {
+        let look_up = Request {
+            repeatable: true,
+            ..request(&format!("l{number}"), 5)
+        };
+        assert_eq!(server.run(1, &look_up), Ok(true));
+    }
+    for number in 0..6 {
+        assert_eq!(server.run(2, &other(&format!("o{number}"))), Ok(true));
+        assert_eq!(server.run(2, &request(&format!("r{number}"), 5)), Ok(true));
+    }
+    // 12 ran where 10 are kept: each of the two shards lost its oldest when it grew beyond.
+    for (name, state) in [
+        ("r0", RequestState::Unknown),
+        ("r1", RequestState::Ran),
+        ("r5", RequestState::Ran),
+        ("l3", RequestState::Unknown),
+        ("l4", RequestState::Ran),
+        ("l7", RequestState::Ran),
+    ] {
+        assert_eq!(server.outcome(3, name), state, "{name}");
+    }
+    assert_eq!(
+        server.run(3, &resend("r0", 5)),
+        Err(Refusal::RecordIncomplete)
+    );
+}
