Ownership: a release counts once a heartbeat tells that the registered process answered it

Cause: the random model, given servers whose former process goes on cut off, found two holders: the new process at the address answered a release of what the former one still held, and the shard went on. Ruled out: a boot in the release's answer (changes the contract with back ends); waiting for the bound (a second without an owner for each planned move). Change: releases are asked only of the registered start, and their shards move on only after a heartbeat sent after the answer tells the same boot. It is sent at once: one more round trip for each batch of releases. Tests: Fault::Replace in the model, the former process in the three tests of restarts, and a test of its own, which fails without the change.

--- a/crates/ownership/src/coordinator/applied.rs
+++ b/crates/ownership/src/coordinator/applied.rs
@@ -64,6 +64,7 @@
         };
         link.unheld.clear();
         link.releasing.clear();
+        link.unconfirmed.clear();
         link.to_grant = step.state.servers().get(server).owned.clone();
         link.changed_at = step.now;
         self.to_flush.insert(server);
@@ -104,6 +105,7 @@
             if let Some(link) = self.links.get_mut(&outdated.from) {
                 link.releasing.remove(&shard);
                 link.unheld.remove(&shard);
+                link.unconfirmed.remove(&shard);
             }
         }
     }
--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -183,6 +183,7 @@
         let in_flux = !link.to_grant.is_empty()
             || !link.unheld.is_empty()
             || !link.releasing.is_empty()
+            || !link.unconfirmed.is_empty()
             || link.grant_under_way
             || link.changed_at >= sent_at;
         if in_flux && step.now < link.changed_at + self.config.lease {
--- a/crates/ownership/src/coordinator/heartbeats.rs
+++ b/crates/ownership/src/coordinator/heartbeats.rs
@@ -69,6 +69,7 @@
             self.supervise_soon(step.now);
         }
         self.check_boot(step, server, entry);
+        self.confirm_releases(step, server, sent_at);
         self.check_standing(step, server, entry, answer.draining);
         self.compare_holdings(step, server, answer, sent_at);
     }
--- a/crates/ownership/src/coordinator/link.rs
+++ b/crates/ownership/src/coordinator/link.rs
@@ -61,6 +61,10 @@
     pub unheld: BTreeSet<ShardId>,
     /// Releases to ask for.
     pub releasing: BTreeSet<ShardId>,
+    /// Released by whoever answered at the address: the owner only if the next heartbeat tells the
+    /// registered boot.
+    pub unconfirmed: BTreeSet<ShardId>,
+    unconfirmed_since: Duration,
     pub next_release: Duration,
     pub grant_under_way: bool,
     /// A grant was refused; the next waits for a heartbeat.
@@ -100,6 +104,8 @@
             to_grant: BTreeSet::new(),
             unheld: BTreeSet::new(),
             releasing: BTreeSet::new(),
+            unconfirmed: BTreeSet::new(),
+            unconfirmed_since: now,
             next_release: now,
             grant_under_way: false,
             grant_on_hold: false,
@@ -223,6 +229,9 @@
         if self.is_given_up(now, config.lease) && now >= self.fenced_until() + config.heartbeat {
             self.last_renewed = now;
         }
+        if !self.unconfirmed.is_empty() && sent_at < self.unconfirmed_since {
+            self.next_heartbeat = now;
+        }
         let was_refused = carried_renewal && same_session;
         if !self.leased && !was_refused {
             self.next_heartbeat = now.max(sent_at + config.heartbeat / LEAST_SPACING);
@@ -250,6 +259,26 @@
         self.to_grant.remove(&shard);
         self.unheld.remove(&shard);
         self.releasing.remove(&shard);
+        self.unconfirmed.remove(&shard);
+    }
+
+    /// Notes releases, and has a heartbeat tell soon which process answered them.
+    pub fn note_released(&mut self, now: Duration, shards: impl Iterator<Item = ShardId>) {
+        let asked = shards.filter(|shard| self.releasing.remove(shard));
+        self.unconfirmed.extend(asked);
+        if self.unconfirmed.is_empty() {
+            return;
+        }
+        self.unconfirmed_since = now;
+        self.next_heartbeat = now;
+    }
+
+    /// Releases that a heartbeat sent at `sent_at` confirms, its boot being the registered one.
+    pub fn take_confirmed(&mut self, sent_at: Duration) -> BTreeSet<ShardId> {
+        if sent_at < self.unconfirmed_since {
+            return BTreeSet::new();
+        }
+        std::mem::take(&mut self.unconfirmed)
     }
 
     fn forget_start(&mut self) {
@@ -258,6 +287,7 @@
         self.nonce = None;
         self.leased = false;
         self.unheld.clear();
+        self.unconfirmed.clear();
         self.to_grant.clear();
     }
 }
--- a/crates/ownership/src/coordinator/moves.rs
+++ b/crates/ownership/src/coordinator/moves.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariant: a shard moves only after its owner released it at the epoch at which the move began.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use grebepin_schema::{Epoch, HeldShard, ReleaseAnswer, ServerName, ServiceName, ShardId};
 
@@ -146,12 +147,14 @@
         if !step.leads() {
             return;
         }
-        let mut later = std::collections::BTreeSet::new();
+        let mut later = BTreeSet::new();
         for server in std::mem::take(&mut self.to_release) {
             let Some(link) = self.links.get_mut(&server) else {
                 continue;
             };
-            if link.release_under_way || link.releasing.is_empty() {
+            let entry = step.state.servers().get(server);
+            let is_registered = link.boot.is_some() && link.boot == entry.boot;
+            if link.release_under_way || link.releasing.is_empty() || !is_registered {
                 continue;
             }
             if link.next_release > step.now {
@@ -160,7 +163,6 @@
                 later.insert(server);
                 continue;
             }
-            let entry = step.state.servers().get(server);
             let owned = link.releasing.iter().filter_map(|&shard| {
                 Some(HeldShard {
                     service: link.service.clone(),
@@ -195,25 +197,53 @@
         link.release_under_way = false;
         link.next_release = step.now + self.config.heartbeat / RELEASE_RETRY;
         link.changed_at = step.now;
-        for held in &answer.released {
-            if owned_epoch(step.state, entry, held.shard) != Some(held.epoch) {
+        let still_owned = answer
+            .released
+            .iter()
+            .filter(|held| owned_epoch(step.state, entry, held.shard) == Some(held.epoch));
+        link.note_released(step.now, still_owned.map(|held| held.shard));
+        self.due.insert((link.next_heartbeat, server));
+        self.to_release.insert(server);
+    }
+
+    /// Goes on with moves whose release the registered start of the server confirmed.
+    pub(super) fn confirm_releases(
+        &mut self,
+        step: &mut Step<'_>,
+        server: ServerIndex,
+        sent_at: Duration,
+    ) {
+        let entry = step.state.servers().get(server);
+        let Some(link) = self.links.get_mut(&server) else {
+            return;
+        };
+        if link.boot != entry.boot {
+            return;
+        }
+        if !link.releasing.is_empty() {
+            self.to_release.insert(server);
+        }
+        let confirmed = link.take_confirmed(sent_at);
+        if confirmed.is_empty() {
+            return;
+        }
+        for shard in confirmed {
+            let Some(epoch) = owned_epoch(step.state, entry, shard) else {
                 continue;
-            }
-            link.releasing.remove(&held.shard);
-            link.to_grant.remove(&held.shard);
-            link.unheld.insert(held.shard);
-            match self.moves.get_mut(&link.service, held.shard) {
+            };
+            link.to_grant.remove(&shard);
+            link.unheld.insert(shard);
+            match self.moves.get_mut(&link.service, shard) {
                 Some(planned) if planned.phase == Phase::Releasing => {
                     planned.phase = Phase::Released;
                 }
                 Some(_) => {}
                 None => {
-                    let released = Move::released(server, held.epoch);
-                    self.moves.insert(&link.service, held.shard, released);
+                    let released = Move::released(server, epoch);
+                    self.moves.insert(&link.service, shard, released);
                 }
             }
         }
-        self.to_release.insert(server);
         self.supervise_soon(step.now);
     }
 
--- a/crates/ownership/tests/leases.rs
+++ b/crates/ownership/tests/leases.rs
@@ -149,7 +149,7 @@
 fn a_restarted_server_gets_its_shards_back_at_fresh_epochs() {
     let mut world = settled([1, 1]);
     let before = world.state.table();
-    world.start(server_name(3));
+    world.replace(server_name(3));
     let took = settle_within(&mut world, ms(1_500));
     assert!(
         took > ms(600),
@@ -168,7 +168,7 @@
 fn a_restart_across_a_change_of_leader_gets_fresh_epochs_too() {
     let mut world = settled([1, 1]);
     let before = world.state.table().table.services[0].owners.clone();
-    world.start(server_name(3));
+    world.replace(server_name(3));
     world.change_leader(ms(100));
     settle_within(&mut world, ms(2_000));
     let after = world.state.table().table.services[0].owners.clone();
@@ -299,7 +299,7 @@
     let mut next = service("ledger", SHARDS, &[0, 1, 2, 3, 4, 5], [1, 1]);
     next.servers[2].address = "127.0.0.1:9999".parse().expect("an address");
     world.commit(&accept(bundle(2, Some(digest), vec![next])).0);
-    world.start(server_name(2));
+    world.replace(server_name(2));
     let took = settle_within(&mut world, ms(1_500));
     assert!(took > ms(700), "{took:?}");
 }
@@ -414,3 +414,16 @@
     assert_eq!(world.assignments, assignments);
     settle_within(&mut world, ms(500));
 }
+
+#[test]
+fn a_release_that_a_new_process_answers_frees_nothing_that_the_former_one_holds() {
+    for after in [0, 1, 2, 3] {
+        let mut world = settled([1, 1]);
+        world.drain_by_operator(&server_name(4), true);
+        world.run(ms(after));
+        // The world fails if a shard gets a second holder while the former process still has its lease.
+        world.replace(server_name(4));
+        settle_within(&mut world, ms(3_000));
+        assert_eq!(world.owned(&server_name(4)), 0);
+    }
+}
--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -14,6 +14,8 @@
     Wait(u64),
     Freeze(usize, u64),
     Restart(usize),
+    /// A new process while the former one goes on, cut off.
+    Replace(usize),
     Stop(usize),
     Drain(usize, bool),
     /// Milliseconds that the former leader keeps sending.
@@ -30,6 +32,7 @@
         6 => (10u64..1_500).prop_map(Fault::Wait),
         3 => (server.clone(), 100u64..4_000).prop_map(|(server, time)| Fault::Freeze(server, time)),
         2 => server.clone().prop_map(Fault::Restart),
+        2 => server.clone().prop_map(Fault::Replace),
         1 => server.clone().prop_map(Fault::Stop),
         2 => (server, any::<bool>()).prop_map(|(server, leave)| Fault::Drain(server, leave)),
         2 => (0u64..300).prop_map(Fault::ChangeLeader),
@@ -53,6 +56,7 @@
         Fault::Wait(time) => world.run(ms(*time)),
         Fault::Freeze(server, time) => world.freeze(&server_name(*server), ms(*time)),
         Fault::Restart(server) => world.start(server_name(*server)),
+        Fault::Replace(server) => world.replace(server_name(*server)),
         Fault::Stop(server) => world.stop(&server_name(*server)),
         Fault::Drain(server, leave) => {
             world.drain_by_operator(&server_name(*server), *leave);
--- a/crates/ownership/tests/support/world.rs
+++ b/crates/ownership/tests/support/world.rs
@@ -49,6 +49,8 @@
     pub coordinator: Coordinator,
     pub term: Term,
     pub servers: BTreeMap<ServerName, ServerProcess>,
+    /// Former processes that nobody reaches and that hold what they hold until their leases end.
+    ghosts: Vec<(ServerName, ServerProcess)>,
     pub network: Network,
     pub leader_lease_until: Option<Duration>,
     /// The leader before, still sending until its lease ends.
@@ -73,6 +75,7 @@
             coordinator: Coordinator::new(config(guards), Term(1), ms(5_000)),
             term: Term(1),
             servers: BTreeMap::new(),
+            ghosts: Vec::new(),
             network,
             leader_lease_until: None,
             former: None,
@@ -103,6 +106,15 @@
         self.servers.insert(name, process);
     }
 
+    /// Starts a server in a new process while the former one goes on, cut off.
+    pub fn replace(&mut self, name: ServerName) {
+        if let Some(former) = self.servers.remove(&name) {
+            let ghost = format!("former-{}", name.as_str());
+            self.ghosts.push((ghost.parse().expect("a name"), former));
+        }
+        self.start(name);
+    }
+
     pub fn process(&mut self, name: &ServerName) -> &mut ServerProcess {
         self.servers.get_mut(name).expect("a known server")
     }
@@ -199,7 +211,8 @@
     /// Shards that each server may serve now.
     pub fn holders(&mut self) -> BTreeMap<ShardKey, Vec<ServerName>> {
         let mut holders: BTreeMap<ShardKey, Vec<ServerName>> = BTreeMap::new();
-        for (name, process) in &mut self.servers {
+        let ghosts = self.ghosts.iter_mut().map(|(name, ghost)| (&*name, ghost));
+        for (name, process) in self.servers.iter_mut().chain(ghosts) {
             if !process.up {
                 continue;
             }
