--- a/crates/holder/tests/leases.rs
+++ b/crates/holder/tests/leases.rs
@@ -37,35 +37,12 @@
 #[test]
 fn renewals_that_take_no_effect() {
     let good = Server::leased(Guards::all()).renewal();
+    #[rustfmt::skip]
     let table: [(&str, LeaseRenewal); 4] = [
-        (
-            "unknown nonce",
-            LeaseRenewal {
-                nonce: Nonce(1),
-                ..good.clone()
-            },
-        ),
-        (
-            "nonce never issued",
-            LeaseRenewal {
-                nonce: Nonce(good.nonce.0 + 1),
-                ..good.clone()
-            },
-        ),
-        (
-            "other session",
-            LeaseRenewal {
-                session: Session(BOOT + 1),
-                ..good.clone()
-            },
-        ),
-        (
-            "no duration",
-            LeaseRenewal {
-                duration_ms: 0,
-                ..good.clone()
-            },
-        ),
+        ("unknown nonce", LeaseRenewal { nonce: Nonce(1), ..good.clone() }),
+        ("nonce never issued", LeaseRenewal { nonce: Nonce(good.nonce.0 + 1), ..good.clone() }),
+        ("other session", LeaseRenewal { session: Session(BOOT + 1), ..good.clone() }),
+        ("no duration", LeaseRenewal { duration_ms: 0, ..good.clone() }),
     ];
     for (name, renewal) in table {
         let mut server = Server::leased(Guards::all());
@@ -185,51 +162,16 @@
 #[test]
 fn grants_that_are_refused() {
     type Prepare = fn(&mut Server);
+    #[rustfmt::skip]
     let table: [(&str, Prepare, u64, Option<GrantRefusalReason>); 8] = [
         ("same epoch again", |_| {}, 5, None),
         ("higher epoch", |_| {}, 6, None),
-        (
-            "lower epoch",
-            |_| {},
-            4,
-            Some(GrantRefusalReason::StaleEpoch),
-        ),
-        (
-            "released",
-            |server| {
-                server.release(0, 0, 5);
-            },
-            5,
-            Some(GrantRefusalReason::StaleEpoch),
-        ),
-        (
-            "release of a grant not yet here",
-            |server| {
-                server.release(0, 0, 8);
-            },
-            8,
-            Some(GrantRefusalReason::StaleEpoch),
-        ),
-        (
-            "after a release",
-            |server| {
-                server.release(0, 0, 5);
-            },
-            6,
-            None,
-        ),
-        (
-            "leaving",
-            |server| server.holder.drain(ms(0), true),
-            6,
-            Some(GrantRefusalReason::Draining),
-        ),
-        (
-            "leaving, held already",
-            |server| server.holder.drain(ms(0), true),
-            5,
-            None,
-        ),
+        ("lower epoch", |_| {}, 4, Some(GrantRefusalReason::StaleEpoch)),
+        ("released", |server| { server.release(0, 0, 5); }, 5, Some(GrantRefusalReason::StaleEpoch)),
+        ("release of a grant not yet here", |server| { server.release(0, 0, 8); }, 8, Some(GrantRefusalReason::StaleEpoch)),
+        ("after a release", |server| { server.release(0, 0, 5); }, 6, None),
+        ("leaving", |server| server.holder.drain(ms(0), true), 6, Some(GrantRefusalReason::Draining)),
+        ("leaving, held already", |server| server.holder.drain(ms(0), true), 5, None),
     ];
     for (name, prepare, epoch, refusal) in table {
         let mut server = Server::serving(Guards::all());
--- a/crates/standin/tests/callers.rs
+++ b/crates/standin/tests/callers.rs
@@ -93,22 +93,14 @@
             .collect();
         assert!(Plan::new(&flags(&all)).is_err(), "{more:?}");
     }
+    #[rustfmt::skip]
     let table = [
         ("class=c", ClassSpecError::Missing("service")),
         ("service=s", ClassSpecError::Missing("class")),
         ("service=s,class", ClassSpecError::NotAPair("class".into())),
-        (
-            "service=s,class=c,colour=red",
-            ClassSpecError::UnknownPart("colour".into()),
-        ),
-        (
-            "service=s,class=c,weight=much",
-            ClassSpecError::Invalid("weight"),
-        ),
-        (
-            "service=s,class=c,method=PUT",
-            ClassSpecError::Invalid("method"),
-        ),
+        ("service=s,class=c,colour=red", ClassSpecError::UnknownPart("colour".into())),
+        ("service=s,class=c,weight=much", ClassSpecError::Invalid("weight")),
+        ("service=s,class=c,method=PUT", ClassSpecError::Invalid("method")),
     ];
     for (text, error) in table {
         assert_eq!(text.parse::<ClassSpec>(), Err(error), "{text}");
@@ -123,57 +115,16 @@
     };
     let default = Duration::from_millis(200);
     let unknown = Some(Outcome::Unknown);
+    #[rustfmt::skip]
     let table = [
-        (
-            AfterUnknown::Resend,
-            1,
-            false,
-            Some(Outcome::Answered),
-            NextStep::Done,
-        ),
-        (
-            AfterUnknown::Resend,
-            1,
-            false,
-            Some(Outcome::NotRun),
-            NextStep::Anew(default),
-        ),
-        (
-            AfterUnknown::Resend,
-            3,
-            false,
-            Some(Outcome::NotRun),
-            NextStep::Done,
-        ),
-        (
-            AfterUnknown::Resend,
-            1,
-            false,
-            unknown,
-            NextStep::Resend(default),
-        ),
-        (
-            AfterUnknown::Resend,
-            1,
-            false,
-            None,
-            NextStep::Resend(default),
-        ),
+        (AfterUnknown::Resend, 1, false, Some(Outcome::Answered), NextStep::Done),
+        (AfterUnknown::Resend, 1, false, Some(Outcome::NotRun), NextStep::Anew(default)),
+        (AfterUnknown::Resend, 3, false, Some(Outcome::NotRun), NextStep::Done),
+        (AfterUnknown::Resend, 1, false, unknown, NextStep::Resend(default)),
+        (AfterUnknown::Resend, 1, false, None, NextStep::Resend(default)),
         (AfterUnknown::Resend, 3, false, unknown, NextStep::Done),
-        (
-            AfterUnknown::LookUp,
-            1,
-            false,
-            unknown,
-            NextStep::LookUp(default),
-        ),
-        (
-            AfterUnknown::LookUp,
-            1,
-            true,
-            unknown,
-            NextStep::Resend(default),
-        ),
+        (AfterUnknown::LookUp, 1, false, unknown, NextStep::LookUp(default)),
+        (AfterUnknown::LookUp, 1, true, unknown, NextStep::Resend(default)),
         (AfterUnknown::LookUp, 3, true, unknown, NextStep::Done),
         (AfterUnknown::Stop, 1, false, unknown, NextStep::Done),
         (AfterUnknown::Stop, 1, true, None, NextStep::Resend(default)),
@@ -282,30 +233,13 @@
         u64,
     );
     // (script, flags, ending of all 20 requests, attempts, ids used)
+    #[rustfmt::skip]
     let table: [Row; 6] = [
         (&["answered"], &["--class", APPROVE], "answered", 20, 20),
-        (
-            &["not-run", "answered"],
-            &["--class", APPROVE],
-            "answered",
-            40,
-            40,
-        ),
-        (
-            &["unknown", "answered"],
-            &["--class", APPROVE],
-            "answered",
-            40,
-            20,
-        ),
+        (&["not-run", "answered"], &["--class", APPROVE], "answered", 40, 40),
+        (&["unknown", "answered"], &["--class", APPROVE], "answered", 40, 20),
         (&["unknown"], &["--class", APPROVE], "unknown", 60, 20),
-        (
-            &["unknown"],
-            &["--class", APPROVE, "--after-unknown", "look-up"],
-            "looked-up-ran",
-            20,
-            20,
-        ),
+        (&["unknown"], &["--class", APPROVE, "--after-unknown", "look-up"], "looked-up-ran", 20, 20),
         (&["crossed"], &["--class", APPROVE], "wrong-answer", 20, 20),
     ];
     for (script, more, ending, attempts, ids) in table {
--- a/crates/standin/tests/contract.rs
+++ b/crates/standin/tests/contract.rs
@@ -40,13 +40,11 @@
 
 #[test]
 fn a_back_end_without_a_guard_is_found_out() {
+    #[rustfmt::skip]
     let table = [
         (Guard::Nonce, "lease: counts from the issue of the nonce"),
         (Guard::Session, "grant: other session is refused"),
-        (
-            Guard::EpochCheck,
-            "request: wrong epoch or shard is refused",
-        ),
+        (Guard::EpochCheck, "request: wrong epoch or shard is refused"),
         (Guard::Tombstone, "cancel: tombstone refuses the request"),
         (Guard::ResendRule, "resend: refused after a lost owner"),
     ];
