--- a/crates/control/examples/failover.rs
+++ b/crates/control/examples/failover.rs
@@ -1,5 +1,5 @@
-//! Kills the leader of a group of three processes, again and again, and measures how long no replica
-//! accepts a bundle, and how long after its restart the group is whole again.
+//! Lets a fault befall the leader of a group of three processes, again and again, and measures how long
+//! no replica accepts a bundle, and how long after its return the group is whole again.
 //!
 //! `cargo run --release -p grebepin-control --example failover -- --rounds 20`
 
@@ -25,15 +25,27 @@
     /// Leaders to kill.
     #[arg(long, default_value_t = 20)]
     rounds: usize,
-    /// Let each killed leader lose its folder, and time how long the group takes to be whole again.
-    #[arg(long)]
-    lose_folder: bool,
+    /// What befalls each leader.
+    #[arg(long, value_enum, default_value_t = Fault::Kill)]
+    fault: Fault,
     /// The daemon; by default the one built next to this program.
     #[arg(long)]
     daemon: Option<PathBuf>,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum Fault {
+    /// Killed, and started again.
+    Kill,
+    /// Killed, and started again with an empty folder.
+    LoseFolder,
+    /// Frozen, and woken as if nothing had happened.
+    Freeze,
+}
+
 struct Replica {
+    /// Whether it is frozen.
+    frozen: bool,
     settings: PathBuf,
     folder: PathBuf,
     admin: SocketAddr,
@@ -52,6 +64,41 @@
         Ok(())
     }
 
+    fn strike(&mut self, fault: Fault) -> anyhow::Result<()> {
+        match fault {
+            Fault::Kill | Fault::LoseFolder => self.kill(),
+            Fault::Freeze => {
+                self.frozen = true;
+                self.signal("-STOP")
+            }
+        }
+    }
+
+    fn bring_back(&mut self, fault: Fault, daemon: &Path) -> anyhow::Result<()> {
+        if fault == Fault::LoseFolder {
+            fs::remove_dir_all(&self.folder)?;
+        }
+        if self.frozen {
+            self.frozen = false;
+            return self.signal("-CONT");
+        }
+        self.start(daemon)
+    }
+
+    fn signal(&self, signal: &str) -> anyhow::Result<()> {
+        let process = self.process.as_ref().context("it runs")?;
+        let number = process.id().to_string();
+        let status = Command::new("kill").args([signal, &number]).status()?;
+        if !status.success() {
+            bail!("kill {signal} {number} failed");
+        }
+        Ok(())
+    }
+
+    fn answers(&self) -> bool {
+        self.process.is_some() && !self.frozen
+    }
+
     fn kill(&mut self) -> anyhow::Result<()> {
         if let Some(mut process) = self.process.take() {
             process.kill()?;
@@ -85,18 +132,18 @@
     let mut repairs = Vec::new();
     for _ in 0..arguments.rounds {
         let leader = retry(|| leader_of_whole_group(&replicas))?;
-        gaps.push(fail_over(&mut replicas, leader, &signed)?);
-        if arguments.lose_folder {
-            fs::remove_dir_all(&replicas[leader].folder)?;
-        }
-        replicas[leader].start(&daemon)?;
+        replicas[leader].strike(arguments.fault)?;
+        let struck = Instant::now();
+        until_accepted(&replicas, &signed)?;
+        gaps.push(struck.elapsed());
+        replicas[leader].bring_back(arguments.fault, &daemon)?;
         let restarted = Instant::now();
         retry(|| leader_of_whole_group(&replicas))?;
         repairs.push(restarted.elapsed());
     }
     println!("from          rounds  median ms  p90 ms  worst ms");
-    report("kill", gaps);
-    report("restart", repairs);
+    report("fault", gaps);
+    report("return", repairs);
     Ok(())
 }
 
@@ -138,6 +185,7 @@
         let settings = folder.join(format!("control-{number}.toml"));
         fs::write(&settings, text)?;
         replicas.push(Replica {
+            frozen: false,
             settings,
             folder: data_folder,
             admin: own[2],
@@ -210,7 +258,7 @@
 
 /// Sends the bundle, first or again, until a leader has committed it.
 fn until_accepted(replicas: &[Replica], signed: &SignedBundle) -> anyhow::Result<()> {
-    let running = replicas.iter().filter(|replica| replica.process.is_some());
+    let running = replicas.iter().filter(|replica| replica.answers());
     let clients: Vec<AdminClient> = running.map(client).collect();
     retry(|| clients.iter().find_map(|client| client.roll(signed).ok())).map(|_| ())
 }
@@ -228,18 +276,6 @@
     }
 }
 
-/// Time from a leader's kill to the next accepted bundle.
-fn fail_over(
-    replicas: &mut [Replica],
-    leader: usize,
-    signed: &SignedBundle,
-) -> anyhow::Result<Duration> {
-    replicas[leader].kill()?;
-    let killed = Instant::now();
-    until_accepted(replicas, signed)?;
-    Ok(killed.elapsed())
-}
-
 /// The leader, once it hears every member and all of them are voters.
 fn leader_of_whole_group(replicas: &[Replica]) -> Option<usize> {
     let whole = |status: &Status| {
--- a/crates/control/src/daemon/running.rs
+++ b/crates/control/src/daemon/running.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Instant;
 
-use crossbeam_channel::Sender;
+use crossbeam_channel::{Receiver, Sender};
 use grebepin_schema::ReplicaId;
 use grebepin_settings::ControlSettings;
 use grebepin_storage::RealDisk;
@@ -28,6 +28,9 @@
 use crate::node::error::NodeError;
 use crate::node::ControlNode;
 
+/// Heartbeats to a server in the time that one may take.
+const HEARTBEATS_TO_WAIT: u32 = 2;
+
 /// Sockets that are listened on already, for addresses with port 0; the settings' addresses are used
 /// for the others.
 #[derive(Debug, Default)]
@@ -83,80 +86,134 @@
     mut settings: ControlSettings,
     listeners: Listeners,
 ) -> Result<RunningControl, RunError> {
-    let started = Instant::now();
-    let data_dir = settings.data_dir.clone();
-    let disk = RealDisk::new(&data_dir).map_err(|source| RunError::Folder {
-        path: data_dir.clone(),
-        source,
-    })?;
-    let peer = bind("peer_address", settings.peer_address, listeners.peer)?;
-    let router = bind("router_address", settings.router_address, listeners.router)?;
-    let admin = bind("admin_address", settings.admin_address, listeners.admin)?;
-    settings.peer_address = peer.local_addr()?;
-    settings.router_address = router.local_addr()?;
-    settings.admin_address = admin.local_addr()?;
-    let stop = StopFlag::default();
+    let disk = open_folder(&settings)?;
+    let sockets = Sockets::bind(&mut settings, listeners)?;
     let (inbox, messages) = channel();
-    let liveness = Liveness::new(started);
-    let gauges = Arc::new(NodeGauges::new()?);
-    let context = AdminContext {
-        inbox: inbox.clone(),
-        liveness: liveness.clone(),
-        gauges: Arc::clone(&gauges),
+    let shared = Shared {
+        inbox,
+        stop: StopFlag::default(),
+        liveness: Liveness::new(Instant::now()),
+        gauges: Arc::new(NodeGauges::new()?),
     };
-    let config = NodeConfig::from_settings(&settings, fresh_replica(), rand::random());
-    let disk = TimedDisk::new(disk, gauges.metrics.sync_seconds.clone());
-    let node = ControlNode::open(config, disk, liveness.now());
-    let node = node.map_err(|error| RunError::node(data_dir.clone(), error))?;
-    let replica = node.replica();
+    let node = open_node(&settings, disk, &shared)?;
     event!(
         Event::ControlStarted,
-        replica = replica,
+        replica = node.replica(),
         admin = settings.admin_address
     );
-    let sent_bytes = gauges.metrics.sent_bytes.clone();
-    let timing = &settings.timing;
-    let thread = ControlThread {
-        node,
-        inbox: messages,
-        peers: PeerLinks::new(timing.election_timeout, sent_bytes.clone()),
-        routers: RouterLinks::default(),
-        back_ends: BackEnds::new(
-            timing.server_heartbeat * 2,
-            timing.server_lease,
-            inbox.clone(),
-            gauges.metrics.clone(),
-        ),
-        liveness,
-        replies: Replies::default(),
-    };
+    let thread = control_thread(node, messages, &settings, &shared);
     let control = thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || thread.run())?;
-    let acceptors = vec![
-        peer_links::listen(peer, inbox.clone(), stop.clone())?,
-        router_links::listen(router, inbox.clone(), stop.clone(), sent_bytes)?,
-        admin::listen(admin, context, stop.clone())?,
-    ];
+    let acceptors = sockets.listen(&shared)?;
     let (platform_stop, stopped) = crossbeam_channel::bounded(0);
     if let Some(address) = settings.platform_address {
-        platform::start(address, timing.platform_poll, inbox.clone(), stopped)?;
+        let interval = settings.timing.platform_poll;
+        platform::start(address, interval, shared.inbox.clone(), stopped)?;
     }
     Ok(RunningControl {
-        data_dir,
+        data_dir: settings.data_dir,
         addresses: Addresses {
             peer: settings.peer_address,
             router: settings.router_address,
             admin: settings.admin_address,
         },
-        inbox,
-        stop,
+        inbox: shared.inbox,
+        stop: shared.stop,
         platform_stop,
         control,
         acceptors,
     })
 }
 
+/// What several threads use.
+struct Shared {
+    inbox: Inbox,
+    stop: StopFlag,
+    liveness: Liveness,
+    gauges: Arc<NodeGauges>,
+}
+
+/// The sockets that a replica listens on.
+struct Sockets {
+    peer: TcpListener,
+    router: TcpListener,
+    admin: TcpListener,
+}
+
+impl Sockets {
+    /// Listens, and puts the ports that the system chose into the settings.
+    fn bind(settings: &mut ControlSettings, listeners: Listeners) -> Result<Self, RunError> {
+        let sockets = Self {
+            peer: bind("peer_address", settings.peer_address, listeners.peer)?,
+            router: bind("router_address", settings.router_address, listeners.router)?,
+            admin: bind("admin_address", settings.admin_address, listeners.admin)?,
+        };
+        settings.peer_address = sockets.peer.local_addr()?;
+        settings.router_address = sockets.router.local_addr()?;
+        settings.admin_address = sockets.admin.local_addr()?;
+        Ok(sockets)
+    }
+
+    fn listen(self, shared: &Shared) -> std::io::Result<Vec<Acceptor>> {
+        let context = AdminContext {
+            inbox: shared.inbox.clone(),
+            liveness: shared.liveness.clone(),
+            gauges: Arc::clone(&shared.gauges),
+        };
+        let sent_bytes = shared.gauges.metrics.sent_bytes.clone();
+        let (inbox, stop) = (&shared.inbox, &shared.stop);
+        Ok(vec![
+            peer_links::listen(self.peer, inbox.clone(), stop.clone())?,
+            router_links::listen(self.router, inbox.clone(), stop.clone(), sent_bytes)?,
+            admin::listen(self.admin, context, stop.clone())?,
+        ])
+    }
+}
+
+fn open_folder(settings: &ControlSettings) -> Result<RealDisk, RunError> {
+    RealDisk::new(&settings.data_dir).map_err(|source| RunError::Folder {
+        path: settings.data_dir.clone(),
+        source,
+    })
+}
+
+fn open_node(
+    settings: &ControlSettings,
+    disk: RealDisk,
+    shared: &Shared,
+) -> Result<ControlNode<TimedDisk>, RunError> {
+    let config = NodeConfig::from_settings(settings, fresh_replica(), rand::random());
+    let disk = TimedDisk::new(disk, shared.gauges.metrics.sync_seconds.clone());
+    let node = ControlNode::open(config, disk, shared.liveness.now());
+    node.map_err(|error| RunError::node(settings.data_dir.clone(), error))
+}
+
+fn control_thread(
+    node: ControlNode<TimedDisk>,
+    inbox: Receiver<Message>,
+    settings: &ControlSettings,
+    shared: &Shared,
+) -> ControlThread {
+    let timing = &settings.timing;
+    let metrics = &shared.gauges.metrics;
+    let heartbeat_timeout = timing.server_heartbeat * HEARTBEATS_TO_WAIT;
+    ControlThread {
+        node,
+        inbox,
+        peers: PeerLinks::new(timing.election_timeout, metrics.sent_bytes.clone()),
+        routers: RouterLinks::default(),
+        back_ends: BackEnds::new(
+            heartbeat_timeout,
+            timing.server_lease,
+            shared.inbox.clone(),
+            metrics.clone(),
+        ),
+        liveness: shared.liveness.clone(),
+        replies: Replies::default(),
+    }
+}
+
 impl RunningControl {
     /// Where the replica is reached.
     pub fn addresses(&self) -> Addresses {
