--- a/crates/standin/src/caller/client.rs
+++ b/crates/standin/src/caller/client.rs
@@ -8,12 +8,12 @@
 use grebepin_holder::headers;
 use grebepin_schema::{Outcome, OutcomeLookup, Reject, RequestId, RequestState};
 use serde::de::DeserializeOwned;
+use serde::Deserialize;
 use ureq::http::{HeaderMap, Response};
 use ureq::Body;
 
 use super::rules::AttemptResult;
 use super::{Args, ClassSpec};
-use crate::back_end::AnswerBody;
 
 /// Header with the outcome.
 const OUTCOME: &str = "Grebepin-Outcome";
@@ -34,6 +34,13 @@
     pub(super) attempt: u32,
 }
 
+/// What callers need of a back end's answer, which may hold more.
+#[derive(Deserialize)]
+struct NamedAnswer {
+    request_id: RequestId,
+    key: String,
+}
+
 /// HTTP client of all callers of a process.
 #[derive(Debug)]
 pub(super) struct Client {
@@ -127,7 +134,7 @@
 }
 
 fn names_request(body: &[u8], attempt: &Attempt<'_>) -> bool {
-    let body: Result<AnswerBody, _> = serde_json::from_slice(body);
+    let body: Result<NamedAnswer, _> = serde_json::from_slice(body);
     body.is_ok_and(|body| body.request_id == *attempt.request_id && body.key == attempt.key)
 }
 
