--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::net::TcpListener;
+
 use grebepin_schema::{ServerName, Status, TableSnapshot};
 use grebepin_standin::back_end::{Args, BackEnd};
 use support::bundles::bundle_of;
@@ -61,3 +63,25 @@
     });
     assert_eq!(status.servers.len(), 3);
 }
+
+#[test]
+fn back_ends_that_never_answer_delay_no_other() {
+    let (name, live) = back_end("live");
+    let mute: Vec<TcpListener> = (0..20)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
+        .collect();
+    let mute_names: Vec<String> = (0..mute.len()).map(|n| format!("mute-{n}")).collect();
+    let mut servers = vec![(name.as_str(), live.address())];
+    for (name, listener) in mute_names.iter().zip(&mute) {
+        servers.push((name, listener.local_addr().expect("its address")));
+    }
+    let group = LoopbackGroup::start(1);
+    group.found();
+    let client = group.client();
+    client.roll(&bundle_of(SHARDS, &servers)).expect("accepted");
+    group.wait_for_leader("the live server holds what it owns", |status| {
+        let mut servers = status.servers.iter();
+        let live = servers.find(|server| server.server == name);
+        live.is_some_and(|server| server.held > 0 && server.held == server.shards)
+    });
+}
