--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -171,6 +171,9 @@
     /// Ask this very replica, leader or not
     #[arg(long, value_name = "IP:PORT")]
     pub(crate) replica: Option<SocketAddr>,
+    /// List every server and router, not only those that need a look
+    #[arg(long)]
+    pub(crate) all: bool,
     #[command(flatten)]
     pub(crate) connection: Connection,
 }
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -1,10 +1,10 @@
 //! `grebepin status`: the control group as its leader, or one replica, sees it.
 
+mod servers;
+
 use std::fmt;
 
-use grebepin_schema::{
-    MemberRole, ReplicaRole, RouterStatus, ServerStanding, ServerStatus, Status,
-};
+use grebepin_schema::{MemberRole, ReplicaRole, RouterStatus, ServerStanding, Status};
 use serde::Serialize;
 
 use crate::arguments;
@@ -12,9 +12,16 @@
 use crate::output::Format;
 use crate::text::{milliseconds, TextTable};
 
+/// Routers that are listed unless all are asked for, the slowest first.
+const ROUTERS_SHOWN: usize = 10;
+
 #[derive(Serialize)]
-#[serde(transparent)]
-struct View(Status);
+struct View {
+    #[serde(flatten)]
+    status: Status,
+    #[serde(skip)]
+    all: bool,
+}
 
 pub(crate) fn run(arguments: &arguments::Status, format: Format) -> Result<(), CliError> {
     let client = arguments.connection.client();
@@ -22,18 +29,19 @@
         Some(address) => client.status_of(address)?,
         None => client.status()?,
     };
-    format.print(&View(status))
+    let all = arguments.all;
+    format.print(&View { status, all })
 }
 
 impl fmt::Display for View {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let status = &self.0;
+        let status = &self.status;
         write_group(status, formatter)?;
         write_losses(status, formatter)?;
         write_members(status, formatter)?;
         write_shards(status, formatter)?;
-        write_servers(&status.servers, formatter)?;
-        write_routers(status, formatter)
+        servers::write(&status.servers, self.all, formatter)?;
+        write_routers(status, self.all, formatter)
     }
 }
 
@@ -149,40 +157,7 @@
     }
 }
 
-fn write_servers(servers: &[ServerStatus], formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-    if servers.is_empty() {
-        return Ok(());
-    }
-    writeln!(formatter, "servers:")?;
-    let headings = [
-        "service",
-        "server",
-        "side",
-        "zone",
-        "standing",
-        "owns",
-        "holds",
-        "lease left",
-        "heard",
-    ];
-    let mut table = TextTable::new(&headings);
-    for server in servers {
-        table.row([
-            server.service.to_string(),
-            server.server.to_string(),
-            server.side.to_string(),
-            server.zone.to_string(),
-            server.standing.to_string(),
-            server.shards.to_string(),
-            server.held.to_string(),
-            milliseconds(server.lease_remaining_ms),
-            milliseconds(server.last_heard_ms),
-        ]);
-    }
-    write!(formatter, "{table}")
-}
-
-fn write_routers(status: &Status, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+fn write_routers(status: &Status, all: bool, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
     let table_index = status.table_index.0;
     let behind = |router: &RouterStatus| table_index.saturating_sub(router.in_force.0);
     writeln!(
@@ -202,7 +177,10 @@
         return Ok(());
     }
     let mut table = TextTable::new(&["router", "zone", "in force", "behind", "heard"]);
-    for router in &status.routers {
+    let mut slowest_first: Vec<_> = status.routers.iter().collect();
+    slowest_first.sort_by_key(|router| router.in_force);
+    let shown = if all { usize::MAX } else { ROUTERS_SHOWN };
+    for router in slowest_first.into_iter().take(shown) {
         table.row([
             router.router.to_string(),
             router.zone.to_string(),
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -18,7 +18,7 @@
         errors: usize,
     },
     /// A history breaks promises; the violations were printed.
-    #[error("{violations} broken promise(s); the records that show each are named above")]
+    #[error("{violations} broken promise(s); the records that show them are named above")]
     BrokenPromises {
         /// Count of violations.
         violations: usize,
