Ownership: leaving servers get lapsed shards back if no other may receive them

Cause: since a leaving server gets no lapsed shard back while another active server has a lease, its shards had no holder for good where that other server's side has no share. Change: the other server must be one that may receive shards now. Tests: a new one, red before and green after.

--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -41,7 +41,7 @@
         let Some(session) = link.session else {
             return;
         };
-        if self.gives_up_unheld(step.state, server) {
+        if self.gives_up_unheld(step.now, step.state, server) {
             return self.supervise_soon(step.now);
         }
         let grants = self.grants_for(step.state, link, entry);
@@ -63,7 +63,7 @@
 
     /// Whether a server that leaves is to get back nothing that it lost with a lease, since another
     /// server can take it.
-    fn gives_up_unheld(&self, state: &OwnershipState, leaving: ServerIndex) -> bool {
+    fn gives_up_unheld(&self, now: Duration, state: &OwnershipState, leaving: ServerIndex) -> bool {
         let entry = state.servers().get(leaving);
         if entry.effective_standing() == ServerStanding::Active {
             return false;
@@ -71,11 +71,8 @@
         let Some(service) = state.services().get(&entry.service) else {
             return false;
         };
-        service.servers.iter().any(|&other| {
-            let active = state.servers().get(other).effective_standing() == ServerStanding::Active;
-            let link = self.links.get(&other);
-            other != leaving && active && link.is_some_and(|link| link.leased)
-        })
+        let mut others = service.servers.iter();
+        others.any(|&other| self.can_receive(now, state, other))
     }
 
     /// Shards on their way elsewhere are left out.
--- a/crates/ownership/src/coordinator/view.rs
+++ b/crates/ownership/src/coordinator/view.rs
@@ -101,6 +101,16 @@
         moving.chain(proposed.filter(|(shard, _)| !self.moves.contains(name, *shard)))
     }
 
+    /// Whether a server may receive shards now.
+    pub(super) fn can_receive(
+        &self,
+        now: Duration,
+        state: &OwnershipState,
+        server: ServerIndex,
+    ) -> bool {
+        self.server_view(now, state, server).eligible && has_share(state, server)
+    }
+
     fn server_view(&self, now: Duration, state: &OwnershipState, index: ServerIndex) -> ServerView {
         let entry = state.servers().get(index);
         let link = self.links.get(&index);
--- a/crates/ownership/tests/leases.rs
+++ b/crates/ownership/tests/leases.rs
@@ -427,3 +427,20 @@
         assert_eq!(world.owned(&server_name(4)), 0);
     }
 }
+
+#[test]
+fn leaving_servers_get_lapsed_shards_back_if_no_other_may_receive_them() {
+    let mut world = settled([1, 0]);
+    for number in [0, 2, 4] {
+        world.drain_by_operator(&server_name(number), true);
+    }
+    world.leader_lease_until = Some(world.now);
+    world.run(ms(2_000));
+    assert!(world.holders().is_empty(), "every lease lapsed");
+    world.leader_lease_until = None;
+    world.change_leader(ms(0));
+    // The servers of the side without a share are active and have leases, and may receive nothing.
+    settle_within(&mut world, ms(1_000));
+    let owned: usize = counts(&world).iter().sum();
+    assert_eq!(owned, SHARDS as usize);
+}
