Router gives a frozen owner up once the shard has moved

Cause: a request in flight at a server that froze held its slot until its deadline, and those that waited for the slot stayed with it, long after another server owned the shard. Besides, a server without a free connection was taken for one that is gone, so the request waited for a change. Ruled out: cutting connections from the control thread, which needs a list of all requests in flight. Change: a request that waits, for a slot or for the first byte of its answer, looks every 50 ms whether its ownership is still in the table; once it isn't, the first goes to the new owner and the second counts as lost after one more interval. No free connection counts as shed. Headers that a Connection header names are not passed on. Ran: cargo test -p grebepin-traffic -p grebepin-router: all pass, one new test with a frozen owner. Conclusion: a freeze costs its callers the takeover, not their deadlines.

--- a/crates/router/src/back_end.rs
+++ b/crates/router/src/back_end.rs
@@ -11,6 +11,7 @@
 use grebepin_traffic::{LossReason, Target};
 
 use crate::answer::Answer;
+use crate::gate::LOOK_INTERVAL;
 use crate::http::head::put_header;
 use crate::http::{HttpConnection, HttpError, RequestHead, ResponseHead, TimeLimit};
 use crate::link::{ConnectError, Link};
@@ -66,13 +67,16 @@
     Lost(LossReason),
 }
 
-/// Sends a request to its owner and reads the whole answer, until `until` at most.
+/// Sends a request to its owner and reads the whole answer, until `until` at most. Gives up before that
+/// when `moved` says that the shard has another owner: the old one may have frozen, and any effect that
+/// it has not made by then it never will make.
 pub fn send(
     link: &Link,
     request: &Outgoing<'_>,
     target: &Target,
     until: Instant,
     limits: &RouterLimits,
+    moved: &dyn Fn() -> bool,
 ) -> SendResult {
     let left = until.saturating_duration_since(Instant::now());
     let mut leased = match link.lease(limits.connect_timeout.min(left)) {
@@ -91,7 +95,9 @@
             error => SendResult::Lost(loss_of(&error)),
         };
     }
-    match read_answer(connection, request, limit, limits.body_bytes) {
+    let answer = wait_for_answer(connection, limit, moved)
+        .and_then(|()| read_answer(connection, request, limit, limits.body_bytes));
+    match answer {
         Ok((result, keep_alive)) => {
             if keep_alive {
                 leased.give_back();
@@ -191,6 +197,31 @@
     bytes.extend_from_slice(b"\r\n");
 }
 
+/// Waits for the first byte of the answer. Once the shard has moved, an answer on its way has one more
+/// interval.
+fn wait_for_answer(
+    connection: &mut HttpConnection,
+    limit: TimeLimit,
+    moved: &dyn Fn() -> bool,
+) -> Result<(), LossReason> {
+    let mut had_moved = false;
+    loop {
+        let look = TimeLimit {
+            until: limit.until,
+            idle: LOOK_INTERVAL,
+        };
+        match connection.wait_for_message(look) {
+            Ok(()) => return Ok(()),
+            Err(HttpError::TimedOut) if Instant::now() < limit.until => {}
+            Err(error) => return Err(loss_of(&error)),
+        }
+        if had_moved {
+            return Err(LossReason::Superseded);
+        }
+        had_moved = moved();
+    }
+}
+
 fn read_answer(
     connection: &mut HttpConnection,
     request: &Outgoing<'_>,
--- a/crates/router/src/forward.rs
+++ b/crates/router/src/forward.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use grebepin_schema::{Outcome, RequestId, ServerStanding, ServiceName};
+use grebepin_schema::{Outcome, Refusal, RequestId, ServerStanding, ServiceName};
 use grebepin_telemetry::{event, Event};
 use grebepin_traffic::flow::DRAIN_GRACE;
 use grebepin_traffic::{
@@ -15,7 +15,7 @@
 
 use crate::answer::Answer;
 use crate::back_end::{self, Outgoing, SendResult};
-use crate::gate::{Gate, Slot, Use};
+use crate::gate::{Denied, Gate, Slot, Use};
 use crate::link::ConnectError;
 use crate::load::Ending;
 use crate::request::CallerRequest;
@@ -98,7 +98,8 @@
         };
         let waiting = &self.routed.state.metrics.waiting;
         waiting.inc();
-        let entered = gate.enter(self.routed.priority, self.routed.spec.deadline);
+        let moved = || self.has_moved(target);
+        let entered = gate.enter(self.routed.priority, self.routed.spec.deadline, &moved);
         waiting.dec();
         self.gate = Some(Arc::clone(gate));
         match entered {
@@ -106,7 +107,8 @@
                 self.slot = Some(slot);
                 FlowInput::Admitted
             }
-            Err(refusal) => FlowInput::NotAdmitted(refusal),
+            Err(Denied::Refused(refusal)) => FlowInput::NotAdmitted(refusal),
+            Err(Denied::Moved) => FlowInput::NotSent,
         }
     }
 
@@ -119,13 +121,17 @@
         let started = Instant::now();
         let until = self.shared.clock.instant(until);
         let limits = self.shared.limits();
-        let result = back_end::send(gate.link(), &self.outgoing(), target, until, limits);
+        let moved = || self.has_moved(target);
+        let outgoing = self.outgoing();
+        let result = back_end::send(gate.link(), &outgoing, target, until, limits, &moved);
         in_flight.dec();
         let given = until.saturating_duration_since(started);
         self.count(target, &result, started.elapsed());
         self.judge(&gate, target, &result, given);
         self.give_slot_back(&result);
         match result {
+            // The server is there, but has no connection left: as if it had refused for too much work.
+            SendResult::NotSent(ConnectError::Exhausted) => FlowInput::Refused(Refusal::Shed),
             SendResult::NotSent(_) => FlowInput::NotSent,
             SendResult::Refused(refusal) => FlowInput::Refused(refusal),
             SendResult::Lost(reason) => FlowInput::Lost(reason),
@@ -136,6 +142,13 @@
         }
     }
 
+    /// Whether the table in force has another ownership of the shard.
+    fn has_moved(&self, target: &Target) -> bool {
+        let view = self.shared.view();
+        let route = view.table.service(&self.routed.service);
+        route.is_none_or(|route| route.owner_of_shard(target.shard).epoch != target.epoch)
+    }
+
     fn cancel(&self, target: &Target, until: Duration) -> FlowInput {
         let until = self.shared.clock.instant(until);
         let limits = self.shared.limits();
@@ -223,7 +236,7 @@
     fn give_slot_back(&mut self, result: &SendResult) {
         let used = match result {
             SendResult::Answered(_) | SendResult::Lost(_) => Use::Taken,
-            SendResult::Refused(grebepin_schema::Refusal::Shed) => Use::Shed,
+            SendResult::Refused(Refusal::Shed) => Use::Shed,
             SendResult::Refused(_) | SendResult::NotSent(_) => Use::Unused,
         };
         if let Some(slot) = self.slot.take() {
--- a/crates/router/src/gate.rs
+++ b/crates/router/src/gate.rs
@@ -15,8 +15,20 @@
 use crate::clock::Clock;
 use crate::link::Link;
 
+/// Between two looks of a waiting request at whether its shard has moved.
+pub const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
 type Decision = Result<(), AdmissionRefusal>;
 
+/// Why a request got no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// It is answered now.
+    Refused(AdmissionRefusal),
+    /// Another server owns its shard by now.
+    Moved,
+}
+
 struct Waiter {
     thread: Thread,
     decision: Option<Decision>,
@@ -129,20 +141,22 @@
         (state.admission.in_flight(), state.admission.waiting())
     }
 
-    /// Waits for a slot, in the order of priority and deadline.
+    /// Waits for a slot, in the order of priority and deadline, unless `moved` says that the shard has
+    /// another owner: a server that froze frees no slot.
     ///
     /// # Errors
-    /// The refusal, as soon as it is known.
+    /// The reason, as soon as it is known.
     pub fn enter(
         self: &Arc<Self>,
         priority: u32,
         deadline: Duration,
-    ) -> Result<Slot, AdmissionRefusal> {
+        moved: &dyn Fn() -> bool,
+    ) -> Result<Slot, Denied> {
         let ticket = {
             let mut state = self.lock();
             match state.admission.offer(self.clock.now(), priority, deadline) {
                 Offer::Admitted => return Ok(self.slot()),
-                Offer::Refused(refusal) => return Err(refusal),
+                Offer::Refused(refusal) => return Err(Denied::Refused(refusal)),
                 Offer::Waiting { ticket, displaced } => {
                     let waiter = Waiter {
                         thread: std::thread::current(),
@@ -156,29 +170,25 @@
                 }
             }
         };
-        self.wait(ticket, deadline).map(|()| self.slot())
+        self.wait(ticket, deadline, moved).map(|()| self.slot())
     }
 
-    fn wait(&self, ticket: Ticket, deadline: Duration) -> Decision {
+    fn wait(
+        &self,
+        ticket: Ticket,
+        deadline: Duration,
+        moved: &dyn Fn() -> bool,
+    ) -> Result<(), Denied> {
         loop {
+            let moved = moved();
+            if let Some(end) = self
+                .lock()
+                .end_of_wait(ticket, deadline, self.clock.now(), moved)
             {
-                let mut state = self.lock();
-                let now = self.clock.now();
-                if now >= deadline {
-                    let events = state.admission.tick(now);
-                    state.apply(events);
-                }
-                let decided = state
-                    .waiters
-                    .get(&ticket)
-                    .and_then(|waiter| waiter.decision);
-                if let Some(decision) = decided {
-                    state.waiters.remove(&ticket);
-                    return decision;
-                }
+                return end;
             }
             let left = deadline.saturating_sub(self.clock.now());
-            std::thread::park_timeout(left);
+            std::thread::park_timeout(left.min(LOOK_INTERVAL));
         }
     }
 
@@ -218,6 +228,32 @@
         }
     }
 
+    /// What the waiting request hears now; `None` when it waits on.
+    fn end_of_wait(
+        &mut self,
+        ticket: Ticket,
+        deadline: Duration,
+        now: Duration,
+        moved: bool,
+    ) -> Option<Result<(), Denied>> {
+        if now >= deadline {
+            let events = self.admission.tick(now);
+            self.apply(events);
+        }
+        let decision = self.waiters.get(&ticket)?.decision;
+        if decision.is_none() && !moved {
+            return None;
+        }
+        self.waiters.remove(&ticket);
+        match decision {
+            Some(decision) => Some(decision.map_err(Denied::Refused)),
+            None => {
+                self.admission.withdraw(ticket);
+                Some(Err(Denied::Moved))
+            }
+        }
+    }
+
     fn decide(&mut self, ticket: Ticket, decision: Decision) {
         if let Some(waiter) = self.waiters.get_mut(&ticket) {
             waiter.decision = Some(decision);
--- a/crates/router/src/http/head.rs
+++ b/crates/router/src/http/head.rs
@@ -44,7 +44,11 @@
 
     /// Headers that are passed on: neither of one connection nor of grebepin.
     pub fn passed_on(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        let kept = |name: &str| {
+        let named = self.values("connection").next().is_some();
+        let kept = move |name: &str| {
+            if named && self.has_token("connection", name) {
+                return false;
+            }
             let own = name.len() >= 9 && name.as_bytes()[..9].eq_ignore_ascii_case(b"grebepin-");
             !own && !CONNECTION_HEADERS
                 .iter()
--- a/crates/router/tests/outcomes.rs
+++ b/crates/router/tests/outcomes.rs
@@ -343,6 +343,44 @@
     router.stop();
 }
 
+#[test]
+fn a_frozen_owner_keeps_nobody_once_the_shard_has_moved() {
+    let frozen = BackEnd::start(|_| Act::Silence);
+    let new = BackEnd::start(|_| Act::Answer(b"moved".to_vec()));
+    let (control, router) = ready_router(&[frozen.address, new.address]);
+    let address = router.address();
+    let ask = move |class: &'static str| {
+        std::thread::spawn(move || {
+            let headers = [("Grebepin-Key", "k"), ("Grebepin-Deadline-Ms", "50000")];
+            Caller::connect(address).call(&format!("/autoriza-venda/{class}"), &headers, b"")
+        })
+    };
+    // One is in flight, one waits for its slot; the deadlines are far off.
+    for (class, index) in [("look-up", 11), ("approve", 13)] {
+        let in_flight = ask(class);
+        frozen.seen.recv().expect("sent");
+        let waiting = ask("look-up");
+        let view = router.shared().view();
+        let gate = view.gates().next().expect("gate");
+        while gate.load().1 == 0 {
+            std::thread::yield_now();
+        }
+        control.push(&moved(index - 1, index, 1));
+        let reply = waiting.join().expect("answer");
+        assert_eq!(reply.body, b"moved", "{class}");
+        let reply = in_flight.join().expect("answer");
+        let expected = if class == "look-up" {
+            "answered"
+        } else {
+            "unknown"
+        };
+        assert_eq!(reply.outcome(), expected, "{class}");
+        control.push(&moved(index, index + 1, 0));
+        wait_above(&router, index);
+    }
+    router.stop();
+}
+
 #[test]
 fn a_silent_owner_costs_no_more_than_the_deadline() {
     let back_end = BackEnd::start(|_| Act::Silence);
--- a/crates/traffic/src/flow.rs
+++ b/crates/traffic/src/flow.rs
@@ -66,6 +66,8 @@
     Broken,
     /// The answer belongs to another request, or names none.
     Crossed,
+    /// Another server owns the shard by now, and the answer did not come soon after that.
+    Superseded,
     /// The answer breaks the protocol or a bound on sizes.
     Invalid,
 }
--- a/crates/traffic/tests/flow.rs
+++ b/crates/traffic/tests/flow.rs
@@ -204,6 +204,7 @@
         LossReason::TimedOut,
         LossReason::Broken,
         LossReason::Crossed,
+        LossReason::Superseded,
         LossReason::Invalid,
     ];
     for reason in losses {
