control: tests listen on addresses of their own

Ruled out: another attempt with other ports (hides a fault of the daemon's own binding). Change: each test uses a loopback address made of its process number, where no outgoing connection of another process takes a port; the checks are unchanged.

--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -1,25 +1,20 @@
 //! The daemon's process: its exit codes and what it prints.
 
+mod support;
+
 use std::fs;
-use std::net::TcpListener;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("its address").port()
-}
+use support::address::own_address;
 
-fn settings(folder: &Path, extra: &str) -> std::path::PathBuf {
-    let ports = [free_port(), free_port(), free_port()];
+fn settings(folder: &Path, extra: &str) -> PathBuf {
+    let own = own_address();
     let text = format!(
-        "zone = \"a\"\ndata_dir = \"{}\"\npeer_address = \"127.0.0.1:{}\"\n\
-         router_address = \"127.0.0.1:{}\"\nadmin_address = \"127.0.0.1:{}\"\npeers = []\n\
+        "zone = \"a\"\ndata_dir = \"{}\"\npeer_address = \"{own}:7001\"\n\
+         router_address = \"{own}:7002\"\nadmin_address = \"{own}:7003\"\npeers = []\n\
          required_signatures = 1\n{extra}\n[[operators]]\nname = \"rosa\"\npublic_key = \"{}\"\n",
         folder.join("data").display(),
-        ports[0],
-        ports[1],
-        ports[2],
         // The public half of the key of 32 bytes of 7.
         "ea4a6c63e29c520abef5507b132ec5f9954776aebebe7b92421eea691446d22c",
     );
--- a/crates/control/tests/support/group.rs
+++ b/crates/control/tests/support/group.rs
@@ -1,6 +1,6 @@
 //! Replicas as threads of the test process, over loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -8,6 +8,7 @@
 use grebepin_control::{ControlSettings, ControlTiming, Listeners, RunningControl};
 use grebepin_schema::{FoundRequest, GroupId, Member, MemberRole, Status};
 
+use super::address::own_address;
 use super::bundles;
 
 /// Longest wait for what must happen in the end; no verdict depends on how soon it does.
@@ -27,7 +28,9 @@
     /// Starts replicas with empty folders.
     pub fn start(replicas: usize) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let sockets: Vec<_> = (0..replicas).map(|_| (socket(), socket())).collect();
+        let own = own_address();
+        let sockets = (0..replicas).map(|_| (socket(own), socket(own)));
+        let sockets: Vec<_> = sockets.collect();
         let addresses: Vec<_> = sockets.iter().map(|(peer, _)| local(peer)).collect();
         let mut group = Self {
             folder,
@@ -138,8 +141,8 @@
     }
 }
 
-fn socket() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a port")
+fn socket(address: Ipv4Addr) -> TcpListener {
+    TcpListener::bind((address, 0)).expect("a port")
 }
 
 fn local(listener: &TcpListener) -> SocketAddr {
@@ -147,8 +150,8 @@
 }
 
 fn settings(number: usize, addresses: &[SocketAddr], folder: &Path) -> ControlSettings {
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     let own = addresses[number];
+    let any = SocketAddr::new(own.ip(), 0);
     let peers = addresses.iter().copied().filter(|address| *address != own);
     ControlSettings {
         path: folder.join("control.toml"),
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod address;
 pub mod bundles;
 pub mod group;
 
