--- a/crates/router/tests/bounds.rs
+++ b/crates/router/tests/bounds.rs
@@ -19,24 +19,27 @@
     let key = "Grebepin-Key: k\r\n";
     let many = "X: y\r\n".repeat(100);
     let long = format!("X: {}\r\n", "y".repeat(40_000));
+    let approve = |headers: &str| format!("POST /autoriza-venda/approve HTTP/1.1\r\n{headers}\r\n");
+    let keyed = |headers: &str| approve(&format!("{key}{headers}"));
+    #[rustfmt::skip]
     let table = [
-        ("POST /autoriza-venda/approve HTTP/1.1\r\n\r\n".to_string(), 400, "missing-key"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Grebepin-Attempt: 0\r\n\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Grebepin-Attempt: x\r\n\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}{key}\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Grebepin-Request-Id: a b\r\n\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Grebepin-Deadline-Ms: 0\r\n\r\n"), 504, "deadline-too-near"),
-        (format!("POST /autoriza-venda/other HTTP/1.1\r\n{key}\r\n"), 404, "unknown-class"),
-        (format!("POST /remitter/approve HTTP/1.1\r\n{key}\r\n"), 404, "unknown-service"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Content-Length: 99999999\r\n\r\n"), 413, "body-too-large"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Content-Length: -1\r\n\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Content-Length: 1\r\nContent-Length: 2\r\n\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Transfer-Encoding: gzip\r\n\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{key}Transfer-Encoding: chunked\r\n\r\nzz\r\n"), 400, "bad-header"),
+        (approve(""), 400, "missing-key"),
+        (keyed("Grebepin-Attempt: 0\r\n"), 400, "bad-header"),
+        (keyed("Grebepin-Attempt: x\r\n"), 400, "bad-header"),
+        (keyed(key), 400, "bad-header"),
+        (keyed("Grebepin-Request-Id: a b\r\n"), 400, "bad-header"),
+        (keyed("Grebepin-Deadline-Ms: 0\r\n"), 504, "deadline-too-near"),
+        (keyed("").replace("approve", "other"), 404, "unknown-class"),
+        (keyed("").replace("autoriza-venda", "remitter"), 404, "unknown-service"),
+        (keyed("Content-Length: 99999999\r\n"), 413, "body-too-large"),
+        (keyed("Content-Length: -1\r\n"), 400, "bad-header"),
+        (keyed("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n"), 400, "bad-header"),
+        (keyed("Content-Length: 1\r\nContent-Length: 2\r\n"), 400, "bad-header"),
+        (keyed("Transfer-Encoding: gzip\r\n"), 400, "bad-header"),
+        (keyed("Transfer-Encoding: chunked\r\n") + "zz\r\n", 400, "bad-header"),
         ("nonsense\r\n\r\n".to_string(), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{many}\r\n"), 400, "bad-header"),
-        (format!("POST /autoriza-venda/approve HTTP/1.1\r\n{long}\r\n"), 431, "bad-header"),
+        (approve(&many), 400, "bad-header"),
+        (approve(&long), 431, "bad-header"),
     ];
     for (request, status, kind) in table {
         let mut caller = Caller::connect(router.address());
--- a/crates/router/tests/outcomes.rs
+++ b/crates/router/tests/outcomes.rs
@@ -89,125 +89,31 @@
     let odd = Act::Raw("HTTP/1.1 200 OK\r\nGrebepin-Request-Id: {id}\r\nGrebepin-Refusal: moody\r\nContent-Length: 0\r\n\r\n");
     let (first, resend, look_up) = (("approve", "1"), ("approve", "2"), ("look-up", "1"));
     let unknown = ("unknown", "outcome-unknown");
-    vec![
-        case(
-            "closed, cancelled",
-            Act::Close,
-            tombstone(),
-            first,
-            ("not-run", "owner-lost"),
-        ),
-        case(
-            "closed, cancellation lost",
-            Act::Close,
-            Act::Close,
-            first,
-            unknown,
-        ),
-        case(
-            "closed, it ran",
-            Act::Close,
-            Act::Json(r#"{"state":"ran","epoch":10}"#),
-            first,
-            unknown,
-        ),
-        case(
-            "closed, other epoch",
-            Act::Close,
-            Act::Json(r#"{"state":"not-run","epoch":9}"#),
-            first,
-            unknown,
-        ),
-        case(
-            "closed, no JSON",
-            Act::Close,
-            Act::Json("nonsense"),
-            first,
-            unknown,
-        ),
-        case(
-            "resend closed, cancelled",
-            Act::Close,
-            tombstone(),
-            resend,
-            ("not-run", "owner-lost"),
-        ),
-        case(
-            "resend closed, cancellation lost",
-            Act::Close,
-            Act::Close,
-            resend,
-            unknown,
-        ),
+    #[rustfmt::skip]
+    let cases = vec![
+        case("closed, cancelled", Act::Close, tombstone(), first, ("not-run", "owner-lost")),
+        case("closed, cancellation lost", Act::Close, Act::Close, first, unknown),
+        case("closed, it ran", Act::Close, Act::Json(r#"{"state":"ran","epoch":10}"#), first, unknown),
+        case("closed, other epoch", Act::Close, Act::Json(r#"{"state":"not-run","epoch":9}"#), first, unknown),
+        case("closed, no JSON", Act::Close, Act::Json("nonsense"), first, unknown),
+        case("resend closed, cancelled", Act::Close, tombstone(), resend, ("not-run", "owner-lost")),
+        case("resend closed, cancellation lost", Act::Close, Act::Close, resend, unknown),
         case("crossed", crossed.clone(), Act::Close, first, unknown),
-        case(
-            "crossed, cancelled",
-            crossed,
-            tombstone(),
-            first,
-            ("not-run", "owner-lost"),
-        ),
+        case("crossed, cancelled", crossed, tombstone(), first, ("not-run", "owner-lost")),
         case("names no request", unnamed, Act::Close, first, unknown),
         case("odd refusal", odd, Act::Close, first, unknown),
         case("not whole", cut, Act::Close, look_up, unknown),
         case("closed each time", Act::Close, Act::Close, look_up, unknown),
-        case(
-            "shed",
-            Act::Refuse("shed"),
-            Act::Close,
-            first,
-            ("not-run", "owner-refused"),
-        ),
-        case(
-            "resend shed",
-            Act::Refuse("shed"),
-            Act::Close,
-            resend,
-            ("unknown", "owner-refused"),
-        ),
-        case(
-            "moving",
-            Act::Refuse("releasing"),
-            Act::Close,
-            first,
-            ("not-run", "owner-refused"),
-        ),
-        case(
-            "after a freeze",
-            Act::Refuse("record-incomplete"),
-            Act::Close,
-            resend,
-            unknown,
-        ),
-        case(
-            "runs already",
-            Act::Refuse("already-running"),
-            Act::Close,
-            resend,
-            unknown,
-        ),
-        case(
-            "tombstone",
-            Act::Refuse("cancelled"),
-            Act::Close,
-            resend,
-            ("not-run", "owner-refused"),
-        ),
-        case(
-            "late",
-            Act::Refuse("deadline"),
-            Act::Close,
-            first,
-            ("not-run", "deadline-too-near"),
-        ),
-        case(
-            "answers",
-            Act::Answer(b"yes".to_vec()),
-            Act::Close,
-            resend,
-            ("answered", ""),
-        ),
-    ]
+        case("shed", Act::Refuse("shed"), Act::Close, first, ("not-run", "owner-refused")),
+        case("resend shed", Act::Refuse("shed"), Act::Close, resend, ("unknown", "owner-refused")),
+        case("moving", Act::Refuse("releasing"), Act::Close, first, ("not-run", "owner-refused")),
+        case("after a freeze", Act::Refuse("record-incomplete"), Act::Close, resend, unknown),
+        case("runs already", Act::Refuse("already-running"), Act::Close, resend, unknown),
+        case("tombstone", Act::Refuse("cancelled"), Act::Close, resend, ("not-run", "owner-refused")),
+        case("late", Act::Refuse("deadline"), Act::Close, first, ("not-run", "deadline-too-near")),
+        case("answers", Act::Answer(b"yes".to_vec()), Act::Close, resend, ("answered", "")),
+    ];
+    cases
 }
 
 #[test]
--- a/crates/traffic/tests/flow.rs
+++ b/crates/traffic/tests/flow.rs
@@ -154,51 +154,28 @@
         state: RequestState::NotRun,
         epoch: Epoch(7),
     };
+    let state = |state| {
+        Some(CancelAnswer {
+            state,
+            epoch: Epoch(7),
+        })
+    };
+    let at = |epoch| {
+        Some(CancelAnswer {
+            epoch: Epoch(epoch),
+            ..not_run.clone()
+        })
+    };
+    #[rustfmt::skip]
     let cancels = [
         (None, false),
-        (Some(not_run.clone()), true),
-        (
-            Some(CancelAnswer {
-                epoch: Epoch(8),
-                ..not_run.clone()
-            }),
-            false,
-        ),
-        (
-            Some(CancelAnswer {
-                epoch: Epoch(0),
-                ..not_run.clone()
-            }),
-            false,
-        ),
-        (
-            Some(CancelAnswer {
-                state: RequestState::Ran,
-                ..not_run.clone()
-            }),
-            false,
-        ),
-        (
-            Some(CancelAnswer {
-                state: RequestState::Running,
-                ..not_run.clone()
-            }),
-            false,
-        ),
-        (
-            Some(CancelAnswer {
-                state: RequestState::Unseen,
-                ..not_run.clone()
-            }),
-            false,
-        ),
-        (
-            Some(CancelAnswer {
-                state: RequestState::Unknown,
-                ..not_run
-            }),
-            false,
-        ),
+        (state(RequestState::NotRun), true),
+        (at(8), false),
+        (at(0), false),
+        (state(RequestState::Ran), false),
+        (state(RequestState::Running), false),
+        (state(RequestState::Unseen), false),
+        (state(RequestState::Unknown), false),
     ];
     let losses = [
         LossReason::TimedOut,
