Observer: a router that has just started has no table, which is no older one

The observer asked it between its restart and its first table, and recorded that as in force. Ruled out: the router: without a table it refuses every request with not-run (no-table). Change: index 0 is not recorded.

--- a/crates/bench/src/fleet/observer.rs
+++ b/crates/bench/src/fleet/observer.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use grebepin_schema::{HistoryEvent, InForceRecord};
+use grebepin_schema::{HistoryEvent, InForceRecord, LogIndex};
 use grebepin_standin::history::HistoryWriter;
 
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -46,7 +46,7 @@
     let agent = ureq::Agent::new_with_config(config.build());
     let mut last: Option<InForceRecord> = None;
     while !stop.load(Ordering::Relaxed) {
-        if let Some(now) = ask(&agent, url) {
+        if let Some(now) = ask(&agent, url).filter(has_table) {
             if last.as_ref() != Some(&now) {
                 let event = HistoryEvent::InForce(now.clone());
                 history.record(Instant::now(), event).ok();
@@ -57,6 +57,11 @@
     }
 }
 
+/// A router that has just started has no table in force yet, which is no older table.
+fn has_table(record: &InForceRecord) -> bool {
+    record.index > LogIndex(0)
+}
+
 fn ask(agent: &ureq::Agent, url: &str) -> Option<InForceRecord> {
     agent.get(url).call().ok()?.body_mut().read_json().ok()
 }
