Control: an agent for each lane, so that a heartbeat's cost doesn't grow with the back ends

Cause: the leader used 0.22 cores for 50 back ends and 0.99 for 100, and at 200 it had no time left to renew leases (3.5 of 5 heartbeats a second; 25.9 s to the first placement). A profile put 69 % of its time into comparing the addresses of pooled connections: all lanes shared one HTTP agent, whose pool is searched from end to end at each call, which makes the cost quadratic. Ruled out: the coordinator (0.09 % of a core for 100 servers in its own bench) and the table sent to routers (70 bytes a second each). Change: each lane has an agent of its own, which keeps one connection. The next cost is memory: 0.73 MB for each back end, from two threads each.

--- a/crates/control/src/daemon/back_ends.rs
+++ b/crates/control/src/daemon/back_ends.rs
@@ -25,11 +25,8 @@
 /// Idle time after which a lane's thread ends.
 const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
-/// Idle connections kept over all back ends.
-const IDLE_CONNECTIONS: usize = 4096;
-
-/// Idle connections kept to one back end, one for each lane.
-const IDLE_CONNECTIONS_PER_BACK_END: usize = 2;
+/// Idle connections kept by one lane: it makes one call after the other.
+const IDLE_CONNECTIONS: usize = 1;
 
 /// Idle time after which a connection is closed, below what back ends usually allow.
 const IDLE_CONNECTION_AGE: Duration = Duration::from_secs(4);
@@ -57,8 +54,8 @@
 /// Calls to every back end.
 pub(super) struct BackEnds {
     lanes: BTreeMap<(SocketAddress, LaneKind), Sender<Call>>,
-    heartbeats: ureq::Agent,
-    others: ureq::Agent,
+    heartbeat_timeout: Duration,
+    timeout: Duration,
     inbox: Inbox,
     metrics: ControlMetrics,
 }
@@ -73,8 +70,8 @@
     ) -> Self {
         Self {
             lanes: BTreeMap::new(),
-            heartbeats: agent(heartbeat_timeout),
-            others: agent(timeout),
+            heartbeat_timeout,
+            timeout,
             inbox,
             metrics,
         }
@@ -109,10 +106,10 @@
         let (sender, calls) = crossbeam_channel::bounded(WAITING_CALLS);
         let lane = Lane {
             base: format!("http://{}/grebepin/v1", address.as_str()),
-            agent: match kind {
-                LaneKind::Heartbeats => self.heartbeats.clone(),
-                LaneKind::Others => self.others.clone(),
-            },
+            agent: agent(match kind {
+                LaneKind::Heartbeats => self.heartbeat_timeout,
+                LaneKind::Others => self.timeout,
+            }),
             inbox: self.inbox.clone(),
             metrics: self.metrics.clone(),
         };
@@ -142,12 +139,13 @@
     }
 }
 
+/// An agent for one lane. Lanes don't share one: its pool is searched from end to end for each call.
 fn agent(timeout: Duration) -> ureq::Agent {
     ureq::Agent::config_builder()
         .timeout_global(Some(timeout))
         .http_status_as_error(false)
         .max_idle_connections(IDLE_CONNECTIONS)
-        .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_BACK_END)
+        .max_idle_connections_per_host(IDLE_CONNECTIONS)
         .max_idle_age(IDLE_CONNECTION_AGE)
         .proxy(None)
         .build()
