--- a/crates/bench/src/commands.rs
+++ b/crates/bench/src/commands.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use crate::fleet::deployment::LeaseTimes;
 use crate::fleet::plans::BackEndTimes;
 use crate::fleet::run::{run, RunPlan};
 use crate::fleet::FleetError;
@@ -31,6 +32,12 @@
     /// Time of a probe, in ms.
     #[arg(long, default_value_t = 6.0)]
     pub probe_ms: f64,
+    /// Lease of the back ends in ms, in place of the deployment's.
+    #[arg(long)]
+    pub server_lease_ms: Option<u64>,
+    /// Time between heartbeats of a back end in ms, in place of the deployment's.
+    #[arg(long)]
+    pub server_heartbeat_ms: Option<u64>,
 }
 
 /// Flags of the demonstration.
@@ -72,6 +79,10 @@
             connect_ms: arguments.connect_ms,
             probe_ms: arguments.probe_ms,
         },
+        leases: LeaseTimes {
+            lease_ms: arguments.server_lease_ms,
+            heartbeat_ms: arguments.server_heartbeat_ms,
+        },
     };
     let report = run(&plan, &mut |line| println!("{line}"))?;
     println!("\n{}", render_text(&report));
@@ -95,6 +106,8 @@
         delay_ms: 0.5,
         connect_ms: 1.0,
         probe_ms: 6.0,
+        server_lease_ms: None,
+        server_heartbeat_ms: None,
     })
 }
 
--- a/crates/bench/src/fleet/deployment.rs
+++ b/crates/bench/src/fleet/deployment.rs
@@ -73,6 +73,15 @@
     Layout(#[from] LayoutError),
 }
 
+/// Times of the back ends' leases, where they differ from the deployment's.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeaseTimes {
+    /// Length of a lease, in ms.
+    pub lease_ms: Option<u64>,
+    /// Time between heartbeats, in ms.
+    pub heartbeat_ms: Option<u64>,
+}
+
 /// Everything a fleet of one deployment starts from.
 pub struct Deployment {
     /// Settings of the control replicas, by process name.
@@ -97,6 +106,21 @@
         Ok(deployment)
     }
 
+    /// Puts other times of leases into the settings of every control replica.
+    pub fn set_leases(&mut self, times: LeaseTimes) {
+        for settings in self.controls.values_mut() {
+            let Some(timing) = &mut settings.timing else {
+                continue;
+            };
+            if let Some(lease) = times.lease_ms {
+                timing.server_lease_ms = lease;
+            }
+            if let Some(heartbeat) = times.heartbeat_ms {
+                timing.server_heartbeat_ms = heartbeat;
+            }
+        }
+    }
+
     /// The bundle of this version with the given parent, signed by every operator.
     pub fn signed(&self, version: u64, parent: Option<Digest>) -> Option<SignedBundle> {
         let found = self.bundles.iter().find(|bundle| bundle.version == version);
--- a/crates/bench/src/fleet/run.rs
+++ b/crates/bench/src/fleet/run.rs
@@ -9,7 +9,7 @@
 use grebepin_standin::history::HistoryWriter;
 
 use super::cluster::Fleet;
-use super::deployment::Deployment;
+use super::deployment::{Deployment, LeaseTimes};
 use super::error::FleetError;
 use super::experiment;
 use super::faults::{carry_out, resume, Frozen};
@@ -33,12 +33,15 @@
     pub folder: PathBuf,
     /// Times that the stand-in back ends put in.
     pub times: BackEndTimes,
+    /// Times of the back ends' leases.
+    pub leases: LeaseTimes,
 }
 
 /// Runs the experiment; `progress` receives a line for people at each step.
 pub fn run(plan: &RunPlan, progress: &mut dyn FnMut(&str)) -> Result<RunReport, FleetError> {
     let experiment = experiment::load(&plan.experiment)?;
-    let deployment = Deployment::load(&plan.deployment)?;
+    let mut deployment = Deployment::load(&plan.deployment)?;
+    deployment.set_leases(plan.leases);
     experiment::check(&experiment, &deployment)?;
     let linked = experiment::linked(&experiment);
     progress("starting the processes");
