Contract: any method is a request; the example in Python serves GET

Cause: in a real fleet with the example as one of four back ends every look-up of its shards failed (546 answers of another request, owner-lost 8,076 times in 25 s): the example took every GET for a control call, and the contract check only ever sent POST. Change: a clause sends GET and PUT; the example routes by path. The clause fails on the old example (37 of 38) and passes on the new one and the stand-in (38 of 38).

--- a/crates/standin/src/contract/clauses.rs
+++ b/crates/standin/src/contract/clauses.rs
@@ -60,6 +60,7 @@
     clause("holdings: list and checksum agree", leases::checksum),
     clause("release: an idle shard goes at once", leases::release),
     clause("request: runs and names its id", requests::runs),
+    clause("request: any method is a request", requests::any_method),
     clause(
         "request: wrong epoch or shard is refused",
         requests::wrong_epoch,
--- a/crates/standin/src/contract/clauses/requests.rs
+++ b/crates/standin/src/contract/clauses/requests.rs
@@ -5,7 +5,7 @@
 use grebepin_holder::headers;
 use grebepin_schema::{GrantRefusalReason, HealthAnswer, LoadAnswer, Refusal, RequestState};
 
-use crate::contract::peer::{Ask, Peer, Reply};
+use crate::contract::peer::{Ask, Method, Peer, Reply};
 use crate::contract::previous::{previous_owner, Previous};
 use crate::contract::{expect, expect_that, Breach};
 
@@ -25,6 +25,17 @@
     expect("outcome", peer.outcome(&ask)?, RequestState::Ran)
 }
 
+pub(super) fn any_method(peer: &mut Peer) -> Result<(), Breach> {
+    let (shard, epoch) = peer.own_shard()?;
+    for method in [Method::Get, Method::Put] {
+        let mut ask = peer.ask(shard, epoch);
+        ask.method = method;
+        expect("request", peer.send(&ask)?, Reply::Ran)?;
+        expect("outcome", peer.outcome(&ask)?, RequestState::Ran)?;
+    }
+    Ok(())
+}
+
 pub(super) fn wrong_epoch(peer: &mut Peer) -> Result<(), Breach> {
     let (shard, epoch) = peer.own_shard()?;
     let never_held = peer.fresh_shard();
--- a/examples/back_end.py
+++ b/examples/back_end.py
@@ -175,26 +175,30 @@
             return refusal
         shard.record[request] = "ran"  # The effect belongs here, under the lock.
 
+CALLS = {
+    "GET": {"holdings": holdings, "handover": handover, "outcome": outcome, "health": health, "load": load},
+    "POST": {"heartbeat": heartbeat, "grant": grant, "release": release, "cancel": cancel, "drain": drain},
+}
+
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"  # Connections are kept open.
     disable_nagle_algorithm = True
 
-    def do_GET(self):
-        url = urlsplit(self.path)
-        calls = {"holdings": holdings, "handover": handover, "outcome": outcome, "health": health, "load": load}
-        self.control(url.path, calls, dict(parse_qsl(url.query)))
-
-    def do_POST(self):
+    def handle_any(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         url = urlsplit(self.path)
+        query = dict(parse_qsl(url.query))
         if not url.path.startswith("/grebepin/"):
-            return self.serve_router(dict(parse_qsl(url.query)))
-        calls = {"heartbeat": heartbeat, "grant": grant, "release": release, "cancel": cancel, "drain": drain}
+            return self.serve_router(query)
         try:
-            self.control(url.path, calls, json.loads(body) | {"attempt": self.headers.get("Grebepin-Attempt")})
+            if self.command == "POST":
+                query = json.loads(body) | {"attempt": self.headers.get("Grebepin-Attempt")}
+            self.control(url.path, CALLS[self.command], query)
         except (ValueError, KeyError, TypeError):
             self.answer(400, "malformed")
 
+    do_GET = do_HEAD = do_POST = do_PUT = do_PATCH = do_DELETE = handle_any
+
     def control(self, path, calls, question):
         call = calls.get(path.removeprefix("/grebepin/v1/"))
         if not call or question.get("server", me.name) != me.name:
@@ -224,7 +228,8 @@
         for name, value in {**headers, "Content-Length": len(text.encode())}.items():
             self.send_header(name, str(value))
         self.end_headers()
-        self.wfile.write(text.encode())
+        if self.command != "HEAD":
+            self.wfile.write(text.encode())
 
     def log_message(self, *_):
         pass
