Bundles: no service may be named grebepin

Cause: a router passes the whole path on, so that callers of a service of that name would reach the back ends' control calls, such as /grebepin/v1/drain, through any router.

--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -21,6 +21,9 @@
 /// Most bytes of a bundle's note.
 pub const MAXIMUM_NOTE_BYTES: usize = 4096;
 
+/// Name that no service may have: callers of `/NAME/...` would reach the back ends' control calls.
+const RESERVED_SERVICE: &str = "grebepin";
+
 /// Checks a bundle by itself; see [`crate::check_successor`] for the rules between two bundles.
 pub fn check(bundle: &Bundle) -> Result<(), Vec<Finding>> {
     let mut findings = Findings::default();
@@ -42,6 +45,10 @@
     for service in &bundle.services {
         let place = Place::Service(&service.name);
         names.insert(&service.name, place, "", findings);
+        if service.name.as_str() == RESERVED_SERVICE {
+            let name = service.name.to_string();
+            findings.push(place, "name", FindingKind::ReservedName { name });
+        }
         service::check_service(service, place, findings);
         for server in &service.servers {
             let place = place.entry("servers", &server.name);
--- a/crates/bundle/src/finding.rs
+++ b/crates/bundle/src/finding.rs
@@ -41,6 +41,12 @@
     /// A list that must not be empty is.
     #[error("at least one is needed")]
     Empty,
+    /// A service's paths would be those of the control calls of back ends.
+    #[error("the name {name} is reserved: its paths are those of the back ends' control calls")]
+    ReservedName {
+        /// Name found.
+        name: String,
+    },
     /// A name or address stands twice.
     #[error("{value} stands twice, first at {first}")]
     Duplicate {
--- a/crates/bundle/tests/rules.rs
+++ b/crates/bundle/tests/rules.rs
@@ -30,6 +30,7 @@
     ("/version", "0", "version: 0 is outside"),
     ("/services", "[]", "services: 0 is outside"),
     ("/services/1/name", "\"saldo-limite\"", "services[saldo-limite]: saldo-limite stands twice"),
+    ("/services/0/name", "\"grebepin\"", "services[grebepin].name: the name grebepin is reserved"),
     ("/services/0/shards", "4194305", "services[saldo-limite].shards: 4194305 is outside"),
     ("/services/0/sides", "[]", "sides: at least one"),
     ("/services/0/sides/1/side", "\"old\"", "sides[old]: old stands twice"),
