Router leaves before it stops

Ruled out: refusing with router-stopping on kept connections, which costs the caller a round. Change: for a tenth of the drain time the router is not ready, still takes and answers requests, and ends each connection with its answer; only then it closes. The table is followed until the end. Ran: cargo test -p grebepin-router: all pass, among them one for this.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -75,7 +75,7 @@
     match (request.method(), request.url().as_str()) {
         ("GET", "/metrics") => metrics(shared),
         ("GET", "/live") => probe(shared.control_silent_for() < LONGEST_CONTROL_SILENCE),
-        ("GET", "/ready") => probe(shared.view().table.is_ready() && !shared.is_stopping()),
+        ("GET", "/ready") => probe(shared.view().table.is_ready() && !shared.is_leaving()),
         ("GET", "/v1/table-index") => Response::json(&in_force(shared)),
         _ => Response::empty_404(),
     }
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -56,12 +56,12 @@
 }
 
 impl Callers {
-    /// Takes connections until the router stops. Returns when no more are taken.
+    /// Takes connections until the router is closed.
     pub fn accept(self: &Arc<Self>, listener: &TcpListener, shared: &Arc<Shared>) {
         let mut number = 0;
-        while !shared.is_stopping() {
+        while !shared.is_closed() {
             match listener.accept() {
-                Ok((stream, _)) if !shared.is_stopping() => {
+                Ok((stream, _)) if !shared.is_closed() => {
                     number += 1;
                     self.take(number, stream, shared);
                 }
@@ -76,25 +76,29 @@
         TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok();
     }
 
+    /// Waits until no connection is open, at most for `longest`.
+    pub fn wait_until_empty(&self, longest: Duration) {
+        let open = self.lock();
+        let waited = self
+            .closed
+            .wait_timeout_while(open, longest, |open| !open.is_empty());
+        drop(waited);
+    }
+
     /// Ends the connections: idle ones at once, those with a request after its answer, and the rest
     /// after `drain`. Returns how many were cut off.
     pub fn drain(&self, drain: Duration) -> usize {
         let end = Instant::now() + drain;
-        let mut open = self.lock();
+        let open = self.lock();
         for entry in open
             .values()
             .filter(|entry| !entry.busy.load(Ordering::Acquire))
         {
             entry.stream.shutdown(Shutdown::Read).ok();
         }
-        while !open.is_empty() {
-            let left = end.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                break;
-            }
-            let waited = self.closed.wait_timeout(open, left);
-            open = waited.unwrap_or_else(PoisonError::into_inner).0;
-        }
+        drop(open);
+        self.wait_until_empty(end.saturating_duration_since(Instant::now()));
+        let open = self.lock();
         for entry in open.values() {
             entry.stream.shutdown(Shutdown::Both).ok();
         }
@@ -195,7 +199,7 @@
             self.busy.store(true, Ordering::Release);
             let open = self.serve_one();
             self.busy.store(false, Ordering::Release);
-            if !open || self.shared.is_stopping() {
+            if !open || self.shared.is_closed() {
                 return;
             }
             patience = KEEP_ALIVE;
@@ -240,7 +244,7 @@
             Err(Some(kind)) => (refuse(shared, &request, kind), false),
             Err(None) => return false,
         };
-        let keep_alive = whole && request.head.keep_alive && !shared.is_stopping();
+        let keep_alive = whole && request.head.keep_alive && !shared.is_leaving();
         self.write(&answer, keep_alive) && keep_alive
     }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -18,6 +18,9 @@
 use crate::follow::follow;
 use crate::shared::Shared;
 
+/// Part of the drain time, one in this many, for which a router still takes connections and requests.
+const LEAVE_PART: u32 = 10;
+
 /// A running router.
 pub struct Router {
     shared: Arc<Shared>,
@@ -79,14 +82,21 @@
         &self.shared
     }
 
-    /// Stops: takes no new connections, answers what was read, cuts off the rest after the drain time.
-    /// Returns how many connections were cut off.
+    /// Stops. First it leaves: it is not ready any more, and ends each connection with its next answer,
+    /// so that callers find another router without a failed request. Then it takes no connection and no
+    /// request, answers what was read, and cuts off the rest after the drain time. Returns how many
+    /// connections were cut off.
     pub fn stop(self) -> usize {
         event!(Event::StopRequested);
-        self.shared.stop();
+        let drain = self.shared.limits().drain;
+        let leaving = drain / LEAVE_PART;
+        self.shared.leave();
+        self.callers.wait_until_empty(leaving);
+        self.shared.close();
         Callers::wake(self.address);
         self.acceptor.join().ok();
-        let cut = self.callers.drain(self.shared.limits().drain);
+        let cut = self.callers.drain(drain - leaving);
+        self.shared.stop();
         self.control.join().ok();
         self.admin.stop();
         event!(Event::Stopped);
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -56,7 +56,7 @@
         ask_whole: false,
         reported: Instant::now(),
     };
-    while !shared.is_stopping() {
+    loop {
         shared.control_runs();
         follower.follow_one();
         shared.metrics.table_is_current.set(0);
--- a/crates/router/src/handle.rs
+++ b/crates/router/src/handle.rs
@@ -71,7 +71,7 @@
 }
 
 fn route<'a>(shared: &Shared, request: &'a CallerRequest) -> Result<Routed<'a>, RejectKind> {
-    if shared.is_stopping() {
+    if shared.is_closed() {
         return Err(RejectKind::RouterStopping);
     }
     let headers = CallerHeaders::read(&request.head)?;
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -42,7 +42,8 @@
     view: ArcSwap<View>,
     index: Mutex<LogIndex>,
     changed: Condvar,
-    stopping: AtomicBool,
+    leaving: AtomicBool,
+    closed: AtomicBool,
     stop_sender: Mutex<Option<Sender<Infallible>>>,
     stop_receiver: Receiver<Infallible>,
     control_seen: AtomicU64,
@@ -72,7 +73,8 @@
             view: ArcSwap::from_pointee(View::new(table)),
             index: Mutex::new(LogIndex(0)),
             changed: Condvar::new(),
-            stopping: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             stop_sender: Mutex::new(Some(stop_sender)),
             stop_receiver,
             control_seen: AtomicU64::new(0),
@@ -144,9 +146,29 @@
         self.running.taken.load(Ordering::Acquire)
     }
 
-    /// Tells all threads to stop.
+    /// The router leaves: it still answers requests, and ends each connection with its next answer.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Whether the router leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// From now on no connection and no request is taken.
+    pub fn close(&self) {
+        self.leave();
+        self.closed.store(true, Ordering::Release);
+    }
+
+    /// Whether no connection and no request is taken any more.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    /// Ends the control thread.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::Release);
         let sender = self
             .stop_sender
             .lock()
@@ -155,7 +177,7 @@
         drop(sender);
     }
 
-    /// A channel that is disconnected when the router stops, and never carries anything.
+    /// A channel that is disconnected by [`Shared::stop`], and never carries anything.
     pub fn stop_signal(&self) -> &Receiver<Infallible> {
         &self.stop_receiver
     }
@@ -172,11 +194,6 @@
         self.now().saturating_sub(seen)
     }
 
-    /// Whether the router stops.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
-    }
-
     /// Time since the start of the router.
     pub fn now(&self) -> Duration {
         self.clock.now()
--- a/crates/router/tests/bounds.rs
+++ b/crates/router/tests/bounds.rs
@@ -154,16 +154,49 @@
 }
 
 #[test]
-fn a_planned_stop_cuts_no_request_in_flight() {
-    let back_end = BackEnd::start(|_| Act::Hold);
-    let (_control, router) = ready_router(&[back_end.address]);
+fn a_planned_stop_cuts_no_request_and_ends_connections_with_an_answer() {
+    let back_end = BackEnd::start(|request| match request.header("Grebepin-Request-Id") {
+        "running" => Act::Hold,
+        _ => Act::Answer(b"yes".to_vec()),
+    });
+    let first = ControlFrame::Snapshot(snapshot(10, &[back_end.address], Some(0)));
+    let control = Control::start(vec![first]);
+    // It leaves for 30 s, or until no connection is open.
+    let drain = Duration::from_secs(300);
+    let limits = RouterLimits {
+        drain,
+        ..RouterLimits::default()
+    };
+    let router = router(&[control.address], limits);
+    wait_above(&router, 9);
     let address = router.address();
-    let idle = TcpStream::connect(address).expect("connects");
+    let headers = [("Grebepin-Key", "k")];
+    let mut kept = Caller::connect(address);
+    assert!(
+        kept.call("/autoriza-venda/look-up", &headers, b"")
+            .head
+            .keep_alive
+    );
     let running = thread::spawn(move || call(address, "approve", "running", "1"));
-    back_end.seen.recv().expect("running");
+    while back_end
+        .seen
+        .recv()
+        .expect("seen")
+        .header("Grebepin-Request-Id")
+        != "running"
+    {}
     let shared = std::sync::Arc::clone(router.shared());
     let stopping = thread::spawn(move || router.stop());
-    while !shared.is_stopping() {
+    while !shared.is_leaving() {
+        thread::yield_now();
+    }
+    // It has one slot, so this request waits for the held one: both are answered, and the connection
+    // ends with the answer.
+    let waiting = thread::spawn(move || {
+        let reply = kept.call("/autoriza-venda/look-up", &headers, b"");
+        (reply, kept.read("POST").is_none())
+    });
+    while shared.view().gates().next().expect("gate").load().1 == 0 {
         thread::yield_now();
     }
     back_end.release.send(()).expect("held");
@@ -172,8 +205,10 @@
         (reply.outcome(), reply.body.as_slice()),
         ("answered", b"held".as_slice())
     );
+    let (reply, ended) = waiting.join().expect("answer");
+    assert_eq!(reply.outcome(), "answered");
+    assert!(!reply.head.keep_alive && ended);
     assert_eq!(stopping.join().expect("stops"), 0, "connections cut off");
-    drop(idle);
     assert!(TcpStream::connect(address).is_err());
 }
 
