standin: callers that look an outcome up ask until it is settled

Cause: one look 0.5 s after the answer was lost came while the owner was still frozen, and an unseen request was left at that.

--- a/crates/standin/src/caller/arguments.rs
+++ b/crates/standin/src/caller/arguments.rs
@@ -20,7 +20,8 @@
 pub enum AfterUnknown {
     /// Sends it again as the next attempt.
     Resend,
-    /// Asks for its outcome.
+    /// Asks for its outcome until that is settled, as often as attempts are left; sends it again
+    /// only if the owner has not seen it.
     LookUp,
     /// Nothing.
     Stop,
--- a/crates/standin/src/caller/worker.rs
+++ b/crates/standin/src/caller/worker.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender};
 use grebepin_schema::{
@@ -121,10 +121,10 @@
                     anew += attempt;
                     attempt = 1;
                 }
-                NextStep::LookUp(pause) => {
-                    std::thread::sleep(pause);
-                    break looked_up(self.client.look_up(&ask));
-                }
+                NextStep::LookUp(pause) => match self.look_up(&ask, sent, pause) {
+                    Some(ending) => break ending.to_owned(),
+                    None => attempt += 1,
+                },
             }
         };
         let latency = intended_start.elapsed();
@@ -158,6 +158,21 @@
         result
     }
 
+    /// Asks for the outcome until it is settled, as often as attempts are left; `None` when the
+    /// owner has not seen the request, so that it may be sent again.
+    fn look_up(&self, ask: &Attempt<'_>, sent: u32, pause: Duration) -> Option<&'static str> {
+        for look in sent..=self.rules.attempts {
+            std::thread::sleep(pause);
+            match self.client.look_up(ask) {
+                Some(RequestState::Ran) => return Some(LOOKED_UP_RAN),
+                Some(RequestState::NotRun) => return Some(LOOKED_UP_NOT_RUN),
+                Some(RequestState::Unseen) if look < self.rules.attempts => return None,
+                _ => {}
+            }
+        }
+        Some(LOOKED_UP_IN_VAIN)
+    }
+
     /// Another id for every time that a request is made anew.
     fn request_id(
         &self,
@@ -192,12 +207,3 @@
         None => NO_ANSWER.to_owned(),
     }
 }
-
-fn looked_up(state: Option<RequestState>) -> String {
-    let ending = match state {
-        Some(RequestState::Ran) => LOOKED_UP_RAN,
-        Some(RequestState::NotRun) => LOOKED_UP_NOT_RUN,
-        _ => LOOKED_UP_IN_VAIN,
-    };
-    ending.to_owned()
-}
