--- a/crates/bench/src/commands.rs
+++ b/crates/bench/src/commands.rs
@@ -35,6 +35,10 @@
     /// Lease of the back ends in ms, in place of the deployment's.
     #[arg(long)]
     pub server_lease_ms: Option<u64>,
+    /// Election timeout of the control replicas in ms, in place of the deployment's; a fifth of it
+    /// is the time between their heartbeats.
+    #[arg(long)]
+    pub election_timeout_ms: Option<u64>,
     /// Time between heartbeats of a back end in ms, in place of the deployment's.
     #[arg(long)]
     pub server_heartbeat_ms: Option<u64>,
@@ -82,6 +86,7 @@
         leases: LeaseTimes {
             lease_ms: arguments.server_lease_ms,
             heartbeat_ms: arguments.server_heartbeat_ms,
+            election_timeout_ms: arguments.election_timeout_ms,
         },
     };
     let report = run(&plan, &mut |line| println!("{line}"))?;
@@ -108,6 +113,7 @@
         probe_ms: 6.0,
         server_lease_ms: None,
         server_heartbeat_ms: None,
+        election_timeout_ms: None,
     })
 }
 
--- a/crates/bench/src/fleet/cluster.rs
+++ b/crates/bench/src/fleet/cluster.rs
@@ -49,15 +49,15 @@
     ) -> Result<Self, FleetError> {
         let layout = Layout::create(folder)?;
         let mut members = plans::daemons(&layout, &deployment)?;
-        let (back_ends, cuts) = plans::back_ends(&layout, &deployment, times, linked)?;
-        members.extend(back_ends);
+        let back_ends = plans::back_ends(&layout, &deployment, times, linked)?;
+        members.extend(back_ends.members);
         let history = layout.folder().join(plans::history_file(RUNNER));
         let mut fleet = Self {
             deployment,
             layout,
             members,
             running: BTreeMap::new(),
-            cuts,
+            cuts: back_ends.cuts,
             history: HistoryWriter::open(Some(&history)).map_err(FleetError::Record)?,
         };
         let names: Vec<String> = fleet.members.keys().cloned().collect();
--- a/crates/bench/src/fleet/deployment.rs
+++ b/crates/bench/src/fleet/deployment.rs
@@ -17,6 +17,7 @@
 const CONTROL_PREFIX: &str = "control-";
 const ROUTER_PREFIX: &str = "router-";
 const BUNDLE_PREFIX: &str = "bundle-";
+const HEARTBEATS_PER_ELECTION_TIMEOUT: u64 = 5;
 const KEYS_FOLDER: &str = "trial-keys";
 
 /// Why a deployment's folder could not be used.
@@ -80,6 +81,8 @@
     pub lease_ms: Option<u64>,
     /// Time between heartbeats, in ms.
     pub heartbeat_ms: Option<u64>,
+    /// Election timeout of the control replicas, in ms.
+    pub election_timeout_ms: Option<u64>,
 }
 
 /// Everything a fleet of one deployment starts from.
@@ -118,6 +121,10 @@
             if let Some(heartbeat) = times.heartbeat_ms {
                 timing.server_heartbeat_ms = heartbeat;
             }
+            if let Some(timeout) = times.election_timeout_ms {
+                timing.election_timeout_ms = timeout;
+                timing.replica_heartbeat_ms = timeout / HEARTBEATS_PER_ELECTION_TIMEOUT;
+            }
         }
     }
 
--- a/crates/bench/src/fleet/layout.rs
+++ b/crates/bench/src/fleet/layout.rs
@@ -1,10 +1,14 @@
 //! Addresses and folders of a fleet.
 
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 
 use grebepin_schema::SocketAddress;
 
+/// Ports that fleets use.
+const PORTS: Range<u16> = 12_000..32_000;
+
 /// Why a fleet could not be laid out.
 #[derive(Debug, thiserror::Error)]
 pub enum LayoutError {
@@ -16,9 +20,17 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// No free port was found.
-    #[error("no free port on loopback: {0}")]
-    Port(std::io::Error),
+    /// A link's port could not be listened on.
+    #[error("a link can't listen: {0}")]
+    Link(std::io::Error),
+    /// Too few ports are free.
+    #[error("only {found} of {wanted} ports are free on loopback")]
+    Ports {
+        /// Ports asked for.
+        wanted: usize,
+        /// Ports found.
+        found: usize,
+    },
 }
 
 /// The folder of one fleet and the ports it was given.
@@ -58,20 +70,28 @@
     }
 
     /// As many free loopback addresses as asked for, all different.
+    ///
+    /// They lie below the ports that systems give to outgoing connections, so that none of these takes
+    /// one before its process listens; the search starts at random, so that fleets side by side differ.
     pub fn free_addresses(count: usize) -> Result<Vec<SocketAddress>, LayoutError> {
-        let listeners: Vec<TcpListener> = (0..count)
-            .map(|_| TcpListener::bind("127.0.0.1:0"))
-            .collect::<Result<_, _>>()
-            .map_err(LayoutError::Port)?;
-        listeners
-            .iter()
-            .map(|listener| {
-                let address = listener.local_addr().map_err(LayoutError::Port)?;
-                Ok(address
-                    .to_string()
-                    .parse()
-                    .expect("an IP number and a port fit the schema"))
-            })
-            .collect()
+        let mut listeners = Vec::with_capacity(count);
+        let mut addresses = Vec::with_capacity(count);
+        let span = PORTS.len() as u16;
+        let first = rand::random_range(0..span);
+        for offset in 0..span {
+            if addresses.len() == count {
+                return Ok(addresses);
+            }
+            let port = PORTS.start + (first + offset) % span;
+            if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
+                listeners.push(listener);
+                let address = format!("{}:{port}", Ipv4Addr::LOCALHOST);
+                addresses.push(address.parse().expect("an IP number and a port"));
+            }
+        }
+        Err(LayoutError::Ports {
+            wanted: count,
+            found: addresses.len(),
+        })
     }
 }
--- a/crates/bench/src/fleet/plans.rs
+++ b/crates/bench/src/fleet/plans.rs
@@ -70,13 +70,21 @@
     Ok(members)
 }
 
+/// Plans of back ends, and the cuts of those that have a link in front.
+pub struct BackEnds {
+    /// Plans by process name.
+    pub members: BTreeMap<String, Member>,
+    /// Cuts by process name.
+    pub cuts: BTreeMap<String, Arc<Cuts>>,
+}
+
 /// Plans of the back ends of every bundle, and a link in front of each one named in `linked`.
 pub fn back_ends(
     layout: &Layout,
     deployment: &Deployment,
     times: BackEndTimes,
     linked: &BTreeSet<String>,
-) -> Result<(BTreeMap<String, Member>, BTreeMap<String, Arc<Cuts>>), FleetError> {
+) -> Result<BackEnds, FleetError> {
     let services = deployment
         .bundles
         .iter()
@@ -99,7 +107,7 @@
             member(layout, Kind::BackEnd, &name, arguments),
         );
     }
-    Ok((members, cuts))
+    Ok(BackEnds { members, cuts })
 }
 
 /// Address of a schema type as the standard library's.
@@ -116,7 +124,7 @@
 }
 
 fn start_link(address: &SocketAddress, target: &SocketAddress) -> Result<Arc<Cuts>, LayoutError> {
-    let listener = TcpListener::bind(address.as_str()).map_err(LayoutError::Port)?;
+    let listener = TcpListener::bind(address.as_str()).map_err(LayoutError::Link)?;
     Ok(link::start(listener, socket_address(target)))
 }
 
