--- a/crates/ownership/tests/leases.rs
+++ b/crates/ownership/tests/leases.rs
@@ -444,3 +444,20 @@
     let owned: usize = counts(&world).iter().sum();
     assert_eq!(owned, SHARDS as usize);
 }
+
+#[test]
+fn a_drain_just_before_a_long_election_goes_on_at_once_after_it() {
+    for before in [0, 1, 2, 4, 8, 12, 20] {
+        let mut world = settled([1, 1]);
+        let name = server_name(4);
+        world.drain_by_operator(&name, true);
+        world.run(ms(before));
+        world.leader_lease_until = Some(world.now);
+        world.run(ms(4_000));
+        world.leader_lease_until = None;
+        world.change_leader(ms(0));
+        let end = world.now + ms(100);
+        let took = world.run_until(end, |world| world.owned(&name) == 0);
+        assert!(took.is_some(), "{before} ms: {:?}", counts(&world));
+    }
+}
