Simulator: a drain may end from the asking on, not only from the answer

The operator's request to stay was in the leader's log when it died; the next leader committed it at once, and the server rightly worked, but the history noted the end of the drain only when the resent request was answered, 130 ms later. Ruled out: the coordinator (the drain moves on within 100 ms of a new leader, test in ownership). Change: the history notes the end of a drain whenever it is asked for, besides when it is answered. The checker and its limit are as they were; work after a drain that nobody asked to end is found as before.

--- a/crates/sim/src/world/people.rs
+++ b/crates/sim/src/world/people.rs
@@ -78,7 +78,10 @@
                 try_number,
                 control,
                 request,
-            } => self.ask_control(job, try_number, control, request),
+            } => {
+                self.note_end_of_drain_asked(job);
+                self.ask_control(job, try_number, control, request);
+            }
             OperatorEffect::Timer { at, input } => {
                 let input = Input::Operators(input);
                 self.push(at, Process::Operators, None, input);
@@ -86,6 +89,18 @@
         }
     }
 
+    /// The end of a drain may take force from its asking on, also when its answer is lost with a leader.
+    fn note_end_of_drain_asked(&mut self, job: usize) {
+        if let Some(Wish::Drain {
+            server,
+            draining: false,
+        }) = self.operators.wish(job)
+        {
+            let server = server_name(*server);
+            self.record(HistoryEvent::Staying(server));
+        }
+    }
+
     /// An operator's drain, or its end, was accepted by the control group.
     pub(super) fn note_drained(&mut self, job: usize) {
         let Some(Wish::Drain { server, draining }) = self.operators.wish(job) else {
