--- a/crates/control/src/daemon/back_ends.rs
+++ b/crates/control/src/daemon/back_ends.rs
@@ -4,6 +4,7 @@
 //! that neither a slow back end nor a large grant delays another's lease; every call gets one answer.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 use grebepin_telemetry::ControlMetrics;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
 use super::message::{Inbox, Message};
 use super::sockets::STACK_BYTES;
@@ -28,6 +31,9 @@
 /// Idle connections kept by one lane: it makes one call after the other.
 const IDLE_CONNECTIONS: usize = 1;
 
+/// Each buffer of a connection; an answer's head must fit into one.
+const BUFFER_BYTES: usize = 16 << 10;
+
 /// Idle time after which a connection is closed, below what back ends usually allow.
 const IDLE_CONNECTION_AGE: Duration = Duration::from_secs(4);
 
@@ -103,13 +109,15 @@
 
     fn start_lane(&self, key: &(SocketAddress, LaneKind)) -> Option<Sender<Call>> {
         let (address, kind) = key;
+        let to: SocketAddr = address.parse().ok()?;
+        let timeout = match kind {
+            LaneKind::Heartbeats => self.heartbeat_timeout,
+            LaneKind::Others => self.timeout,
+        };
         let (sender, calls) = crossbeam_channel::bounded(WAITING_CALLS);
         let lane = Lane {
             base: format!("http://{}/grebepin/v1", address.as_str()),
-            agent: agent(match kind {
-                LaneKind::Heartbeats => self.heartbeat_timeout,
-                LaneKind::Others => self.timeout,
-            }),
+            agent: agent(to, timeout),
             inbox: self.inbox.clone(),
             metrics: self.metrics.clone(),
         };
@@ -140,16 +148,35 @@
 }
 
 /// An agent for one lane. Lanes don't share one: its pool is searched from end to end for each call.
-fn agent(timeout: Duration) -> ureq::Agent {
-    ureq::Agent::config_builder()
+fn agent(address: SocketAddr, timeout: Duration) -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
         .timeout_global(Some(timeout))
         .http_status_as_error(false)
         .max_idle_connections(IDLE_CONNECTIONS)
         .max_idle_connections_per_host(IDLE_CONNECTIONS)
         .max_idle_age(IDLE_CONNECTION_AGE)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
         .proxy(None)
-        .build()
-        .into()
+        .build();
+    ureq::Agent::with_parts(config, DefaultConnector::default(), FixedAddress(address))
+}
+
+/// Gives the one address of a lane. The library's own resolver starts a thread for each call.
+#[derive(Debug)]
+struct FixedAddress(SocketAddr);
+
+impl Resolver for FixedAddress {
+    fn resolve(
+        &self,
+        _: &ureq::http::Uri,
+        _: &ureq::config::Config,
+        _: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let mut addresses = self.empty();
+        addresses.push(self.0);
+        Ok(addresses)
+    }
 }
 
 /// One back end's calls of one kind, one after the other.
