--- a/crates/ownership/examples/coordinator_bench.rs
+++ b/crates/ownership/examples/coordinator_bench.rs
@@ -15,9 +15,9 @@
 use grebepin_schema::hashing::shard_hash;
 use grebepin_schema::{
     AcceptBundle, Bundle, ChurnPolicy, Command, Epoch, GrantAnswer, GrantRequest, GroupId,
-    HeartbeatAnswer, HeldShard, LogIndex, Nonce, QueuePolicy, ReleaseAnswer, ReleaseRequest,
-    RetryPolicy, Server, ServerName, Service, ServiceName, Session, ShardId, SideShare,
-    SignedBundle, Term,
+    HeartbeatAnswer, HeartbeatRequest, HeldShard, LogIndex, Nonce, QueuePolicy, ReleaseAnswer,
+    ReleaseRequest, RetryPolicy, Server, ServerName, Service, ServiceName, Session, ShardId,
+    SideShare, SignedBundle, Term,
 };
 
 /// Step of the virtual clock; an answer comes one step after its request.
@@ -204,21 +204,7 @@
             }
             CoordinatorOutput::Heartbeat {
                 server, request, ..
-            } => {
-                let hollow = self.servers.get_mut(&server).expect("known");
-                if !hollow.up {
-                    self.inputs
-                        .push_back(CoordinatorInput::HeartbeatFailed { server });
-                    return;
-                }
-                let answer = hollow.heartbeat(request.lease.is_some());
-                self.count(&request, &answer);
-                self.inputs.push_back(CoordinatorInput::HeartbeatAnswered {
-                    server,
-                    answer,
-                    sent_at: self.now,
-                });
-            }
+            } => self.heartbeat(server, &request),
             CoordinatorOutput::Grant {
                 server, request, ..
             } => {
@@ -248,6 +234,21 @@
         }
     }
 
+    fn heartbeat(&mut self, server: ServerName, request: &HeartbeatRequest) {
+        let hollow = self.servers.get_mut(&server).expect("known");
+        if !hollow.up {
+            let input = CoordinatorInput::HeartbeatFailed { server };
+            return self.inputs.push_back(input);
+        }
+        let answer = hollow.heartbeat(request.lease.is_some());
+        self.count(request, &answer);
+        self.inputs.push_back(CoordinatorInput::HeartbeatAnswered {
+            server,
+            answer,
+            sent_at: self.now,
+        });
+    }
+
     /// Counts a request and its answer; bytes of JSON bodies, without HTTP headers.
     fn count(&mut self, request: &impl serde::Serialize, answer: &impl serde::Serialize) {
         let size = |value: Result<Vec<u8>, serde_json::Error>| value.expect("encodes").len() as u64;
@@ -341,6 +342,10 @@
         eprintln!("usage: coordinator_bench SERVERS SHARDS");
         std::process::exit(2);
     };
+    measure(servers, shards);
+}
+
+fn measure(servers: u32, shards: u32) {
     let mut fleet = Fleet::new(servers);
     let first = Command::AcceptBundle(AcceptBundle {
         digest: "0".repeat(64).parse().expect("a digest"),
--- a/crates/ownership/tests/support/mod.rs
+++ b/crates/ownership/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Bundles, and a world in which a coordinator talks to real holders over a simulated network.
 #![allow(dead_code, unused_imports)] // Each test file uses a part.
 
+mod calls;
+pub mod fleet;
 mod network;
 mod world;
 
--- a/crates/ownership/tests/support/world.rs
+++ b/crates/ownership/tests/support/world.rs
@@ -15,10 +15,10 @@
 use super::{config, ms, Network, LEADER_LEASE};
 
 /// Time limit of every call to a server.
-const CALL_TIMEOUT: Duration = Duration::from_millis(250);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time from a proposal to its commit.
-const COMMIT_DELAY: Duration = Duration::from_millis(3);
+pub(super) const COMMIT_DELAY: Duration = Duration::from_millis(3);
 
 pub struct ServerProcess {
     pub holder: Holder,
@@ -30,12 +30,12 @@
 }
 
 impl ServerProcess {
-    fn clock(&self, now: Duration) -> Duration {
+    pub(super) fn clock(&self, now: Duration) -> Duration {
         Duration::from_micros((now.as_micros() as u64 / 1_000) * self.clock_rate / 1_000)
     }
 }
 
-enum Event {
+pub(super) enum Event {
     /// A copy of a request reaches a server; the answer goes back if someone waits for it.
     Request(u64, CoordinatorOutput),
     Answer(u64, CoordinatorInput<'static>),
@@ -58,11 +58,11 @@
     guards: Guards,
     index: u64,
     boots: u64,
-    proposals: VecDeque<Command>,
-    queue: BTreeMap<(Duration, u64), Event>,
+    pub(super) proposals: VecDeque<Command>,
+    pub(super) queue: BTreeMap<(Duration, u64), Event>,
     /// Calls that the leader waits for, with the time they were sent.
-    open_calls: BTreeMap<u64, Duration>,
-    next_call: u64,
+    pub(super) open_calls: BTreeMap<u64, Duration>,
+    pub(super) next_call: u64,
     pub assignments: u64,
     pub sent: BTreeMap<&'static str, u64>,
 }
@@ -279,7 +279,7 @@
         }
     }
 
-    fn tell(&mut self, input: CoordinatorInput<'_>) {
+    pub(super) fn tell(&mut self, input: CoordinatorInput<'_>) {
         let lease_until = self.leader_lease_until.unwrap_or(self.now + LEADER_LEASE);
         let outputs = self
             .coordinator
@@ -302,178 +302,4 @@
             self.carry_out(output, false);
         }
     }
-
-    fn carry_out(&mut self, output: CoordinatorOutput, is_leader: bool) {
-        let (kind, failed) = match &output {
-            CoordinatorOutput::Propose(command) => {
-                if is_leader {
-                    self.proposals.push_back(command.clone());
-                    self.push(COMMIT_DELAY, Event::Commit(self.term));
-                }
-                return;
-            }
-            CoordinatorOutput::Heartbeat { server, .. } => (
-                "heartbeat",
-                CoordinatorInput::HeartbeatFailed {
-                    server: server.clone(),
-                },
-            ),
-            CoordinatorOutput::Grant { server, .. } => (
-                "grant",
-                CoordinatorInput::GrantFailed {
-                    server: server.clone(),
-                },
-            ),
-            CoordinatorOutput::Release { server, .. } => (
-                "release",
-                CoordinatorInput::ReleaseFailed {
-                    server: server.clone(),
-                },
-            ),
-            CoordinatorOutput::Holdings { server, .. } => (
-                "holdings",
-                CoordinatorInput::HoldingsFailed {
-                    server: server.clone(),
-                },
-            ),
-            CoordinatorOutput::Drain { server, .. } => (
-                "drain",
-                CoordinatorInput::DrainDone {
-                    server: server.clone(),
-                },
-            ),
-        };
-        *self.sent.entry(kind).or_default() += 1;
-        self.next_call += 1;
-        let call = self.next_call;
-        if is_leader {
-            self.open_calls.insert(call, self.now);
-            self.push(CALL_TIMEOUT, Event::Timeout(call, failed));
-        }
-        for arrival in self.network.arrivals() {
-            self.push(arrival, Event::Request(call, output.clone()));
-        }
-    }
-
-    fn push(&mut self, after: Duration, event: Event) {
-        self.next_call += 1;
-        self.queue.insert((self.now + after, self.next_call), event);
-    }
-
-    fn take_event(&mut self, event: Event) {
-        match event {
-            Event::Request(call, request) => self.deliver(call, request),
-            Event::Answer(call, mut input) | Event::Timeout(call, mut input) => {
-                let Some(sent) = self.open_calls.remove(&call) else {
-                    return;
-                };
-                if let CoordinatorInput::HeartbeatAnswered { sent_at, .. } = &mut input {
-                    *sent_at = sent;
-                }
-                self.tell(input);
-            }
-            Event::Commit(term) if term == self.term => {
-                if let Some(command) = self.proposals.pop_front() {
-                    self.commit(&command);
-                }
-            }
-            Event::Commit(_) => {}
-        }
-    }
-
-    fn deliver(&mut self, call: u64, request: CoordinatorOutput) {
-        let (now, name) = (self.now, server_of(&request));
-        let Some(process) = self.servers.get_mut(&name).filter(|process| process.up) else {
-            return;
-        };
-        if process.frozen_until > now {
-            let until = process.frozen_until;
-            self.push(until - now, Event::Request(call, request));
-            return;
-        }
-        let input = self.answer(&name, request, now);
-        let back = self.network.one_way();
-        if !self.network.chance(self.network.lost) {
-            self.push(back, Event::Answer(call, input));
-        }
-    }
-
-    fn answer(
-        &mut self,
-        name: &ServerName,
-        request: CoordinatorOutput,
-        now: Duration,
-    ) -> CoordinatorInput<'static> {
-        let process = self.servers.get_mut(name).expect("a known server");
-        let clock = process.clock(now);
-        let server = name.clone();
-        match request {
-            CoordinatorOutput::Heartbeat { request, .. } => {
-                let answer = process.holder.heartbeat(clock, &request);
-                CoordinatorInput::HeartbeatAnswered {
-                    server,
-                    answer,
-                    sent_at: Duration::ZERO, // Set where the answer arrives.
-                }
-            }
-            CoordinatorOutput::Grant { request, .. } => {
-                let outcome = process.holder.grant(clock, &request);
-                for fetch in outcome.fetch {
-                    let answer =
-                        self.hand_over(&fetch.shard, &fetch.previous.server, fetch.previous.epoch);
-                    let process = self.process(name);
-                    process
-                        .holder
-                        .complete_handover(clock, &fetch.shard, answer.as_ref());
-                }
-                CoordinatorInput::GrantAnswered {
-                    server,
-                    answer: outcome.answer,
-                }
-            }
-            CoordinatorOutput::Release { request, .. } => CoordinatorInput::ReleaseAnswered {
-                server,
-                answer: process.holder.release(clock, &request),
-            },
-            CoordinatorOutput::Holdings { group, .. } => CoordinatorInput::HoldingsAnswered {
-                server,
-                answer: process.holder.holdings(clock, group),
-            },
-            CoordinatorOutput::Drain { request, .. } => {
-                process.holder.drain(clock, request.draining);
-                CoordinatorInput::DrainDone { server }
-            }
-            CoordinatorOutput::Propose(_) => unreachable!("proposals go to no server"),
-        }
-    }
-
-    fn hand_over(
-        &mut self,
-        shard: &HeldShard,
-        previous: &ServerName,
-        epoch: grebepin_schema::Epoch,
-    ) -> Option<HandoverAnswer> {
-        let now = self.now;
-        let process = self
-            .servers
-            .get_mut(previous)
-            .filter(|process| process.up)?;
-        let key = ShardKey {
-            service: shard.service.clone(),
-            shard: shard.shard,
-        };
-        let clock = process.clock(now);
-        Some(process.holder.handover(clock, &key, epoch))
-    }
-}
-
-fn server_of(output: &CoordinatorOutput) -> ServerName {
-    match output {
-        CoordinatorOutput::Heartbeat { server, .. }
-        | CoordinatorOutput::Grant { server, .. }
-        | CoordinatorOutput::Release { server, .. }
-        | CoordinatorOutput::Holdings { server, .. }
-        | CoordinatorOutput::Drain { server, .. } => server.clone(),
-        CoordinatorOutput::Propose(_) => unreachable!("proposals go to no server"),
-    }
 }
