Router tests: an address that nobody listens on stays nobody's; one log line for each loss of control

Cause: one of six runs of a_request_to_nobody_was_not_run failed: the test freed the port it called, and a back end of another test got it. Besides, the router logged event 203 at every attempt to reconnect. Change: the test keeps the port bound without listening, so the check is the same and certain; event 203 is logged once until a control replica is followed again. Conclusion: the fault was the test's; the router answered what that back end said.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -55,6 +55,7 @@
         redirect: None,
         ask_whole: false,
         reported: Instant::now(),
+        lost: false,
     };
     loop {
         shared.control_runs();
@@ -73,6 +74,7 @@
     redirect: Option<SocketAddr>,
     ask_whole: bool,
     reported: Instant,
+    lost: bool,
 }
 
 impl Follower<'_> {
@@ -88,6 +90,8 @@
                 self.redirect = again.then_some(address);
                 event!(Event::TableRefused, address = address, reason = error);
             }
+            // Once for each loss, not for each attempt to come back.
+            _ if std::mem::replace(&mut self.lost, true) => {}
             _ => event!(Event::ControlLost, address = address, reason = end),
         }
     }
@@ -148,6 +152,7 @@
                 recv(frames) -> frame => {
                     self.take_frame(frame.unwrap_or(Err(FrameError::Closed))?)?;
                     heard = Instant::now();
+                    self.lost = false;
                     if !std::mem::replace(&mut followed, true) {
                         event!(Event::ControlFollowed, address = address);
                     }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -18,6 +18,7 @@
     ShardId, ShardOwner, Table, TableDelta, TableSnapshot,
 };
 use grebepin_settings::{RouterLimits, RouterSettings};
+use socket2::{Domain, Socket, Type};
 
 /// Shards of the service, so that a key's shard is 0.
 pub const SHARDS: u32 = 1;
@@ -227,10 +228,14 @@
         }
     }
 
-    /// An address on which nothing listens.
+    /// An address on which nothing listens, and which nobody else gets: it stays bound.
     pub fn nowhere() -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("listens");
-        listener.local_addr().expect("address")
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
+        socket.bind(&any.into()).expect("binds");
+        let address = socket.local_addr().expect("address").as_socket();
+        std::mem::forget(socket);
+        address.expect("address")
     }
 }
 
