Records of drains and of ended work say what is known

Cause: two wrong accusations by the simulator. A server counted as leaving until the end of its drain was answered, though the end may be in force before; and a request whose owner refused it before its effect, since its lease had ended, counted as cut by a planned stop. Change: from the moment an operator asks for the end of a drain a server may stay, and while such a request has no answer a drain's answer says nothing. A new record, work_ended, tells that a server ended work without its effect; the stand-in back end writes it too. Both rules have cases in the checkers' tables.

--- a/crates/check/src/promises/planned_stop.rs
+++ b/crates/check/src/promises/planned_stop.rs
@@ -1,7 +1,7 @@
 //! A planned stop of a back end cuts no request in flight.
 //!
-//! Besides the cuts that a server records itself, a request that a stopped server had taken, whose
-//! effect never came and whose caller was left without an answer after the stop, counts as cut.
+//! Besides the cuts that a server records itself, a request that a stopped server had taken and not
+//! ended, with its effect or without, and whose caller was left without an answer after the stop, counts as cut.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,7 +25,7 @@
                 let requests = running.entry(&work.server).or_default();
                 requests.insert(&work.request_id, located.position);
             }
-            HistoryEvent::Effect(work) => {
+            HistoryEvent::Effect(work) | HistoryEvent::WorkEnded(work) => {
                 if let Some(requests) = running.get_mut(&work.server) {
                     requests.remove(&work.request_id);
                 }
--- a/crates/check/tests/promises.rs
+++ b/crates/check/tests/promises.rs
@@ -133,6 +133,8 @@
     run(vec![
         ("finished first", vec![held(), (1, started("a", 1, "r")), (2, effect("a", 1, "r")), (3, stopped("a")), (4, finished("r", 1, Some(Outcome::Answered)))], None),
         ("cancelled first", vec![(1, started("a", 1, "r")), (3, stopped("a")), (4, finished("r", 1, Some(Outcome::NotRun)))], None),
+        ("ended without its effect first", vec![(1, started("a", 1, "r")), (2, ended("a", 1, "r")), (3, stopped("a")), (4, finished("r", 1, Some(Outcome::Unknown)))], None),
+        ("ended elsewhere", vec![(1, started("a", 1, "r")), (2, ended("b", 1, "r")), (3, stopped("a")), (4, finished("r", 1, Some(Outcome::Unknown)))], broken),
         ("not taken", vec![(3, stopped("a")), (4, finished("r", 1, None))], None),
         ("killed, not stopped", vec![(1, started("a", 1, "r")), (2, killed("a")), (3, stopped("a")), (4, finished("r", 1, Some(Outcome::Unknown)))], None),
         ("cut", vec![(1, started("a", 1, "r")), (3, cut("a", "r"))], broken),
--- a/crates/check/tests/support/mod.rs
+++ b/crates/check/tests/support/mod.rs
@@ -58,6 +58,10 @@
     HistoryEvent::WorkStarted(work(server, epoch, request, false))
 }
 
+pub fn ended(server: &str, epoch: u64, request: &str) -> HistoryEvent {
+    HistoryEvent::WorkEnded(work(server, epoch, request, false))
+}
+
 pub fn cut(server: &str, request: &str) -> HistoryEvent {
     HistoryEvent::Cut(work(server, 1, request, false))
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1354,6 +1354,9 @@
     ///A server took new work.
     #[serde(rename = "work_started")]
     WorkStarted(EffectRecord),
+    ///A server ended work that it had taken, without its effect.
+    #[serde(rename = "work_ended")]
+    WorkEnded(EffectRecord),
     ///A server was told to leave, or the platform said so to the control group.
     #[serde(rename = "leaving")]
     Leaving(ServerName),
--- a/crates/sim/src/actors/operators.rs
+++ b/crates/sim/src/actors/operators.rs
@@ -20,7 +20,7 @@
 const PAUSE: Instant = 100 * MILLISECOND;
 
 /// What an operator wants.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Wish {
     /// Found the group at one replica.
     Found {
@@ -124,6 +124,16 @@
         self.jobs.get(job).map(|job| &job.wish)
     }
 
+    /// Whether an operator asked for the end of a server's drain and has no answer yet.
+    pub fn asks_to_stay(&self, server: usize) -> bool {
+        let wish = Wish::Drain {
+            server,
+            draining: false,
+        };
+        let mut jobs = self.jobs.iter();
+        jobs.any(|job| !job.done && job.try_number > 0 && job.wish == wish)
+    }
+
     /// Whether a job is done.
     pub fn is_done(&self, job: usize) -> bool {
         self.jobs.get(job).is_some_and(|job| job.done)
--- a/crates/sim/src/actors/server.rs
+++ b/crates/sim/src/actors/server.rs
@@ -88,6 +88,8 @@
     },
     /// New work was taken.
     WorkStarted(EffectRecord),
+    /// Work was ended without its effect.
+    WorkEnded(EffectRecord),
     /// An effect was made.
     EffectMade(EffectRecord),
 }
@@ -302,6 +304,7 @@
             }
             Err(refusal) => {
                 self.holder.finish(now, running.permit, Effect::NotMade);
+                effects.push(ServerEffect::WorkEnded(running.record));
                 WorkReply::Refused(refusal)
             }
         };
--- a/crates/sim/src/world/people.rs
+++ b/crates/sim/src/world/people.rs
@@ -101,17 +101,20 @@
         }
     }
 
-    /// An operator's drain, or its end, was accepted by the control group.
+    /// An operator's drain was accepted by the control group. While the end of a drain of the same
+    /// server is asked for and not answered, either may come last, and nothing is known.
     pub(super) fn note_drained(&mut self, job: usize) {
-        let Some(Wish::Drain { server, draining }) = self.operators.wish(job) else {
+        let Some(Wish::Drain {
+            server,
+            draining: true,
+        }) = self.operators.wish(job)
+        else {
             return;
         };
-        let server = server_name(*server);
-        let event = match draining {
-            true => HistoryEvent::Leaving(server),
-            false => HistoryEvent::Staying(server),
-        };
-        self.record(event);
+        let server = *server;
+        if !self.operators.asks_to_stay(server) {
+            self.record(HistoryEvent::Leaving(server_name(server)));
+        }
     }
 
     pub(super) fn run_callers(&mut self, input: CallerInput) {
--- a/crates/sim/src/world/servers.rs
+++ b/crates/sim/src/world/servers.rs
@@ -118,6 +118,7 @@
                 self.set_timer(process, at, Input::Server(input));
             }
             ServerEffect::WorkStarted(work) => self.record(HistoryEvent::WorkStarted(work)),
+            ServerEffect::WorkEnded(work) => self.record(HistoryEvent::WorkEnded(work)),
             ServerEffect::EffectMade(work) => self.record(HistoryEvent::Effect(work)),
         }
     }
--- a/crates/standin/src/back_end/serving.rs
+++ b/crates/standin/src/back_end/serving.rs
@@ -70,6 +70,9 @@
         lock(&self.running).insert(token, self.effect_record(request));
         let result = self.wait_and_work(arrived, request, question, permit);
         lock(&self.running).remove(&token);
+        if result.is_err() {
+            self.record(HistoryEvent::WorkEnded(self.effect_record(request)));
+        }
         result
     }
 
