--- a/crates/ownership/src/coordinator/grants.rs
+++ b/crates/ownership/src/coordinator/grants.rs
@@ -62,7 +62,7 @@
     }
 
     /// Whether a server that leaves is to get back nothing that it lost with a lease, since another
-    /// server can take it.
+    /// server can take it, or may turn out to: at first a new leader has heard of nobody.
     fn gives_up_unheld(&self, now: Duration, state: &OwnershipState, leaving: ServerIndex) -> bool {
         let entry = state.servers().get(leaving);
         if entry.effective_standing() == ServerStanding::Active {
@@ -71,6 +71,9 @@
         let Some(service) = state.services().get(&entry.service) else {
             return false;
         };
+        if now < self.settled_at() {
+            return true;
+        }
         let mut others = service.servers.iter();
         others.any(|&other| self.can_receive(now, state, other))
     }
--- a/crates/ownership/src/coordinator/supervise.rs
+++ b/crates/ownership/src/coordinator/supervise.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// When every server that is well has shown up.
+    pub(super) fn settled_at(&self) -> Duration {
+        self.settle_since + self.config.heartbeat * HEARTBEATS_TO_SETTLE
+    }
+
     /// Whether a server is silent and surely holds nothing any more.
     fn is_lost(&self, now: Duration, server: ServerIndex) -> bool {
         let Some(link) = self.links.get(&server) else {
@@ -136,7 +141,7 @@
         if service.unowned.is_empty() || service.removed {
             return;
         }
-        let settled_at = self.settle_since + self.config.heartbeat * HEARTBEATS_TO_SETTLE;
+        let settled_at = self.settled_at();
         if step.now < settled_at && !view.all_ready() {
             self.next_look = self.next_look.min(settled_at);
             return;
