--- a/crates/sim/src/world.rs
+++ b/crates/sim/src/world.rs
@@ -49,6 +49,9 @@
 /// Time after the last fault in which everything should become well again.
 const QUIET: Instant = 6 * SECOND;
 
+/// Time to the next look at a run's end.
+const LOOK_AGAIN: Instant = 300 * MILLISECOND;
+
 /// Bound of the stated drift in percent, which the product is told.
 pub(crate) const DRIFT_PERCENT: u64 = 2;
 
@@ -96,6 +99,7 @@
     seed: u64,
     /// Last entry on each replica's disk.
     stored: BTreeMap<ReplicaId, LogIndex>,
+    looks: u32,
     led_until: Instant,
     longest_without_leader: Instant,
 }
@@ -128,6 +132,7 @@
             ends,
             seed,
             stored: BTreeMap::new(),
+            looks: 0,
             led_until: 0,
             longest_without_leader: 0,
         };
@@ -172,7 +177,8 @@
                 Event::FaultBegins(number) => self.begin_fault(number),
                 Event::FaultEnds(number) => self.end_fault(number),
                 Event::Restart(process) => self.start_again(process),
-                Event::End => break,
+                Event::End if self.may_end() => break,
+                Event::End => self.queue.push(self.now + LOOK_AGAIN, Event::End),
             }
         }
         self.look_at_the_end();
