A replica that lost its disk is back once it counts as a voter

The checker is as it was. Change: the simulator records the return when a leader's membership has the new identity as a voter.

--- a/crates/sim/src/world/controls.rs
+++ b/crates/sim/src/world/controls.rs
@@ -161,6 +161,7 @@
         let outputs = node.handle(now, vec![input]);
         self.note_beliefs(number);
         self.check_commit(number);
+        self.note_voters(number);
         for output in outputs {
             self.carry_out(number, output);
         }
--- a/crates/sim/src/world/faults.rs
+++ b/crates/sim/src/world/faults.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: every fault that began ends, so that at the end of a run nothing is broken any more.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use grebepin_schema::HistoryEvent;
 use grebepin_storage::Crash;
@@ -49,6 +49,8 @@
     answers_to_lose: u64,
     last_control: Option<usize>,
     last_server: Option<usize>,
+    /// Control replicas that lost their disks and don't count yet.
+    pub(super) joining: BTreeSet<usize>,
     /// Faults in force on each process, in the order of [`Process`].
     pub(super) in_force: BTreeMap<Process, u32>,
 }
@@ -72,6 +74,7 @@
             answers_to_lose: 0,
             last_control: None,
             last_server: None,
+            joining: BTreeSet::new(),
             in_force: BTreeMap::new(),
         }
     }
--- a/crates/sim/src/world/processes.rs
+++ b/crates/sim/src/world/processes.rs
@@ -48,6 +48,13 @@
         let active = self.kill(Process::Control(control), Crash::KeepAll);
         if tolerated {
             self.controls[control].disk.wipe();
+            if self.faults.joining.insert(control) {
+                *self
+                    .faults
+                    .in_force
+                    .entry(Process::Control(control))
+                    .or_default() += 1;
+            }
         }
         active
     }
@@ -161,4 +168,28 @@
             self.record(HistoryEvent::Returned(process.name()));
         }
     }
+
+    /// A replica that lost its disk is back only once a leader counts it as a voter.
+    pub(super) fn note_voters(&mut self, leader: usize) {
+        if self.faults.joining.is_empty() || self.leader() != Some(leader) {
+            return;
+        }
+        let joining = self.faults.joining.clone();
+        for control in joining {
+            if self.is_voter(leader, control) {
+                self.faults.joining.remove(&control);
+                self.note_mended(Process::Control(control));
+            }
+        }
+    }
+
+    fn is_voter(&self, leader: usize, control: usize) -> bool {
+        let node = |number: usize| self.controls[number].node.as_ref();
+        let (Some(leader), Some(control)) = (node(leader), node(control)) else {
+            return false;
+        };
+        let mut members = leader.consensus().membership().members.iter();
+        members
+            .any(|member| member.replica == control.replica() && member.role == MemberRole::Voter)
+    }
 }
