One bounded HTTP server for the control admin and the stand-ins

Cause: the stand-in back end and the control replicas' admin interface each had a server of their own round `httparse`, with the same job and different gaps (the stand-in's time-out was for each read, so a peer that sent a byte now and then could hold a thread without end).

Change: crate `http`. Bounds are typed options: connections, head bytes, header lines, body bytes, silence between questions (may be left out), time for a question and for an answer as a whole. The control replica keeps its acceptor, which it shares with peers and routers, and uses the crate for each connection; the stand-in back end, the contract check's earlier owner and the hollow nodes use the server. `grebepin_standin::http` is now that crate.

Ruled out: the router's callers' side. Bodies in chunks, a place for the body before it is read and a stop that tells idle from busy connections are its alone, and its connection type serves back ends too.

Differences in behaviour. Stand-in: a head over the bound is answered 431 (was 413), a Content-Length that is no number 411 (was 400), half a head nothing (was 400), HTTP/1.0 ends the connection, `Expect: 100-continue` is answered, times bound whole transfers. Control: the keep-alive header is left out, a header value that is no UTF-8 is answered 400, and reasons of refusals are worded anew; `tests/http.rs` is unchanged.

--- a/crates/bench/src/hollow/nodes.rs
+++ b/crates/bench/src/hollow/nodes.rs
@@ -143,6 +143,7 @@
         let options = ServerOptions {
             connections: CONNECTIONS,
             maximum_body: MAXIMUM_BACK_END_MESSAGE_BYTES,
+            ..ServerOptions::default()
         };
         let listener = TcpListener::bind(address)?;
         servers.push(HttpServer::start(
--- a/crates/control/src/daemon/admin.rs
+++ b/crates/control/src/daemon/admin.rs
@@ -4,15 +4,17 @@
 //! answered with `lost-leadership`, which tells the operator to send it again.
 
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::Duration;
 
+use grebepin_http::{serve, Answer, MessageError, Question, ServerHooks, ServerOptions};
+use grebepin_schema::limits::MAXIMUM_BUNDLE_BYTES;
 use grebepin_schema::{ApiError, ApiErrorKind};
 use grebepin_telemetry::metrics::METRICS_CONTENT_TYPE;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use super::http::{self, HttpAnswer, HttpRequest};
 use super::liveness::Liveness;
 use super::message::{Inbox, Message, StopFlag};
 use super::metrics::NodeGauges;
@@ -24,6 +26,16 @@
 /// Operators and probes connected at once.
 const CONNECTION_LIMIT: usize = 128;
 
+/// Bounds of one connection; their count is the acceptor's.
+const OPTIONS: ServerOptions = ServerOptions {
+    connections: CONNECTION_LIMIT,
+    maximum_head: 16 << 10,
+    maximum_headers: 64,
+    maximum_body: MAXIMUM_BUNDLE_BYTES,
+    idle: Some(Duration::from_secs(10)),
+    transfer: Duration::from_secs(10),
+};
+
 const JSON: &str = "application/json";
 const TEXT: &str = "text/plain; charset=utf-8";
 
@@ -50,14 +62,26 @@
         CONNECTION_LIMIT,
         stop,
         move |_, stream: TcpStream| {
-            let refuse =
-                |status, reason| json(status, &api_error(ApiErrorKind::BadRequest, reason));
-            http::serve(stream, |request| answer(&context, request), refuse);
+            // The acceptor ends connections by closing their reading side.
+            serve(stream, &OPTIONS, &context, &AtomicBool::new(false)).ok();
         },
     )
 }
 
-fn answer(context: &AdminContext, request: &HttpRequest) -> HttpAnswer {
+impl ServerHooks for AdminContext {
+    fn answer(&self, question: Question) -> Answer {
+        answer(self, &question)
+    }
+
+    fn refuse(&self, status: u16, error: &MessageError) -> Answer {
+        json(
+            status,
+            &api_error(ApiErrorKind::BadRequest, error.to_string()),
+        )
+    }
+}
+
+fn answer(context: &AdminContext, request: &Question) -> Answer {
     let result = match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/live") => return live(context),
         ("GET", "/ready") => context.ask(AdminRequest::Ready),
@@ -86,7 +110,7 @@
 impl AdminContext {
     fn change<T: DeserializeOwned>(
         &self,
-        request: &HttpRequest,
+        request: &Question,
         make: impl FnOnce(T) -> AdminRequest,
     ) -> Result<AdminAnswer, ApiError> {
         self.ask(make(read_body(request)?))
@@ -110,19 +134,19 @@
     }
 }
 
-fn read_body<T: DeserializeOwned>(request: &HttpRequest) -> Result<T, ApiError> {
+fn read_body<T: DeserializeOwned>(request: &Question) -> Result<T, ApiError> {
     serde_json::from_slice(&request.body)
         .map_err(|cause| api_error(ApiErrorKind::BadRequest, cause.to_string()))
 }
 
-fn live(context: &AdminContext) -> HttpAnswer {
+fn live(context: &AdminContext) -> Answer {
     match context.liveness.is_alive() {
         true => text(200, "live\n"),
         false => text(503, "the control thread does not answer\n"),
     }
 }
 
-fn success(context: &AdminContext, answer: &AdminAnswer) -> HttpAnswer {
+fn success(context: &AdminContext, answer: &AdminAnswer) -> Answer {
     match answer {
         AdminAnswer::Founded(identity) | AdminAnswer::Identity(identity) => json(200, identity),
         AdminAnswer::Rolled(answer) => json(200, answer),
@@ -136,33 +160,21 @@
             text(503, "no leader is known, or entries wait to be applied\n")
         }
         AdminAnswer::Metrics(metrics) => match context.gauges.render(metrics) {
-            Ok(body) => HttpAnswer {
-                status: 200,
-                content_type: METRICS_CONTENT_TYPE,
-                body: body.into_bytes(),
-            },
+            Ok(body) => Answer::data(200, METRICS_CONTENT_TYPE, body),
             Err(cause) => text(500, &cause.to_string()),
         },
     }
 }
 
-fn json(status: u16, value: &impl Serialize) -> HttpAnswer {
+fn json(status: u16, value: &impl Serialize) -> Answer {
     match serde_json::to_vec(value) {
-        Ok(body) => HttpAnswer {
-            status,
-            content_type: JSON,
-            body,
-        },
+        Ok(body) => Answer::data(status, JSON, body),
         Err(cause) => text(500, &cause.to_string()),
     }
 }
 
-fn text(status: u16, body: &str) -> HttpAnswer {
-    HttpAnswer {
-        status,
-        content_type: TEXT,
-        body: body.as_bytes().to_vec(),
-    }
+fn text(status: u16, body: &str) -> Answer {
+    Answer::data(status, TEXT, body)
 }
 
 fn status_code(kind: ApiErrorKind) -> u16 {
--- a/crates/control/src/daemon/mod.rs
+++ b/crates/control/src/daemon/mod.rs
@@ -7,7 +7,6 @@
 mod control_thread;
 mod error;
 mod events;
-mod http;
 mod liveness;
 mod message;
 mod metrics;
--- a/crates/standin/src/back_end/mod.rs
+++ b/crates/standin/src/back_end/mod.rs
@@ -87,6 +87,7 @@
         let options = ServerOptions {
             connections: arguments.connections,
             maximum_body: MAXIMUM_BACK_END_MESSAGE_BYTES,
+            ..ServerOptions::default()
         };
         let server = HttpServer::start(listener, options, node).map_err(BackEndError::Start)?;
         event!(
--- a/crates/standin/src/back_end/node.rs
+++ b/crates/standin/src/back_end/node.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use grebepin_holder::{Guards, Holder, HolderConfig, HoldingChange, HoldingChangeKind};
@@ -145,7 +145,7 @@
     }
 }
 
-impl ServerHooks for Arc<Node> {
+impl ServerHooks for Node {
     fn connected(&self) {
         std::thread::sleep(milliseconds(self.arguments.connect_ms));
     }
--- a/crates/standin/src/contract/previous.rs
+++ b/crates/standin/src/contract/previous.rs
@@ -48,6 +48,7 @@
         let options = ServerOptions {
             connections: 16,
             maximum_body: 1024,
+            ..ServerOptions::default()
         };
         let server =
             HttpServer::start(listener, options, Record { answer }).map_err(Breach::Check)?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,9 +7,10 @@
 pub mod caller;
 pub mod contract;
 pub mod history;
-pub mod http;
 pub mod platform;
 
+pub use grebepin_http as http;
+
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
--- a/crates/standin/tests/callers.rs
+++ b/crates/standin/tests/callers.rs
@@ -197,6 +197,7 @@
     let options = ServerOptions {
         connections: 64,
         maximum_body: 4096,
+        ..ServerOptions::default()
     };
     let server = HttpServer::start(listener, options, router).unwrap();
     let address = server.address().to_string();
