Router admin: silent clients hold up no probe

Cause: `rouille` served the admin address from a pool of two threads and with no bound on connections. Once the pool is used up, `/live` is answered no more, and a supervisor would kill a router that is well.

Change: the admin address is served by crate `http`, bounded to 128 connections, 10 s of silence and 10 s for a request or an answer; a client over the bound is closed at once.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -1,17 +1,15 @@
 //! Metrics and probes for operators.
 //!
-//! Invariant: `/live` fails only when the control thread hangs; `/ready` only when the router has no
-//! table or stops.
+//! Invariants: `/live` fails only when the control thread hangs; `/ready` only when the router has no
+//! table or stops; a silent client holds up no other.
 
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use grebepin_http::{Answer, HttpServer, Question, ServerHooks, ServerOptions};
 use grebepin_schema::InForceRecord;
 use grebepin_telemetry::metrics::METRICS_CONTENT_TYPE;
-use rouille::{Request, Response};
 
 use crate::error::RouterError;
 use crate::shared::Shared;
@@ -19,16 +17,22 @@
 /// Silence of the control thread after which the process counts as hanging.
 const LONGEST_CONTROL_SILENCE: Duration = Duration::from_secs(10);
 
-const THREADS: usize = 2;
+/// Operators and probes connected at once.
+const CONNECTION_LIMIT: usize = 128;
 
-/// Longest time until the server sees that it is to stop.
-const STOP_LATENCY: Duration = Duration::from_millis(100);
+/// Longest wait for a request on an open connection.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+const INTERNAL: u16 = 500;
+const UNAVAILABLE: u16 = 503;
+
+const TEXT: &str = "text/plain; charset=utf-8";
 
 /// The admin server; stops when told.
 pub struct Admin {
-    address: SocketAddr,
-    stop: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
+    server: HttpServer<Operators>,
 }
 
 impl Admin {
@@ -37,61 +41,56 @@
     /// # Errors
     /// [`RouterError::Listen`] when the address is taken or not this machine's.
     pub fn start(address: SocketAddr, shared: Arc<Shared>) -> Result<Self, RouterError> {
-        let server = rouille::Server::new(address, move |request| answer(&shared, request));
-        let server = server.map_err(|error| RouterError::Listen {
+        let listener = TcpListener::bind(address).map_err(|error| RouterError::Listen {
             address,
             reason: error.to_string(),
         })?;
-        let server = server.pool_size(THREADS);
-        let address = server.server_addr();
-        let stop = Arc::new(AtomicBool::new(false));
-        let told = Arc::clone(&stop);
-        let serve = move || {
-            while !told.load(Ordering::Acquire) {
-                server.poll_timeout(STOP_LATENCY);
-            }
+        let options = ServerOptions {
+            connections: CONNECTION_LIMIT,
+            idle: Some(IDLE_LIMIT),
+            ..ServerOptions::default()
         };
-        let thread = thread::Builder::new().name("admin".into()).spawn(serve)?;
-        Ok(Self {
-            address,
-            stop,
-            thread,
-        })
+        let server = HttpServer::start(listener, options, Operators(shared))?;
+        Ok(Self { server })
     }
 
     /// Address listened on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.server.address()
     }
 
     /// Stops the server.
     pub fn stop(self) {
-        self.stop.store(true, Ordering::Release);
-        self.thread.join().ok();
+        self.server.close();
     }
 }
 
-fn answer(shared: &Shared, request: &Request) -> Response {
-    match (request.method(), request.url().as_str()) {
-        ("GET", "/metrics") => metrics(shared),
-        ("GET", "/live") => probe(shared.control_silent_for() < LONGEST_CONTROL_SILENCE),
-        ("GET", "/ready") => probe(shared.view().table.is_ready() && !shared.is_leaving()),
-        ("GET", "/v1/table-index") => Response::json(&in_force(shared)),
-        _ => Response::empty_404(),
+struct Operators(Arc<Shared>);
+
+impl ServerHooks for Operators {
+    fn answer(&self, question: Question) -> Answer {
+        let shared = &*self.0;
+        match (question.method.as_str(), question.path.as_str()) {
+            ("GET", "/metrics") => metrics(shared),
+            ("GET", "/live") => probe(shared.control_silent_for() < LONGEST_CONTROL_SILENCE),
+            ("GET", "/ready") => probe(shared.view().table.is_ready() && !shared.is_leaving()),
+            ("GET", "/v1/table-index") => Answer::json(&in_force(shared)),
+            _ => Answer::new(NOT_FOUND),
+        }
     }
 }
 
-fn metrics(shared: &Shared) -> Response {
+fn metrics(shared: &Shared) -> Answer {
     match shared.registry.render() {
-        Ok(text) => Response::from_data(METRICS_CONTENT_TYPE, text),
-        Err(error) => Response::text(error.to_string()).with_status_code(500),
+        Ok(text) => Answer::data(OK, METRICS_CONTENT_TYPE, text),
+        Err(error) => Answer::data(INTERNAL, TEXT, error.to_string()),
     }
 }
 
-fn probe(well: bool) -> Response {
+fn probe(well: bool) -> Answer {
     match well {
-        true => Response::text("ok\n"),
-        false => Response::text("not ok\n").with_status_code(503),
+        true => Answer::data(OK, TEXT, "ok\n"),
+        false => Answer::data(UNAVAILABLE, TEXT, "not ok\n"),
     }
 }
 
