--- a/crates/http/src/question.rs
+++ b/crates/http/src/question.rs
@@ -89,7 +89,12 @@
         if self.header("Transfer-Encoding").is_some() {
             return Err(MessageError::LengthRequired);
         }
-        match self.header("Content-Length") {
+        let mut lengths = self.values("Content-Length");
+        let first = lengths.next();
+        if lengths.any(|other| Some(other) != first) {
+            return Err(MessageError::Malformed);
+        }
+        match first {
             None => Ok(0),
             Some(text) => text.parse().map_err(|_| MessageError::LengthRequired),
         }
@@ -100,13 +105,16 @@
         found.is_some_and(|found| found.trim().eq_ignore_ascii_case(value))
     }
 
-    /// A header's value; names are compared without case.
+    /// A header's first value; names are compared without case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self
-            .headers
-            .iter()
-            .find(|(known, _)| known.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
+        self.values(name).next()
+    }
+
+    fn values<'a, 'b>(&'a self, name: &'b str) -> impl Iterator<Item = &'a str> + use<'a, 'b> {
+        let headers = self.headers.iter();
+        headers
+            .filter(move |(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     /// A parameter of the query.
--- a/crates/http/tests/server.rs
+++ b/crates/http/tests/server.rs
@@ -55,7 +55,7 @@
         ..ServerOptions::default()
     });
     let long = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(200));
-    let cases: [(&str, &[&str]); 12] = [
+    let cases: [(&str, &[&str]); 13] = [
         (
             "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n",
             &["200", "200"],
@@ -71,6 +71,10 @@
         ),
         ("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n", &["413"]),
         ("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", &["411"]),
+        (
+            "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            &["400"],
+        ),
         (
             "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
             &["411"],
