--- a/crates/bench/tests/deployments.rs
+++ b/crates/bench/tests/deployments.rs
@@ -22,6 +22,7 @@
         ("recife", "demo.toml"),
         ("recife", "recife.toml"),
         ("recife", "recife-leases.toml"),
+        ("recife", "recife-restarts.toml"),
         ("pnw-west", "pnw-west.toml"),
         ("pnw-west", "pnw-west-leases.toml"),
     ];
