--- a/crates/admin-client/src/lib.rs
+++ b/crates/admin-client/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod client;
 mod error;
+mod founding;
 mod http;
 mod search;
 
 pub use client::{AdminClient, ClientOptions};
 pub use error::{Attempt, ClientError};
+pub use founding::founding_voter;
--- a/crates/bench/src/fleet/cluster.rs
+++ b/crates/bench/src/fleet/cluster.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use grebepin_admin_client::{AdminClient, ClientOptions};
+use grebepin_admin_client::{founding_voter, AdminClient, ClientOptions};
 use grebepin_schema::{
-    BundleRecord, Digest, FoundRequest, HistoryEvent, IdentityAnswer, LogIndex, Member as Replica,
-    MemberRole, RollAnswer, SignedBundle, Status,
+    BundleRecord, Digest, FoundRequest, HistoryEvent, IdentityAnswer, LogIndex, RollAnswer,
+    SignedBundle, Status,
 };
 use grebepin_standin::history::HistoryWriter;
 
@@ -236,17 +236,9 @@
     }
 
     fn found_request(&self, replicas: &[IdentityAnswer]) -> FoundRequest {
-        let member = |identity: &IdentityAnswer| Replica {
-            replica: identity.replica,
-            role: MemberRole::Voter,
-            zone: identity.zone.clone(),
-            peer_address: identity.peer_address.clone(),
-            router_address: identity.router_address.clone(),
-            admin_address: identity.admin_address.clone(),
-        };
         FoundRequest {
             cluster: CLUSTER.parse().expect("32 hexadecimal digits"),
-            members: replicas.iter().map(member).collect(),
+            members: replicas.iter().map(founding_voter).collect(),
         }
     }
 
--- a/crates/bench/src/hollow/mod.rs
+++ b/crates/bench/src/hollow/mod.rs
@@ -6,9 +6,11 @@
 
 mod followers;
 mod nodes;
+mod report;
 mod run;
 mod setup;
 
 pub use followers::Followers;
 pub use nodes::{run_nodes, HollowNodesArguments, NodeStatistics};
-pub use run::{run, HollowArguments, HollowError, HollowReport};
+pub use report::{HollowReport, RoleUsage};
+pub use run::{run, HollowArguments, HollowError};
--- a/crates/bench/src/hollow/run.rs
+++ b/crates/bench/src/hollow/run.rs
@@ -4,11 +4,12 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-use grebepin_admin_client::{AdminClient, ClientError, ClientOptions};
-use grebepin_schema::{FoundRequest, IdentityAnswer, Member, MemberRole, SocketAddress};
+use grebepin_admin_client::{founding_voter, AdminClient, ClientError, ClientOptions};
+use grebepin_schema::{FoundRequest, IdentityAnswer, SocketAddress};
 
 use super::followers::Followers;
 use super::nodes::NodeStatistics;
+use super::report::{HollowReport, RoleUsage};
 use super::setup::{self, ReplicaAddresses};
 use crate::fleet::plans::socket_address;
 use crate::fleet::{Layout, LayoutError, Process, ProcessError, ProcessPlan};
@@ -79,52 +80,6 @@
     Usage(u32),
 }
 
-/// Use of one role in the steady state.
-#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
-pub struct RoleUsage {
-    /// Processor time over elapsed time: 1 is one core.
-    pub cores: f64,
-    /// Memory resident at the end of the steady state, in bytes.
-    pub resident_bytes: u64,
-}
-
-/// What a hollow run measured.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct HollowReport {
-    /// Hollow back ends.
-    pub nodes: usize,
-    /// Shards.
-    pub shards: u32,
-    /// Hollow routers.
-    pub routers: usize,
-    /// Control replicas.
-    pub replicas: usize,
-    /// Load average of the machine over the last minute, at the end.
-    pub load_average: Option<f64>,
-    /// From the first bundle until every shard is held and in force at every router, in seconds.
-    pub first_placement_seconds: f64,
-    /// The leader in the steady state.
-    pub leader: RoleUsage,
-    /// The busiest of the other replicas.
-    pub follower: RoleUsage,
-    /// All nodes together.
-    pub all_nodes: RoleUsage,
-    /// Calls a second that one node answered.
-    pub calls_per_node: f64,
-    /// Bytes of bodies a second, both ways, at one node.
-    pub bytes_per_node: f64,
-    /// Bytes a second that one router received.
-    pub bytes_per_router: f64,
-    /// Bytes that one router received for one change of configuration.
-    pub change_bytes_per_router: f64,
-    /// From a change of configuration until it is in force at every router, in seconds.
-    pub change_seconds: f64,
-    /// Bytes that one router received for the loss.
-    pub loss_bytes_per_router: f64,
-    /// From the loss until every shard has a new owner at every router, in seconds.
-    pub loss_seconds: f64,
-}
-
 /// Runs hollow nodes against real control replicas and measures both.
 pub fn run(arguments: &HollowArguments) -> Result<HollowReport, HollowError> {
     let mut deployment = Hollow::start(arguments)?;
@@ -198,7 +153,7 @@
         }
         let request = FoundRequest {
             cluster: CLUSTER.parse().expect("32 hexadecimal digits"),
-            members: identities.into_iter().map(voter).collect(),
+            members: identities.iter().map(founding_voter).collect(),
         };
         for address in self.client.addresses() {
             self.client.found(*address, &request)?;
@@ -364,17 +319,6 @@
     }
 }
 
-fn voter(identity: IdentityAnswer) -> Member {
-    Member {
-        replica: identity.replica,
-        role: MemberRole::Voter,
-        zone: identity.zone,
-        peer_address: identity.peer_address,
-        router_address: identity.router_address,
-        admin_address: identity.admin_address,
-    }
-}
-
 fn start_nodes(
     layout: &Layout,
     servers: &[SocketAddress],
--- a/crates/cli/src/commands/found.rs
+++ b/crates/cli/src/commands/found.rs
@@ -6,8 +6,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-use grebepin_admin_client::AdminClient;
-use grebepin_schema::{ClusterId, FoundRequest, IdentityAnswer, Member, MemberRole};
+use grebepin_admin_client::{founding_voter, AdminClient};
+use grebepin_schema::{ClusterId, FoundRequest, IdentityAnswer, Member};
 use serde::Serialize;
 use sha2::{Digest, Sha256};
 
@@ -60,7 +60,10 @@
     refuse_duplicates(&replicas)?;
     // Replicas that are founded already refuse another founding before any new one takes it.
     replicas.sort_by_key(|(_, identity)| !identity.founded);
-    let mut members: Vec<_> = replicas.iter().map(|(_, one)| member(one)).collect();
+    let mut members: Vec<_> = replicas
+        .iter()
+        .map(|(_, one)| founding_voter(one))
+        .collect();
     members.sort_by_key(|member| member.replica);
     let request = FoundRequest {
         cluster: cluster_id(&members),
@@ -100,17 +103,6 @@
     }
 }
 
-fn member(identity: &IdentityAnswer) -> Member {
-    Member {
-        admin_address: identity.admin_address.clone(),
-        peer_address: identity.peer_address.clone(),
-        replica: identity.replica,
-        role: MemberRole::Voter,
-        router_address: identity.router_address.clone(),
-        zone: identity.zone.clone(),
-    }
-}
-
 fn cluster_id(members: &[Member]) -> ClusterId {
     let mut hash = Sha256::new();
     for member in members {
