Counts level out while load is stale; a new leader leaves hot servers alone

Cause: for 6 s after each batch of planned moves the coordinator planned with an imbalance of u32::MAX percent, so that stale load moved nothing. The same percentage is the slack for a server's count within its side and the bar below which a server with few shards is given more, so counts stood still as well: one batch of concurrent_moves (8) about every 6 s, whatever moves_per_minute.

Change: RebalancePolicy has relieves_load apart from imbalance_percent. While load is stale it is off, and counts are evened out with the policy's slack by the loads of shards as last counted before these moves, which go along with their shards. Seen on the way: a new leader knows no loads, so it gave a hot server shards back. In the first 6 s of a leadership, and until loads are known, servers of a side are left as they are; sides' counts and servers without a share are served as before.

In placement/tests/rebalance.rs only the new field is filled in.

--- a/crates/ownership/src/coordinator/balance.rs
+++ b/crates/ownership/src/coordinator/balance.rs
@@ -34,6 +34,8 @@
     next_plan: Duration,
     /// Until then counted load still tells of owners before the last moves.
     load_stale_until: Duration,
+    /// Load of each shard as last counted while that was not stale; `None` until it was counted in full.
+    loads: Option<Vec<f64>>,
 }
 
 impl Balance {
@@ -42,8 +44,13 @@
             budget: ChurnBudget::new(since),
             next_plan: since,
             load_stale_until: since,
+            loads: None,
         }
     }
+
+    fn load_is_stale(&self, now: Duration) -> bool {
+        self.load_stale_until > now
+    }
 }
 
 impl Coordinator {
@@ -66,15 +73,20 @@
             return;
         }
         set_balance_weights(service, &mut view);
-        let percent = self.load_percent(step.now, name, service);
-        if is_even(&view) && !self.load.is_uneven(&view, percent) {
+        let percent = service.service.churn.imbalance_percent;
+        let knows_loads = self.knows_loads(step.now, name);
+        let relieves_load = knows_loads && !self.load_is_stale(step.now, name);
+        if is_even(&view) && !(relieves_load && self.load.is_uneven(&view, percent)) {
             return;
         }
         let policy = RebalancePolicy {
             budget: limit as usize,
-            imbalance_percent: percent,
+            imbalance_percent: if knows_loads { percent } else { u32::MAX },
+            relieves_load,
         };
-        let planned = self.plan_moves(step, name, service, &view, &policy);
+        let loads = self.last_loads(step, name, service);
+        let planned = self.plan_moves(step, name, service, &view, &loads, &policy);
+        self.remember_loads(step.now, name, loads);
         let started = planned.len() as u32;
         for (shard, planned) in planned {
             self.start_move(name, shard, planned);
@@ -115,13 +127,44 @@
         room.min(allowed).min(MOVES_PER_LOOK)
     }
 
-    /// Load over its share, in percent, that calls for moves now.
-    fn load_percent(&self, now: Duration, name: &ServiceName, service: &ServiceState) -> u32 {
+    fn load_is_stale(&self, now: Duration, name: &ServiceName) -> bool {
         let balance = self.balances.get(name);
-        if balance.is_some_and(|balance| balance.load_stale_until > now) {
-            return u32::MAX;
+        balance.is_some_and(|balance| balance.load_is_stale(now))
+    }
+
+    /// Load of each shard as counted now, or as remembered while that is stale: a shard takes its load
+    /// along, so that what earlier moves brought to a server counts there at once.
+    fn last_loads(
+        &mut self,
+        step: &Step<'_>,
+        name: &ServiceName,
+        service: &ServiceState,
+    ) -> Vec<f64> {
+        let balance = self.balances.get_mut(name);
+        let stale = balance.filter(|balance| balance.load_is_stale(step.now));
+        let remembered = stale.and_then(|balance| balance.loads.take());
+        remembered.unwrap_or_else(|| self.load.of_shards(step.state, name, service))
+    }
+
+    /// Keeps the loads that a plan went by, unless they were not counted in full.
+    fn remember_loads(&mut self, now: Duration, name: &ServiceName, loads: Vec<f64>) {
+        let is_counted = self.has_counted(now);
+        if let Some(balance) = self.balances.get_mut(name) {
+            balance.loads = is_counted.then_some(loads);
         }
-        service.service.churn.imbalance_percent
+    }
+
+    /// Whether two windows began and ended since this leadership began.
+    fn has_counted(&self, now: Duration) -> bool {
+        now >= self.leader_since + LOAD_STALE_FOR
+    }
+
+    /// Whether loads tell which servers are hot. Until then servers of one side are left as they are, since
+    /// one with few shards may have given the others away for its load.
+    fn knows_loads(&self, now: Duration, name: &ServiceName) -> bool {
+        let balance = self.balances.get(name);
+        let remembers = balance.is_some_and(|balance| balance.loads.is_some());
+        self.has_counted(now) && (remembers || !self.load_is_stale(now, name))
     }
 
     fn plan_moves(
@@ -130,6 +173,7 @@
         name: &ServiceName,
         service: &ServiceState,
         view: &ServiceView,
+        loads: &[f64],
         policy: &RebalancePolicy,
     ) -> Vec<(ShardId, Move)> {
         let candidates: Vec<Candidate> = view
@@ -141,9 +185,8 @@
             })
             .collect();
         let owners = self.owners_to_be(step, name, service);
-        let loads = self.load.of_shards(step.state, name, service);
         let sides = sides_of_servers(service);
-        let planned = rebalance_sides(&candidates, &sides, &owners, &loads, policy).into_iter();
+        let planned = rebalance_sides(&candidates, &sides, &owners, loads, policy).into_iter();
         let free = planned.filter_map(|planned| {
             let shard = ShardId(planned.shard as u32);
             let epoch = service.shard(shard)?.epoch;
--- a/crates/ownership/src/plan.rs
+++ b/crates/ownership/src/plan.rs
@@ -210,6 +210,7 @@
     let policy = RebalancePolicy {
         budget: owners.len(),
         imbalance_percent: next.churn.imbalance_percent,
+        relieves_load: true,
     };
     for planned in rebalance_sides(&candidates, &sides, &owners, &[], &policy) {
         owners[planned.shard] = Some(planned.to);
--- a/crates/placement/src/algorithms/greedy.rs
+++ b/crates/placement/src/algorithms/greedy.rs
@@ -24,6 +24,7 @@
         let policy = RebalancePolicy {
             budget: usize::MAX,
             imbalance_percent: problem.imbalance_percent,
+            relieves_load: true,
         };
         let moves = rebalance_sides(
             problem.candidates,
--- a/crates/placement/src/rebalance.rs
+++ b/crates/placement/src/rebalance.rs
@@ -31,6 +31,9 @@
     /// above it, moves go on until it is at half of it. Counts of servers of one side may differ from
     /// their shares by as much.
     pub imbalance_percent: u32,
+    /// Whether shards also move away from servers with too much load. Moves towards counts heed loads
+    /// either way.
+    pub relieves_load: bool,
 }
 
 /// Shards beyond its share, rounded either way, that a side may always keep or lack.
@@ -93,7 +96,9 @@
 ) -> Vec<Move> {
     let mut plan = Plan::new(candidates, sides, owners, loads, policy);
     plan.move_towards_counts();
-    load::move_away_from_load(&mut plan);
+    if policy.relieves_load {
+        load::move_away_from_load(&mut plan);
+    }
     plan.moves
 }
 
--- a/crates/placement/tests/rebalance.rs
+++ b/crates/placement/tests/rebalance.rs
@@ -13,6 +13,7 @@
 const NO_BOUND: RebalancePolicy = RebalancePolicy {
     budget: usize::MAX,
     imbalance_percent: 10,
+    relieves_load: true,
 };
 
 fn apply(owners: &[Option<usize>], moves: &[Move]) -> Vec<Option<usize>> {
@@ -311,7 +312,7 @@
         budget in 0..200usize,
         imbalance_percent in 0..50u32,
     ) {
-        let policy = RebalancePolicy { budget, imbalance_percent };
+        let policy = RebalancePolicy { budget, imbalance_percent, relieves_load: true };
         let moves = rebalance(&candidates, &owners, &loads, &policy);
         check_moves(&candidates, &owners, &moves, budget)?;
         let moves = rebalance_sides(&candidates, &[0, 1, 0, 2], &owners, &loads, &policy);
@@ -330,7 +331,7 @@
         let candidates = candidates(&weights);
         let mut owners: Vec<Option<usize>> =
             owners.iter().map(|server| Some(server % weights.len())).collect();
-        let policy = RebalancePolicy { budget, imbalance_percent: 10 };
+        let policy = RebalancePolicy { budget, imbalance_percent: 10, relieves_load: true };
         for _ in 0..400 {
             let moves = if each_its_own {
                 rebalance(&candidates, &owners, &loads, &policy)
