--- a/crates/bench/src/fleet/callers.rs
+++ b/crates/bench/src/fleet/callers.rs
@@ -1,6 +1,7 @@
 //! The callers of a fleet: one process for each loaded service.
 
 use std::ffi::OsString;
+use std::path::PathBuf;
 
 use grebepin_schema::{Experiment, RequestClass, Service, ServiceRate};
 
@@ -51,9 +52,9 @@
     flag("delay-ms", rate.delay_ms.to_string());
     flag("threads", THREADS.to_string());
     flag("id-prefix", service.name.to_string());
-    let file = |name: String| fleet.folder().join(name).display().to_string();
+    let file = |name: PathBuf| fleet.folder().join(name).display().to_string();
     flag("history", file(history_file(&name)));
-    flag("summary", file(format!("{name}.json")));
+    flag("summary", file(PathBuf::from(format!("{name}.json"))));
     Ok(Process::start(ProcessPlan {
         name,
         folder: fleet.folder().to_path_buf(),
--- a/crates/bench/src/fleet/cluster.rs
+++ b/crates/bench/src/fleet/cluster.rs
@@ -48,6 +48,7 @@
         linked: &BTreeSet<String>,
     ) -> Result<Self, FleetError> {
         let layout = Layout::create(folder)?;
+        layout.create_folder(plans::HISTORIES)?;
         let mut members = plans::daemons(&layout, &deployment)?;
         let back_ends = plans::back_ends(&layout, &deployment, times, linked)?;
         members.extend(back_ends.members);
--- a/crates/bench/src/fleet/layout.rs
+++ b/crates/bench/src/fleet/layout.rs
@@ -59,6 +59,12 @@
         &self.folder
     }
 
+    /// Creates the folder `name` in the fleet's folder.
+    pub fn create_folder(&self, name: &str) -> Result<(), LayoutError> {
+        let path = self.folder.join(name);
+        std::fs::create_dir(&path).map_err(|source| LayoutError::Write { path, source })
+    }
+
     /// Writes `text` to `name` in the fleet's folder and returns its path.
     pub fn write(&self, name: &str, text: &str) -> Result<PathBuf, LayoutError> {
         let path = self.folder.join(name);
--- a/crates/bench/src/fleet/plans.rs
+++ b/crates/bench/src/fleet/plans.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::ffi::OsString;
 use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use grebepin_schema::{Server, SocketAddress};
@@ -118,9 +118,12 @@
         .expect("addresses of a fleet are given by this program")
 }
 
-/// History file of a process.
-pub fn history_file(name: &str) -> String {
-    format!("{name}.history")
+/// Folder of the history files within the fleet's folder, as `grebepin check` takes it.
+pub const HISTORIES: &str = "histories";
+
+/// History file of a process, within the fleet's folder.
+pub fn history_file(name: &str) -> PathBuf {
+    Path::new(HISTORIES).join(format!("{name}.jsonl"))
 }
 
 fn start_link(address: &SocketAddress, target: &SocketAddress) -> Result<Arc<Cuts>, LayoutError> {
