--- a/crates/bench/src/hollow/run.rs
+++ b/crates/bench/src/hollow/run.rs
@@ -44,9 +44,6 @@
     /// Folder for settings, logs and data.
     #[arg(long, default_value = "target/hollow")]
     pub folder: PathBuf,
-    /// Print the report as JSON.
-    #[arg(long)]
-    pub json: bool,
 }
 
 /// Why a hollow run failed.
--- a/crates/router/src/http/connection.rs
+++ b/crates/router/src/http/connection.rs
@@ -150,7 +150,7 @@
 
     /// Reads the head of a request.
     pub fn read_request_head(&mut self, limit: TimeLimit) -> Result<RequestHead, HttpError> {
-        self.read_head(limit, RequestHead::parse)
+        self.read_parsed(limit, RequestHead::parse)
     }
 
     /// Reads the head of the final answer to a request with `method`.
@@ -160,7 +160,7 @@
         method: &str,
     ) -> Result<ResponseHead, HttpError> {
         loop {
-            let head = self.read_head(limit, |bytes| ResponseHead::parse(bytes, method))?;
+            let head = self.read_parsed(limit, |bytes| ResponseHead::parse(bytes, method))?;
             if head.status >= 200 {
                 return Ok(head);
             }
@@ -223,7 +223,8 @@
         Ok((&*self.stream).write(bytes)?)
     }
 
-    fn read_head<T>(
+    /// Reads until `parse` finds a value; it gives the value and the bytes that it takes.
+    fn read_parsed<T>(
         &mut self,
         limit: TimeLimit,
         parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, HttpError>,
@@ -297,16 +298,10 @@
 
     /// Skips one line; returns its length with its end.
     fn read_line(&mut self, limit: TimeLimit) -> Result<usize, HttpError> {
-        loop {
-            if let Some(end) = self.unused().windows(2).position(|pair| pair == b"\r\n") {
-                self.used += end + 2;
-                return Ok(end + 2);
-            }
-            if self.unused().len() >= MAXIMUM_HEAD_BYTES {
-                return Err(HttpError::TooLarge);
-            }
-            self.fill_more(limit)?;
-        }
+        self.read_parsed(limit, |bytes| {
+            let end = bytes.windows(2).position(|pair| pair == b"\r\n");
+            Ok(end.map(|end| (end + 2, end + 2)))
+        })
     }
 
     fn read_until_close(
