Directory: a crowd of gateways no longer costs the leadership

Cause: after a loss of power at 64 gateways the leader sent each the whole state at once; its link of 51 Mbit/s held up heartbeats for longer than an election timeout, so leaders followed each other.

Change: what is fed stays below 0.4 of the link, encoded once for all that lack the same, without operators' texts; replicas and gateways come before callers; inputs are taken in before the tick.

Conclusion: the link, not the processor, bounds a restart; docs/CAPACITY.md has to count it.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -61,6 +61,13 @@
         self.ownership.iter()
     }
 
+    /// The same without the operators' own texts, for readers that never give them back.
+    pub fn without_documents(&self) -> Self {
+        let mut catalog = self.clone();
+        catalog.items.drop_documents();
+        catalog
+    }
+
     /// Applies one command.
     pub fn apply(&mut self, command: &Command) -> Effects {
         let mut effects = Effects::default();
--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -56,3 +56,16 @@
     /// The commands.
     pub commands: Vec<Command>,
 }
+
+impl Entry {
+    /// The same without the operators' own texts, for readers that never give them back.
+    pub fn without_documents(&self) -> Self {
+        let commands = self.commands.iter().map(|command| match command {
+            Command::ChangeItems(change) => Command::ChangeItems(change.without_documents()),
+            other => other.clone(),
+        });
+        Self {
+            commands: commands.collect(),
+        }
+    }
+}
--- a/crates/catalog/src/item.rs
+++ b/crates/catalog/src/item.rs
@@ -153,3 +153,14 @@
     /// Items to take out.
     pub removals: Vec<Removal>,
 }
+
+impl ItemChange {
+    /// The same without the operators' own texts, for readers that never give them back.
+    pub fn without_documents(&self) -> Self {
+        let mut change = self.clone();
+        for item in &mut change.upserts {
+            item.document = String::new();
+        }
+        change
+    }
+}
--- a/crates/catalog/src/items.rs
+++ b/crates/catalog/src/items.rs
@@ -94,6 +94,15 @@
         self.held.is_empty()
     }
 
+    /// Forgets the operators' own texts.
+    pub(crate) fn drop_documents(&mut self) {
+        for held in self.held.values_mut() {
+            if let Some(item) = &mut held.item {
+                item.document = String::new();
+            }
+        }
+    }
+
     /// Whether the change would alter anything.
     pub fn is_news(&self, change: &ItemChange) -> bool {
         let mut upserts = change.upserts.iter();
--- a/crates/catalog/src/ownership.rs
+++ b/crates/catalog/src/ownership.rs
@@ -3,6 +3,8 @@
 //! Invariant: a shard changes hands only through "no owner", and each new owner gets a fence above all
 //! that the service ever gave.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use serde::{Deserialize, Serialize};
 
 use crate::command::FreedShard;
@@ -48,17 +50,60 @@
 
 /// The shards of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredOwnership", into = "StoredOwnership")]
 pub struct ShardOwnership {
     shards: Vec<Shard>,
     last_fence: u64,
+    /// Shards by owner, worked out from `shards`.
+    by_owner: BTreeMap<InstanceId, BTreeSet<u16>>,
+    /// Shards without an owner, worked out from `shards`.
+    unowned: BTreeSet<u16>,
+}
+
+/// What is stored of [`ShardOwnership`].
+#[derive(Serialize, Deserialize)]
+struct StoredOwnership {
+    shards: Vec<Shard>,
+    last_fence: u64,
+}
+
+impl From<ShardOwnership> for StoredOwnership {
+    fn from(ownership: ShardOwnership) -> Self {
+        Self {
+            shards: ownership.shards,
+            last_fence: ownership.last_fence,
+        }
+    }
+}
+
+impl From<StoredOwnership> for ShardOwnership {
+    fn from(stored: StoredOwnership) -> Self {
+        let mut by_owner: BTreeMap<InstanceId, BTreeSet<u16>> = BTreeMap::new();
+        let mut unowned = BTreeSet::new();
+        for (number, shard) in stored.shards.iter().enumerate() {
+            match &shard.owner {
+                Some(owner) => by_owner
+                    .entry(owner.clone())
+                    .or_default()
+                    .insert(number as u16),
+                None => unowned.insert(number as u16),
+            };
+        }
+        Self {
+            shards: stored.shards,
+            last_fence: stored.last_fence,
+            by_owner,
+            unowned,
+        }
+    }
 }
 
 impl Default for ShardOwnership {
     fn default() -> Self {
-        Self {
+        Self::from(StoredOwnership {
             shards: vec![Shard::default(); SHARDS],
             last_fence: 0,
-        }
+        })
     }
 }
 
@@ -74,15 +119,24 @@
     }
 
     /// Shards that a server owns, in the order of their keys.
-    pub fn owned_by<'a>(&'a self, id: &'a InstanceId) -> impl Iterator<Item = usize> + 'a {
-        let shards = self.shards.iter().enumerate();
-        shards.filter_map(move |(shard, held)| (held.owner.as_ref() == Some(id)).then_some(shard))
+    pub fn owned_by(&self, id: &InstanceId) -> impl Iterator<Item = usize> + '_ {
+        let owned = self.by_owner.get(id).into_iter().flatten();
+        owned.map(|number| usize::from(*number))
+    }
+
+    /// How many shards a server owns.
+    pub fn count_of(&self, id: &InstanceId) -> usize {
+        self.by_owner.get(id).map_or(0, BTreeSet::len)
+    }
+
+    /// Every owner with its shards.
+    pub fn owners(&self) -> impl Iterator<Item = (&InstanceId, &BTreeSet<u16>)> {
+        self.by_owner.iter()
     }
 
     /// Shards without an owner, in the order of their keys.
-    pub fn unowned(&self) -> impl Iterator<Item = usize> + '_ {
-        let shards = self.shards.iter().enumerate();
-        shards.filter_map(|(shard, held)| held.owner.is_none().then_some(shard))
+    pub fn unowned(&self) -> &BTreeSet<u16> {
+        &self.unowned
     }
 
     /// Gives shards that have no owner to a server, under one new fence; returns those given.
@@ -96,6 +150,8 @@
             if shard.owner.is_none() {
                 shard.owner = Some(id.clone());
                 shard.fence = fence;
+                self.unowned.remove(&number);
+                self.by_owner.entry(id.clone()).or_default().insert(number);
                 given.push(number);
             }
         }
@@ -119,9 +175,23 @@
                 freed.push(released.shard);
             }
         }
+        for shard in &freed {
+            self.note_free(id, *shard);
+        }
         freed
     }
 
+    fn note_free(&mut self, id: &InstanceId, shard: u16) {
+        self.unowned.insert(shard);
+        let Some(owned) = self.by_owner.get_mut(id) else {
+            return;
+        };
+        owned.remove(&shard);
+        if owned.is_empty() {
+            self.by_owner.remove(id);
+        }
+    }
+
     /// Rows of the given shards, which stand in the order of their keys.
     pub fn rows(&self, shards: impl Iterator<Item = usize>) -> Vec<KeyRow> {
         let mut rows: Vec<KeyRow> = Vec::new();
--- /dev/null
+++ b/crates/directory/src/daemon/feed.rs
@@ -0,0 +1,112 @@
+//! Feeds the gateways: what each lacks, encoded once for all that lack the same.
+//!
+//! Invariant: what is fed stays below a part of the machine's link, so that a crowd of newcomers or
+//! a large change never holds up what replicas say to each other.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use grebepin_reactor::encode_frame;
+use grebepin_storage::Disk;
+use mio::Token;
+
+use super::link_side::LinkConnection;
+use crate::link::FromReplica;
+use crate::node::Node;
+
+/// Part of the link that may be used.
+const LINK_PART: f64 = 0.4;
+
+/// Time whose allowance may be saved up.
+const BURST: Duration = Duration::from_millis(100);
+
+/// What was encoded last, and what may be sent.
+#[derive(Debug)]
+pub(super) struct Feeder {
+    whole: Option<(u64, Vec<u8>)>,
+    bytes_per_second: f64,
+    allowance: f64,
+    refilled: Duration,
+    /// Whether some gateway still lacks something.
+    pub(super) is_behind: bool,
+}
+
+impl Feeder {
+    /// Feeds over a link of so many megabits a second.
+    pub(super) fn new(link_mbps: f64) -> Self {
+        Self {
+            whole: None,
+            bytes_per_second: link_mbps * 1e6 / 8.0 * LINK_PART,
+            allowance: 0.0,
+            refilled: Duration::ZERO,
+            is_behind: false,
+        }
+    }
+
+    fn refill(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.refilled).as_secs_f64();
+        let most = self.bytes_per_second * BURST.as_secs_f64();
+        self.refilled = now;
+        self.allowance = (self.allowance + elapsed * self.bytes_per_second).min(most);
+    }
+
+    /// Sends every gateway that follows what it lacks; those of no further use are returned.
+    pub(super) fn feed<D: Disk>(
+        &mut self,
+        now: Duration,
+        node: &Node<D>,
+        links: &mut HashMap<Token, LinkConnection>,
+    ) -> Vec<Token> {
+        let applied = node.applied();
+        let mut entries: HashMap<u64, Option<Vec<u8>>> = HashMap::new();
+        self.refill(now);
+        let mut lost = Vec::new();
+        self.is_behind = false;
+        for (token, link) in links.iter_mut() {
+            let Some(fed) = link.fed.filter(|fed| *fed < applied) else {
+                continue;
+            };
+            if self.allowance <= 0.0 {
+                self.is_behind = true;
+                break;
+            }
+            let news = entries
+                .entry(fed)
+                .or_insert_with(|| encoded_entries(node, fed));
+            let bytes = match news {
+                Some(bytes) => bytes,
+                None => self.whole_state(node),
+            };
+            let cost = bytes.len() as f64;
+            link.fed = Some(applied);
+            if !link.send_bytes(bytes) {
+                lost.push(*token);
+            }
+            self.allowance -= cost;
+        }
+        lost
+    }
+
+    fn whole_state<D: Disk>(&mut self, node: &Node<D>) -> &[u8] {
+        let is_fresh = self
+            .whole
+            .as_ref()
+            .is_some_and(|(at, _)| *at == node.applied());
+        if !is_fresh {
+            let mut bytes = Vec::new();
+            if let Ok((index, state)) = node.whole_state() {
+                let _ = encode_frame(&FromReplica::Whole { index, state }, &mut bytes);
+            }
+            self.whole = Some((node.applied(), bytes));
+        }
+        self.whole.as_ref().map_or(&[], |(_, bytes)| bytes)
+    }
+}
+
+/// Entries after an index as one frame; `None` when they are no longer at hand.
+fn encoded_entries<D: Disk>(node: &Node<D>, after: u64) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let frame = FromReplica::Entries(node.entries_after(after)?);
+    let _ = encode_frame(&frame, &mut bytes);
+    Some(bytes)
+}
--- a/crates/directory/src/daemon/link_side.rs
+++ b/crates/directory/src/daemon/link_side.rs
@@ -63,6 +63,12 @@
         self.connection.unsent() <= UNSENT_LIMIT && self.connection.flush().is_ok()
     }
 
+    /// Sends an encoded frame; whether the connection is still of use.
+    pub(super) fn send_bytes(&mut self, frame: &[u8]) -> bool {
+        self.connection.queue(frame);
+        self.connection.unsent() <= UNSENT_LIMIT && self.connection.flush().is_ok()
+    }
+
     /// Whether nothing came for so long that the peer counts as gone.
     pub(super) fn is_silent(&self, now: Duration) -> bool {
         now.saturating_sub(self.heard) > SILENCE_LIMIT
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod event_log;
+mod feed;
 mod http_side;
 mod link_side;
 mod peers;
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -1,13 +1,13 @@
 //! The event loop.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use grebepin_grants::Timing;
-use grebepin_reactor::Connection;
+use grebepin_reactor::{encode_frame, Connection};
 use grebepin_schema::ReplicaId;
 use grebepin_storage::{RealDisk, StorageError};
 use grebepin_telemetry::{event, Event};
@@ -17,6 +17,7 @@
 
 use super::calls::{Calls, Origin};
 use super::event_log::log_notice;
+use super::feed::Feeder;
 use super::http_side::HttpConnection;
 use super::link_side::LinkConnection;
 use super::peers::Peers;
@@ -34,9 +35,15 @@
 /// Events taken from the system at once.
 const EVENT_BATCH: usize = 256;
 
+/// Callers served in one round, before replicas and gateways get their turn again.
+const CALLERS_PER_ROUND: usize = 16;
+
 /// Longest sleep, so that signals are noticed.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 
+/// Pause before gateways that could not be fed get their turn.
+const FEED_PAUSE: Duration = Duration::from_millis(5);
+
 /// Time between two words to the gateways about this replica.
 const HEAD_EVERY: Duration = Duration::from_millis(500);
 
@@ -68,8 +75,10 @@
     started: Instant,
     next_token: usize,
     https: HashMap<Token, HttpConnection>,
+    waiting_callers: VecDeque<Token>,
     inbound: HashMap<Token, LinkConnection>,
     peers: Peers,
+    feeder: Feeder,
     calls: Calls,
     inputs: Vec<NodeInput>,
     next_head: Duration,
@@ -101,6 +110,7 @@
         );
         Ok(Self {
             settings_path: path.to_owned(),
+            feeder: Feeder::new(settings.link_mbps),
             settings,
             settings_changed: changed_at(path),
             dialect,
@@ -111,6 +121,7 @@
             started: Instant::now(),
             next_token: FIRST_CONNECTION,
             https: HashMap::new(),
+            waiting_callers: VecDeque::new(),
             inbound: HashMap::new(),
             peers: Peers::default(),
             calls: Calls::default(),
@@ -126,15 +137,25 @@
         let mut events = Events::with_capacity(EVENT_BATCH);
         while !self.stop.load(Ordering::Relaxed) {
             let now = self.now();
-            let sleep = self.node.next_wake().saturating_sub(now).min(LONGEST_SLEEP);
+            let longest = match (self.waiting_callers.is_empty(), self.feeder.is_behind) {
+                (false, _) => Duration::ZERO,
+                (true, true) => FEED_PAUSE,
+                (true, false) => LONGEST_SLEEP,
+            };
+            let sleep = self.node.next_wake().saturating_sub(now).min(longest);
             match self.poll.poll(&mut events, Some(sleep)) {
                 Ok(()) => {}
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
+            // Replicas and gateways first: a crowd of callers must not cost the leadership.
             for ready in &events {
-                self.on_event(ready.token());
+                match self.https.contains_key(&ready.token()) {
+                    true => self.waiting_callers.push_back(ready.token()),
+                    false => self.on_event(ready.token()),
+                }
             }
+            self.serve_callers();
             self.turn()?;
             self.keep_house();
         }
@@ -146,6 +167,17 @@
         Ok(())
     }
 
+    /// Serves some of the callers that sent something.
+    fn serve_callers(&mut self) {
+        let now = self.now();
+        for _ in 0..CALLERS_PER_ROUND {
+            let Some(token) = self.waiting_callers.pop_front() else {
+                return;
+            };
+            self.on_http(now, token);
+        }
+    }
+
     fn now(&self) -> Duration {
         self.started.elapsed()
     }
@@ -155,7 +187,6 @@
         match token {
             CONTROL_LISTENER => self.accept_callers(now),
             LINK_LISTENER => self.accept_links(now),
-            token if self.https.contains_key(&token) => self.on_http(now, token),
             token if self.inbound.contains_key(&token) => self.on_link(now, token),
             token if self.peers.owns(token) => {
                 for frame in self.peers.on_event(now, token) {
@@ -287,7 +318,7 @@
                     link.gateway = follow.node;
                     link.fed = Some(follow.applied);
                 }
-                self.feed(token);
+                self.feeder.is_behind = true;
             }
             ToReplica::Report(report) => {
                 if let Some(link) = self.inbound.get_mut(&token) {
@@ -297,29 +328,6 @@
         }
     }
 
-    /// Sends a gateway what it lacks.
-    fn feed(&mut self, token: Token) {
-        let Some(link) = self.inbound.get_mut(&token) else {
-            return;
-        };
-        let Some(fed) = link.fed else {
-            return;
-        };
-        let applied = self.node.applied();
-        let frame = match self.node.entries_after(fed) {
-            Some(entries) if entries.is_empty() => return,
-            Some(entries) => FromReplica::Entries(entries),
-            None => match self.node.whole_state() {
-                Ok((index, state)) => FromReplica::Whole { index, state },
-                Err(_) => return,
-            },
-        };
-        link.fed = Some(applied);
-        if !link.send(&frame) {
-            self.inbound.remove(&token);
-        }
-    }
-
     fn on_peer_frame(&mut self, frame: FromReplica) {
         if let FromReplica::Relayed { id, reply } = frame {
             let id = crate::node::CallId(id);
@@ -343,18 +351,17 @@
             let started = self.started;
             let inputs = std::mem::take(&mut self.inputs);
             let outputs = self.node.handle(&mut || started.elapsed(), inputs)?;
-            let mut applied = false;
             for output in outputs {
-                applied |= matches!(output, NodeOutput::Applied { .. });
+                self.feeder.is_behind |= matches!(output, NodeOutput::Applied { .. });
                 self.carry_out(output);
             }
-            if applied {
-                self.feed_all();
-            }
             if self.inputs.is_empty() {
-                return Ok(());
+                break;
             }
         }
+        if self.feeder.is_behind {
+            self.feed();
+        }
         Ok(())
     }
 
@@ -434,15 +441,10 @@
         }
     }
 
-    fn feed_all(&mut self) {
-        let followers: Vec<Token> = self
-            .inbound
-            .iter()
-            .filter(|(_, link)| link.fed.is_some())
-            .map(|(token, _)| *token)
-            .collect();
-        for token in followers {
-            self.feed(token);
+    fn feed(&mut self) {
+        let now = self.now();
+        for token in self.feeder.feed(now, &self.node, &mut self.inbound) {
+            self.inbound.remove(&token);
         }
     }
 
@@ -480,10 +482,11 @@
     }
 
     fn tell_heads(&mut self, now: Duration) {
-        let frame = FromReplica::Head(self.head(now));
+        let mut frame = Vec::new();
+        let _ = encode_frame(&FromReplica::Head(self.head(now)), &mut frame);
         self.inbound.retain(|_, link| {
             let is_gateway = !link.gateway.is_empty();
-            !is_gateway || (!link.is_silent(now) && link.send(&frame))
+            !is_gateway || (!link.is_silent(now) && link.send_bytes(&frame))
         });
     }
 
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -87,7 +87,10 @@
             return None;
         }
         let news = self.recent.iter().filter(|(at, _)| *at > index);
-        Some(news.cloned().collect())
+        Some(
+            news.map(|(at, entry)| (*at, entry.without_documents()))
+                .collect(),
+        )
     }
 
     /// Handles a batch of inputs and says what to do. `clock` tells the present time; it is asked
@@ -101,10 +104,11 @@
         inputs: Vec<NodeInput>,
     ) -> Result<Vec<NodeOutput>, NodeError> {
         let now = clock();
-        self.consensus.tick(now);
         for input in inputs {
             self.take_in(now, input);
         }
+        // Only now: what came in while this process was held up may show that a majority answers.
+        self.consensus.tick(now);
         self.advance(clock)?;
         Ok(std::mem::take(&mut self.outputs))
     }
--- a/crates/directory/src/node/replication.rs
+++ b/crates/directory/src/node/replication.rs
@@ -207,12 +207,15 @@
         Ok(())
     }
 
-    /// Whole state for a gateway, with its log index.
+    /// Whole state for a gateway, with its log index; operators' own texts are left out.
     ///
     /// # Errors
     /// The state can't be encoded.
     pub fn whole_state(&self) -> Result<(u64, Vec<u8>), NodeError> {
-        Ok((self.applied.0, encode_catalog(&self.catalog)?))
+        Ok((
+            self.applied.0,
+            encode_catalog(&self.catalog.without_documents())?,
+        ))
     }
 }
 
--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -12,6 +12,9 @@
 /// Lease of a server's shards unless the settings say otherwise.
 const DEFAULT_LEASE: f64 = 5.0;
 
+/// Link of a machine unless the settings say otherwise.
+const DEFAULT_LINK_MBPS: f64 = 100.0;
+
 /// Time in which a leaving server gives its shards back, as a part of the time that it has.
 const DRAIN_PART: f64 = 0.5;
 
@@ -66,6 +69,9 @@
     /// Seconds of a server's lease on its shards.
     #[serde(default = "default_lease")]
     pub lease_s: f64,
+    /// Megabits a second of the machine's link.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
     /// Bounds that the deployment sets.
     #[serde(default)]
     pub bounds: Bounds,
@@ -82,6 +88,10 @@
     pub grace_s: Option<f64>,
 }
 
+fn default_link() -> f64 {
+    DEFAULT_LINK_MBPS
+}
+
 fn default_lease() -> f64 {
     DEFAULT_LEASE
 }
@@ -100,6 +110,7 @@
     fn check(&self) -> Result<(), SettingsError> {
         check_positive("heartbeat_s", self.heartbeat_s)?;
         check_positive("lease_s", self.lease_s)?;
+        check_positive("link_mbps", self.link_mbps)?;
         if self.link_port == 0 {
             return Err(value("link_port", "must not be 0"));
         }
--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -1,6 +1,6 @@
 //! One leader's time: heartbeats in, commands and grants out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use grebepin_catalog::{
@@ -94,15 +94,15 @@
         let mut commands = Vec::new();
         for (service, ownership) in catalog.all_ownership() {
             self.note_unowned(now, service, ownership);
-            for (id, shards) in owned_shards(ownership) {
+            for (id, shards) in ownership.owners() {
                 if now > self.lease_end(id) {
-                    self.withhold(now, id, &shards);
+                    self.withhold(now, id, shards);
                     commands.push(Command::FreeShards {
                         service: service.clone(),
                         id: id.clone(),
                         shards: shards
                             .iter()
-                            .map(|shard| freed(ownership, *shard, String::new()))
+                            .map(|shard| freed(ownership, usize::from(*shard), String::new()))
                             .collect(),
                     });
                 }
@@ -127,14 +127,15 @@
     }
 
     /// Leaves shards out of every grant from now on, since they are about to be freed.
-    fn withhold(&mut self, now: Duration, id: &InstanceId, shards: &[usize]) {
+    fn withhold(&mut self, now: Duration, id: &InstanceId, shards: &BTreeSet<u16>) {
         let server = self
             .servers
             .entry(id.clone())
             .or_insert_with(|| Server::silent_since(now));
         let sequence = server.sequence;
         for shard in shards {
-            server.releasing.entry(*shard).or_insert(sequence);
+            let shard = usize::from(*shard);
+            server.releasing.entry(shard).or_insert(sequence);
         }
     }
 
@@ -157,7 +158,7 @@
         let Some(server) = self.servers.get_mut(&beat.id) else {
             return;
         };
-        let owned: Vec<usize> = ownership.owned_by(&beat.id).collect();
+        let owned: BTreeSet<usize> = ownership.owned_by(&beat.id).collect();
         server.releasing.retain(|shard, _| owned.contains(shard));
         let old_answers_over = now >= self.since + self.timing.answer_lifetime();
         let released: Vec<FreedShard> = server
@@ -203,12 +204,23 @@
         if beat.draining || is_leaving(catalog, &beat.id) {
             return;
         }
-        let nothing_yet = ShardOwnership::default();
-        let ownership = catalog.ownership(&beat.service).unwrap_or(&nothing_yet);
-        if ownership.last_fence() == 0 && !self.is_settled(now, &beat.service) {
+        let ownership = catalog.ownership(&beat.service);
+        if ownership.is_none() && !self.is_settled(now, &beat.service) {
             return;
         }
-        let unowned: Vec<usize> = ownership.unowned().collect();
+        let nothing_yet;
+        let ownership = match ownership {
+            Some(ownership) => ownership,
+            None => {
+                nothing_yet = ShardOwnership::default();
+                &nothing_yet
+            }
+        };
+        let unowned: Vec<usize> = ownership
+            .unowned()
+            .iter()
+            .map(|shard| usize::from(*shard))
+            .collect();
         if unowned.is_empty() {
             return;
         }
@@ -216,7 +228,7 @@
             .unowned_since
             .get(&beat.service)
             .is_some_and(|since| now > *since + self.timing.heartbeat / 2);
-        let owned = ownership.owned_by(&beat.id).count();
+        let owned = ownership.count_of(&beat.id);
         let eligible = self.eligible(now, catalog, &beat.service);
         let count = take_count(owned, unowned.len(), eligible, SHARDS, overdue);
         let shards: Vec<u16> = spread(&unowned, count)
@@ -256,7 +268,7 @@
     }
 
     fn note_unowned(&mut self, now: Duration, service: &str, ownership: &ShardOwnership) {
-        if ownership.unowned().next().is_none() {
+        if ownership.unowned().is_empty() {
             self.unowned_since.remove(service);
         } else if !self.unowned_since.contains_key(service) {
             self.unowned_since.insert(service.to_owned(), now);
@@ -317,16 +329,6 @@
     instance.is_some_and(|instance| instance.state != InstanceState::Ready)
 }
 
-fn owned_shards(ownership: &ShardOwnership) -> BTreeMap<&InstanceId, Vec<usize>> {
-    let mut owned: BTreeMap<&InstanceId, Vec<usize>> = BTreeMap::new();
-    for (number, shard) in ownership.shards().iter().enumerate() {
-        if let Some(owner) = &shard.owner {
-            owned.entry(owner).or_default().push(number);
-        }
-    }
-    owned
-}
-
 /// Rows of the server's shards that it is not releasing; a handover only until it was taken.
 fn granted_rows(ownership: &ShardOwnership, server: &Server, beat: &Beat) -> Vec<KeyRow> {
     let granted = ownership
--- /dev/null
+++ b/crates/grants/tests/exclusive.rs
@@ -0,0 +1,62 @@
+//! Nobody holds a shard that another holds: a model of servers, slow clocks, late heartbeats, late
+//! answers and changes of leader, on a virtual clock with fixed seeds.
+
+mod model;
+
+use std::time::Duration;
+
+use model::{Fleet, Settings};
+
+const SEEDS: std::ops::Range<u64> = 0..40;
+const DAY: Duration = Duration::from_secs(40);
+
+#[test]
+fn no_shard_ever_has_two_holders() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed, Settings::default());
+        fleet.run(DAY);
+        assert_eq!(fleet.overlaps, Vec::new(), "seed {seed}");
+        assert!(fleet.granted > 0, "seed {seed}: nothing was ever held");
+    }
+}
+
+#[test]
+fn most_shards_have_a_holder_most_of_the_time() {
+    for seed in SEEDS.take(10) {
+        let mut fleet = Fleet::new(seed, Settings::calm());
+        fleet.run(DAY);
+        assert_eq!(fleet.overlaps, Vec::new(), "seed {seed}");
+        assert!(
+            fleet.held_part() > 0.97,
+            "seed {seed}: {}",
+            fleet.held_part()
+        );
+    }
+}
+
+/// The checker can fail: each guard, taken out of the model's leader, leads to two holders.
+#[test]
+fn each_guard_taken_out_is_noticed() {
+    let cases = [
+        (
+            "a new leader does not bound earlier leases",
+            Settings::forgetful_leader(),
+        ),
+        (
+            "servers' clocks are slower than stated",
+            Settings::too_slow_clocks(),
+        ),
+        (
+            "commands are answered before they are committed",
+            Settings::two_leaders(),
+        ),
+    ];
+    for (name, settings) in cases {
+        let noticed = SEEDS.into_iter().any(|seed| {
+            let mut fleet = Fleet::new(seed, settings);
+            fleet.run(DAY);
+            !fleet.overlaps.is_empty()
+        });
+        assert!(noticed, "{name}");
+    }
+}
--- /dev/null
+++ b/crates/grants/tests/model/mod.rs
@@ -0,0 +1,317 @@
+//! A model of a fleet: servers that follow their interface, a network that is late, leaders that change.
+//!
+//! The replicated state is a plain value: a command counts as committed once it is applied to it.
+
+mod server;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use grebepin_catalog::{
+    Catalog, Command, InstanceId, Item, ItemChange, ItemContent, Service, Version, SHARDS,
+};
+use grebepin_grants::{Beat, BeatOutcome, Coordinator, Grant, Timing};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use server::ModelServer;
+
+const STEP: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(100);
+const SERVERS: usize = 6;
+const SERVICE: &str = "ledger";
+
+/// What the model does to the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Longest time that a heartbeat is under way.
+    heartbeat_delay: Duration,
+    /// Longest time that an answer is under way.
+    answer_delay: Duration,
+    /// Part by which servers' clocks are slow.
+    slow_clock: f64,
+    /// Mean time between two changes of leader; zero for none.
+    leader_every: Duration,
+    /// Mean time between two ends of a server.
+    crash_every: Duration,
+    /// Whether a new leader takes earlier leases into account.
+    bounds_earlier_leases: bool,
+    /// Whether an earlier leader goes on granting after its successor began.
+    two_leaders: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            heartbeat_delay: Duration::from_millis(3_000),
+            answer_delay: Duration::from_millis(900),
+            slow_clock: 0.02,
+            leader_every: Duration::from_secs(7),
+            crash_every: Duration::from_secs(4),
+            bounds_earlier_leases: true,
+            two_leaders: false,
+        }
+    }
+}
+
+impl Settings {
+    pub fn calm() -> Self {
+        Self {
+            heartbeat_delay: Duration::from_millis(20),
+            answer_delay: Duration::from_millis(20),
+            leader_every: Duration::ZERO,
+            crash_every: Duration::ZERO,
+            ..Self::default()
+        }
+    }
+
+    pub fn forgetful_leader() -> Self {
+        Self {
+            bounds_earlier_leases: false,
+            ..Self::default()
+        }
+    }
+
+    pub fn too_slow_clocks() -> Self {
+        Self {
+            slow_clock: 0.5,
+            ..Self::default()
+        }
+    }
+
+    pub fn two_leaders() -> Self {
+        Self {
+            two_leaders: true,
+            ..Self::default()
+        }
+    }
+}
+
+/// Leases of the model.
+pub fn timing() -> Timing {
+    Timing {
+        lease: Duration::from_secs(4),
+        heartbeat: Duration::from_millis(1_300),
+        drain_window: Duration::from_millis(1_000),
+        forget_after: Duration::from_secs(13),
+    }
+}
+
+#[derive(Debug)]
+enum Message {
+    Heartbeat(Beat),
+    Answer {
+        to: InstanceId,
+        sent: Duration,
+        grant: Option<Grant>,
+    },
+}
+
+/// The fleet.
+pub struct Fleet {
+    settings: Settings,
+    random: SmallRng,
+    now: Duration,
+    catalog: Catalog,
+    leader: Coordinator,
+    earlier_leader: Option<Coordinator>,
+    servers: Vec<ModelServer>,
+    network: Vec<(Duration, Message)>,
+    started: u64,
+    /// Shards that two held at once: time, shard, holders.
+    pub overlaps: Vec<(Duration, usize, Vec<InstanceId>)>,
+    /// Shards held, summed over steps.
+    pub granted: u64,
+    steps: u64,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, settings: Settings) -> Self {
+        let mut fleet = Self {
+            settings,
+            random: SmallRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            catalog: sharded_service(),
+            leader: Coordinator::new(timing(), Duration::ZERO),
+            earlier_leader: None,
+            servers: Vec::new(),
+            network: Vec::new(),
+            started: 0,
+            overlaps: Vec::new(),
+            granted: 0,
+            steps: 0,
+        };
+        for _ in 0..SERVERS {
+            fleet.start_server();
+        }
+        fleet
+    }
+
+    pub fn run(&mut self, day: Duration) {
+        while self.now < day && self.overlaps.is_empty() {
+            self.now += STEP;
+            self.change_leader();
+            self.change_servers();
+            self.deliver();
+            self.send_heartbeats();
+            if self.now.as_millis() % TICK.as_millis() == 0 {
+                let commands = self.leader.tick(self.now, &self.catalog);
+                self.commit(commands);
+            }
+            self.check();
+        }
+    }
+
+    /// Part of all shards that had a holder, after the first tenth of the time.
+    pub fn held_part(&self) -> f64 {
+        self.granted as f64 / (self.steps as f64 * SHARDS as f64)
+    }
+
+    fn happens(&mut self, every: Duration) -> bool {
+        !every.is_zero() && self.random.random::<f64>() < STEP.as_secs_f64() / every.as_secs_f64()
+    }
+
+    fn delay(&mut self, longest: Duration) -> Duration {
+        // Most are fast, few are very late.
+        let part = self.random.random::<f64>();
+        longest.mul_f64(part * part * part * part)
+    }
+
+    fn start_server(&mut self) {
+        self.started += 1;
+        let number = self.started;
+        let slow = self.settings.slow_clock * self.random.random::<f64>();
+        self.servers
+            .push(ModelServer::new(number, 1.0 - slow, self.now));
+    }
+
+    fn change_leader(&mut self) {
+        if !self.happens(self.settings.leader_every) {
+            return;
+        }
+        let since = match self.settings.bounds_earlier_leases {
+            true => self.now,
+            false => Duration::ZERO,
+        };
+        let next = Coordinator::new(timing(), since);
+        let earlier = std::mem::replace(&mut self.leader, next);
+        if self.settings.two_leaders {
+            self.earlier_leader = Some(earlier);
+        }
+    }
+
+    fn change_servers(&mut self) {
+        if self.happens(self.settings.crash_every) {
+            let number = self.random.random_range(0..self.servers.len());
+            match self.random.random_range(0..3) {
+                0 => self.servers[number].drain(),
+                _ => _ = self.servers.remove(number),
+            }
+            self.start_server();
+        }
+        let now = self.now;
+        self.servers.retain(|server| !server.has_left(now));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.network = later;
+        for (_, message) in due {
+            match message {
+                Message::Heartbeat(beat) => self.take_heartbeat(&beat),
+                Message::Answer { to, sent, grant } => {
+                    let server = self.servers.iter_mut().find(|server| server.id == to);
+                    if let Some(server) = server {
+                        server.take_answer(now, sent, grant);
+                    }
+                }
+            }
+        }
+    }
+
+    fn take_heartbeat(&mut self, beat: &Beat) {
+        let to_earlier = self.earlier_leader.is_some() && self.random.random::<f64>() < 0.5;
+        let leader = match (&mut self.earlier_leader, to_earlier) {
+            (Some(earlier), true) => earlier,
+            _ => &mut self.leader,
+        };
+        let outcome = leader.on_beat(self.now, &self.catalog, beat);
+        let grant = match outcome {
+            BeatOutcome::Stale => None,
+            BeatOutcome::Fresh(commands) => {
+                for command in &commands {
+                    self.catalog.apply(command);
+                }
+                leader.grant(self.now, &self.catalog, beat)
+            }
+        };
+        let delay = self.delay(self.settings.answer_delay);
+        let sent = self.servers.iter().find(|server| server.id == beat.id);
+        let Some(sent) = sent.and_then(|server| server.sent_at(beat.sequence)) else {
+            return;
+        };
+        let to = beat.id.clone();
+        let answer = Message::Answer { to, sent, grant };
+        self.network.push((self.now + delay, answer));
+    }
+
+    fn send_heartbeats(&mut self) {
+        let now = self.now;
+        let mut beats = Vec::new();
+        for server in &mut self.servers {
+            server.let_time_pass(now);
+            beats.extend(server.heartbeat(now));
+        }
+        for beat in beats {
+            let delay = self.delay(self.settings.heartbeat_delay);
+            self.network.push((now + delay, Message::Heartbeat(beat)));
+        }
+    }
+
+    fn commit(&mut self, commands: Vec<Command>) {
+        for command in commands {
+            self.catalog.apply(&command);
+        }
+    }
+
+    fn check(&mut self) {
+        let mut holders: BTreeMap<usize, Vec<InstanceId>> = BTreeMap::new();
+        for server in &self.servers {
+            for shard in server.held(self.now) {
+                holders.entry(shard).or_default().push(server.id.clone());
+            }
+        }
+        if self.now > Duration::from_secs(6) {
+            self.steps += 1;
+            self.granted += holders.len() as u64;
+        }
+        let now = self.now;
+        let doubled = holders.into_iter().filter(|(_, holders)| holders.len() > 1);
+        self.overlaps.extend(
+            doubled
+                .map(|(shard, holders)| (now, shard, holders))
+                .take(1),
+        );
+    }
+}
+
+fn sharded_service() -> Catalog {
+    let mut catalog = Catalog::default();
+    let service = Service {
+        maximum_connections: 100,
+        sharded: true,
+    };
+    let item = Item {
+        name: SERVICE.to_owned(),
+        version: Version(1),
+        content: ItemContent::Service(service),
+        document: String::new(),
+    };
+    catalog.apply(&Command::ChangeItems(ItemChange {
+        upserts: vec![item],
+        removals: Vec::new(),
+    }));
+    catalog
+}
