Shards follow load and what servers can take; requests at a server are limited

Change: gateways tell requests by shard and answers by server once a second; the leader estimates capacities and moves shards of busy servers to those with room; each gateway limits its requests at a server by how it answers; a refusal leaves within a quarter of the wanted time.

The model now checks the size; rows that have no room are released.

Conclusion: load decides placement; the next limit is the single hot key.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -20,12 +20,27 @@
     pub items: Vec<ItemKey>,
     /// Servers that changed.
     pub instances: Vec<InstanceId>,
-    /// Shards that changed hands, by service.
-    pub shards: Vec<(String, Vec<u16>)>,
+    /// Shards that a server lost or got.
+    pub shards: Vec<ShardChange>,
     /// Why a change of items was refused.
     pub refused: Option<InvalidChange>,
 }
 
+/// Shards that a server lost or got.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShardChange {
+    /// The service.
+    pub service: String,
+    /// The server.
+    pub id: InstanceId,
+    /// Whether the server got them.
+    pub assigned: bool,
+    /// The shards.
+    pub shards: Vec<u16>,
+    /// Highest fence of the service afterwards.
+    pub fence: u64,
+}
+
 /// The replicated state.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
@@ -61,10 +76,14 @@
         self.ownership.iter()
     }
 
-    /// The same without the operators' own texts, for readers that never give them back.
+    /// The same without the operators' own texts and owners' handovers, for readers that never give
+    /// them on.
     pub fn without_documents(&self) -> Self {
         let mut catalog = self.clone();
         catalog.items.drop_documents();
+        for ownership in catalog.ownership.values_mut() {
+            ownership.drop_handovers();
+        }
         catalog
     }
 
@@ -93,7 +112,13 @@
             } => {
                 let ownership = self.ownership.entry(service.clone()).or_default();
                 let freed = ownership.free(id, shards);
-                effects.shards.push((service.clone(), freed));
+                effects.shards.push(ShardChange {
+                    service: service.clone(),
+                    id: id.clone(),
+                    assigned: false,
+                    shards: freed,
+                    fence: ownership.last_fence(),
+                });
             }
             Command::AssignShards {
                 service,
@@ -102,7 +127,13 @@
             } => {
                 let ownership = self.ownership.entry(service.clone()).or_default();
                 let given = ownership.assign(id, shards);
-                effects.shards.push((service.clone(), given));
+                effects.shards.push(ShardChange {
+                    service: service.clone(),
+                    id: id.clone(),
+                    assigned: true,
+                    shards: given,
+                    fence: ownership.last_fence(),
+                });
             }
         }
         effects
--- a/crates/catalog/src/ownership.rs
+++ b/crates/catalog/src/ownership.rs
@@ -14,7 +14,7 @@
 pub const KEYS: u32 = 65_536;
 
 /// Neighbouring keys that always have the same owner.
-pub const KEYS_PER_SHARD: u32 = 64;
+pub const KEYS_PER_SHARD: u32 = 16;
 
 /// Number of shards of a sharded service.
 pub const SHARDS: usize = (KEYS / KEYS_PER_SHARD) as usize;
@@ -60,17 +60,36 @@
     unowned: BTreeSet<u16>,
 }
 
-/// What is stored of [`ShardOwnership`].
+/// What is stored of [`ShardOwnership`]: each owner's name once.
 #[derive(Serialize, Deserialize)]
 struct StoredOwnership {
-    shards: Vec<Shard>,
+    owners: Vec<InstanceId>,
+    shards: Vec<StoredShard>,
     last_fence: u64,
 }
 
+/// A shard as it is stored.
+#[derive(Serialize, Deserialize)]
+struct StoredShard {
+    /// Place of its owner in the list of owners.
+    owner: Option<u16>,
+    fence: u64,
+    handover: String,
+}
+
 impl From<ShardOwnership> for StoredOwnership {
     fn from(ownership: ShardOwnership) -> Self {
+        let owners: Vec<InstanceId> = ownership.by_owner.keys().cloned().collect();
+        let place = |owner: &InstanceId| owners.binary_search(owner).ok().map(|at| at as u16);
+        let shards = ownership.shards.into_iter().map(|shard| StoredShard {
+            owner: shard.owner.as_ref().and_then(place),
+            fence: shard.fence,
+            handover: shard.handover,
+        });
+        let shards = shards.collect();
         Self {
-            shards: ownership.shards,
+            owners,
+            shards,
             last_fence: ownership.last_fence,
         }
     }
@@ -78,9 +97,28 @@
 
 impl From<StoredOwnership> for ShardOwnership {
     fn from(stored: StoredOwnership) -> Self {
+        let owners = stored.owners;
+        let owner_at = |at: u16| owners.get(usize::from(at)).cloned();
+        let shards = stored.shards.into_iter().map(|shard| Shard {
+            owner: shard.owner.and_then(owner_at),
+            fence: shard.fence,
+            handover: shard.handover,
+        });
+        Self::indexed(shards.collect(), stored.last_fence)
+    }
+}
+
+impl Default for ShardOwnership {
+    fn default() -> Self {
+        Self::indexed(vec![Shard::default(); SHARDS], 0)
+    }
+}
+
+impl ShardOwnership {
+    fn indexed(shards: Vec<Shard>, last_fence: u64) -> Self {
         let mut by_owner: BTreeMap<InstanceId, BTreeSet<u16>> = BTreeMap::new();
         let mut unowned = BTreeSet::new();
-        for (number, shard) in stored.shards.iter().enumerate() {
+        for (number, shard) in shards.iter().enumerate() {
             match &shard.owner {
                 Some(owner) => by_owner
                     .entry(owner.clone())
@@ -90,24 +128,20 @@
             };
         }
         Self {
-            shards: stored.shards,
-            last_fence: stored.last_fence,
+            shards,
+            last_fence,
             by_owner,
             unowned,
         }
     }
-}
 
-impl Default for ShardOwnership {
-    fn default() -> Self {
-        Self::from(StoredOwnership {
-            shards: vec![Shard::default(); SHARDS],
-            last_fence: 0,
-        })
+    /// Forgets what owners handed over.
+    pub(crate) fn drop_handovers(&mut self) {
+        for shard in &mut self.shards {
+            shard.handover = String::new();
+        }
     }
-}
 
-impl ShardOwnership {
     /// All shards, in the order of their keys.
     pub fn shards(&self) -> &[Shard] {
         &self.shards
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -43,13 +43,18 @@
     for id in &effects.instances {
         event!(Event::InstanceChanged, index = index, instance = id.0);
     }
-    for (service, shards) in &effects.shards {
-        if !shards.is_empty() {
+    for change in &effects.shards {
+        if let (Some(first), Some(last)) = (change.shards.first(), change.shards.last()) {
             event!(
                 Event::ShardsMoved,
                 index = index,
-                service = service,
-                shards = shards.len()
+                service = change.service,
+                instance = change.id.0,
+                assigned = change.assigned,
+                shards = change.shards.len(),
+                first = first,
+                last = last,
+                fence = change.fence
             );
         }
     }
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -324,6 +324,7 @@
                 if let Some(link) = self.inbound.get_mut(&token) {
                     link.gateway = report.node;
                 }
+                self.inputs.push(NodeInput::Load(report.load));
             }
         }
     }
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -1,6 +1,7 @@
 //! Frames between directory replicas, and between them and the gateways, over one internal port.
 
 use grebepin_catalog::Entry;
+use grebepin_grants::LoadSample;
 use grebepin_schema::PeerFrame;
 use serde::{Deserialize, Serialize};
 
@@ -38,6 +39,8 @@
 pub struct GatewayReport {
     /// Name of the gateway's machine.
     pub node: String,
+    /// What it saw of load since its last report.
+    pub load: LoadSample,
 }
 
 /// Frame that a replica sends back on a connection opened by the other side.
--- a/crates/directory/src/node/messages.rs
+++ b/crates/directory/src/node/messages.rs
@@ -1,6 +1,7 @@
 //! What goes into a node and what comes out.
 
 use grebepin_catalog::{Effects, Entry};
+use grebepin_grants::LoadSample;
 use grebepin_schema::PeerFrame;
 
 use crate::call::{Call, Reply};
@@ -14,6 +15,8 @@
 pub enum NodeInput {
     /// A frame of another replica.
     Peer(PeerFrame),
+    /// What a gateway saw of load.
+    Load(LoadSample),
     /// A call, of a client here or relayed by another replica.
     Call {
         /// Names the call.
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -126,6 +126,11 @@
         match input {
             NodeInput::Peer(frame) => self.take_in_peer(now, frame),
             NodeInput::Call { id, call } => self.take_in_call(now, id, call),
+            NodeInput::Load(sample) => {
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.coordinator.on_load(now, &self.catalog, &sample);
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,5 +1,9 @@
 //! What this gateway knows of each server, and which one takes a request.
 //!
+//! Each server has a limit on this gateway's requests there. It grows while answers come well inside
+//! the time they are wanted in, and shrinks when the server sheds, stays silent or is late; so all
+//! gateways together settle near what the server can take, without telling each other.
+//!
 //! A server's cost is the time that a request is expected to take there: what answers took lately,
 //! which holds its speed and everybody's load on it, times this gateway's own requests there.
 
@@ -24,6 +28,24 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// Limit on requests at a server that is not known yet, and the least and the largest limit.
+const FIRST_LIMIT: f64 = 4.0;
+const LEAST_LIMIT: f64 = 2.0;
+const LARGEST_LIMIT: f64 = 32.0;
+
+/// Growth of a limit for a round of good answers.
+const LIMIT_GROWTH: f64 = 0.5;
+
+/// Part of the wanted time within which an answer lets the limit grow.
+const GOOD_PART: f64 = 0.7;
+
+/// What a late answer and an overload leave of a limit.
+const LATE_FACTOR: f64 = 0.85;
+const OVERLOAD_FACTOR: f64 = 0.6;
+
+/// Least time between two cuts of a limit, so that one burst of failures counts once.
+const CUT_PAUSE: Duration = Duration::from_millis(100);
+
 /// One server as this gateway knows it.
 #[derive(Clone, Debug)]
 struct Endpoint {
@@ -32,6 +54,8 @@
     mean_seconds: f64,
     failures: u32,
     aside_until: Duration,
+    limit: f64,
+    cut_at: Duration,
 }
 
 impl Default for Endpoint {
@@ -42,6 +66,17 @@
             mean_seconds: ASSUMED_SECONDS,
             failures: 0,
             aside_until: Duration::ZERO,
+            limit: FIRST_LIMIT,
+            cut_at: Duration::ZERO,
+        }
+    }
+}
+
+impl Endpoint {
+    fn cut_limit(&mut self, now: Duration, factor: f64) {
+        if now >= self.cut_at + CUT_PAUSE {
+            self.cut_at = now;
+            self.limit = (self.limit * factor).max(LEAST_LIMIT);
         }
     }
 }
@@ -64,9 +99,15 @@
         endpoint.running = endpoint.running.saturating_sub(1);
     }
 
-    /// Requests of this gateway at a server.
-    pub fn running(&self, id: &InstanceId) -> u32 {
-        self.endpoints.get(id).map_or(0, |one| one.running)
+    /// Whether a server may get another request of this gateway now.
+    pub fn has_room(&self, id: &InstanceId) -> bool {
+        let endpoint = self.endpoints.get(id);
+        endpoint.is_none_or(|one| f64::from(one.running) + 1.0 <= one.limit.max(LEAST_LIMIT))
+    }
+
+    /// A server shed a request or left it without an answer.
+    pub fn overloaded(&mut self, id: &InstanceId, now: Duration) {
+        self.endpoint(id).cut_limit(now, OVERLOAD_FACTOR);
     }
 
     /// A connection to a server was begun.
@@ -85,15 +126,36 @@
         self.endpoints.get(id).map_or(0, |one| one.connections)
     }
 
-    /// A server answered after a time; whether it had been set aside before.
-    pub fn answered(&mut self, id: &InstanceId, took: Duration) -> bool {
+    /// A server answered after a time, where `wanted` is the time it is wanted in; whether the server
+    /// had been set aside before.
+    pub fn answered(
+        &mut self,
+        id: &InstanceId,
+        now: Duration,
+        took: Duration,
+        wanted: Duration,
+    ) -> bool {
         let endpoint = self.endpoint(id);
         let seconds = took.as_secs_f64();
         endpoint.mean_seconds += MEAN_WEIGHT * (seconds - endpoint.mean_seconds);
+        if took <= wanted.mul_f64(GOOD_PART) {
+            let grown = endpoint.limit + LIMIT_GROWTH / endpoint.limit;
+            endpoint.limit = grown.min(LARGEST_LIMIT);
+        } else if took > wanted {
+            endpoint.cut_limit(now, LATE_FACTOR);
+        }
         endpoint.aside_until = Duration::ZERO;
         std::mem::take(&mut endpoint.failures) > 0
     }
 
+    /// A server left a request without an answer until its time was up.
+    pub fn silent(&mut self, id: &InstanceId, now: Duration, took: Duration) {
+        let endpoint = self.endpoint(id);
+        let seconds = took.as_secs_f64();
+        endpoint.mean_seconds += MEAN_WEIGHT * (seconds - endpoint.mean_seconds);
+        endpoint.cut_limit(now, OVERLOAD_FACTOR);
+    }
+
     /// A server could not be reached or broke off: it is set aside for a growing time, which is returned.
     pub fn failed(&mut self, id: &InstanceId, now: Duration) -> Duration {
         let endpoint = self.endpoint(id);
@@ -116,7 +178,8 @@
             .retain(|id, one| is_live(id) || one.running > 0 || one.connections > 0);
     }
 
-    /// The server of lowest cost among `candidates`; those set aside only when no other is left.
+    /// The server of lowest cost among `candidates` that have room; those set aside only when no other
+    /// is left.
     /// `random` gives numbers between 0 and 1.
     pub fn choose<'a>(
         &self,
@@ -125,11 +188,12 @@
         now: Duration,
         random: &mut dyn FnMut() -> f64,
     ) -> Option<&'a Instance> {
-        let trusted = candidates
+        let free = candidates.filter(|instance| self.has_room(&instance.id));
+        let trusted = free
             .clone()
             .filter(|instance| self.aside_until(&instance.id, now).is_none());
         self.cheapest(trusted, zone, random)
-            .or_else(|| self.cheapest(candidates, zone, random))
+            .or_else(|| self.cheapest(free, zone, random))
     }
 
     fn cheapest<'a>(
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -22,6 +22,8 @@
         /// Fence that is known to be of no use; 0 for none.
         fence: u64,
     },
+    /// Waits for room at its key's owner, or at any server of its service.
+    AwaitingRoom,
     /// On a connection to a server.
     At {
         /// The connection.
@@ -48,6 +50,8 @@
     pub route: Arc<Route>,
     /// Service that runs it.
     pub service: String,
+    /// Its key, where it carries one.
+    pub key: Option<u16>,
     /// Shard of its key, for a sharded service.
     pub shard: Option<usize>,
     /// When its first byte came.
@@ -107,6 +111,17 @@
         self.flights.len()
     }
 
+    /// Those of a service that wait for room, the most urgent and then the oldest first.
+    pub fn awaiting_room(&self, service: &str) -> Vec<FlightId> {
+        let waiting = self.flights.iter();
+        let mut waiting: Vec<(u32, Duration, FlightId)> = waiting
+            .filter(|(_, flight)| flight.place == Place::AwaitingRoom && flight.service == service)
+            .map(|(id, flight)| (flight.route.priority, flight.began, *id))
+            .collect();
+        waiting.sort();
+        waiting.into_iter().map(|(_, _, id)| id).collect()
+    }
+
     /// Those that wait for an owner.
     pub fn awaiting_owner(&self) -> Vec<FlightId> {
         let waiting = self.flights.iter();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,10 +6,13 @@
 
 use grebepin_catalog::{Catalog, Entry};
 use grebepin_directory::link::{Follow, FromReplica, GatewayReport, Head, ToReplica};
+use grebepin_grants::LoadSample;
 use grebepin_reactor::{decode_frame, encode_frame, take_frame, Connection, ReadOutcome};
 use grebepin_telemetry::{event, Event};
 use mio::{Registry, Token};
 
+use crate::load::LoadCounts;
+
 /// Time a link may take to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
@@ -93,7 +96,13 @@
 
     /// Makes links that are missing and drops those that are of no use. Tokens from `next_token` on
     /// are free.
-    pub fn tick(&mut self, now: Duration, registry: &Registry, next_token: &mut usize) {
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        registry: &Registry,
+        next_token: &mut usize,
+        load: &mut LoadCounts,
+    ) {
         let useless = self.links.iter().filter(|(_, link)| match link.connected {
             false => now > link.began + CONNECT_LIMIT,
             true => now > link.heard + SILENCE_LIMIT,
@@ -126,7 +135,7 @@
             };
             self.links.insert(token, link);
         }
-        self.report(now);
+        self.report(now, load);
     }
 
     /// Addresses that should be linked and are not.
@@ -141,16 +150,23 @@
             .collect()
     }
 
-    fn report(&mut self, now: Duration) {
-        let frame = ToReplica::Report(GatewayReport {
-            node: self.node.clone(),
-        });
-        for link in self.links.values_mut() {
-            if link.connected && now >= link.next_report {
-                link.next_report = now + REPORT_EVERY;
-                let _ = encode_frame(&frame, link.connection.outbound());
-                let _ = link.connection.flush();
+    /// Tells every replica that this gateway is there, and the followed one what was counted.
+    fn report(&mut self, now: Duration, load: &mut LoadCounts) {
+        for (token, link) in &mut self.links {
+            if !link.connected || now < link.next_report {
+                continue;
             }
+            link.next_report = now + REPORT_EVERY;
+            let load = match self.followed == Some(*token) {
+                true => load.take(now),
+                false => LoadSample::default(),
+            };
+            let frame = ToReplica::Report(GatewayReport {
+                node: self.node.clone(),
+                load,
+            });
+            let _ = encode_frame(&frame, link.connection.outbound());
+            let _ = link.connection.flush();
         }
     }
 
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -24,8 +24,9 @@
 /// Connections that may fail to come up for one request.
 const UNREACHED_LIMIT: u32 = 3;
 
-/// Longest wait for a key's owner, as a part of the target latency.
-const OWNER_WAIT_PART: f64 = 0.6;
+/// Longest wait for a key's owner or for room at a server, as a part of the target latency: a client
+/// that is refused by then can still be served in time.
+const WAIT_PART: f64 = 0.24;
 
 /// Pause before the same owner is asked again whether it holds the key by now.
 const SAME_OWNER_PAUSE: Duration = Duration::from_millis(120);
@@ -138,6 +139,9 @@
             false => None,
         };
         self.budgets.note_request(&service, now);
+        if let Some(shard) = shard {
+            self.load.note_request(&service, shard);
+        }
         let expires = began + patience.min(route.timeout);
         let flight = self.flights.add(Flight {
             client: token,
@@ -146,6 +150,7 @@
             route_name: name,
             route,
             service,
+            key,
             shard,
             began,
             expires,
@@ -168,11 +173,7 @@
             return;
         };
         if now + LEAST_TIME >= flight.expires {
-            let answer = match flight.sendings {
-                0 => OwnAnswer::not_run(RETRY_AFTER),
-                _ => OwnAnswer::status(504),
-            };
-            return self.finish(id, answer, "no time left");
+            return self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no time left");
         }
         match flight.shard {
             Some(shard) => self.dispatch_to_owner(id, shard),
@@ -191,8 +192,17 @@
             .and_then(|owner| self.table.instance(owner))
             .filter(|instance| instance.state == InstanceState::Ready);
         match owner.cloned() {
-            Some(owner) if flight.unreached == 0 => self.send(id, &owner),
-            _ => self.await_owner(id, fence),
+            Some(owner) if flight.unreached > 0 => {
+                event!(
+                    Event::ServerSuspected,
+                    instance = owner.id.0,
+                    reason = "owner out of reach"
+                );
+                self.await_owner(id, fence);
+            }
+            Some(owner) if !self.balance.has_room(&owner.id) => self.await_room(id),
+            Some(owner) => self.send(id, &owner),
+            None => self.await_owner(id, fence),
         }
     }
 
@@ -202,7 +212,7 @@
         let Some(flight) = self.flights.get_mut(id) else {
             return;
         };
-        let longest = flight.route.target_latency.mul_f64(OWNER_WAIT_PART);
+        let longest = flight.route.target_latency.mul_f64(WAIT_PART);
         let until = flight.began + longest;
         if now >= until {
             return self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no owner");
@@ -212,6 +222,40 @@
         self.deadlines.add(until, due);
     }
 
+    /// Waits a bounded time for room at a server.
+    fn await_room(&mut self, id: FlightId) {
+        let now = self.now();
+        let Some(flight) = self.flights.get_mut(id) else {
+            return;
+        };
+        let until = flight.began + flight.route.target_latency.mul_f64(WAIT_PART);
+        if now >= until {
+            return self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no room");
+        }
+        flight.place = Place::AwaitingRoom;
+        let due = Due::RoomWait(id, flight.sendings);
+        self.deadlines.add(until, due);
+    }
+
+    /// The wait for room is over.
+    pub(crate) fn end_room_wait(&mut self, id: FlightId, sendings: u32) {
+        let Some(flight) = self.flights.get(id) else {
+            return;
+        };
+        if flight.place == Place::AwaitingRoom && flight.sendings == sendings {
+            self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no room");
+        }
+    }
+
+    /// Servers have room again: requests that wait for it look again.
+    pub(crate) fn retry_awaiting_room(&mut self) {
+        for service in std::mem::take(&mut self.services_with_room) {
+            for id in self.flights.awaiting_room(&service) {
+                self.redispatch(id);
+            }
+        }
+    }
+
     /// The wait for an owner is over.
     pub(crate) fn end_owner_wait(&mut self, id: FlightId, sendings: u32) {
         let Some(flight) = self.flights.get(id) else {
@@ -221,7 +265,7 @@
         if !waits || flight.sendings != sendings {
             return;
         }
-        let longest = flight.route.target_latency.mul_f64(OWNER_WAIT_PART);
+        let longest = flight.route.target_latency.mul_f64(WAIT_PART);
         match self.now() >= flight.began + longest {
             true => self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no owner"),
             false => self.redispatch(id),
@@ -259,6 +303,7 @@
             return;
         };
         let servers = self.table.ready_servers(&flight.service).iter();
+        let has_others = servers.clone().any(|server| !flight.tried.contains(server));
         let candidates = servers
             .filter(|server| !flight.tried.contains(server))
             .filter_map(|server| self.table.instance(server));
@@ -270,6 +315,7 @@
             .cloned();
         match chosen {
             Some(server) => self.send(id, &server),
+            None if has_others => self.await_room(id),
             None => self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no server"),
         }
     }
@@ -321,7 +367,6 @@
             connected: false,
             flight: None,
             reader: ResponseReader::default(),
-            began: now,
             rested_since: now,
             rest_limit: CONNECT_LIMIT,
         };
@@ -351,8 +396,13 @@
         let left = flight.expires.saturating_sub(now);
         let out = upstream.connection.outbound();
         write_request(out, &flight.request, &names, left, &upstream.server.0);
-        if upstream.connection.flush().is_err() {
-            self.break_off(token, "connection broke while the request was sent");
+        let wanted = upstream.connection.unsent();
+        if upstream.connection.flush().is_ok() {
+            return;
+        }
+        match upstream.connection.unsent() == wanted {
+            true => self.fail_to_connect(token),
+            false => self.break_off(token, "connection broke while the request was sent"),
         }
     }
 
@@ -380,7 +430,9 @@
         let Some(id) = upstream.flight else {
             return;
         };
-        self.balance.end(&server);
+        if self.leave_server(id).is_none() {
+            return;
+        }
         let Some(flight) = self.flights.get_mut(id) else {
             return;
         };
@@ -473,8 +525,19 @@
         let Some((server, since)) = self.leave_server(id) else {
             return;
         };
-        if self.balance.answered(&server, now.saturating_sub(since)) {
-            event!(Event::ServerTrusted, instance = server.0);
+        let Some(flight) = self.flights.get(id) else {
+            return;
+        };
+        let wanted = flight.route.target_latency;
+        let verdict = judge(&response, &names);
+        match verdict {
+            Verdict::NotRun => self.balance.overloaded(&server, now),
+            _ => {
+                let took = now.saturating_sub(since);
+                if self.balance.answered(&server, now, took, wanted) {
+                    event!(Event::ServerTrusted, instance = server.0);
+                }
+            }
         }
         let reusable = self
             .upstreams
@@ -484,11 +547,10 @@
             true => self.upstreams.rest(token, now, &response.fields),
             false => _ = self.drop_upstream(token),
         }
-        let verdict = judge(&response, &names);
-        if verdict == Verdict::Final {
-            return self.pass_on(id, &response);
+        match verdict {
+            Verdict::Final => self.pass_on(id, &response),
+            _ => self.decide(id, verdict, Some(response), &server),
         }
-        self.decide(id, verdict, Some(response), &server);
     }
 
     /// A connection with a request on it broke: the request may have run.
@@ -569,13 +631,26 @@
 
     /// The time of a request is up.
     pub(crate) fn expire(&mut self, id: FlightId) {
+        let now = self.now();
         let Some(flight) = self.flights.get(id) else {
             return;
         };
-        let answer = match flight.sendings {
-            0 => OwnAnswer::not_run(RETRY_AFTER),
-            _ => OwnAnswer::status(504),
+        let was_sent = match &flight.place {
+            Place::At { connection, .. } => {
+                let upstream = self.upstreams.get(*connection);
+                upstream.is_some_and(|upstream| upstream.connected)
+            }
+            _ => false,
+        };
+        let place = flight.place.clone();
+        // An earlier sending of a request that is not repeatable is proved not to have run.
+        let answer = match was_sent {
+            false => OwnAnswer::not_run(RETRY_AFTER),
+            true => OwnAnswer::status(504),
         };
+        if let (Place::At { server, since, .. }, true) = (place, was_sent) {
+            self.balance.silent(&server, now, now.saturating_sub(since));
+        }
         self.recall(id);
         self.finish(id, answer, "time is up");
     }
@@ -591,11 +666,17 @@
 
     /// Notes that a request is no longer at its server; which that was, and since when.
     fn leave_server(&mut self, id: FlightId) -> Option<(InstanceId, Duration)> {
+        let now = self.now();
         let flight = self.flights.get_mut(id)?;
         let place = std::mem::replace(&mut flight.place, Place::Here);
         let Place::At { server, since, .. } = place else {
             return None;
         };
+        self.services_with_room.insert(flight.service.clone());
+        if flight.shard.is_some() {
+            let took = now.saturating_sub(since);
+            self.load.note_answer(&server, took);
+        }
         self.balance.end(&server);
         Some((server, since))
     }
@@ -647,7 +728,7 @@
             status = answer.status,
             reason = reason,
             sendings = flight.sendings,
-            shard = flight.shard.map_or(-1, |shard| shard as i64),
+            key = flight.key.map_or(-1, i64::from),
             servers = flight
                 .tried
                 .iter()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod forwarding;
 mod headers;
+mod load;
 mod server;
 mod settings;
 mod stopping;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,6 @@
 //! The event loop: connections, deadlines, reloads and the end.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -21,6 +21,7 @@
 use crate::flight::{FlightId, Flights};
 use crate::follow::{Directory, Update};
 use crate::headers::HeaderNames;
+use crate::load::LoadCounts;
 use crate::settings::GatewaySettings;
 use crate::stopping::Stopping;
 use crate::table::{Splitter, Table, TableChange};
@@ -63,6 +64,8 @@
     Expiry(FlightId),
     /// A request has waited long enough for its key's owner.
     OwnerWait(FlightId, u32),
+    /// A request has waited long enough for room at a server.
+    RoomWait(FlightId, u32),
     /// A connection to a server is not up yet.
     Connect(usize),
 }
@@ -82,11 +85,14 @@
     probes: HashMap<Token, Client>,
     pub(crate) upstreams: Upstreams,
     pub(crate) flights: Flights,
+    /// Services of which some server has room again.
+    pub(crate) services_with_room: BTreeSet<String>,
     pub(crate) deadlines: Deadlines<Due>,
     pub(crate) table: Table,
     pub(crate) splitter: Splitter,
     pub(crate) balance: Balance,
     pub(crate) budgets: Budgets,
+    pub(crate) load: LoadCounts,
     pub(crate) random: SmallRng,
     directory: Directory,
     pub(crate) stopping: Option<Stopping>,
@@ -137,11 +143,13 @@
             probes: HashMap::new(),
             upstreams: Upstreams::default(),
             flights: Flights::default(),
+            services_with_room: BTreeSet::new(),
             deadlines: Deadlines::default(),
             table: Table::default(),
             splitter: Splitter::default(),
             balance: Balance::default(),
             budgets: Budgets::new(bound),
+            load: LoadCounts::default(),
             random: SmallRng::from_os_rng(),
             stopping: None,
             told_ready: false,
@@ -166,6 +174,7 @@
                 self.on_event(ready.token());
             }
             self.on_deadlines();
+            self.retry_awaiting_room();
             self.keep_house();
             if self.is_over() {
                 event!(Event::Stopped, flights = self.flights.len());
@@ -328,6 +337,7 @@
             match due {
                 Due::Expiry(flight) => self.expire(flight),
                 Due::OwnerWait(flight, sendings) => self.end_owner_wait(flight, sendings),
+                Due::RoomWait(flight, sendings) => self.end_room_wait(flight, sendings),
                 Due::Connect(token) => self.give_up_connecting(Token(token)),
             }
         }
@@ -346,7 +356,9 @@
         }
         self.next_house = now + HOUSE_EVERY;
         let registry = self.poll.registry();
-        self.directory.tick(now, registry, &mut self.next_token);
+        let load = &mut self.load;
+        self.directory
+            .tick(now, registry, &mut self.next_token, load);
         self.close_spent_connections(now);
         self.close_resting_clients(now);
         if now >= self.next_settings_look || self.reload.swap(false, Ordering::Relaxed) {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -32,8 +32,6 @@
     pub flight: Option<FlightId>,
     /// Reads its answers.
     pub reader: ResponseReader,
-    /// When it was begun.
-    pub began: Duration,
     /// When it came to rest.
     pub rested_since: Duration,
     /// Longest rest after which it is used again.
--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -5,14 +5,22 @@
 
 use grebepin_catalog::{
     Catalog, Command, FreedShard, Instance, InstanceId, InstanceState, ItemContent, ItemKind,
-    KeyRow, ShardOwnership, SHARDS,
+    KeyRow, ShardOwnership, KEYS_PER_SHARD, SHARDS,
 };
 
 use crate::beat::{Beat, Grant};
-use crate::placement::{spread, take_count};
+use crate::load::{LoadBook, LoadSample};
+use crate::placement::{choose, Demand, MAXIMUM_ROWS};
 use crate::server::Server;
+use crate::shares::Shares;
 use crate::timing::Timing;
 
+/// Time between two looks at the balance of load.
+const LOOK_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Least time between two times at which a server is told to give shards away.
+const GIVE_PAUSE: Duration = Duration::from_millis(2_500);
+
 /// What a heartbeat leads to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BeatOutcome {
@@ -32,6 +40,8 @@
     first_beats: BTreeMap<String, Duration>,
     /// Since when some shard of a service has had no owner.
     unowned_since: BTreeMap<String, Duration>,
+    load: LoadBook,
+    next_look: Duration,
 }
 
 impl Coordinator {
@@ -43,6 +53,8 @@
             servers: BTreeMap::new(),
             first_beats: BTreeMap::new(),
             unowned_since: BTreeMap::new(),
+            load: LoadBook::default(),
+            next_look: since + LOOK_EVERY,
         }
     }
 
@@ -79,7 +91,10 @@
         }
         let server = self.servers.get_mut(&beat.id)?;
         let rows = match catalog.ownership(&beat.service) {
-            Some(ownership) => granted_rows(ownership, server, beat),
+            Some(ownership) => {
+                withhold_surplus(ownership, server, beat.sequence, &beat.id);
+                granted_rows(ownership, server, beat)
+            }
             None => Vec::new(),
         };
         server.lease_end = server.lease_end.max(self.timing.lease_end(now));
@@ -89,9 +104,55 @@
         })
     }
 
+    /// Takes in what a gateway saw of load.
+    pub fn on_load(&mut self, now: Duration, catalog: &Catalog, sample: &LoadSample) {
+        let slots = |id: &InstanceId| catalog.instance(id).map(|instance| instance.slots);
+        self.load.note(now, sample, slots);
+    }
+
+    /// Tells busy servers to give shards away that others have room for.
+    fn look_at_balance(&mut self, now: Duration, catalog: &Catalog) {
+        if now < self.next_look {
+            return;
+        }
+        self.next_look = now + LOOK_EVERY;
+        let servers = &self.servers;
+        self.load.retain(|id| servers.contains_key(id));
+        for (service, ownership) in catalog.all_ownership() {
+            let eligible = self.eligible(now, catalog, service);
+            let shares = Shares::new(now, &self.load, service, &eligible);
+            let excess: Vec<(InstanceId, Vec<usize>)> = eligible
+                .iter()
+                .map(|id| ((*id).clone(), shares.excess(ownership, id)))
+                .filter(|(_, shards)| !shards.is_empty())
+                .collect();
+            for (id, shards) in excess {
+                self.give_away(now, &id, &shards);
+            }
+        }
+    }
+
+    /// Leaves shards out of a server's next answers; whoever has room takes them once they are free.
+    fn give_away(&mut self, now: Duration, id: &InstanceId, shards: &[usize]) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let is_busy_with_it = !server.releasing.is_empty() || now < server.gave_at + GIVE_PAUSE;
+        if is_busy_with_it {
+            return;
+        }
+        server.gave_at = now;
+        // The answer to the next heartbeat is the first to leave them out.
+        let next = server.sequence + 1;
+        server
+            .releasing
+            .extend(shards.iter().map(|shard| (*shard, next)));
+    }
+
     /// Commands that the passing of time asks for: shards of leases that ran out, servers that ended.
     pub fn tick(&mut self, now: Duration, catalog: &Catalog) -> Vec<Command> {
         let mut commands = Vec::new();
+        self.look_at_balance(now, catalog);
         for (service, ownership) in catalog.all_ownership() {
             self.note_unowned(now, service, ownership);
             for (id, shards) in ownership.owners() {
@@ -228,10 +289,19 @@
             .unowned_since
             .get(&beat.service)
             .is_some_and(|since| now > *since + self.timing.heartbeat / 2);
-        let owned = ownership.count_of(&beat.id);
         let eligible = self.eligible(now, catalog, &beat.service);
-        let count = take_count(owned, unowned.len(), eligible, SHARDS, overdue);
-        let shards: Vec<u16> = spread(&unowned, count)
+        let is_empty = |id: &&InstanceId| ownership.count_of(id) == 0;
+        let shares = Shares::new(now, &self.load, &beat.service, &eligible);
+        let demand = Demand {
+            total: SHARDS,
+            owned: ownership.count_of(&beat.id),
+            rows: ownership.rows(ownership.owned_by(&beat.id)).len(),
+            room: shares.room(ownership, &beat.id),
+            eligible: eligible.len(),
+            empty: eligible.iter().copied().filter(is_empty).count(),
+            overdue,
+        };
+        let shards: Vec<u16> = choose(demand, &unowned, |shard| shares.weight(shard))
             .into_iter()
             .map(|shard| shard as u16)
             .collect();
@@ -250,21 +320,25 @@
     }
 
     /// Servers of a service that can take shards.
-    fn eligible(&self, now: Duration, catalog: &Catalog, service: &str) -> usize {
+    fn eligible<'a>(
+        &self,
+        now: Duration,
+        catalog: &'a Catalog,
+        service: &str,
+    ) -> Vec<&'a InstanceId> {
         let recent = self.timing.recent();
         let is_recent = |instance: &&Instance| {
-            let heard = self
-                .servers
-                .get(&instance.id)
-                .map(|server| server.last_beat);
-            now.saturating_sub(heard.unwrap_or(self.since)) <= recent
+            let heard = self.servers.get(&instance.id);
+            let heard = heard.map_or(self.since, |server| server.last_beat);
+            now.saturating_sub(heard) <= recent
         };
         catalog
             .instances()
             .filter(|instance| instance.service == service)
             .filter(|instance| instance.state == InstanceState::Ready)
             .filter(is_recent)
-            .count()
+            .map(|instance| &instance.id)
+            .collect()
     }
 
     fn note_unowned(&mut self, now: Duration, service: &str, ownership: &ShardOwnership) {
@@ -341,5 +415,44 @@
         row.handover.clear();
     }
     rows.extend(ownership.rows(new.into_iter()));
+    fit_into_answer(&mut rows);
     rows
 }
+
+/// Tells a server to release what an answer has no room to list, as after many small moves.
+fn withhold_surplus(
+    ownership: &ShardOwnership,
+    server: &mut Server,
+    sequence: u64,
+    id: &InstanceId,
+) {
+    let kept: Vec<usize> = ownership
+        .owned_by(id)
+        .filter(|shard| !server.releasing.contains_key(shard))
+        .collect();
+    let rows = ownership.rows(kept.iter().copied());
+    let Some(first_surplus) = rows.get(MAXIMUM_ROWS) else {
+        return;
+    };
+    let is_surplus = |shard: &&usize| **shard as u32 * KEYS_PER_SHARD >= first_surplus.from;
+    let surplus = kept.iter().filter(is_surplus);
+    server
+        .releasing
+        .extend(surplus.map(|shard| (*shard, sequence)));
+}
+
+/// Keeps the rows within what an answer may hold: a handover that is left out only makes the keys
+/// slow for a while.
+fn fit_into_answer(rows: &mut [KeyRow]) {
+    let mut left = ANSWER_BYTES.saturating_sub(rows.len() * ROW_BYTES);
+    for row in rows {
+        match row.handover.len() <= left {
+            true => left -= row.handover.len(),
+            false => row.handover.clear(),
+        }
+    }
+}
+
+/// Bytes of rows that an answer may hold, and those of one row without its handover.
+const ANSWER_BYTES: usize = 3_800;
+const ROW_BYTES: usize = 23;
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -10,10 +10,13 @@
 
 mod beat;
 mod coordinator;
+mod load;
 mod placement;
 mod server;
+mod shares;
 mod timing;
 
 pub use beat::{Beat, FreedRow, Grant, HeldRow};
 pub use coordinator::{BeatOutcome, Coordinator};
+pub use load::{LoadSample, ServerSample};
 pub use timing::Timing;
--- a/crates/grants/src/server.rs
+++ b/crates/grants/src/server.rs
@@ -16,6 +16,8 @@
     pub releasing: BTreeMap<usize, u64>,
     /// When it began to drain, and how many shards it owned then.
     pub drain: Option<(Duration, usize)>,
+    /// When it was last told to give shards away for balance.
+    pub gave_at: Duration,
 }
 
 impl Server {
@@ -26,6 +28,7 @@
             lease_end: Duration::ZERO,
             releasing: BTreeMap::new(),
             drain: None,
+            gave_at: Duration::ZERO,
         }
     }
 
--- /dev/null
+++ b/crates/grants/src/shares.rs
@@ -0,0 +1,105 @@
+//! How much load each server of a service should own, by what it can take.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use grebepin_catalog::{InstanceId, ShardOwnership};
+
+use crate::load::LoadBook;
+
+/// Part of a capacity below which a server has no reason to give shards away.
+const BUSY_PART: f64 = 0.55;
+
+/// Excess over its share, as a part, that a busy server may keep.
+const TOLERATED_EXCESS: f64 = 0.2;
+
+/// Part of an excess that is given away at once.
+const GIVEN_PART: f64 = 0.8;
+
+/// Most shards that a busy server gives away at once.
+const GIVEN_AT_ONCE: usize = 40;
+
+/// The division of one service's load at a moment.
+#[derive(Debug)]
+pub(crate) struct Shares {
+    weights: Vec<f64>,
+    /// What each server that can take shards should own, in the weights' unit.
+    shares: BTreeMap<InstanceId, f64>,
+    capacities: BTreeMap<InstanceId, f64>,
+}
+
+impl Shares {
+    /// Divides the load of a service among servers in proportion to their capacities. One of which
+    /// nothing is known counts as the mean of the others.
+    pub(crate) fn new(
+        now: Duration,
+        book: &LoadBook,
+        service: &str,
+        servers: &[&InstanceId],
+    ) -> Self {
+        let weights = book.weights(now, service);
+        let known: Vec<f64> = servers.iter().filter_map(|id| book.capacity(id)).collect();
+        let mean = match known.is_empty() {
+            true => 1.0,
+            false => known.iter().sum::<f64>() / known.len() as f64,
+        };
+        let capacity = |id: &InstanceId| book.capacity(id).unwrap_or(mean);
+        let capacities: BTreeMap<InstanceId, f64> = servers
+            .iter()
+            .map(|id| ((*id).clone(), capacity(id)))
+            .collect();
+        let all: f64 = capacities.values().sum();
+        let total: f64 = weights.iter().sum();
+        let shares = capacities
+            .iter()
+            .map(|(id, capacity)| (id.clone(), total * capacity / all.max(f64::MIN_POSITIVE)))
+            .collect();
+        Self {
+            weights,
+            shares,
+            capacities,
+        }
+    }
+
+    /// Load of a shard.
+    pub(crate) fn weight(&self, shard: usize) -> f64 {
+        self.weights.get(shard).copied().unwrap_or_default()
+    }
+
+    /// Load of a server's shards.
+    pub(crate) fn owned(&self, ownership: &ShardOwnership, id: &InstanceId) -> f64 {
+        ownership.owned_by(id).map(|shard| self.weight(shard)).sum()
+    }
+
+    /// What a server may still take.
+    pub(crate) fn room(&self, ownership: &ShardOwnership, id: &InstanceId) -> f64 {
+        let share = self.shares.get(id).copied().unwrap_or_default();
+        share - self.owned(ownership, id)
+    }
+
+    /// Shards that a busy server should give away, so that others with room take them. The busiest
+    /// that fit its excess go first: few moves carry much load.
+    pub(crate) fn excess(&self, ownership: &ShardOwnership, id: &InstanceId) -> Vec<usize> {
+        let (Some(share), Some(capacity)) = (self.shares.get(id), self.capacities.get(id)) else {
+            return Vec::new();
+        };
+        let owned = self.owned(ownership, id);
+        if owned < capacity * BUSY_PART || owned < share * (1.0 + TOLERATED_EXCESS) {
+            return Vec::new();
+        }
+        let mut left = (owned - share) * GIVEN_PART;
+        let mut shards: Vec<usize> = ownership.owned_by(id).collect();
+        shards.sort_by(|one, other| self.weight(*other).total_cmp(&self.weight(*one)));
+        let mut given = Vec::new();
+        for shard in shards {
+            if given.len() >= GIVEN_AT_ONCE {
+                break;
+            }
+            if self.weight(shard) <= left {
+                left -= self.weight(shard);
+                given.push(shard);
+            }
+        }
+        given
+    }
+}
