Directory: a group over simulated disks keeps what it acknowledged

Cause: the directory's node had no test of its own for lost disks, cut, stalled and replaced replicas.

Change: tests/cluster drives real nodes on a virtual clock with simulated disks and network; seven faults, 40 seeds each, two wipes in a row, reads at a cut-off leader, a full disk.

--- /dev/null
+++ b/crates/directory/tests/cluster/mod.rs
@@ -0,0 +1,385 @@
+//! Replicas on a virtual clock: simulated disks, a network that delays, cuts and forgets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebepin_catalog::{Item, ItemChange, ItemContent, Limits, Version};
+use grebepin_directory::call::{Call, Reply};
+use grebepin_directory::node::{CallId, Node, NodeConfig, NodeInput, NodeOutput, NodeTiming};
+use grebepin_grants::Timing;
+use grebepin_schema::ReplicaId;
+use grebepin_storage::{Crash, SimulatedDisk};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const STEP: Duration = Duration::from_millis(5);
+const LINK_PORT: u16 = 7_000;
+
+/// What strikes a group.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    KillAll,
+    PowerOffAll,
+    WipeOneWhileOthersLosePower,
+    WipeLeader,
+    CutLeader,
+    StallLeader,
+    FillLeaderDisk,
+    ReplaceOne,
+}
+
+struct Replica {
+    address: SocketAddr,
+    disk: SimulatedDisk,
+    node: Option<Node<SimulatedDisk>>,
+    restarts_at: Option<Duration>,
+    stalled_until: Duration,
+    cut_until: Duration,
+    bootstrap: bool,
+    gone: bool,
+}
+
+struct Sent {
+    at: Duration,
+    to: usize,
+    from: usize,
+    input: NodeInput,
+}
+
+/// A group.
+pub struct Cluster {
+    random: SmallRng,
+    now: Duration,
+    seeds: Vec<SocketAddr>,
+    replicas: Vec<Replica>,
+    network: Vec<Sent>,
+    next_call: u64,
+    /// Calls under way: the version of a change, or for a read the version acknowledged when it began.
+    calls: BTreeMap<CallId, Pending>,
+    /// Versions acknowledged, in order.
+    pub acknowledged: Vec<u64>,
+    /// Versions read, in order.
+    pub reads: Vec<u64>,
+    /// Reads that were older than what had been acknowledged when they began.
+    pub stale_reads: u32,
+}
+
+enum Pending {
+    Change(u64),
+    Read { at_least: u64 },
+}
+
+fn address(number: usize) -> SocketAddr {
+    format!("10.0.0.{}:{LINK_PORT}", number + 1)
+        .parse()
+        .expect("well formed")
+}
+
+fn timing() -> NodeTiming {
+    NodeTiming::regional(Timing {
+        lease: Duration::from_secs(5),
+        heartbeat: Duration::from_millis(1_300),
+        drain_window: Duration::from_secs(1),
+        forget_after: Duration::from_secs(13),
+    })
+}
+
+impl Cluster {
+    pub fn new(seed: u64, count: usize) -> Self {
+        let mut cluster = Self {
+            random: SmallRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            seeds: (0..3).map(address).collect(),
+            replicas: Vec::new(),
+            network: Vec::new(),
+            next_call: 0,
+            calls: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            reads: Vec::new(),
+            stale_reads: 0,
+        };
+        for number in 0..count {
+            cluster.add_replica(number, true);
+        }
+        cluster
+    }
+
+    fn add_replica(&mut self, number: usize, bootstrap: bool) {
+        let disk = SimulatedDisk::new(self.random.random());
+        self.replicas.push(Replica {
+            address: address(number),
+            disk,
+            node: None,
+            restarts_at: Some(self.now + Duration::from_millis(self.random.random_range(0..300))),
+            stalled_until: Duration::ZERO,
+            cut_until: Duration::ZERO,
+            bootstrap,
+            gone: false,
+        });
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.restart();
+            self.deliver();
+            for number in 0..self.replicas.len() {
+                self.handle(number, Vec::new());
+            }
+        }
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |replica: &Replica| {
+            let node = replica.node.as_ref();
+            node.is_some_and(|node| node.leads_surely(self.now))
+        };
+        self.replicas.iter().position(leads)
+    }
+
+    pub fn voters(&self) -> usize {
+        let Some(node) = self.leader().and_then(|leader| self.replicas[leader].node.as_ref()) else {
+            return 0;
+        };
+        let members = &node.consensus().membership().members;
+        let is_voter = |member: &&grebepin_schema::Member| {
+            member.role == grebepin_schema::MemberRole::Voter
+        };
+        members.iter().filter(is_voter).count()
+    }
+
+    pub fn has_applied(&self, number: usize, version: u64) -> bool {
+        let node = self.replicas[number].node.as_ref();
+        node.is_some_and(|node| held_version(node) == version)
+    }
+
+    /// Sends a change to a replica drawn by lot.
+    pub fn change(&mut self, version: u64) {
+        let to = self.random.random_range(0..self.replicas.len());
+        let change = Call::ChangeItems(ItemChange {
+            upserts: vec![limits(version)],
+            removals: Vec::new(),
+        });
+        self.call(to, change, Pending::Change(version));
+    }
+
+    /// Sends a change again and again, to other replicas, as an operator does.
+    pub fn change_until_acknowledged(&mut self, version: u64) {
+        for _ in 0..40 {
+            self.change(version);
+            self.run(Duration::from_millis(300));
+            if self.acknowledged.contains(&version) {
+                return;
+            }
+        }
+        panic!("version {version} was never acknowledged");
+    }
+
+    /// Reads at every replica.
+    pub fn read(&mut self) {
+        for number in 0..self.replicas.len() {
+            self.read_at(number);
+        }
+    }
+
+    pub fn read_at(&mut self, number: usize) {
+        let at_least = self.acknowledged.iter().copied().max().unwrap_or(0);
+        self.call(number, Call::ReadItems, Pending::Read { at_least });
+    }
+
+    fn call(&mut self, to: usize, call: Call, pending: Pending) {
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        self.calls.insert(id, pending);
+        self.handle(to, vec![NodeInput::Call { id, call }]);
+    }
+
+    pub fn strike(&mut self, fault: Fault) {
+        let leader = self.leader().unwrap_or(0);
+        match fault {
+            Fault::KillAll => self.for_all(|cluster, number| cluster.kill(number, Crash::KeepAll)),
+            Fault::PowerOffAll => {
+                self.for_all(|cluster, number| cluster.kill(number, Crash::TearWrites));
+            }
+            Fault::WipeOneWhileOthersLosePower => {
+                let wiped = self.random.random_range(0..self.replicas.len());
+                self.for_all(|cluster, number| cluster.kill(number, Crash::LoseUnsynced));
+                self.wipe(wiped);
+            }
+            Fault::WipeLeader => {
+                self.kill(leader, Crash::LoseUnsynced);
+                self.wipe(leader);
+            }
+            Fault::CutLeader => {
+                self.replicas[leader].cut_until = self.now + Duration::from_secs(5);
+            }
+            Fault::StallLeader => {
+                self.replicas[leader].stalled_until = self.now + Duration::from_secs(4);
+            }
+            Fault::FillLeaderDisk => self.replicas[leader].disk.set_capacity(Some(0)),
+            Fault::ReplaceOne => {
+                let number = self.replicas.len();
+                self.kill(leader, Crash::LoseUnsynced);
+                self.replicas[leader].gone = true;
+                self.add_replica(number, false);
+            }
+        }
+    }
+
+    fn for_all(&mut self, strike: impl Fn(&mut Self, usize)) {
+        for number in 0..self.replicas.len() {
+            strike(self, number);
+        }
+    }
+
+    fn kill(&mut self, number: usize, crash: Crash) {
+        let back = self.now + Duration::from_millis(self.random.random_range(300..1_000));
+        let replica = &mut self.replicas[number];
+        replica.node = None;
+        replica.disk.crash(crash);
+        replica.bootstrap = false;
+        replica.restarts_at = Some(back);
+        self.network.retain(|sent| sent.from != number && sent.to != number);
+    }
+
+    fn wipe(&mut self, number: usize) {
+        self.replicas[number].disk.wipe();
+    }
+
+    fn restart(&mut self) {
+        for number in 0..self.replicas.len() {
+            let replica = &self.replicas[number];
+            let is_due = replica.restarts_at.is_some_and(|at| at <= self.now) && !replica.gone;
+            if is_due {
+                self.start(number);
+            }
+        }
+    }
+
+    fn start(&mut self, number: usize) {
+        let fresh = ReplicaId(self.random.random::<u64>() & !1);
+        let random_seed = self.random.random();
+        let replica = &mut self.replicas[number];
+        replica.restarts_at = None;
+        let config = NodeConfig {
+            zone: "z".to_owned(),
+            link_address: replica.address,
+            control_address: SocketAddr::new(replica.address.ip(), 8_000),
+            seeds: self.seeds.clone(),
+            bootstrap: replica.bootstrap,
+            fresh_replica: fresh,
+            random_seed,
+            timing: timing(),
+        };
+        let node = Node::open(config, replica.disk.clone(), self.now);
+        replica.node = Some(node.expect("the folder opens"));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<Sent>, Vec<Sent>) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition(|sent| sent.at <= now);
+        self.network = later;
+        for sent in due {
+            self.handle(sent.to, vec![sent.input]);
+        }
+    }
+
+    fn is_cut(&self, number: usize) -> bool {
+        self.replicas[number].cut_until > self.now
+    }
+
+    fn handle(&mut self, number: usize, inputs: Vec<NodeInput>) {
+        let now = self.now;
+        let replica = &mut self.replicas[number];
+        if replica.stalled_until > now {
+            // The process waits for its disk; what was sent to it waits as well.
+            let at = replica.stalled_until;
+            let late = inputs.into_iter().map(|input| Sent {
+                at,
+                to: number,
+                from: number,
+                input,
+            });
+            self.network.extend(late);
+            return;
+        }
+        let Some(node) = &mut replica.node else {
+            return;
+        };
+        match node.handle(&mut || now, inputs) {
+            Ok(outputs) => {
+                for output in outputs {
+                    self.carry_out(number, output);
+                }
+            }
+            Err(_) => replica.node = None,
+        }
+    }
+
+    fn carry_out(&mut self, from: usize, output: NodeOutput) {
+        match output {
+            NodeOutput::Peer { address, frame } => {
+                self.send(from, &address, NodeInput::Peer(frame));
+            }
+            NodeOutput::Relay {
+                id, address, call, ..
+            } => self.send(from, &address, NodeInput::Call { id, call }),
+            NodeOutput::Reply { id, reply } => self.take_reply(id, &reply),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, address: &str, input: NodeInput) {
+        let is_there = |replica: &Replica| replica.address.to_string() == address && !replica.gone;
+        let Some(to) = self.replicas.iter().position(is_there) else {
+            return;
+        };
+        if to == from || self.is_cut(from) || self.is_cut(to) {
+            return;
+        }
+        let delay = Duration::from_millis(self.random.random_range(1..12));
+        let at = self.now + delay;
+        self.network.push(Sent { at, to, from, input });
+    }
+
+    fn take_reply(&mut self, id: CallId, reply: &Reply) {
+        match (self.calls.remove(&id), reply) {
+            (Some(Pending::Change(version)), Reply::Changed) => {
+                if !self.acknowledged.contains(&version) {
+                    self.acknowledged.push(version);
+                }
+            }
+            (Some(Pending::Read { at_least }), Reply::Items(items)) => {
+                let version = items.iter().filter_map(|item| item.document.parse().ok()).max();
+                let version = version.unwrap_or(0);
+                self.stale_reads += u32::from(version < at_least);
+                self.reads.push(version);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn limits(version: u64) -> Item {
+    Item {
+        name: String::new(),
+        version: Version(version),
+        content: ItemContent::Limits(Limits {
+            header_bytes: 1_000,
+            body_bytes: 1_000,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        }),
+        document: version.to_string(),
+    }
+}
+
+fn held_version(node: &Node<SimulatedDisk>) -> u64 {
+    let items = node.catalog().items();
+    let limits = items.get(grebepin_catalog::ItemKind::Limits, "");
+    limits.map_or(0, |item| item.version.0)
+}
--- /dev/null
+++ b/crates/directory/tests/replication.rs
@@ -0,0 +1,112 @@
+//! A group of replicas over simulated disks and a simulated network: what was acknowledged stays,
+//! whatever is lost, and a read is never older than an acknowledgement.
+
+mod cluster;
+
+use cluster::{Cluster, Fault};
+use std::time::Duration;
+
+const SEEDS: std::ops::Range<u64> = 0..40;
+
+fn seconds(number: f64) -> Duration {
+    Duration::from_secs_f64(number)
+}
+
+#[test]
+fn three_seeds_found_one_group_and_take_a_change() {
+    for seed in SEEDS {
+        let mut cluster = Cluster::new(seed, 3);
+        cluster.run(seconds(3.0));
+        cluster.change(1);
+        cluster.run(seconds(2.0));
+        assert_eq!(cluster.acknowledged, vec![1], "seed {seed}");
+        assert_eq!(cluster.voters(), 3, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_fourth_replica_learns_and_does_not_vote() {
+    let mut cluster = Cluster::new(7, 4);
+    cluster.run(seconds(6.0));
+    cluster.change(1);
+    cluster.run(seconds(2.0));
+    assert_eq!(cluster.voters(), 3);
+    assert!(cluster.has_applied(3, 1), "the learner holds the change as well");
+}
+
+#[test]
+fn what_was_acknowledged_survives_every_fault() {
+    let faults = [
+        Fault::KillAll,
+        Fault::PowerOffAll,
+        Fault::WipeOneWhileOthersLosePower,
+        Fault::WipeLeader,
+        Fault::CutLeader,
+        Fault::StallLeader,
+        Fault::ReplaceOne,
+    ];
+    for fault in faults {
+        for seed in SEEDS {
+            let mut cluster = Cluster::new(seed, 3);
+            cluster.run(seconds(3.0));
+            cluster.change_until_acknowledged(1);
+            cluster.strike(fault);
+            cluster.run(seconds(9.0));
+            cluster.change_until_acknowledged(2);
+            cluster.read();
+            cluster.run(seconds(3.0));
+            let newest = cluster.reads.last().copied();
+            assert_eq!(newest, Some(2), "{fault:?}, seed {seed}");
+            assert_eq!(cluster.stale_reads, 0, "{fault:?}, seed {seed}");
+            assert_eq!(cluster.voters(), 3, "{fault:?}, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn two_disks_may_be_lost_one_after_the_other() {
+    for seed in SEEDS {
+        let mut cluster = Cluster::new(seed, 3);
+        cluster.run(seconds(3.0));
+        cluster.change_until_acknowledged(1);
+        cluster.strike(Fault::WipeLeader);
+        cluster.run(seconds(6.0));
+        cluster.strike(Fault::WipeLeader);
+        cluster.run(seconds(6.0));
+        cluster.strike(Fault::PowerOffAll);
+        cluster.run(seconds(6.0));
+        cluster.read();
+        cluster.run(seconds(2.0));
+        assert_eq!(cluster.reads.last(), Some(&1), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_cut_off_leader_answers_no_read() {
+    for seed in SEEDS {
+        let mut cluster = Cluster::new(seed, 3);
+        cluster.run(seconds(3.0));
+        cluster.change_until_acknowledged(1);
+        let old = cluster.leader().expect("a leader");
+        cluster.strike(Fault::CutLeader);
+        cluster.read_at(old);
+        cluster.run(seconds(2.0));
+        cluster.change_until_acknowledged(2);
+        cluster.read_at(old);
+        cluster.run(seconds(0.4));
+        assert_eq!(cluster.stale_reads, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_full_disk_stops_a_replica_and_not_the_group() {
+    for seed in SEEDS {
+        let mut cluster = Cluster::new(seed, 3);
+        cluster.run(seconds(3.0));
+        cluster.change_until_acknowledged(1);
+        cluster.strike(Fault::FillLeaderDisk);
+        cluster.run(seconds(3.0));
+        cluster.change_until_acknowledged(2);
+        assert_eq!(cluster.acknowledged, vec![1, 2], "seed {seed}");
+    }
+}
