--- a/crates/directory/src/daemon/peers.rs
+++ b/crates/directory/src/daemon/peers.rs
@@ -1,6 +1,7 @@
 //! Connections that this replica opens to others.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use grebepin_reactor::{encode_frame, take_frame, Connection, ReadOutcome};
@@ -38,9 +39,18 @@
     by_token: HashMap<Token, PeerConnection>,
     by_address: HashMap<String, Token>,
     retry_at: HashMap<String, Duration>,
+    source: Option<IpAddr>,
 }
 
 impl Peers {
+    /// No connections yet; they come from `source` where it is given.
+    pub(super) fn new(source: Option<IpAddr>) -> Self {
+        Self {
+            source,
+            ..Self::default()
+        }
+    }
+
     /// Whether a token names one of these connections.
     pub(super) fn owns(&self, token: Token) -> bool {
         self.by_token.contains_key(&token)
@@ -80,7 +90,7 @@
         let Ok(parsed) = address.parse() else {
             return false;
         };
-        let Ok(connection) = Connection::connect(parsed, registry, token) else {
+        let Ok(connection) = Connection::connect(parsed, self.source, registry, token) else {
             self.retry_at.insert(address.to_owned(), now + RETRY_PAUSE);
             return false;
         };
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -91,8 +91,8 @@
     pub(super) fn start(path: &Path, dialect: &'a dyn Dialect) -> Result<Self, DirectoryError> {
         let settings = DirectorySettings::load(path)?;
         let poll = Poll::new()?;
-        let mut control = TcpListener::bind(settings.control_address)?;
-        let mut links = TcpListener::bind(settings.link_address())?;
+        let mut control = TcpListener::bind(settings.bind_address(settings.control_address))?;
+        let mut links = TcpListener::bind(settings.bind_address(settings.link_address()))?;
         let registry = poll.registry();
         registry.register(&mut control, CONTROL_LISTENER, Interest::READABLE)?;
         registry.register(&mut links, LINK_LISTENER, Interest::READABLE)?;
@@ -111,6 +111,7 @@
         Ok(Self {
             settings_path: path.to_owned(),
             feeder: Feeder::new(settings.link_mbps),
+            peers: Peers::new(settings.bind_ip),
             settings,
             settings_changed: changed_at(path),
             dialect,
@@ -123,7 +124,6 @@
             https: HashMap::new(),
             waiting_callers: VecDeque::new(),
             inbound: HashMap::new(),
-            peers: Peers::default(),
             calls: Calls::default(),
             inputs: Vec::new(),
             next_head: Duration::ZERO,
--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -56,6 +56,9 @@
     pub zone: String,
     /// Address for operators and servers.
     pub control_address: SocketAddr,
+    /// Address to listen on and to connect from, where it is not the one that others use.
+    #[serde(default)]
+    pub bind_ip: Option<IpAddr>,
     /// Port at which all replicas and gateways speak to each other.
     pub link_port: u16,
     /// Control addresses of replicas that are likely to be there.
@@ -128,6 +131,11 @@
         SocketAddr::new(self.control_address.ip(), self.link_port)
     }
 
+    /// Where to listen for what others reach at `address`.
+    pub fn bind_address(&self, address: SocketAddr) -> SocketAddr {
+        SocketAddr::new(self.bind_ip.unwrap_or(address.ip()), address.port())
+    }
+
     /// Internal addresses of the seeds.
     pub fn seed_links(&self) -> Vec<SocketAddr> {
         link_addresses(&self.seeds, self.link_port)
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -140,13 +140,15 @@
     }
 
     pub fn voters(&self) -> usize {
-        let Some(node) = self.leader().and_then(|leader| self.replicas[leader].node.as_ref()) else {
+        let Some(node) = self
+            .leader()
+            .and_then(|leader| self.replicas[leader].node.as_ref())
+        else {
             return 0;
         };
         let members = &node.consensus().membership().members;
-        let is_voter = |member: &&grebepin_schema::Member| {
-            member.role == grebepin_schema::MemberRole::Voter
-        };
+        let is_voter =
+            |member: &&grebepin_schema::Member| member.role == grebepin_schema::MemberRole::Voter;
         members.iter().filter(is_voter).count()
     }
 
@@ -241,7 +243,8 @@
         replica.disk.crash(crash);
         replica.bootstrap = false;
         replica.restarts_at = Some(back);
-        self.network.retain(|sent| sent.from != number && sent.to != number);
+        self.network
+            .retain(|sent| sent.from != number && sent.to != number);
     }
 
     fn wipe(&mut self, number: usize) {
@@ -343,7 +346,12 @@
         }
         let delay = Duration::from_millis(self.random.random_range(1..12));
         let at = self.now + delay;
-        self.network.push(Sent { at, to, from, input });
+        self.network.push(Sent {
+            at,
+            to,
+            from,
+            input,
+        });
     }
 
     fn take_reply(&mut self, id: CallId, reply: &Reply) {
@@ -354,7 +362,10 @@
                 }
             }
             (Some(Pending::Read { at_least }), Reply::Items(items)) => {
-                let version = items.iter().filter_map(|item| item.document.parse().ok()).max();
+                let version = items
+                    .iter()
+                    .filter_map(|item| item.document.parse().ok())
+                    .max();
                 let version = version.unwrap_or(0);
                 self.stale_reads += u32::from(version < at_least);
                 self.reads.push(version);
--- a/crates/directory/tests/replication.rs
+++ b/crates/directory/tests/replication.rs
@@ -31,7 +31,10 @@
     cluster.change(1);
     cluster.run(seconds(2.0));
     assert_eq!(cluster.voters(), 3);
-    assert!(cluster.has_applied(3, 1), "the learner holds the change as well");
+    assert!(
+        cluster.has_applied(3, 1),
+        "the learner holds the change as well"
+    );
 }
 
 #[test]
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,7 +1,7 @@
 //! Links to the directory's replicas; the one that surely leads feeds this gateway.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use grebepin_catalog::{Catalog, Entry};
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub struct Directory {
     node: String,
+    source: Option<IpAddr>,
     seeds: Vec<String>,
     hints: BTreeMap<String, Duration>,
     links: BTreeMap<Token, Link>,
@@ -72,8 +73,9 @@
 
 impl Directory {
     /// No links yet.
-    pub fn new(node: &str, seeds: &[SocketAddr]) -> Self {
+    pub fn new(node: &str, seeds: &[SocketAddr], source: Option<IpAddr>) -> Self {
         Self {
+            source,
             node: node.to_owned(),
             seeds: seeds.iter().map(ToString::to_string).collect(),
             hints: BTreeMap::new(),
@@ -117,7 +119,7 @@
             let begun = address
                 .parse()
                 .ok()
-                .and_then(|parsed| Connection::connect(parsed, registry, token).ok());
+                .and_then(|parsed| Connection::connect(parsed, self.source, registry, token).ok());
             self.retry_at.insert(address.clone(), now + RETRY_PAUSE);
             let Some(connection) = begun else {
                 continue;
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -358,7 +358,9 @@
         }
         let address = server.address.parse().ok()?;
         let token = self.fresh_token();
-        let connection = Connection::connect(address, self.poll.registry(), token).ok()?;
+        let connection =
+            Connection::connect(address, self.settings.bind_ip, self.poll.registry(), token)
+                .ok()?;
         connection.limit_silence(SILENCE_LIMIT);
         self.balance.connection_opened(&server.id);
         let upstream = Upstream {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,21 +7,21 @@
 //! sending did not run; an answer reaches the client only whole, and only if it carries the id of
 //! its request; a request that is given up is answered at once.
 
-mod answers;
-mod balance;
-mod budget;
+pub mod answers;
+pub mod balance;
+pub mod budget;
 mod clients;
 mod flight;
 mod follow;
 mod forwarding;
 mod headers;
-mod load;
+pub mod load;
 mod server;
 mod settings;
-mod stopping;
-mod table;
+pub mod stopping;
+pub mod table;
 mod upstreams;
-mod verdict;
+pub mod verdict;
 
 use std::path::Path;
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -108,8 +108,8 @@
     pub fn start(path: &Path, names: HeaderNames) -> Result<Self, GatewayError> {
         let settings = GatewaySettings::load(path)?;
         let poll = Poll::new()?;
-        let mut front = TcpListener::bind(settings.front_address)?;
-        let mut ready = TcpListener::bind(settings.ready_address)?;
+        let mut front = TcpListener::bind(settings.bind_address(settings.front_address))?;
+        let mut ready = TcpListener::bind(settings.bind_address(settings.ready_address))?;
         let registry = poll.registry();
         registry.register(&mut front, FRONT_LISTENER, Interest::READABLE)?;
         registry.register(&mut ready, READY_LISTENER, Interest::READABLE)?;
@@ -131,7 +131,7 @@
         Ok(Self {
             settings_path: path.to_owned(),
             settings_changed: changed_at(path),
-            directory: Directory::new(&settings.node, &settings.seed_links()),
+            directory: Directory::new(&settings.node, &settings.seed_links(), settings.bind_ip),
             settings,
             names,
             poll,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway: a TOML file, checked whole at the start and at each reload.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
@@ -19,6 +19,9 @@
     pub front_address: SocketAddr,
     /// Address that tells whether the gateway wants clients.
     pub ready_address: SocketAddr,
+    /// Address to listen on and to connect from, where it is not the one that others use.
+    #[serde(default)]
+    pub bind_ip: Option<IpAddr>,
     /// Port at which directory replicas take links.
     pub link_port: u16,
     /// Control addresses of directory replicas that are likely to be there.
@@ -85,6 +88,11 @@
         Ok(())
     }
 
+    /// Where to listen for what others reach at `address`.
+    pub fn bind_address(&self, address: SocketAddr) -> SocketAddr {
+        SocketAddr::new(self.bind_ip.unwrap_or(address.ip()), address.port())
+    }
+
     /// Internal addresses of the seeds.
     pub fn seed_links(&self) -> Vec<SocketAddr> {
         link_addresses(&self.seeds, self.link_port)
--- /dev/null
+++ b/crates/gateway/tests/policies.rs
@@ -0,0 +1,157 @@
+//! Budgets, balance and limits, division by weight, stopping.
+
+use std::time::Duration;
+
+use grebepin_catalog::{Instance, InstanceId, InstanceState, RequestKind, Route, WeightedService};
+use grebepin_gateway::balance::Balance;
+use grebepin_gateway::budget::{BudgetBound, Budgets};
+use grebepin_gateway::stopping::Stopping;
+use grebepin_gateway::table::Splitter;
+use proptest::prelude::*;
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn instance(name: &str, zone: &str) -> Instance {
+    Instance {
+        id: InstanceId(name.to_owned()),
+        service: "s".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: zone.to_owned(),
+        slots: 2,
+        state: InstanceState::Ready,
+    }
+}
+
+fn chosen(balance: &Balance, servers: &[Instance], now: Duration) -> Option<String> {
+    let server = balance.choose(servers.iter(), "here", now, &mut || 0.5);
+    server.map(|server| server.id.0.clone())
+}
+
+#[test]
+fn all_gateways_together_stay_within_the_bound_on_second_sendings() {
+    let bound = BudgetBound {
+        ratio: 0.2,
+        window: ms(10_000),
+        slack: 56.0,
+    };
+    let gateways = 8;
+    let mut all = 0;
+    for _ in 0..gateways {
+        let mut budgets = Budgets::new(bound);
+        budgets.set_gateways(gateways);
+        for number in 0..100_u64 {
+            budgets.note_request("s", ms(number * 100));
+        }
+        all += (0..1_000).filter(|_| budgets.take("s", ms(9_999))).count();
+    }
+    let allowed = 0.2 * 100.0 * f64::from(gateways) + 56.0;
+    assert!(all > 0 && (all as f64) < allowed, "{all} of {allowed}");
+}
+
+#[test]
+fn a_budget_comes_back_with_time() {
+    let bound = BudgetBound {
+        ratio: 0.0,
+        window: ms(1_000),
+        slack: 2.0,
+    };
+    let mut budgets = Budgets::new(bound);
+    assert!(budgets.take("s", ms(0)));
+    assert!(!budgets.take("s", ms(500)));
+    assert!(budgets.take("s", ms(1_001)));
+}
+
+#[test]
+fn a_server_out_of_reach_is_set_aside_for_a_growing_time_and_used_when_no_other_is_left() {
+    let servers = [instance("a", "here"), instance("b", "there")];
+    let mut balance = Balance::default();
+    assert_eq!(
+        chosen(&balance, &servers, ms(0)).as_deref(),
+        Some("a"),
+        "the same zone first"
+    );
+    let first = balance.failed(&servers[0].id, ms(0));
+    let second = balance.failed(&servers[0].id, ms(0));
+    assert!(second > first);
+    assert_eq!(chosen(&balance, &servers, ms(1)).as_deref(), Some("b"));
+    balance.failed(&servers[1].id, ms(0));
+    assert!(chosen(&balance, &servers, ms(1)).is_some());
+    assert_eq!(chosen(&balance, &servers, ms(5_000)).as_deref(), Some("a"));
+}
+
+#[test]
+fn a_slow_server_gets_fewer_requests() {
+    let servers = [instance("slow", "here"), instance("fast", "here")];
+    let mut balance = Balance::default();
+    for number in 0..50 {
+        balance.answered(&servers[0].id, ms(number), ms(400), ms(300));
+        balance.answered(&servers[1].id, ms(number), ms(50), ms(300));
+    }
+    assert_eq!(chosen(&balance, &servers, ms(60)).as_deref(), Some("fast"));
+}
+
+#[test]
+fn a_limit_shrinks_with_overload_and_grows_with_good_answers() {
+    let servers = [instance("a", "here")];
+    let id = &servers[0].id;
+    let mut balance = Balance::default();
+    for number in 0..20 {
+        balance.overloaded(id, ms(number * 200));
+    }
+    balance.begin(id);
+    assert!(balance.has_room(id), "two at a time are always allowed");
+    balance.begin(id);
+    assert!(!balance.has_room(id));
+    assert_eq!(chosen(&balance, &servers, ms(5_000)), None);
+    for number in 0..20 {
+        balance.answered(id, ms(5_000 + number), ms(50), ms(300));
+    }
+    assert!(balance.has_room(id));
+}
+
+#[test]
+fn a_stopping_gateway_serves_on_and_ends_before_it_is_killed() {
+    let stopping = Stopping::new(ms(1_000), ms(6_000));
+    assert!(!stopping.closes_idle(ms(3_000)));
+    assert!(!stopping.is_over(ms(3_000), 0, 0), "clients may still come");
+    assert!(stopping.is_over(ms(3_700), 0, 0));
+    assert!(!stopping.is_over(ms(3_700), 1, 1), "a request is under way");
+    assert!(stopping.is_over(ms(6_700), 1, 1));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
+
+    /// After any number of requests each part is within one request of its weight's share.
+    #[test]
+    fn requests_are_divided_by_weight(weights in prop::collection::vec(0_u32..100, 1..5)) {
+        prop_assume!(weights.iter().any(|weight| *weight > 0));
+        let targets = weights.iter().map(|weight| WeightedService {
+            service: "s".to_owned(),
+            weight: *weight,
+        });
+        let route = Route {
+            host: "h".to_owned(),
+            prefix: "/".to_owned(),
+            kind: RequestKind::Safe,
+            target_latency: ms(100),
+            timeout: ms(1_000),
+            maximum_attempts: 2,
+            priority: 0,
+            targets: targets.collect(),
+        };
+        let total: u32 = weights.iter().sum();
+        let mut splitter = Splitter::default();
+        let mut counts = vec![0_u32; weights.len()];
+        for sent in 1..=300_u32 {
+            counts[splitter.next("r", &route)] += 1;
+            for (count, weight) in counts.iter().zip(&weights) {
+                let wanted = f64::from(sent) * f64::from(*weight) / f64::from(total);
+                let off = (f64::from(*count) - wanted).abs();
+                prop_assert!(off <= weights.len() as f64, "{counts:?} of {weights:?}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/verdict.rs
@@ -0,0 +1,73 @@
+//! What each answer of a server proves, and when a request may be sent again.
+
+use grebepin_catalog::RequestKind;
+use grebepin_gateway::verdict::{belongs, judge, may_repeat, Verdict};
+use grebepin_gateway::HeaderNames;
+use grebepin_reactor::http::{Fields, Response};
+
+const NAMES: HeaderNames = HeaderNames {
+    request_id: "X-Id",
+    deadline_ms: "X-Deadline",
+    signature: "X-Signature",
+    expected_instance: "X-Expected",
+    not_executed: "X-Not-Run",
+    shard_key: "X-Key",
+};
+
+fn response(status: u16, fields: &[(&str, &str)]) -> Response {
+    let mut list = Fields::default();
+    for (name, value) in fields {
+        list.push(name, value.as_bytes());
+    }
+    Response {
+        status,
+        fields: list,
+        body: Vec::new(),
+        keeps_alive: true,
+    }
+}
+
+#[test]
+fn each_answer_proves_what_it_says_and_no_more() {
+    let signed = [("X-Signature", "s")];
+    let not_run = [("X-Not-Run", "1")];
+    let encoded = [("X-Signature", "s"), ("Content-Encoding", "gzip")];
+    let cases: [(u16, &[(&str, &str)], Verdict); 12] = [
+        (200, &signed, Verdict::Final),
+        (200, &[], Verdict::Unknown),
+        (200, &encoded, Verdict::Unknown),
+        (404, &signed, Verdict::Final),
+        (500, &signed, Verdict::Failed),
+        (504, &[], Verdict::Failed),
+        (503, &not_run, Verdict::NotRun),
+        (429, &not_run, Verdict::NotRun),
+        (400, &not_run, Verdict::NotRun),
+        (503, &signed, Verdict::Unknown),
+        (408, &[], Verdict::Unknown),
+        (421, &[], Verdict::NotOwner),
+    ];
+    for (status, fields, verdict) in cases {
+        let judged = judge(&response(status, fields), &NAMES);
+        assert_eq!(judged, verdict, "{status} {fields:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_request_is_repeated_only_after_proof() {
+    for verdict in [Verdict::Final, Verdict::Failed, Verdict::Unknown] {
+        assert!(!may_repeat(verdict, RequestKind::Unsafe), "{verdict:?}");
+    }
+    for verdict in [Verdict::NotRun, Verdict::NotOwner] {
+        assert!(may_repeat(verdict, RequestKind::Unsafe), "{verdict:?}");
+    }
+    assert!(may_repeat(Verdict::Unknown, RequestKind::Safe));
+    assert!(!may_repeat(Verdict::Final, RequestKind::Safe));
+}
+
+#[test]
+fn an_answer_belongs_to_the_request_whose_id_it_carries() {
+    assert!(belongs(&response(200, &[("X-Id", "a")]), "a", &NAMES));
+    assert!(!belongs(&response(200, &[("X-Id", "b")]), "a", &NAMES));
+    assert!(!belongs(&response(200, &[]), "a", &NAMES));
+    assert!(belongs(&response(503, &[]), "a", &NAMES));
+}
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -1,12 +1,12 @@
 //! One non-blocking TCP connection with its buffers, registered edge-triggered.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
-use socket2::SockRef;
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 /// Bytes asked for in one read.
 const READ_BYTES: usize = 16 << 10;
@@ -51,12 +51,22 @@
         })
     }
 
-    /// Begins to connect and registers the connection under `token`.
+    /// Begins to connect, from the address `source` where one is given, and registers the connection
+    /// under `token`.
     ///
     /// # Errors
     /// The system refuses at once, such as for want of descriptors.
-    pub fn connect(address: SocketAddr, registry: &Registry, token: Token) -> io::Result<Self> {
-        Self::register(TcpStream::connect(address)?, registry, token)
+    pub fn connect(
+        address: SocketAddr,
+        source: Option<IpAddr>,
+        registry: &Registry,
+        token: Token,
+    ) -> io::Result<Self> {
+        let stream = match source {
+            None => TcpStream::connect(address)?,
+            Some(source) => connect_from(source, address)?,
+        };
+        Self::register(stream, registry, token)
     }
 
     /// Whether a connection that was begun is up: `Ok(false)` while it still connects.
@@ -162,3 +172,23 @@
         self.stream.peer_addr().ok()
     }
 }
+
+fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Ok(()) => {}
+        Err(error) if error.raw_os_error() == Some(CONNECTION_IN_PROGRESS) => {}
+        Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+        Err(error) => return Err(error),
+    }
+    Ok(TcpStream::from_std(socket.into()))
+}
+
+/// Error number of a connection that is not up yet (`EINPROGRESS` on Linux).
+const CONNECTION_IN_PROGRESS: i32 = 115;
