--- a/crates/directory/src/call.rs
+++ b/crates/directory/src/call.rs
@@ -74,6 +74,21 @@
     Unavailable(UnavailableReason),
 }
 
+impl Reply {
+    /// Short name of the outcome, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Heartbeat { grant: Some(_), .. } => "granted",
+            Self::Heartbeat { grant: None, .. } => "acknowledged",
+            Self::Left => "left",
+            Self::Changed => "changed",
+            Self::Invalid(_) => "invalid",
+            Self::Items(_) => "read",
+            Self::Unavailable(_) => "unavailable",
+        }
+    }
+}
+
 /// Why no answer could be given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UnavailableReason {
--- a/crates/directory/src/daemon/calls.rs
+++ b/crates/directory/src/daemon/calls.rs
@@ -30,28 +30,28 @@
 #[derive(Debug, Default)]
 pub(super) struct Calls {
     next: u64,
-    origins: HashMap<CallId, Origin>,
+    origins: HashMap<CallId, (Origin, Duration)>,
     relayed: HashMap<CallId, Relayed>,
 }
 
 impl Calls {
     /// Takes in a call.
-    pub(super) fn begin(&mut self, origin: Origin) -> CallId {
+    pub(super) fn begin(&mut self, now: Duration, origin: Origin) -> CallId {
         self.next += 1;
         let id = CallId(self.next);
-        self.origins.insert(id, origin);
+        self.origins.insert(id, (origin, now));
         id
     }
 
-    /// Ends a call; where its reply goes.
-    pub(super) fn end(&mut self, id: CallId) -> Option<Origin> {
+    /// Ends a call; where its reply goes, and when it began.
+    pub(super) fn end(&mut self, id: CallId) -> Option<(Origin, Duration)> {
         self.relayed.remove(&id);
         self.origins.remove(&id)
     }
 
     /// Where a call came from.
     pub(super) fn origin(&self, id: CallId) -> Option<Origin> {
-        self.origins.get(&id).copied()
+        self.origins.get(&id).map(|(origin, _)| *origin)
     }
 
     /// Notes that the leader was asked.
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -1,12 +1,12 @@
 //! Log lines for what the node decided.
 
 use grebepin_catalog::Effects;
-use grebepin_telemetry::{event, Event};
+use grebepin_telemetry::{event, DirectoryMetrics, Event};
 
 use crate::node::Notice;
 
 /// Logs one notice.
-pub(super) fn log_notice(notice: &Notice) {
+pub(super) fn log_notice(notice: &Notice, metrics: &DirectoryMetrics) {
     match notice {
         Notice::Founded => event!(Event::DirectoryFounded),
         Notice::Leads { term } => event!(Event::DirectoryLeads, term = term),
@@ -21,12 +21,12 @@
             voters = voters.join(","),
             learners = learners
         ),
-        Notice::Effects { index, effects } => log_effects(*index, effects),
+        Notice::Effects { index, effects } => log_effects(*index, effects, metrics),
         Notice::TornTailCut { bytes } => event!(Event::TornTailCut, bytes = bytes),
     }
 }
 
-fn log_effects(index: u64, effects: &Effects) {
+fn log_effects(index: u64, effects: &Effects, metrics: &DirectoryMetrics) {
     if !effects.items.is_empty() {
         let count = effects.items.len();
         let first = &effects.items[0].name;
@@ -45,6 +45,7 @@
     }
     for change in &effects.shards {
         if let (Some(first), Some(last)) = (change.shards.first(), change.shards.last()) {
+            metrics.note_shards(&change.service, change.assigned, change.shards.len());
             event!(
                 Event::ShardsMoved,
                 index = index,
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -32,6 +32,9 @@
     /// The data folder can't be opened.
     #[error("data folder: {0}")]
     Disk(#[from] DiskError),
+    /// The metrics can't be registered.
+    #[error("metrics: {0}")]
+    Metrics(#[from] grebepin_telemetry::MetricsError),
     /// The replica can't go on.
     #[error(transparent)]
     Node(#[from] NodeError),
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -1,16 +1,18 @@
 //! The event loop.
 
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use grebepin_catalog::InstanceState;
 use grebepin_grants::Timing;
-use grebepin_reactor::{encode_frame, Connection};
+use grebepin_reactor::{encode_frame, Connection, TextAnswer, TextServer};
 use grebepin_schema::ReplicaId;
 use grebepin_storage::{RealDisk, StorageError};
-use grebepin_telemetry::{event, Event};
+use grebepin_telemetry::{event, DirectoryMetrics, Event, Metrics};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGTERM};
@@ -30,7 +32,8 @@
 
 const CONTROL_LISTENER: Token = Token(0);
 const LINK_LISTENER: Token = Token(1);
-const FIRST_CONNECTION: usize = 2;
+const METRICS_LISTENER: Token = Token(2);
+const FIRST_CONNECTION: usize = 3;
 
 /// Events taken from the system at once.
 const EVENT_BATCH: usize = 256;
@@ -71,6 +74,9 @@
     poll: Poll,
     control: TcpListener,
     links: TcpListener,
+    metrics_server: Option<TextServer>,
+    registered: Metrics,
+    metrics: DirectoryMetrics,
     node: Node<RealDisk>,
     started: Instant,
     next_token: usize,
@@ -96,6 +102,16 @@
         let registry = poll.registry();
         registry.register(&mut control, CONTROL_LISTENER, Interest::READABLE)?;
         registry.register(&mut links, LINK_LISTENER, Interest::READABLE)?;
+        let metrics_server = match settings.metrics_port {
+            0 => None,
+            port => {
+                let address = SocketAddr::new(settings.control_address.ip(), port);
+                let address = settings.bind_address(address);
+                Some(TextServer::listen(address, registry, METRICS_LISTENER)?)
+            }
+        };
+        let registered = Metrics::new();
+        let metrics = DirectoryMetrics::register(&registered)?;
         let stop = Arc::new(AtomicBool::new(false));
         let reload = Arc::new(AtomicBool::new(false));
         signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
@@ -118,6 +134,9 @@
             poll,
             control,
             links,
+            metrics_server,
+            registered,
+            metrics,
             node,
             started: Instant::now(),
             next_token: FIRST_CONNECTION,
@@ -188,6 +207,14 @@
             CONTROL_LISTENER => self.accept_callers(now),
             LINK_LISTENER => self.accept_links(now),
             token if self.inbound.contains_key(&token) => self.on_link(now, token),
+            token
+                if self
+                    .metrics_server
+                    .as_ref()
+                    .is_some_and(|one| one.owns(token)) =>
+            {
+                self.on_metrics(now, token);
+            }
             token if self.peers.owns(token) => {
                 for frame in self.peers.on_event(now, token) {
                     self.on_peer_frame(frame);
@@ -197,6 +224,34 @@
         }
     }
 
+    fn on_metrics(&mut self, now: Duration, token: Token) {
+        self.measure(now);
+        let body = self.registered.render().unwrap_or_default();
+        let answer = TextAnswer { status: 200, body };
+        let registry = self.poll.registry();
+        let next = &mut self.next_token;
+        if let Some(metrics) = &mut self.metrics_server {
+            metrics.on_event(now, token, registry, next, |_| answer.clone());
+        }
+    }
+
+    /// Brings the gauges up to date.
+    fn measure(&self, now: Duration) {
+        let metrics = &self.metrics;
+        let consensus = self.node.consensus();
+        let applied = self.node.applied();
+        metrics.term.set(consensus.term().0 as i64);
+        metrics.leads.set(i64::from(self.node.leads_surely(now)));
+        metrics.applied_index.set(applied as i64);
+        let unapplied = consensus.last_index().0.saturating_sub(applied);
+        metrics.unapplied_entries.set(unapplied as i64);
+        let followers = self.inbound.values().filter(|link| link.fed.is_some());
+        metrics.followers.set(followers.count() as i64);
+        let instances = self.node.catalog().instances();
+        let live = instances.filter(|instance| instance.state != InstanceState::Gone);
+        metrics.instances.set(live.count() as i64);
+    }
+
     fn fresh_token(&mut self) -> Token {
         let token = Token(self.next_token);
         self.next_token += 1;
@@ -246,6 +301,7 @@
 
     /// Hands the next call of a connection to the node.
     fn take_call(&mut self, token: Token) {
+        let now = self.now();
         let Some(http) = self.https.get_mut(&token) else {
             return;
         };
@@ -268,7 +324,7 @@
         };
         match parsed {
             Ok(call) => {
-                let id = self.calls.begin(Origin::Http(token));
+                let id = self.calls.begin(now, Origin::Http(token));
                 self.inputs.push(NodeInput::Call { id, call });
             }
             Err(error) => {
@@ -302,10 +358,11 @@
     }
 
     fn on_link_frame(&mut self, token: Token, frame: ToReplica) {
+        let now = self.now();
         match frame {
             ToReplica::Peer(frame) => self.inputs.push(NodeInput::Peer(frame)),
             ToReplica::Relay { id, call } => {
-                let id = self.calls.begin(Origin::Replica(token, id));
+                let id = self.calls.begin(now, Origin::Replica(token, id));
                 self.inputs.push(NodeInput::Call { id, call });
             }
             ToReplica::Follow(follow) => {
@@ -385,7 +442,7 @@
                 }
             }
             NodeOutput::LeadershipChanged => self.next_head = Duration::ZERO,
-            NodeOutput::Notice(notice) => log_notice(&notice),
+            NodeOutput::Notice(notice) => log_notice(&notice, &self.metrics),
         }
     }
 
@@ -416,9 +473,13 @@
                 reason = format!("{reason:?}")
             );
         }
-        match self.calls.end(id) {
-            None => {}
-            Some(Origin::Replica(token, id)) => {
+        let Some((origin, began)) = self.calls.end(id) else {
+            return;
+        };
+        let took = self.now().saturating_sub(began);
+        self.metrics.note_call(reply.name(), took);
+        match origin {
+            Origin::Replica(token, id) => {
                 let frame = FromReplica::Relayed {
                     id,
                     reply: reply.clone(),
@@ -429,7 +490,7 @@
                     }
                 }
             }
-            Some(Origin::Http(token)) => {
+            Origin::Http(token) => {
                 let Some(http) = self.https.get_mut(&token) else {
                     return;
                 };
@@ -468,6 +529,9 @@
         let now = self.now();
         if now >= self.next_head {
             self.next_head = now + HEAD_EVERY;
+            if let Some(metrics) = &mut self.metrics_server {
+                metrics.close_resting(now);
+            }
             self.tell_heads(now);
             self.peers.tick(now);
             let idle = |http: &HttpConnection| !http.busy && now > http.active + IDLE_LIMIT;
--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -56,6 +56,9 @@
     pub zone: String,
     /// Address for operators and servers.
     pub control_address: SocketAddr,
+    /// Port at which metrics are told, at the control address; 0 for none.
+    #[serde(default)]
+    pub metrics_port: u16,
     /// Address to listen on and to connect from, where it is not the one that others use.
     #[serde(default)]
     pub bind_ip: Option<IpAddr>,
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -356,10 +356,10 @@
 
     fn take_reply(&mut self, id: CallId, reply: &Reply) {
         match (self.calls.remove(&id), reply) {
-            (Some(Pending::Change(version)), Reply::Changed) => {
-                if !self.acknowledged.contains(&version) {
-                    self.acknowledged.push(version);
-                }
+            (Some(Pending::Change(version)), Reply::Changed)
+                if !self.acknowledged.contains(&version) =>
+            {
+                self.acknowledged.push(version);
             }
             (Some(Pending::Read { at_least }), Reply::Items(items)) => {
                 let version = items
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -423,6 +423,7 @@
         };
         let server = upstream.server;
         let pause = self.balance.failed(&server, now);
+        self.metrics.note_suspected("no connection");
         event!(
             Event::ServerSuspected,
             instance = server.0,
@@ -500,6 +501,7 @@
                     return self.on_answer(token, id, response);
                 }
                 (Ok(Some(_)), _) => {
+                    self.metrics.foreign_answers.inc();
                     event!(
                         Event::AnswerForeign,
                         id = flight.request_id,
@@ -565,6 +567,7 @@
             return;
         };
         let pause = self.balance.failed(&upstream.server, now);
+        self.metrics.note_suspected("broke off");
         event!(
             Event::ServerSuspected,
             instance = upstream.server.0,
@@ -593,6 +596,8 @@
             && now + LEAST_TIME < flight.expires;
         let has_place = verdict != Verdict::NotRun || flight.shard.is_none();
         if allowed && has_place && self.budgets.take(&flight.service, now) {
+            self.metrics
+                .note_retry(&flight.service, &format!("{verdict:?}"));
             event!(
                 Event::RequestRetried,
                 id = flight.request_id,
@@ -675,8 +680,9 @@
             return None;
         };
         self.services_with_room.insert(flight.service.clone());
+        let took = now.saturating_sub(since);
+        self.metrics.note_server(&flight.service, took);
         if flight.shard.is_some() {
-            let took = now.saturating_sub(since);
             self.load.note_answer(&server, took);
         }
         self.balance.end(&server);
@@ -704,6 +710,9 @@
             instance = flight.tried.last().map_or("", |one| one.0.as_str()),
             ms = self.now().saturating_sub(flight.began).as_millis()
         );
+        let took = self.now().saturating_sub(flight.began);
+        self.metrics
+            .note_answer(&flight.service, response.status, "", took);
         let stopping = self.stopping.is_some();
         let Some(client) = self.clients.get_mut(&flight.client) else {
             return;
@@ -740,6 +749,9 @@
             applied = self.table.applied(),
             ms = self.now().saturating_sub(flight.began).as_millis()
         );
+        let took = self.now().saturating_sub(flight.began);
+        self.metrics
+            .note_answer(&flight.service, answer.status, reason, took);
         self.answer_client(flight.client, answer, &flight.request_id);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,9 @@
     /// A socket can't be opened or polled.
     #[error("network: {0}")]
     Network(#[from] std::io::Error),
+    /// The metrics can't be registered.
+    #[error("metrics: {0}")]
+    Metrics(#[from] grebepin_telemetry::MetricsError),
 }
 
 impl GatewayError {
@@ -46,7 +49,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Settings(_) => 2,
-            Self::Network(_) => 1,
+            Self::Network(_) | Self::Metrics(_) => 1,
         }
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,14 +1,15 @@
 //! The event loop: connections, deadlines, reloads and the end.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use grebepin_reactor::http::RequestLimits;
-use grebepin_reactor::{Connection, Deadlines};
-use grebepin_telemetry::{event, Event};
+use grebepin_reactor::{Connection, Deadlines, TextAnswer, TextServer};
+use grebepin_telemetry::{event, Event, GatewayMetrics, Metrics};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use rand::rngs::SmallRng;
@@ -30,7 +31,8 @@
 
 const FRONT_LISTENER: Token = Token(0);
 const READY_LISTENER: Token = Token(1);
-const FIRST_CONNECTION: usize = 2;
+const METRICS_LISTENER: Token = Token(2);
+const FIRST_CONNECTION: usize = 3;
 
 /// Events taken from the system at once.
 const EVENT_BATCH: usize = 256;
@@ -78,11 +80,13 @@
     pub(crate) names: HeaderNames,
     pub(crate) poll: Poll,
     front: TcpListener,
-    ready: TcpListener,
+    ready: TextServer,
+    metrics_server: Option<TextServer>,
+    registered: Metrics,
+    pub(crate) metrics: GatewayMetrics,
     started: Instant,
     next_token: usize,
     pub(crate) clients: Clients,
-    probes: HashMap<Token, Client>,
     pub(crate) upstreams: Upstreams,
     pub(crate) flights: Flights,
     /// Services of which some server has room again.
@@ -109,10 +113,20 @@
         let settings = GatewaySettings::load(path)?;
         let poll = Poll::new()?;
         let mut front = TcpListener::bind(settings.bind_address(settings.front_address))?;
-        let mut ready = TcpListener::bind(settings.bind_address(settings.ready_address))?;
         let registry = poll.registry();
         registry.register(&mut front, FRONT_LISTENER, Interest::READABLE)?;
-        registry.register(&mut ready, READY_LISTENER, Interest::READABLE)?;
+        let ready_address = settings.bind_address(settings.ready_address);
+        let ready = TextServer::listen(ready_address, registry, READY_LISTENER)?;
+        let metrics_server = match settings.metrics_port {
+            0 => None,
+            port => {
+                let address = SocketAddr::new(settings.front_address.ip(), port);
+                let address = settings.bind_address(address);
+                Some(TextServer::listen(address, registry, METRICS_LISTENER)?)
+            }
+        };
+        let registered = Metrics::new();
+        let metrics = GatewayMetrics::register(&registered)?;
         let stop = Arc::new(AtomicBool::new(false));
         let reload = Arc::new(AtomicBool::new(false));
         signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
@@ -137,10 +151,12 @@
             poll,
             front,
             ready,
+            metrics_server,
+            registered,
+            metrics,
             started: Instant::now(),
             next_token: FIRST_CONNECTION,
             clients: Clients::new(),
-            probes: HashMap::new(),
             upstreams: Upstreams::default(),
             flights: Flights::default(),
             services_with_room: BTreeSet::new(),
@@ -205,11 +221,18 @@
     fn on_event(&mut self, token: Token) {
         match token {
             FRONT_LISTENER => self.accept_clients(),
-            READY_LISTENER => self.accept_probes(),
             token if self.clients.contains_key(&token) => self.on_client(token),
             token if self.upstreams.owns(token) => self.on_upstream(token),
             token if self.directory.owns(token) => self.on_directory(token),
-            token if self.probes.contains_key(&token) => self.on_probe(token),
+            token if self.ready.owns(token) => self.on_probe(token),
+            token
+                if self
+                    .metrics_server
+                    .as_ref()
+                    .is_some_and(|one| one.owns(token)) =>
+            {
+                self.on_metrics(token);
+            }
             _ => {}
         }
     }
@@ -237,16 +260,6 @@
         }
     }
 
-    fn accept_probes(&mut self) {
-        while let Ok((stream, _)) = self.ready.accept() {
-            let now = self.now();
-            let token = self.fresh_token();
-            if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
-                self.probes.insert(token, Client::new(connection, now));
-            }
-        }
-    }
-
     /// Whether new clients are wanted.
     fn is_ready(&self) -> bool {
         self.stopping.is_none() && self.table.is_configured()
@@ -254,27 +267,47 @@
 
     fn on_probe(&mut self, token: Token) {
         let now = self.now();
-        let limits = self.request_limits();
         let status = match self.is_ready() {
-            true => "200 OK",
-            false => "503 Service Unavailable",
+            true => 200,
+            false => 503,
         };
-        let Some(probe) = self.probes.get_mut(&token) else {
-            return;
+        let answer = TextAnswer {
+            status,
+            body: String::new(),
         };
-        let mut open = probe.fill(DEFAULT_HEAD_BYTES);
-        while let Ok(Some(_)) = probe.next_request(now, limits) {
-            let answer =
-                format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: keep-alive\r\n\r\n");
-            probe.connection.queue(answer.as_bytes());
-            probe.rested_since = now;
-            open &= probe.flush();
-        }
-        if !open {
-            self.probes.remove(&token);
+        let registry = self.poll.registry();
+        let next = &mut self.next_token;
+        self.ready
+            .on_event(now, token, registry, next, |_| answer.clone());
+    }
+
+    fn on_metrics(&mut self, token: Token) {
+        let now = self.now();
+        self.measure(now);
+        let body = self.registered.render().unwrap_or_default();
+        let answer = TextAnswer { status: 200, body };
+        let registry = self.poll.registry();
+        let next = &mut self.next_token;
+        if let Some(metrics) = &mut self.metrics_server {
+            metrics.on_event(now, token, registry, next, |_| answer.clone());
         }
     }
 
+    /// Brings the gauges up to date.
+    fn measure(&self, now: Duration) {
+        let metrics = &self.metrics;
+        metrics.flights.set(self.flights.len() as i64);
+        metrics.client_connections.set(self.clients.len() as i64);
+        metrics.server_connections.set(self.upstreams.len() as i64);
+        metrics.applied_index.set(self.table.applied() as i64);
+        let age = self
+            .directory
+            .leader_heard
+            .map(|heard| now.saturating_sub(heard));
+        let age = age.map_or(-1, |age| age.as_millis() as i64);
+        metrics.leader_age_ms.set(age);
+    }
+
     pub(crate) fn request_limits(&self) -> RequestLimits {
         match self.table.limits() {
             Some(limits) => RequestLimits {
@@ -391,8 +424,10 @@
                     .is_some_and(|began| now > began + header * 4);
             !rested && !stalled
         });
-        self.probes
-            .retain(|_, probe| now < probe.rested_since + idle);
+        self.ready.close_resting(now);
+        if let Some(metrics) = &mut self.metrics_server {
+            metrics.close_resting(now);
+        }
     }
 
     fn look_at_settings(&mut self) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,9 @@
     pub front_address: SocketAddr,
     /// Address that tells whether the gateway wants clients.
     pub ready_address: SocketAddr,
+    /// Port at which metrics are told, at the address of the clients; 0 for none.
+    #[serde(default)]
+    pub metrics_port: u16,
     /// Address to listen on and to connect from, where it is not the one that others use.
     #[serde(default)]
     pub bind_ip: Option<IpAddr>,
--- a/crates/gateway/tests/verdict.rs
+++ b/crates/gateway/tests/verdict.rs
@@ -14,6 +14,8 @@
     shard_key: "X-Key",
 };
 
+type FieldList = &'static [(&'static str, &'static str)];
+
 fn response(status: u16, fields: &[(&str, &str)]) -> Response {
     let mut list = Fields::default();
     for (name, value) in fields {
@@ -29,20 +31,20 @@
 
 #[test]
 fn each_answer_proves_what_it_says_and_no_more() {
-    let signed = [("X-Signature", "s")];
-    let not_run = [("X-Not-Run", "1")];
-    let encoded = [("X-Signature", "s"), ("Content-Encoding", "gzip")];
-    let cases: [(u16, &[(&str, &str)], Verdict); 12] = [
-        (200, &signed, Verdict::Final),
+    let signed: FieldList = &[("X-Signature", "s")];
+    let not_run: FieldList = &[("X-Not-Run", "1")];
+    let encoded: FieldList = &[("X-Signature", "s"), ("Content-Encoding", "gzip")];
+    let cases: [(u16, FieldList, Verdict); 12] = [
+        (200, signed, Verdict::Final),
         (200, &[], Verdict::Unknown),
-        (200, &encoded, Verdict::Unknown),
-        (404, &signed, Verdict::Final),
-        (500, &signed, Verdict::Failed),
+        (200, encoded, Verdict::Unknown),
+        (404, signed, Verdict::Final),
+        (500, signed, Verdict::Failed),
         (504, &[], Verdict::Failed),
-        (503, &not_run, Verdict::NotRun),
-        (429, &not_run, Verdict::NotRun),
-        (400, &not_run, Verdict::NotRun),
-        (503, &signed, Verdict::Unknown),
+        (503, not_run, Verdict::NotRun),
+        (429, not_run, Verdict::NotRun),
+        (400, not_run, Verdict::NotRun),
+        (503, signed, Verdict::Unknown),
         (408, &[], Verdict::Unknown),
         (421, &[], Verdict::NotOwner),
     ];
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -167,7 +167,7 @@
             self.deliver();
             self.report_load();
             self.send_heartbeats();
-            if self.now.as_millis() % TICK.as_millis() == 0 {
+            if self.now.as_millis().is_multiple_of(TICK.as_millis()) {
                 let commands = self.leader.tick(self.now, &self.catalog);
                 self.commit(commands);
             }
@@ -182,7 +182,7 @@
 
     /// Tells the leader of load that is uneven among shards and servers.
     fn report_load(&mut self) {
-        if !self.settings.skewed_load || self.now.as_millis() % 1_000 != 0 {
+        if !self.settings.skewed_load || !self.now.as_millis().is_multiple_of(1_000) {
             return;
         }
         let hot = self.random.random_range(0..SHARDS as u16);
--- a/crates/reactor/src/http/fields.rs
+++ b/crates/reactor/src/http/fields.rs
@@ -94,7 +94,8 @@
             !value.eq_ignore_ascii_case(b"close") && !value.eq_ignore_ascii_case(b"keep-alive")
         });
         self.iter().filter(move |(name, _)| {
-            !is_connection_field(name) && !(names_fields && self.has_token("connection", name))
+            let is_named = names_fields && self.has_token("connection", name);
+            !is_named && !is_connection_field(name)
         })
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,7 +7,10 @@
 mod structured;
 
 pub use event::Event;
-pub use metrics::{ControlMetrics, Metrics, MetricsError, RouterMetrics, ServiceMetrics};
+pub use metrics::{
+    ControlMetrics, DirectoryMetrics, GatewayMetrics, Metrics, MetricsError, RouterMetrics,
+    ServiceMetrics,
+};
 pub use structured::start_structured_logging;
 
 /// Logs one event of the catalogue, with named values.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -3,6 +3,8 @@
 //! Invariant: every name starts with `grebepin_`, ends in its unit, and is registered once.
 
 mod control;
+mod directory;
+mod gateway;
 mod router;
 
 use prometheus::core::Collector;
@@ -12,6 +14,8 @@
 };
 
 pub use control::ControlMetrics;
+pub use directory::DirectoryMetrics;
+pub use gateway::GatewayMetrics;
 pub use prometheus::{Histogram, IntCounter as Counter, IntGauge as Gauge};
 pub use router::{RouterMetrics, ServiceMetrics};
 
--- /dev/null
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -0,0 +1,76 @@
+//! Metrics of a directory replica.
+
+use std::time::Duration;
+
+use prometheus::{Histogram, IntCounterVec, IntGauge};
+
+use super::{Metrics, MetricsError, REQUEST_SECONDS_BUCKETS};
+
+/// What a directory replica counts.
+#[derive(Clone, Debug)]
+pub struct DirectoryMetrics {
+    calls: IntCounterVec,
+    /// Time from a call's arrival to its answer.
+    pub call_seconds: Histogram,
+    shards_moved: IntCounterVec,
+    /// Consensus term.
+    pub term: IntGauge,
+    /// 1 while this replica leads and is sure of it, else 0.
+    pub leads: IntGauge,
+    /// Log index that is applied here.
+    pub applied_index: IntGauge,
+    /// Entries that are in the log and not applied.
+    pub unapplied_entries: IntGauge,
+    /// Gateways that follow this replica.
+    pub followers: IntGauge,
+    /// Servers known that have not ended.
+    pub instances: IntGauge,
+}
+
+impl DirectoryMetrics {
+    /// Registers every metric of a directory replica.
+    ///
+    /// # Errors
+    /// A name is taken.
+    pub fn register(metrics: &Metrics) -> Result<Self, MetricsError> {
+        Ok(Self {
+            calls: metrics.counters("directory_calls_total", "Calls by outcome", &["outcome"])?,
+            call_seconds: metrics.histogram(
+                "directory_call_seconds",
+                "Time from a call's arrival to its answer",
+                REQUEST_SECONDS_BUCKETS,
+            )?,
+            shards_moved: metrics.counters(
+                "directory_shards_moved_total",
+                "Shards that were assigned or freed",
+                &["service", "change"],
+            )?,
+            term: metrics.gauge("directory_term", "Consensus term")?,
+            leads: metrics.gauge("directory_leads", "1 while this replica leads")?,
+            applied_index: metrics.gauge("directory_applied_index", "Log index applied here")?,
+            unapplied_entries: metrics.gauge(
+                "directory_unapplied_entries",
+                "Entries in the log that are not applied",
+            )?,
+            followers: metrics.gauge("directory_followers", "Gateways that follow")?,
+            instances: metrics.gauge("directory_instances", "Servers that have not ended")?,
+        })
+    }
+
+    /// A call was answered.
+    pub fn note_call(&self, outcome: &str, took: Duration) {
+        self.calls.with_label_values(&[outcome]).inc();
+        self.call_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Shards were assigned or freed.
+    pub fn note_shards(&self, service: &str, assigned: bool, count: usize) {
+        let change = match assigned {
+            true => "assigned",
+            false => "freed",
+        };
+        self.shards_moved
+            .with_label_values(&[service, change])
+            .inc_by(count as u64);
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -0,0 +1,110 @@
+//! Metrics of a gateway.
+
+use std::time::Duration;
+
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
+
+use super::{Metrics, MetricsError, REQUEST_SECONDS_BUCKETS};
+
+/// What a gateway counts.
+#[derive(Clone, Debug)]
+pub struct GatewayMetrics {
+    outcomes: IntCounterVec,
+    request_seconds: HistogramVec,
+    server_seconds: HistogramVec,
+    retries: IntCounterVec,
+    suspected: IntCounterVec,
+    /// Requests under way.
+    pub flights: IntGauge,
+    /// Connections of clients.
+    pub client_connections: IntGauge,
+    /// Connections to servers.
+    pub server_connections: IntGauge,
+    /// Log index of the state in force.
+    pub applied_index: IntGauge,
+    /// Age in milliseconds of the last word of the directory's leader.
+    pub leader_age_ms: IntGauge,
+    /// Answers that belonged to another request.
+    pub foreign_answers: IntCounter,
+}
+
+impl GatewayMetrics {
+    /// Registers every metric of a gateway.
+    ///
+    /// # Errors
+    /// A name is taken.
+    pub fn register(metrics: &Metrics) -> Result<Self, MetricsError> {
+        Ok(Self {
+            outcomes: metrics.counters(
+                "gateway_requests_total",
+                "Requests by service, status and reason; reason is empty for a server's own answer",
+                &["service", "status", "reason"],
+            )?,
+            request_seconds: metrics.histograms(
+                "gateway_request_seconds",
+                "Time from a request's first byte to its answer",
+                REQUEST_SECONDS_BUCKETS,
+                &["service"],
+            )?,
+            server_seconds: metrics.histograms(
+                "gateway_server_seconds",
+                "Time that requests were at a server",
+                REQUEST_SECONDS_BUCKETS,
+                &["service"],
+            )?,
+            retries: metrics.counters(
+                "gateway_retries_total",
+                "Requests sent to a server once more, by what was known of the sending before",
+                &["service", "verdict"],
+            )?,
+            suspected: metrics.counters(
+                "gateway_servers_suspected_total",
+                "Times that a server was set aside",
+                &["reason"],
+            )?,
+            flights: metrics.gauge("gateway_requests_under_way", "Requests under way")?,
+            client_connections: metrics
+                .gauge("gateway_client_connections", "Connections of clients")?,
+            server_connections: metrics
+                .gauge("gateway_server_connections", "Connections to servers")?,
+            applied_index: metrics
+                .gauge("gateway_applied_index", "Log index of the state in force")?,
+            leader_age_ms: metrics.gauge(
+                "gateway_leader_age_milliseconds",
+                "Time since the directory's leader last spoke; -1 before the first time",
+            )?,
+            foreign_answers: metrics.counter(
+                "gateway_foreign_answers_total",
+                "Answers that belonged to another request",
+            )?,
+        })
+    }
+
+    /// A request was answered.
+    pub fn note_answer(&self, service: &str, status: u16, reason: &str, took: Duration) {
+        let status = status.to_string();
+        self.outcomes
+            .with_label_values(&[service, status.as_str(), reason])
+            .inc();
+        self.request_seconds
+            .with_label_values(&[service])
+            .observe(took.as_secs_f64());
+    }
+
+    /// A request left a server.
+    pub fn note_server(&self, service: &str, took: Duration) {
+        self.server_seconds
+            .with_label_values(&[service])
+            .observe(took.as_secs_f64());
+    }
+
+    /// A request is sent once more.
+    pub fn note_retry(&self, service: &str, verdict: &str) {
+        self.retries.with_label_values(&[service, verdict]).inc();
+    }
+
+    /// A server is set aside.
+    pub fn note_suspected(&self, reason: &str) {
+        self.suspected.with_label_values(&[reason]).inc();
+    }
+}
