Servers give shards away only when busy; refused clients come back after a part of their time

Cause: shards moved at servers that were not short of capacity, and each move leaves its keys without an owner until the next heartbeat of a server with room (no owner: the largest reason for refusals).

Change: a server gives away from 0.7 of its capacity and 0.3 over its share on (0.55 and 0.2 before); Retry-After is 0.3 of the time left.

Conclusion: a move should wait for a receiver that is about to beat.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -56,7 +56,9 @@
     pub shard: Option<usize>,
     /// When its first byte came.
     pub began: Duration,
-    /// When it is given up.
+    /// When its client gives up.
+    pub deadline: Duration,
+    /// When it is given up here.
     pub expires: Duration,
     /// How often it was sent to a server.
     pub sendings: u32,
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -31,9 +31,13 @@
 /// Pause before the same owner is asked again whether it holds the key by now.
 const SAME_OWNER_PAUSE: Duration = Duration::from_millis(120);
 
-/// When a refused client may come back.
+/// When a client may come back that was refused before anything was known of it.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// When any other refused client may come back: after this part of the time it has left, so that a
+/// shard has moved or a queue has drained by then, and enough time remains to be served.
+const RETRY_AFTER_PART: f64 = 0.3;
+
 /// Largest answer that is held, in bytes.
 const ANSWER_LIMIT: u64 = 64 << 20;
 
@@ -153,6 +157,7 @@
             key,
             shard,
             began,
+            deadline: began + patience,
             expires,
             sendings: 0,
             unreached: 0,
@@ -727,6 +732,11 @@
         let Some(flight) = self.flights.remove(id) else {
             return;
         };
+        let left = flight.deadline.saturating_sub(self.now());
+        let answer = OwnAnswer {
+            retry_after: answer.retry_after.map(|_| left.mul_f64(RETRY_AFTER_PART)),
+            ..answer
+        };
         let what = match answer.status {
             503 => Event::RequestRefused,
             _ => Event::RequestFailed,
--- a/crates/grants/src/shares.rs
+++ b/crates/grants/src/shares.rs
@@ -8,10 +8,10 @@
 use crate::load::LoadBook;
 
 /// Part of a capacity below which a server has no reason to give shards away.
-const BUSY_PART: f64 = 0.55;
+const BUSY_PART: f64 = 0.7;
 
 /// Excess over its share, as a part, that a busy server may keep.
-const TOLERATED_EXCESS: f64 = 0.2;
+const TOLERATED_EXCESS: f64 = 0.3;
 
 /// Part of an excess that is given away at once.
 const GIVEN_PART: f64 = 0.8;
