--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -50,6 +50,8 @@
     Check(Check),
     /// Show the decisions in a control replica's data folder, without changing it
     Replay(Replay),
+    /// Join the log lines of several processes about one request, server, key or item
+    Explain(Explain),
     /// Print a completion script for a shell
     Completions(Completions),
     /// Print the manual page, or write one for each command
@@ -237,6 +239,31 @@
     pub(crate) state_only: bool,
 }
 
+#[derive(Debug, Args)]
+pub(crate) struct Explain {
+    /// Folder with a file ending in .log for each process
+    pub(crate) folder: PathBuf,
+    #[command(flatten)]
+    pub(crate) subject: ExplainSubject,
+}
+
+#[derive(Debug, Args)]
+#[group(required = true, multiple = false)]
+pub(crate) struct ExplainSubject {
+    /// Id of a client's attempt
+    #[arg(long, value_name = "ID")]
+    pub(crate) request: Option<String>,
+    /// Identity of a server that registered itself
+    #[arg(long, value_name = "ID")]
+    pub(crate) instance: Option<String>,
+    /// Key of a sharded service
+    #[arg(long, value_name = "KEY")]
+    pub(crate) key: Option<u16>,
+    /// Name of a configuration item
+    #[arg(long, value_name = "NAME")]
+    pub(crate) item: Option<String>,
+}
+
 #[derive(Debug, Args)]
 pub(crate) struct Completions {
     /// Shell
--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,109 @@
+//! `grebepin explain`: joins the log lines of several processes about one request, server, key or item.
+//!
+//! Invariant: lines are shown as they were written; what can't be read is counted, and what should be
+//! there and isn't is said.
+
+mod line;
+mod story;
+
+use std::fmt;
+use std::fs;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::arguments;
+use crate::error::CliError;
+use crate::output::Format;
+
+use line::LogLine;
+use story::{Subject, Told};
+
+/// Largest log file read, in bytes.
+const MAXIMUM_LOG_BYTES: u64 = 1 << 30;
+
+/// What is known of the subject.
+#[derive(Serialize)]
+struct ExplainReport {
+    subject: String,
+    files: usize,
+    unreadable_lines: usize,
+    lines: Vec<String>,
+    missing: Vec<String>,
+}
+
+pub(crate) fn run(arguments: &arguments::Explain, format: Format) -> Result<(), CliError> {
+    let subject = Subject::new(arguments)?;
+    let mut files = 0;
+    let mut unreadable = 0;
+    let mut lines = Vec::new();
+    for path in log_files(&arguments.folder)? {
+        files += 1;
+        let text = read(&path)?;
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        for written in text.lines() {
+            match LogLine::parse(&name, written) {
+                Some(line) => lines.push(line),
+                None => unreadable += 1,
+            }
+        }
+    }
+    // By the machines' own clocks: they may differ by some milliseconds.
+    lines.sort_by(|one, other| one.at.total_cmp(&other.at));
+    let Told { lines, missing } = subject.tell(&lines);
+    format.print(&ExplainReport {
+        subject: subject.to_string(),
+        files,
+        unreadable_lines: unreadable,
+        lines,
+        missing,
+    })
+}
+
+fn log_files(folder: &Path) -> Result<Vec<std::path::PathBuf>, CliError> {
+    let failed = |source| CliError::File {
+        path: folder.to_owned(),
+        source,
+    };
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder).map_err(failed)? {
+        let path = entry.map_err(failed)?.path();
+        if path.extension().is_some_and(|ending| ending == "log") {
+            files.push(path);
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn read(path: &Path) -> Result<String, CliError> {
+    let failed = |source| CliError::File {
+        path: path.to_owned(),
+        source,
+    };
+    let length = fs::metadata(path).map_err(failed)?.len();
+    if length > MAXIMUM_LOG_BYTES {
+        return Err(CliError::TooLarge {
+            path: path.to_owned(),
+            maximum: MAXIMUM_LOG_BYTES,
+        });
+    }
+    let bytes = fs::read(path).map_err(failed)?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+impl fmt::Display for ExplainReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{} in {} file(s)", self.subject, self.files)?;
+        for line in &self.lines {
+            writeln!(f, "{line}")?;
+        }
+        for missing in &self.missing {
+            writeln!(f, "missing: {missing}")?;
+        }
+        match self.unreadable_lines {
+            0 => Ok(()),
+            count => writeln!(f, "{count} line(s) could not be read and were passed over"),
+        }
+    }
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod bundle;
 pub(crate) mod check;
 pub(crate) mod drain;
+pub(crate) mod explain;
 pub(crate) mod found;
 pub(crate) mod generate;
 pub(crate) mod key;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -33,6 +33,7 @@
         }
         Command::Plan(plan) => commands::plan::run(&plan, format),
         Command::Check(check) => commands::check::run(&check, format),
+        Command::Explain(explain) => commands::explain::run(&explain, format),
         Command::Replay(replay) => commands::replay::run(&replay, format),
         Command::Completions(completions) => commands::generate::completions(&completions),
         Command::Man(man) => commands::generate::man(&man),
--- a/crates/cli/tests/files.rs
+++ b/crates/cli/tests/files.rs
@@ -21,13 +21,14 @@
         "plan",
         "check",
         "replay",
+        "explain",
         "completions",
         "man",
         "Exit codes",
         "5  the outcome is not known",
     ];
     grebepin(&["--help"]).expect(0, &commands);
-    for command in &commands[..9] {
+    for command in &commands[..10] {
         grebepin(&[command, "--help"]).expect(0, &["Usage: grebepin", "--json"]);
     }
     grebepin(&["--version"]).expect(0, &[env!("CARGO_PKG_VERSION")]);
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -5,6 +5,9 @@
 
 use crate::node::Notice;
 
+/// Names of items that one line lists.
+const NAMES_LISTED: usize = 20;
+
 /// Logs one notice.
 pub(super) fn log_notice(notice: &Notice, metrics: &DirectoryMetrics) {
     match notice {
@@ -28,13 +31,13 @@
 
 fn log_effects(index: u64, effects: &Effects, metrics: &DirectoryMetrics) {
     if !effects.items.is_empty() {
-        let count = effects.items.len();
-        let first = &effects.items[0].name;
+        let names = effects.items.iter().take(NAMES_LISTED);
+        let names: Vec<&str> = names.map(|key| key.name.as_str()).collect();
         event!(
             Event::ItemsChanged,
             index = index,
-            items = count,
-            first = first
+            items = effects.items.len(),
+            names = names.join(",")
         );
     }
     if let Some(error) = &effects.refused {
@@ -44,7 +47,7 @@
         event!(Event::InstanceChanged, index = index, instance = id.0);
     }
     for change in &effects.shards {
-        if let (Some(first), Some(last)) = (change.shards.first(), change.shards.last()) {
+        if !change.shards.is_empty() {
             metrics.note_shards(&change.service, change.assigned, change.shards.len());
             event!(
                 Event::ShardsMoved,
@@ -53,10 +56,25 @@
                 instance = change.id.0,
                 assigned = change.assigned,
                 shards = change.shards.len(),
-                first = first,
-                last = last,
+                ranges = ranges(&change.shards),
                 fence = change.fence
             );
         }
     }
 }
+
+/// Numbers that stand in order as ranges, such as `3-5,9`.
+fn ranges(numbers: &[u16]) -> String {
+    let mut ranges: Vec<(u16, u16)> = Vec::new();
+    for number in numbers {
+        match ranges.last_mut() {
+            Some((_, last)) if *last + 1 == *number => *last = *number,
+            _ => ranges.push((*number, *number)),
+        }
+    }
+    let texts = ranges.into_iter().map(|(first, last)| match first == last {
+        true => first.to_string(),
+        false => format!("{first}-{last}"),
+    });
+    texts.collect::<Vec<String>>().join(",")
+}
--- a/crates/telemetry/src/structured.rs
+++ b/crates/telemetry/src/structured.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
@@ -50,7 +50,9 @@
 impl StructuredLogger {
     fn line(&self, record: &Record<'_>) -> String {
         let seconds = self.started.elapsed().as_secs_f64();
-        let mut line = format!("t={seconds:.3} level={}", record.level());
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at = now.unwrap_or_default().as_secs_f64();
+        let mut line = format!("at={at:.3} t={seconds:.3} level={}", record.level());
         let _ = record.key_values().visit(&mut Pairs(&mut line));
         let _ = write!(line, " text={:?}", record.args().to_string());
         line.push('\n');
