--- a/crates/directory/src/daemon/feed.rs
+++ b/crates/directory/src/daemon/feed.rs
@@ -17,6 +17,9 @@
 /// Part of the link that may be used.
 const LINK_PART: f64 = 0.4;
 
+/// Pause between two rounds, for each gateway that follows: each round is a write to every one.
+const PAUSE_PER_GATEWAY: Duration = Duration::from_micros(800);
+
 /// Time whose allowance may be saved up.
 const BURST: Duration = Duration::from_millis(100);
 
@@ -27,6 +30,7 @@
     bytes_per_second: f64,
     allowance: f64,
     refilled: Duration,
+    next_round: Duration,
     /// Whether some gateway still lacks something.
     pub(super) is_behind: bool,
 }
@@ -39,6 +43,7 @@
             bytes_per_second: link_mbps * 1e6 / 8.0 * LINK_PART,
             allowance: 0.0,
             refilled: Duration::ZERO,
+            next_round: Duration::ZERO,
             is_behind: false,
         }
     }
@@ -59,6 +64,11 @@
     ) -> Vec<Token> {
         let applied = node.applied();
         let mut entries: HashMap<u64, Option<Vec<u8>>> = HashMap::new();
+        if now < self.next_round {
+            self.is_behind = true;
+            return Vec::new();
+        }
+        self.next_round = now + PAUSE_PER_GATEWAY * links.len() as u32;
         self.refill(now);
         let mut lost = Vec::new();
         self.is_behind = false;
--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -18,6 +18,9 @@
 /// Time between two looks at the balance of load.
 const LOOK_EVERY: Duration = Duration::from_millis(1_000);
 
+/// How long a division of load is kept.
+const DIVISION_LIFETIME: Duration = Duration::from_millis(700);
+
 /// Least time between two times at which a server is told to give shards away.
 const GIVE_PAUSE: Duration = Duration::from_millis(2_500);
 
@@ -42,6 +45,17 @@
     unowned_since: BTreeMap<String, Duration>,
     load: LoadBook,
     next_look: Duration,
+    /// How each service's load should be divided, as of the last look.
+    divisions: BTreeMap<String, Division>,
+}
+
+/// How a service's load should be divided, as of a moment. Working it out touches every shard, so it
+/// is kept for a while.
+#[derive(Debug)]
+struct Division {
+    at: Duration,
+    shares: Shares,
+    eligible: Vec<InstanceId>,
 }
 
 impl Coordinator {
@@ -55,6 +69,7 @@
             unowned_since: BTreeMap::new(),
             load: LoadBook::default(),
             next_look: since + LOOK_EVERY,
+            divisions: BTreeMap::new(),
         }
     }
 
@@ -119,11 +134,14 @@
         let servers = &self.servers;
         self.load.retain(|id| servers.contains_key(id));
         for (service, ownership) in catalog.all_ownership() {
-            let eligible = self.eligible(now, catalog, service);
-            let shares = Shares::new(now, &self.load, service, &eligible);
-            let excess: Vec<(InstanceId, Vec<usize>)> = eligible
+            self.divide(now, catalog, service);
+            let Some(division) = self.divisions.get(service) else {
+                continue;
+            };
+            let excess: Vec<(InstanceId, Vec<usize>)> = division
+                .eligible
                 .iter()
-                .map(|id| ((*id).clone(), shares.excess(ownership, id)))
+                .map(|id| (id.clone(), division.shares.excess(ownership, id)))
                 .filter(|(_, shards)| !shards.is_empty())
                 .collect();
             for (id, shards) in excess {
@@ -132,6 +150,21 @@
         }
     }
 
+    /// Works out how a service's load should be divided, unless that was done lately.
+    fn divide(&mut self, now: Duration, catalog: &Catalog, service: &str) {
+        let division = self.divisions.get(service);
+        if division.is_some_and(|division| now < division.at + DIVISION_LIFETIME) {
+            return;
+        }
+        let eligible = self.eligible(now, catalog, service);
+        let division = Division {
+            at: now,
+            shares: Shares::new(now, &self.load, service, &eligible),
+            eligible: eligible.into_iter().cloned().collect(),
+        };
+        self.divisions.insert(service.to_owned(), division);
+    }
+
     /// Leaves shards out of a server's next answers; whoever has room takes them once they are free.
     fn give_away(&mut self, now: Duration, id: &InstanceId, shards: &[usize]) {
         let Some(server) = self.servers.get_mut(id) else {
@@ -277,31 +310,38 @@
                 &nothing_yet
             }
         };
-        let unowned: Vec<usize> = ownership
-            .unowned()
-            .iter()
-            .map(|shard| usize::from(*shard))
-            .collect();
-        if unowned.is_empty() {
+        if ownership.unowned().is_empty() {
             return;
         }
+        self.divide(now, catalog, &beat.service);
+        let Some(division) = self.divisions.get(&beat.service) else {
+            return;
+        };
         let overdue = self
             .unowned_since
             .get(&beat.service)
             .is_some_and(|since| now > *since + self.timing.heartbeat / 2);
-        let eligible = self.eligible(now, catalog, &beat.service);
+        let room = division.shares.room(ownership, &beat.id);
+        if room <= 0.0 && !overdue {
+            return;
+        }
         let is_empty = |id: &&InstanceId| ownership.count_of(id) == 0;
-        let shares = Shares::new(now, &self.load, &beat.service, &eligible);
+        let owned = ownership.count_of(&beat.id);
         let demand = Demand {
             total: SHARDS,
-            owned: ownership.count_of(&beat.id),
+            owned,
             rows: ownership.rows(ownership.owned_by(&beat.id)).len(),
-            room: shares.room(ownership, &beat.id),
-            eligible: eligible.len(),
-            empty: eligible.iter().copied().filter(is_empty).count(),
+            room,
+            eligible: division.eligible.len(),
+            empty: match owned {
+                0 => division.eligible.iter().filter(is_empty).count(),
+                _ => 0,
+            },
             overdue,
         };
-        let shards: Vec<u16> = choose(demand, &unowned, |shard| shares.weight(shard))
+        let unowned = ownership.unowned().iter();
+        let unowned: Vec<usize> = unowned.map(|shard| usize::from(*shard)).collect();
+        let shards: Vec<u16> = choose(demand, &unowned, |shard| division.shares.weight(shard))
             .into_iter()
             .map(|shard| shard as u16)
             .collect();
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Time in which an old rate loses most of its weight.
-const RATE_MEMORY: Duration = Duration::from_millis(2_000);
+pub(crate) const RATE_MEMORY: Duration = Duration::from_millis(2_000);
 
 /// Requests at a server at a time, as parts of its slots, below which nothing waits there, and above
 /// which it is saturated.
--- a/crates/grants/src/shares.rs
+++ b/crates/grants/src/shares.rs
@@ -5,7 +5,7 @@
 
 use grebepin_catalog::{InstanceId, ShardOwnership};
 
-use crate::load::LoadBook;
+use crate::load::{LoadBook, RATE_MEMORY};
 
 /// Part of a capacity below which a server has no reason to give shards away.
 const BUSY_PART: f64 = 0.7;
@@ -13,6 +13,9 @@
 /// Excess over its share, as a part, that a busy server may keep.
 const TOLERATED_EXCESS: f64 = 0.3;
 
+/// Standard deviations of a count of requests that an excess must be above.
+const CHANCE_DEVIATIONS: f64 = 2.5;
+
 /// Part of an excess that is given away at once.
 const GIVEN_PART: f64 = 0.8;
 
@@ -73,7 +76,9 @@
 
     /// What a server may still take.
     pub(crate) fn room(&self, ownership: &ShardOwnership, id: &InstanceId) -> f64 {
-        let share = self.shares.get(id).copied().unwrap_or_default();
+        // A server that came since counts as one of the mean.
+        let mean = self.shares.values().sum::<f64>() / self.shares.len().max(1) as f64;
+        let share = self.shares.get(id).copied().unwrap_or(mean);
         share - self.owned(ownership, id)
     }
 
@@ -87,6 +92,11 @@
         if owned < capacity * BUSY_PART || owned < share * (1.0 + TOLERATED_EXCESS) {
             return Vec::new();
         }
+        // Requests that came by chance are no reason to move: their number varies with its root.
+        let memory = RATE_MEMORY.as_secs_f64();
+        if (owned - share) * memory < CHANCE_DEVIATIONS * (share * memory).sqrt() {
+            return Vec::new();
+        }
         let mut left = (owned - share) * GIVEN_PART;
         let mut shards: Vec<usize> = ownership.owned_by(id).collect();
         shards.sort_by(|one, other| self.weight(*other).total_cmp(&self.weight(*one)));
