Shards under way are kept from others; a full disk no longer ends the process; last lines are written

Cause: servers that beat at one moment were promised the same free shards; most such commands then assigned nothing, so the first division of 4,096 shards among 194 servers took until 3 s after traffic began and filled the log. Lines 401 were lost, since the process ended before they were written.

Change: the coordinator remembers promised shards for a second; the directory opens its replica anew until the disk takes writes, signals are kept over that; the logger is flushed before the end; gateways are fed in rounds 1.5 ms a gateway apart.

--- a/crates/directory/src/daemon/feed.rs
+++ b/crates/directory/src/daemon/feed.rs
@@ -18,7 +18,7 @@
 const LINK_PART: f64 = 0.4;
 
 /// Pause between two rounds, for each gateway that follows: each round is a write to every one.
-const PAUSE_PER_GATEWAY: Duration = Duration::from_micros(800);
+const PAUSE_PER_GATEWAY: Duration = Duration::from_micros(1_500);
 
 /// Time whose allowance may be saved up.
 const BURST: Duration = Duration::from_millis(100);
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -10,15 +10,20 @@
 mod link_side;
 mod peers;
 mod server;
+mod signals;
 
 use std::path::Path;
+use std::thread;
+use std::time::Duration;
 
-use grebepin_storage::DiskError;
+use grebepin_storage::{DiskError, StorageError};
+use grebepin_telemetry::{event, Event};
 
 use crate::dialect::Dialect;
 use crate::node::NodeError;
 use crate::settings::SettingsError;
 use server::Server;
+use signals::Signals;
 
 /// Why the process ends.
 #[derive(Debug, thiserror::Error)]
@@ -40,7 +45,19 @@
     Node(#[from] NodeError),
 }
 
+/// Pause before a replica whose disk refused to write is opened anew.
+const REOPEN_PAUSE: Duration = Duration::from_millis(300);
+
 impl DirectoryError {
+    /// Whether the disk refused an operation, which it may take later.
+    fn is_refused_write(&self) -> bool {
+        matches!(
+            self,
+            Self::Disk(DiskError::Io(_) | DiskError::Full)
+                | Self::Node(NodeError::Storage(StorageError::Disk { .. }))
+        )
+    }
+
     /// Exit code of the process: 2 for settings, 1 for anything else.
     pub fn exit_code(&self) -> u8 {
         match self {
@@ -50,10 +67,21 @@
     }
 }
 
-/// Runs a replica until it is asked to stop.
+/// Runs a replica until it is asked to stop. One whose disk refuses to write is opened anew again
+/// and again, as after a restart, until the disk takes writes.
 ///
 /// # Errors
-/// The settings, the network or the disk are of no use.
+/// The settings or the network are of no use, or the folder holds what can't be read.
 pub fn run(settings: &Path, dialect: &dyn Dialect) -> Result<(), DirectoryError> {
-    Server::start(settings, dialect)?.run()
+    let signals = Signals::listen()?;
+    loop {
+        let ended = Server::start(settings, dialect, &signals).and_then(Server::run);
+        match ended {
+            Err(error) if error.is_refused_write() => {
+                event!(Event::DirectoryFailed, error = error);
+                thread::sleep(REOPEN_PAUSE);
+            }
+            ended => return ended,
+        }
+    }
 }
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -3,8 +3,6 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use grebepin_catalog::InstanceState;
@@ -15,7 +13,6 @@
 use grebepin_telemetry::{event, DirectoryMetrics, Event, Metrics};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
-use signal_hook::consts::{SIGHUP, SIGTERM};
 
 use super::calls::{Calls, Origin};
 use super::event_log::log_notice;
@@ -23,6 +20,7 @@
 use super::http_side::HttpConnection;
 use super::link_side::LinkConnection;
 use super::peers::Peers;
+use super::signals::Signals;
 use super::DirectoryError;
 use crate::call::{Call, Reply, UnavailableReason};
 use crate::dialect::{BadCall, Dialect, HttpCall};
@@ -89,12 +87,15 @@
     inputs: Vec<NodeInput>,
     next_head: Duration,
     next_settings_look: Duration,
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
+    signals: Signals,
 }
 
 impl<'a> Server<'a> {
-    pub(super) fn start(path: &Path, dialect: &'a dyn Dialect) -> Result<Self, DirectoryError> {
+    pub(super) fn start(
+        path: &Path,
+        dialect: &'a dyn Dialect,
+        signals: &Signals,
+    ) -> Result<Self, DirectoryError> {
         let settings = DirectorySettings::load(path)?;
         let poll = Poll::new()?;
         let mut control = TcpListener::bind(settings.bind_address(settings.control_address))?;
@@ -112,10 +113,6 @@
         };
         let registered = Metrics::new();
         let metrics = DirectoryMetrics::register(&registered)?;
-        let stop = Arc::new(AtomicBool::new(false));
-        let reload = Arc::new(AtomicBool::new(false));
-        signal_hook::flag::register(SIGTERM, Arc::clone(&stop))?;
-        signal_hook::flag::register(SIGHUP, Arc::clone(&reload))?;
         let node = open_node(&settings)?;
         event!(
             Event::DirectoryStarted,
@@ -147,14 +144,13 @@
             inputs: Vec::new(),
             next_head: Duration::ZERO,
             next_settings_look: SETTINGS_LOOK_EVERY,
-            stop,
-            reload,
+            signals: signals.clone(),
         })
     }
 
     pub(super) fn run(mut self) -> Result<(), DirectoryError> {
         let mut events = Events::with_capacity(EVENT_BATCH);
-        while !self.stop.load(Ordering::Relaxed) {
+        while !self.signals.stop() {
             let now = self.now();
             let longest = match (self.waiting_callers.is_empty(), self.feeder.is_behind) {
                 (false, _) => Duration::ZERO,
@@ -540,7 +536,7 @@
         for id in self.calls.overdue(now) {
             self.reply(id, &Reply::Unavailable(UnavailableReason::LeaderSilent));
         }
-        if now >= self.next_settings_look || self.reload.swap(false, Ordering::Relaxed) {
+        if now >= self.next_settings_look || self.signals.take_reload() {
             self.next_settings_look = now + SETTINGS_LOOK_EVERY;
             self.look_at_settings();
         }
--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -18,6 +18,9 @@
 /// Time between two looks at the balance of load.
 const LOOK_EVERY: Duration = Duration::from_millis(1_000);
 
+/// How long a shard that a command assigns is kept from other servers while it has no owner yet.
+const PROMISE_LIFETIME: Duration = Duration::from_millis(1_000);
+
 /// How long a division of load is kept.
 const DIVISION_LIFETIME: Duration = Duration::from_millis(700);
 
@@ -45,6 +48,8 @@
     unowned_since: BTreeMap<String, Duration>,
     load: LoadBook,
     next_look: Duration,
+    /// Shards that commands under way assign, by service, each with the time of the command.
+    promised: BTreeMap<String, BTreeMap<usize, Duration>>,
     /// How each service's load should be divided, as of the last look.
     divisions: BTreeMap<String, Division>,
 }
@@ -69,6 +74,7 @@
             unowned_since: BTreeMap::new(),
             load: LoadBook::default(),
             next_look: since + LOOK_EVERY,
+            promised: BTreeMap::new(),
             divisions: BTreeMap::new(),
         }
     }
@@ -339,12 +345,19 @@
             },
             overdue,
         };
-        let unowned = ownership.unowned().iter();
-        let unowned: Vec<usize> = unowned.map(|shard| usize::from(*shard)).collect();
+        let promised = self.promised.entry(beat.service.clone()).or_default();
+        promised.retain(|shard, at| {
+            now < *at + PROMISE_LIFETIME && ownership.unowned().contains(&(*shard as u16))
+        });
+        let unowned = ownership.unowned().iter().map(|shard| usize::from(*shard));
+        let unowned: Vec<usize> = unowned
+            .filter(|shard| !promised.contains_key(shard))
+            .collect();
         let shards: Vec<u16> = choose(demand, &unowned, |shard| division.shares.weight(shard))
             .into_iter()
             .map(|shard| shard as u16)
             .collect();
+        promised.extend(shards.iter().map(|shard| (usize::from(*shard), now)));
         if !shards.is_empty() {
             commands.push(Command::AssignShards {
                 service: beat.service.clone(),
--- a/crates/telemetry/src/structured.rs
+++ b/crates/telemetry/src/structured.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
 use std::sync::Arc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
@@ -21,11 +21,22 @@
 /// Stack of the writer thread in bytes.
 const WRITER_STACK_BYTES: usize = 64 << 10;
 
+/// Longest wait for lines to be written at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
+/// What waits for the writer.
+enum Waiting {
+    /// A line to write.
+    Line(String),
+    /// Somebody who waits until everything before is written.
+    Flush(SyncSender<()>),
+}
+
 /// Logger that hands lines to the writer thread.
 struct StructuredLogger {
     level: LevelFilter,
     started: Instant,
-    lines: SyncSender<String>,
+    lines: SyncSender<Waiting>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -39,12 +50,18 @@
             return;
         }
         let line = self.line(record);
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(Waiting::Line(line)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    fn flush(&self) {}
+    /// Waits a bounded time until the lines so far are written, as before the process ends.
+    fn flush(&self) {
+        let (done, written) = sync_channel(1);
+        if self.lines.try_send(Waiting::Flush(done)).is_ok() {
+            let _ = written.recv_timeout(FLUSH_LIMIT);
+        }
+    }
 }
 
 impl StructuredLogger {
@@ -95,25 +112,38 @@
         .spawn(move || write_lines(&waiting, &dropped));
 }
 
-fn write_lines(waiting: &Receiver<String>, dropped: &AtomicU64) {
+fn write_lines(waiting: &Receiver<Waiting>, dropped: &AtomicU64) {
     let mut output = std::io::stdout();
     while let Ok(first) = waiting.recv() {
-        let mut batch = first;
-        for line in waiting.try_iter().take(WAITING_LINES) {
-            batch.push_str(&line);
-        }
-        let lost = dropped.swap(0, Ordering::Relaxed);
-        if lost > 0 {
-            let event = Event::LinesDropped;
-            let _ = writeln!(
-                batch,
-                "level={} event={} lines={lost} text={:?}",
-                event.level(),
-                event.number(),
-                event.text()
-            );
+        let mut batch = String::new();
+        let mut flushes = Vec::new();
+        let rest = waiting.try_iter().take(WAITING_LINES);
+        for one in std::iter::once(first).chain(rest) {
+            match one {
+                Waiting::Line(line) => batch.push_str(&line),
+                Waiting::Flush(done) => flushes.push(done),
+            }
         }
+        note_dropped(&mut batch, dropped);
         let _ = output.write_all(batch.as_bytes());
         let _ = output.flush();
+        for done in flushes {
+            let _ = done.try_send(());
+        }
+    }
+}
+
+fn note_dropped(batch: &mut String, dropped: &AtomicU64) {
+    let lost = dropped.swap(0, Ordering::Relaxed);
+    if lost == 0 {
+        return;
     }
+    let event = Event::LinesDropped;
+    let _ = writeln!(
+        batch,
+        "level={} event={} lines={lost} text={:?}",
+        event.level(),
+        event.number(),
+        event.text()
+    );
 }
