--- a/crates/directory/src/daemon/feed.rs
+++ b/crates/directory/src/daemon/feed.rs
@@ -13,6 +13,10 @@
 use super::link_side::LinkConnection;
 use crate::link::FromReplica;
 use crate::node::Node;
+use crate::pacing::Pacer;
+
+/// Bytes a second of a link of one megabit a second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 /// Part of the link that may be used.
 const LINK_PART: f64 = 0.4;
@@ -20,16 +24,11 @@
 /// Pause between two rounds, for each gateway that follows: each round is a write to every one.
 const PAUSE_PER_GATEWAY: Duration = Duration::from_micros(1_500);
 
-/// Time whose allowance may be saved up.
-const BURST: Duration = Duration::from_millis(100);
-
 /// What was encoded last, and what may be sent.
 #[derive(Debug)]
 pub(super) struct Feeder {
     whole: Option<(u64, Vec<u8>)>,
-    bytes_per_second: f64,
-    allowance: f64,
-    refilled: Duration,
+    pacer: Pacer,
     next_round: Duration,
     /// Whether some gateway still lacks something.
     pub(super) is_behind: bool,
@@ -40,21 +39,12 @@
     pub(super) fn new(link_mbps: f64) -> Self {
         Self {
             whole: None,
-            bytes_per_second: link_mbps * 1e6 / 8.0 * LINK_PART,
-            allowance: 0.0,
-            refilled: Duration::ZERO,
+            pacer: Pacer::new(link_mbps * BYTES_PER_MEGABIT * LINK_PART),
             next_round: Duration::ZERO,
             is_behind: false,
         }
     }
 
-    fn refill(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.refilled).as_secs_f64();
-        let most = self.bytes_per_second * BURST.as_secs_f64();
-        self.refilled = now;
-        self.allowance = (self.allowance + elapsed * self.bytes_per_second).min(most);
-    }
-
     /// Sends every gateway that follows what it lacks; those of no further use are returned.
     pub(super) fn feed<D: Disk>(
         &mut self,
@@ -69,14 +59,13 @@
             return Vec::new();
         }
         self.next_round = now + PAUSE_PER_GATEWAY * links.len() as u32;
-        self.refill(now);
         let mut lost = Vec::new();
         self.is_behind = false;
         for (token, link) in links.iter_mut() {
             let Some(fed) = link.fed.filter(|fed| *fed < applied) else {
                 continue;
             };
-            if self.allowance <= 0.0 {
+            if !self.pacer.allows(now) {
                 self.is_behind = true;
                 break;
             }
@@ -87,12 +76,12 @@
                 Some(bytes) => bytes,
                 None => self.whole_state(node),
             };
-            let cost = bytes.len() as f64;
+            let cost = bytes.len();
             link.fed = Some(applied);
             if !link.send_bytes(bytes) {
                 lost.push(*token);
             }
-            self.allowance -= cost;
+            self.pacer.spend(cost);
         }
         lost
     }
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dialect;
 pub mod link;
 pub mod node;
+pub mod pacing;
 pub mod settings;
 
 pub use daemon::{run, DirectoryError};
--- a/crates/grants/src/shares.rs
+++ b/crates/grants/src/shares.rs
@@ -19,8 +19,8 @@
 /// Part of an excess that is given away at once.
 const GIVEN_PART: f64 = 0.8;
 
-/// Most shards that a busy server gives away at once.
-const GIVEN_AT_ONCE: usize = 40;
+/// Most runs of neighbouring shards that a busy server gives away at once.
+const GIVEN_AT_ONCE: usize = 20;
 
 /// The division of one service's load at a moment.
 #[derive(Debug)]
@@ -83,7 +83,7 @@
     }
 
     /// Shards that a busy server should give away, so that others with room take them. The busiest
-    /// that fit its excess go first: few moves carry much load.
+    /// runs that fit its excess go first: few moves carry much load.
     pub(crate) fn excess(&self, ownership: &ShardOwnership, id: &InstanceId) -> Vec<usize> {
         let (Some(share), Some(capacity)) = (self.shares.get(id), self.capacities.get(id)) else {
             return Vec::new();
@@ -97,19 +97,47 @@
         if (owned - share) * memory < CHANCE_DEVIATIONS * (share * memory).sqrt() {
             return Vec::new();
         }
-        let mut left = (owned - share) * GIVEN_PART;
-        let mut shards: Vec<usize> = ownership.owned_by(id).collect();
-        shards.sort_by(|one, other| self.weight(*other).total_cmp(&self.weight(*one)));
+        let left = (owned - share) * GIVEN_PART;
+        let runs = self.fitting(left, runs_of(ownership.owned_by(id)));
+        if !runs.is_empty() {
+            return runs.concat();
+        }
+        // Every run is too busy as a whole: its quieter shards go one by one, at the price of more rows.
+        let single = ownership.owned_by(id).map(|shard| vec![shard]).collect();
+        self.fitting(left, single).concat()
+    }
+
+    fn weight_of(&self, run: &[usize]) -> f64 {
+        run.iter().map(|shard| self.weight(*shard)).sum()
+    }
+
+    /// The busiest runs whose load together is at most `left`.
+    fn fitting(&self, mut left: f64, mut runs: Vec<Vec<usize>>) -> Vec<Vec<usize>> {
+        runs.sort_by(|one, other| self.weight_of(other).total_cmp(&self.weight_of(one)));
         let mut given = Vec::new();
-        for shard in shards {
+        for run in runs {
             if given.len() >= GIVEN_AT_ONCE {
                 break;
             }
-            if self.weight(shard) <= left {
-                left -= self.weight(shard);
-                given.push(shard);
+            let weight = self.weight_of(&run);
+            if weight <= left {
+                left -= weight;
+                given.push(run);
             }
         }
         given
     }
 }
+
+/// Groups shards that stand in order into runs of neighbours: an answer lists each run as a row, and
+/// moving a whole one leaves the giver with fewer.
+fn runs_of(shards: impl Iterator<Item = usize>) -> Vec<Vec<usize>> {
+    let mut runs: Vec<Vec<usize>> = Vec::new();
+    for shard in shards {
+        match runs.last_mut() {
+            Some(run) if run.last() == Some(&(shard - 1)) => run.push(shard),
+            _ => runs.push(vec![shard]),
+        }
+    }
+    runs
+}
--- /dev/null
+++ b/crates/grants/tests/placement.rs
@@ -0,0 +1,186 @@
+//! Who gets which shards: equal parts at first, by what servers can take later, nobody's twice.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use grebepin_catalog::{
+    Catalog, Command, InstanceId, Item, ItemChange, ItemContent, Service, Version, SHARDS,
+};
+use grebepin_grants::{Beat, BeatOutcome, Coordinator, LoadSample, ServerSample, Timing};
+
+const SERVICE: &str = "s";
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn timing() -> Timing {
+    Timing {
+        lease: ms(5_000),
+        heartbeat: ms(1_000),
+        drain_window: ms(1_000),
+        forget_after: ms(10_000),
+    }
+}
+
+fn catalog() -> Catalog {
+    let mut catalog = Catalog::default();
+    let item = Item {
+        name: SERVICE.to_owned(),
+        version: Version(1),
+        content: ItemContent::Service(Service {
+            maximum_connections: 100,
+            sharded: true,
+        }),
+        document: String::new(),
+    };
+    catalog.apply(&Command::ChangeItems(ItemChange {
+        upserts: vec![item],
+        removals: Vec::new(),
+    }));
+    catalog
+}
+
+fn id(number: usize) -> InstanceId {
+    InstanceId(format!("i-{number}"))
+}
+
+fn beat(number: usize, sequence: u64) -> Beat {
+    Beat {
+        id: id(number),
+        service: SERVICE.to_owned(),
+        address: format!("10.0.0.{number}:80"),
+        zone: "z".to_owned(),
+        slots: 2,
+        draining: false,
+        sequence,
+        holds: Vec::new(),
+        freed: Vec::new(),
+    }
+}
+
+fn commands(outcome: BeatOutcome) -> Vec<Command> {
+    match outcome {
+        BeatOutcome::Fresh(commands) => commands,
+        BeatOutcome::Stale => Vec::new(),
+    }
+}
+
+/// Lets each server beat once; all commands are applied at once when `together`, as under load.
+fn round(
+    coordinator: &mut Coordinator,
+    catalog: &mut Catalog,
+    now: Duration,
+    count: usize,
+    sequence: u64,
+    together: bool,
+) -> Vec<Command> {
+    let due = coordinator.tick(now, catalog);
+    due.iter().for_each(|command| _ = catalog.apply(command));
+    let mut all = Vec::new();
+    for number in 0..count {
+        let one = commands(coordinator.on_beat(now, catalog, &beat(number, sequence)));
+        if !together {
+            one.iter().for_each(|command| _ = catalog.apply(command));
+        }
+        all.extend(one);
+    }
+    if together {
+        all.iter().for_each(|command| _ = catalog.apply(command));
+    }
+    for number in 0..count {
+        let grant = coordinator.grant(now, catalog, &beat(number, sequence));
+        assert!(
+            grant.is_some(),
+            "a server of a sharded service gets a grant"
+        );
+    }
+    all
+}
+
+/// A service whose shards were divided among so many servers, over seven rounds of heartbeats.
+fn divided(count: usize) -> (Coordinator, Catalog) {
+    let (mut coordinator, mut catalog) = (Coordinator::new(timing(), ms(0)), catalog());
+    for sequence in 1..8 {
+        let now = ms(sequence * 1_000);
+        round(&mut coordinator, &mut catalog, now, count, sequence, false);
+    }
+    (coordinator, catalog)
+}
+
+fn owned(catalog: &Catalog, count: usize) -> Vec<usize> {
+    let ownership = catalog.ownership(SERVICE).expect("assigned");
+    (0..count)
+        .map(|number| ownership.count_of(&id(number)))
+        .collect()
+}
+
+#[test]
+fn servers_that_beat_at_one_moment_are_promised_different_shards() {
+    let (mut coordinator, mut catalog) = (Coordinator::new(timing(), ms(0)), catalog());
+    round(&mut coordinator, &mut catalog, ms(0), 8, 1, false);
+    let all = round(&mut coordinator, &mut catalog, ms(2_000), 8, 2, true);
+    let mut seen = BTreeSet::new();
+    for command in all {
+        if let Command::AssignShards { shards, .. } = command {
+            for shard in shards {
+                assert!(seen.insert(shard), "shard {shard} was promised twice");
+            }
+        }
+    }
+    assert!(
+        seen.len() > SHARDS / 2,
+        "{} shards in the first round",
+        seen.len()
+    );
+}
+
+#[test]
+fn the_first_division_is_about_equal_and_whole() {
+    let (_, catalog) = divided(14);
+    let owned = owned(&catalog, 14);
+    assert_eq!(owned.iter().sum::<usize>(), SHARDS);
+    let (least, most) = (owned.iter().min(), owned.iter().max());
+    assert!(
+        most.unwrap() - least.unwrap() <= SHARDS / 14 / 4,
+        "{owned:?}"
+    );
+}
+
+#[test]
+fn nothing_is_divided_before_servers_had_time_to_show_up() {
+    let (mut coordinator, mut catalog) = (Coordinator::new(timing(), ms(0)), catalog());
+    round(&mut coordinator, &mut catalog, ms(100), 1, 1, false);
+    round(&mut coordinator, &mut catalog, ms(900), 1, 2, false);
+    assert!(catalog.ownership(SERVICE).is_none());
+}
+
+/// One server takes six times what the others can; it is short of nothing, they are busy.
+#[test]
+fn busy_servers_give_shards_to_the_one_that_can_take_more() {
+    let (mut coordinator, mut catalog) = divided(4);
+    let before = owned(&catalog, 4);
+    for sequence in 8..40_u64 {
+        let now = ms(sequence * 1_000);
+        report(&mut coordinator, &catalog, now);
+        round(&mut coordinator, &mut catalog, now, 4, sequence, false);
+    }
+    let after = owned(&catalog, 4);
+    assert!(after[0] > before[0] * 5 / 4, "{before:?} became {after:?}");
+}
+
+/// 40 requests a second for each server's shards; the first server runs one in 7.5 ms, the others in 90.
+fn report(coordinator: &mut Coordinator, catalog: &Catalog, now: Duration) {
+    let all = (0..SHARDS as u16).step_by(25).map(|shard| (shard, 1));
+    let servers = (0..4_usize).map(|number| ServerSample {
+        id: id(number),
+        answers: 40,
+        seconds: if number == 0 { 0.3 } else { 3.6 },
+    });
+    let sample = LoadSample {
+        elapsed: 1.0,
+        shards: vec![(SERVICE.to_owned(), all.collect())],
+        servers: servers.collect(),
+    };
+    coordinator.on_load(now, catalog, &sample);
+}
