What gateways are fed is compressed, so that a large change is in force in time

Their entry has 87 KB; 64 gateways at 0.4 of a link of 51 Mbit/s take 2.19 s, and 2 s are allowed.

Ruled out: the decision itself (committed and acknowledged in 0.5 s); a larger part of the link, which consensus needs.

Change: frames of 2 KB and more are deflated; a bound holds on what they may hold.

--- a/crates/directory/src/daemon/feed.rs
+++ b/crates/directory/src/daemon/feed.rs
@@ -6,7 +6,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use grebepin_reactor::encode_frame;
 use grebepin_storage::Disk;
 use mio::Token;
 
@@ -92,10 +91,11 @@
             .as_ref()
             .is_some_and(|(at, _)| *at == node.applied());
         if !is_fresh {
-            let mut bytes = Vec::new();
-            if let Ok((index, state)) = node.whole_state() {
-                let _ = encode_frame(&FromReplica::Whole { index, state }, &mut bytes);
-            }
+            let whole = node.whole_state().ok();
+            let frame = whole.map(|(index, state)| FromReplica::Whole { index, state });
+            let bytes = frame
+                .and_then(|frame| frame.encode().ok())
+                .unwrap_or_default();
             self.whole = Some((node.applied(), bytes));
         }
         self.whole.as_ref().map_or(&[], |(_, bytes)| bytes)
@@ -104,8 +104,6 @@
 
 /// Entries after an index as one frame; `None` when they are no longer at hand.
 fn encoded_entries<D: Disk>(node: &Node<D>, after: u64) -> Option<Vec<u8>> {
-    let mut bytes = Vec::new();
     let frame = FromReplica::Entries(node.entries_after(after)?);
-    let _ = encode_frame(&frame, &mut bytes);
-    Some(bytes)
+    frame.encode().ok()
 }
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -2,6 +2,7 @@
 
 use grebepin_catalog::Entry;
 use grebepin_grants::LoadSample;
+use grebepin_reactor::{encode_frame, pack, take_frame, unpack, FrameError};
 use grebepin_schema::PeerFrame;
 use serde::{Deserialize, Serialize};
 
@@ -60,10 +61,60 @@
         /// The log index.
         index: u64,
         /// The state.
+        #[serde(with = "serde_bytes")]
         state: Vec<u8>,
     },
     /// Entries in the order of the log, without a gap.
     Entries(Vec<(u64, Entry)>),
+    /// Another frame of this kind with its length, compressed.
+    Packed(#[serde(with = "serde_bytes")] Vec<u8>),
+}
+
+/// Longest frame that a packed one may hold, in bytes.
+const UNPACKED_LIMIT: usize = 128 << 20;
+
+/// Length in bytes above which a frame is packed.
+const PACKED_FROM: usize = 2_048;
+
+impl FromReplica {
+    /// The frame with its length, packed when it is long.
+    ///
+    /// # Errors
+    /// It can't be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, FrameError> {
+        let mut bytes = Vec::new();
+        encode_frame(self, &mut bytes)?;
+        if bytes.len() < PACKED_FROM {
+            return Ok(bytes);
+        }
+        let Ok(packed) = pack(&bytes) else {
+            return Ok(bytes);
+        };
+        let mut frame = Vec::new();
+        encode_frame(&Self::Packed(packed), &mut frame)?;
+        Ok(frame)
+    }
+
+    /// The frame itself, out of a packed one.
+    ///
+    /// # Errors
+    /// The packed bytes hold no frame.
+    pub fn unpacked(self) -> Result<Self, FrameError> {
+        let Self::Packed(packed) = self else {
+            return Ok(self);
+        };
+        let Ok(mut bytes) = unpack(&packed, UNPACKED_LIMIT) else {
+            return Err(FrameError::TooLong {
+                bytes: packed.len(),
+            });
+        };
+        match take_frame(&mut bytes)? {
+            Some(frame) => Ok(frame),
+            None => Err(FrameError::TooLong {
+                bytes: packed.len(),
+            }),
+        }
+    }
 }
 
 /// What a replica is at present.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -189,7 +189,7 @@
                         updates.push(Update::Whole(index, Box::new(catalog)));
                     }
                 }
-                FromReplica::Relayed { .. } => {}
+                FromReplica::Relayed { .. } | FromReplica::Packed(_) => {}
             }
         }
         if self.followed == Some(token) {
@@ -221,7 +221,9 @@
         }
         let outcome = link.connection.fill(BUFFER_LIMIT);
         loop {
-            match take_frame(&mut link.connection.inbound) {
+            let taken = take_frame::<FromReplica>(&mut link.connection.inbound);
+            let unpacked = taken.and_then(|frame| frame.map(FromReplica::unpacked).transpose());
+            match unpacked {
                 Ok(Some(frame)) => frames.push(frame),
                 Ok(None) => break,
                 Err(_) => return false,
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -8,9 +8,11 @@
 mod deadlines;
 mod frames;
 pub mod http;
+mod packing;
 mod text_server;
 
 pub use connection::{Connection, ReadOutcome};
 pub use deadlines::Deadlines;
 pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAXIMUM_FRAME_BYTES};
+pub use packing::{pack, unpack};
 pub use text_server::{TextAnswer, TextServer};
