Files of one job each: a request's phases, the directory's house-keeping and opening, rows of answers

Behaviour is as before.

Conclusion: the replica's node and membership still repeat lines of crates/control.

--- /dev/null
+++ b/crates/directory/src/daemon/house.rs
@@ -0,0 +1,115 @@
+//! What the passing of time asks for: words to gateways, metrics, settings that changed.
+
+use std::time::Duration;
+
+use grebepin_catalog::InstanceState;
+use grebepin_reactor::{encode_frame, TextAnswer};
+use grebepin_telemetry::{event, Event};
+use mio::Token;
+
+use super::http_side::HttpConnection;
+use super::opening::changed_at;
+use super::server::Server;
+use crate::call::{Reply, UnavailableReason};
+use crate::link::{FromReplica, Head};
+use crate::settings::DirectorySettings;
+
+/// Time between two words to the gateways about this replica.
+const HEAD_EVERY: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the settings file.
+pub(super) const SETTINGS_LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// Rest after which a caller's connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+impl Server<'_> {
+    pub(super) fn on_metrics(&mut self, now: Duration, token: Token) {
+        self.measure(now);
+        let body = self.registered.render().unwrap_or_default();
+        let answer = TextAnswer { status: 200, body };
+        let registry = self.poll.registry();
+        let next = &mut self.next_token;
+        if let Some(metrics) = &mut self.metrics_server {
+            metrics.on_event(now, token, registry, next, |_| answer.clone());
+        }
+    }
+
+    /// Brings the gauges up to date.
+    pub(super) fn measure(&self, now: Duration) {
+        let metrics = &self.metrics;
+        let consensus = self.node.consensus();
+        let applied = self.node.applied();
+        metrics.term.set(consensus.term().0 as i64);
+        metrics.leads.set(i64::from(self.node.leads_surely(now)));
+        metrics.applied_index.set(applied as i64);
+        let unapplied = consensus.last_index().0.saturating_sub(applied);
+        metrics.unapplied_entries.set(unapplied as i64);
+        let followers = self.inbound.values().filter(|link| link.fed.is_some());
+        metrics.followers.set(followers.count() as i64);
+        let instances = self.node.catalog().instances();
+        let live = instances.filter(|instance| instance.state != InstanceState::Gone);
+        metrics.instances.set(live.count() as i64);
+    }
+
+    pub(super) fn head(&self, now: Duration) -> Head {
+        let gateways = self
+            .inbound
+            .values()
+            .filter(|link| !link.gateway.is_empty());
+        Head {
+            term: self.node.consensus().term().0,
+            leads: self.node.leads_surely(now),
+            applied: self.node.applied(),
+            replicas: self.node.replica_addresses(),
+            gateways: gateways.count() as u32,
+        }
+    }
+
+    /// What the passing of time asks for.
+    pub(super) fn keep_house(&mut self) {
+        let now = self.now();
+        if now >= self.next_head {
+            self.next_head = now + HEAD_EVERY;
+            if let Some(metrics) = &mut self.metrics_server {
+                metrics.close_resting(now);
+            }
+            self.tell_heads(now);
+            self.peers.tick(now);
+            let idle = |http: &HttpConnection| !http.busy && now > http.active + IDLE_LIMIT;
+            self.https.retain(|_, http| !idle(http));
+        }
+        for id in self.calls.overdue(now) {
+            self.reply(id, &Reply::Unavailable(UnavailableReason::LeaderSilent));
+        }
+        if now >= self.next_settings_look || self.signals.take_reload() {
+            self.next_settings_look = now + SETTINGS_LOOK_EVERY;
+            self.look_at_settings();
+        }
+    }
+
+    pub(super) fn tell_heads(&mut self, now: Duration) {
+        let mut frame = Vec::new();
+        let _ = encode_frame(&FromReplica::Head(self.head(now)), &mut frame);
+        self.inbound.retain(|_, link| {
+            let is_gateway = !link.gateway.is_empty();
+            !is_gateway || (!link.is_silent(now) && link.send_bytes(&frame))
+        });
+    }
+
+    pub(super) fn look_at_settings(&mut self) {
+        let changed = changed_at(&self.settings_path);
+        if changed == self.settings_changed {
+            return;
+        }
+        self.settings_changed = changed;
+        match DirectorySettings::load(&self.settings_path) {
+            Ok(settings) => {
+                self.node.set_seeds(settings.seed_links());
+                event!(Event::SettingsReloaded, seeds = settings.seeds.len());
+                self.settings = settings;
+            }
+            Err(error) => event!(Event::SettingsRefused, error = error),
+        }
+    }
+}
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -6,8 +6,10 @@
 mod calls;
 mod event_log;
 mod feed;
+mod house;
 mod http_side;
 mod link_side;
+mod opening;
 mod peers;
 mod server;
 mod signals;
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -5,11 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant, SystemTime};
 
-use grebepin_catalog::InstanceState;
-use grebepin_grants::Timing;
-use grebepin_reactor::{encode_frame, Connection, TextAnswer, TextServer};
-use grebepin_schema::ReplicaId;
-use grebepin_storage::{RealDisk, StorageError};
+use grebepin_reactor::{Connection, TextServer};
+use grebepin_storage::RealDisk;
 use grebepin_telemetry::{event, DirectoryMetrics, Event, Metrics};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
@@ -17,15 +14,17 @@
 use super::calls::{Calls, Origin};
 use super::event_log::log_notice;
 use super::feed::Feeder;
+use super::house::SETTINGS_LOOK_EVERY;
 use super::http_side::HttpConnection;
 use super::link_side::LinkConnection;
+use super::opening::{changed_at, open_node};
 use super::peers::Peers;
 use super::signals::Signals;
 use super::DirectoryError;
 use crate::call::{Call, Reply, UnavailableReason};
 use crate::dialect::{BadCall, Dialect, HttpCall};
-use crate::link::{FromReplica, Head, ToReplica};
-use crate::node::{Node, NodeConfig, NodeError, NodeInput, NodeOutput, NodeTiming};
+use crate::link::{FromReplica, ToReplica};
+use crate::node::{Node, NodeError, NodeInput, NodeOutput};
 use crate::settings::DirectorySettings;
 
 const CONTROL_LISTENER: Token = Token(0);
@@ -45,49 +44,37 @@
 /// Pause before gateways that could not be fed get their turn.
 const FEED_PAUSE: Duration = Duration::from_millis(5);
 
-/// Time between two words to the gateways about this replica.
-const HEAD_EVERY: Duration = Duration::from_millis(500);
-
-/// Time between two looks at the settings file.
-const SETTINGS_LOOK_EVERY: Duration = Duration::from_secs(1);
-
 /// Connections taken in at once.
 const CONNECTION_LIMIT: usize = 3_000;
 
-/// Rest after which a caller's connection is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(30);
-
 /// Rounds of inputs that follow from outputs, before the network gets its turn.
 const MAXIMUM_ROUNDS: usize = 8;
 
-/// Silence after which a server without a lease counts as ended, in heartbeats.
-const FORGET_AFTER_HEARTBEATS: u32 = 10;
-
 /// The process.
 pub(super) struct Server<'a> {
-    settings_path: PathBuf,
-    settings: DirectorySettings,
-    settings_changed: Option<SystemTime>,
-    dialect: &'a dyn Dialect,
-    poll: Poll,
-    control: TcpListener,
-    links: TcpListener,
-    metrics_server: Option<TextServer>,
-    registered: Metrics,
-    metrics: DirectoryMetrics,
-    node: Node<RealDisk>,
-    started: Instant,
-    next_token: usize,
-    https: HashMap<Token, HttpConnection>,
-    waiting_callers: VecDeque<Token>,
-    inbound: HashMap<Token, LinkConnection>,
-    peers: Peers,
-    feeder: Feeder,
-    calls: Calls,
-    inputs: Vec<NodeInput>,
-    next_head: Duration,
-    next_settings_look: Duration,
-    signals: Signals,
+    pub(super) settings_path: PathBuf,
+    pub(super) settings: DirectorySettings,
+    pub(super) settings_changed: Option<SystemTime>,
+    pub(super) dialect: &'a dyn Dialect,
+    pub(super) poll: Poll,
+    pub(super) control: TcpListener,
+    pub(super) links: TcpListener,
+    pub(super) metrics_server: Option<TextServer>,
+    pub(super) registered: Metrics,
+    pub(super) metrics: DirectoryMetrics,
+    pub(super) node: Node<RealDisk>,
+    pub(super) started: Instant,
+    pub(super) next_token: usize,
+    pub(super) https: HashMap<Token, HttpConnection>,
+    pub(super) waiting_callers: VecDeque<Token>,
+    pub(super) inbound: HashMap<Token, LinkConnection>,
+    pub(super) peers: Peers,
+    pub(super) feeder: Feeder,
+    pub(super) calls: Calls,
+    pub(super) inputs: Vec<NodeInput>,
+    pub(super) next_head: Duration,
+    pub(super) next_settings_look: Duration,
+    pub(super) signals: Signals,
 }
 
 impl<'a> Server<'a> {
@@ -193,7 +180,7 @@
         }
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.started.elapsed()
     }
 
@@ -220,35 +207,7 @@
         }
     }
 
-    fn on_metrics(&mut self, now: Duration, token: Token) {
-        self.measure(now);
-        let body = self.registered.render().unwrap_or_default();
-        let answer = TextAnswer { status: 200, body };
-        let registry = self.poll.registry();
-        let next = &mut self.next_token;
-        if let Some(metrics) = &mut self.metrics_server {
-            metrics.on_event(now, token, registry, next, |_| answer.clone());
-        }
-    }
-
-    /// Brings the gauges up to date.
-    fn measure(&self, now: Duration) {
-        let metrics = &self.metrics;
-        let consensus = self.node.consensus();
-        let applied = self.node.applied();
-        metrics.term.set(consensus.term().0 as i64);
-        metrics.leads.set(i64::from(self.node.leads_surely(now)));
-        metrics.applied_index.set(applied as i64);
-        let unapplied = consensus.last_index().0.saturating_sub(applied);
-        metrics.unapplied_entries.set(unapplied as i64);
-        let followers = self.inbound.values().filter(|link| link.fed.is_some());
-        metrics.followers.set(followers.count() as i64);
-        let instances = self.node.catalog().instances();
-        let live = instances.filter(|instance| instance.state != InstanceState::Gone);
-        metrics.instances.set(live.count() as i64);
-    }
-
-    fn fresh_token(&mut self) -> Token {
+    pub(super) fn fresh_token(&mut self) -> Token {
         let token = Token(self.next_token);
         self.next_token += 1;
         token
@@ -461,7 +420,7 @@
         }
     }
 
-    fn reply(&mut self, id: crate::node::CallId, reply: &Reply) {
+    pub(super) fn reply(&mut self, id: crate::node::CallId, reply: &Reply) {
         if let Reply::Unavailable(reason) = reply {
             event!(
                 Event::CallUnanswered,
@@ -499,130 +458,10 @@
         }
     }
 
-    fn feed(&mut self) {
+    pub(super) fn feed(&mut self) {
         let now = self.now();
         for token in self.feeder.feed(now, &self.node, &mut self.inbound) {
             self.inbound.remove(&token);
         }
     }
-
-    fn head(&self, now: Duration) -> Head {
-        let gateways = self
-            .inbound
-            .values()
-            .filter(|link| !link.gateway.is_empty());
-        Head {
-            term: self.node.consensus().term().0,
-            leads: self.node.leads_surely(now),
-            applied: self.node.applied(),
-            replicas: self.node.replica_addresses(),
-            gateways: gateways.count() as u32,
-        }
-    }
-
-    /// What the passing of time asks for.
-    fn keep_house(&mut self) {
-        let now = self.now();
-        if now >= self.next_head {
-            self.next_head = now + HEAD_EVERY;
-            if let Some(metrics) = &mut self.metrics_server {
-                metrics.close_resting(now);
-            }
-            self.tell_heads(now);
-            self.peers.tick(now);
-            let idle = |http: &HttpConnection| !http.busy && now > http.active + IDLE_LIMIT;
-            self.https.retain(|_, http| !idle(http));
-        }
-        for id in self.calls.overdue(now) {
-            self.reply(id, &Reply::Unavailable(UnavailableReason::LeaderSilent));
-        }
-        if now >= self.next_settings_look || self.signals.take_reload() {
-            self.next_settings_look = now + SETTINGS_LOOK_EVERY;
-            self.look_at_settings();
-        }
-    }
-
-    fn tell_heads(&mut self, now: Duration) {
-        let mut frame = Vec::new();
-        let _ = encode_frame(&FromReplica::Head(self.head(now)), &mut frame);
-        self.inbound.retain(|_, link| {
-            let is_gateway = !link.gateway.is_empty();
-            !is_gateway || (!link.is_silent(now) && link.send_bytes(&frame))
-        });
-    }
-
-    fn look_at_settings(&mut self) {
-        let changed = changed_at(&self.settings_path);
-        if changed == self.settings_changed {
-            return;
-        }
-        self.settings_changed = changed;
-        match DirectorySettings::load(&self.settings_path) {
-            Ok(settings) => {
-                self.node.set_seeds(settings.seed_links());
-                event!(Event::SettingsReloaded, seeds = settings.seeds.len());
-                self.settings = settings;
-            }
-            Err(error) => event!(Event::SettingsRefused, error = error),
-        }
-    }
-}
-
-fn changed_at(path: &Path) -> Option<SystemTime> {
-    std::fs::metadata(path)
-        .and_then(|data| data.modified())
-        .ok()
-}
-
-fn open_node(settings: &DirectorySettings) -> Result<Node<RealDisk>, DirectoryError> {
-    let leases = Timing {
-        lease: settings.lease(),
-        heartbeat: Duration::from_secs_f64(settings.heartbeat_s),
-        drain_window: settings.drain_window(),
-        forget_after: Duration::from_secs_f64(settings.heartbeat_s) * FORGET_AFTER_HEARTBEATS,
-    };
-    let config = NodeConfig {
-        zone: settings.zone.clone(),
-        link_address: settings.link_address(),
-        control_address: settings.control_address,
-        seeds: settings.seed_links(),
-        bootstrap: settings.bootstrap,
-        fresh_replica: ReplicaId(rand::random::<u64>() & !1),
-        random_seed: rand::random(),
-        timing: NodeTiming::regional(leases),
-    };
-    let disk = RealDisk::new(&settings.data_dir)?;
-    match Node::open(config.clone(), disk, Duration::ZERO) {
-        Err(NodeError::Storage(StorageError::Damaged {
-            file,
-            offset,
-            reason,
-        })) => {
-            event!(
-                Event::DirectoryFolderUnusable,
-                file = file,
-                offset = offset,
-                reason = reason
-            );
-            give_up_folder(&settings.data_dir)?;
-            let config = NodeConfig {
-                bootstrap: false,
-                ..config
-            };
-            Ok(Node::open(
-                config,
-                RealDisk::new(&settings.data_dir)?,
-                Duration::ZERO,
-            )?)
-        }
-        opened => Ok(opened?),
-    }
-}
-
-/// Empties a folder whose replica can't be trusted any more; it joins anew under another identity.
-fn give_up_folder(folder: &Path) -> std::io::Result<()> {
-    for entry in std::fs::read_dir(folder)? {
-        std::fs::remove_file(entry?.path())?;
-    }
-    std::fs::File::open(folder)?.sync_all()
 }
--- /dev/null
+++ b/crates/gateway/src/answering.rs
@@ -0,0 +1,225 @@
+//! The end of a request: sent once more, given the server's answer, or given up.
+
+use std::time::Duration;
+
+use grebepin_catalog::InstanceId;
+use grebepin_reactor::http::Response;
+use grebepin_telemetry::{event, Event};
+use mio::Token;
+
+use crate::answers::{write_own, write_response, OwnAnswer};
+use crate::flight::{FlightId, Place};
+use crate::forwarding::{LEAST_TIME, RETRY_AFTER};
+use crate::server::{Due, Server};
+use crate::verdict::{may_repeat, Verdict};
+
+/// Pause before the same owner is asked again whether it holds the key by now.
+const SAME_OWNER_PAUSE: Duration = Duration::from_millis(120);
+
+/// When any other refused client may come back: after this part of the time it has left, so that a
+/// shard has moved or a queue has drained by then, and enough time remains to be served.
+const RETRY_AFTER_PART: f64 = 0.3;
+
+impl Server {
+    /// Sends a request again where that is safe and allowed, or answers it.
+    pub(crate) fn decide(
+        &mut self,
+        id: FlightId,
+        verdict: Verdict,
+        response: Option<Response>,
+        server: &InstanceId,
+    ) {
+        let now = self.now();
+        let Some(flight) = self.flights.get(id) else {
+            return;
+        };
+        let allowed = may_repeat(verdict, flight.kind())
+            && flight.sendings < flight.route.maximum_attempts
+            && now + LEAST_TIME < flight.expires;
+        let has_place = verdict != Verdict::NotRun || flight.shard.is_none();
+        if allowed && has_place && self.budgets.take(&flight.service, now) {
+            self.metrics
+                .note_retry(&flight.service, &format!("{verdict:?}"));
+            event!(
+                Event::RequestRetried,
+                id = flight.request_id,
+                instance = server.0,
+                verdict = format!("{verdict:?}"),
+                sendings = flight.sendings
+            );
+            return match (verdict, flight.shard) {
+                (Verdict::NotOwner, Some(shard)) => self.ask_owner_again(id, shard, server),
+                _ => self.dispatch(id),
+            };
+        }
+        match (verdict, response) {
+            (Verdict::Failed, Some(response)) => self.pass_on(id, &response),
+            (Verdict::NotRun | Verdict::NotOwner, _) => {
+                self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "server did not run it");
+            }
+            _ => self.finish(id, OwnAnswer::status(502), "server broke off"),
+        }
+    }
+
+    /// The server that was believed to own a key does not: another may by now, or it may shortly.
+    pub(crate) fn ask_owner_again(&mut self, id: FlightId, shard: usize, server: &InstanceId) {
+        let now = self.now();
+        let Some(flight) = self.flights.get_mut(id) else {
+            return;
+        };
+        let held = self.table.shard(&flight.service, shard);
+        let is_same = held.is_some_and(|shard| shard.owner.as_ref() == Some(server));
+        if !is_same {
+            return self.dispatch(id);
+        }
+        let fence = held.map_or(0, |shard| shard.fence);
+        flight.place = Place::AwaitingOwner { fence };
+        let due = Due::OwnerWait(id, flight.sendings);
+        self.deadlines.add(now + SAME_OWNER_PAUSE, due);
+    }
+
+    /// The time of a request is up.
+    pub(crate) fn expire(&mut self, id: FlightId) {
+        let now = self.now();
+        let Some(flight) = self.flights.get(id) else {
+            return;
+        };
+        let was_sent = match &flight.place {
+            Place::At { connection, .. } => {
+                let upstream = self.upstreams.get(*connection);
+                upstream.is_some_and(|upstream| upstream.connected)
+            }
+            _ => false,
+        };
+        let place = flight.place.clone();
+        // An earlier sending of a request that is not repeatable is proved not to have run.
+        let answer = match was_sent {
+            false => OwnAnswer::not_run(RETRY_AFTER),
+            true => OwnAnswer::status(504),
+        };
+        if let (Place::At { server, since, .. }, true) = (place, was_sent) {
+            self.balance.silent(&server, now, now.saturating_sub(since));
+        }
+        self.recall(id);
+        self.finish(id, answer, "time is up");
+    }
+
+    /// Takes a request back from the connection it is on, which is closed.
+    pub(crate) fn recall(&mut self, id: FlightId) {
+        let place = self.flights.get(id).map(|flight| flight.place.clone());
+        if let Some(Place::At { connection, .. }) = place {
+            self.leave_server(id);
+            self.drop_upstream(connection);
+        }
+    }
+
+    /// Notes that a request is no longer at its server; which that was, and since when.
+    pub(crate) fn leave_server(&mut self, id: FlightId) -> Option<(InstanceId, Duration)> {
+        let now = self.now();
+        let flight = self.flights.get_mut(id)?;
+        let place = std::mem::replace(&mut flight.place, Place::Here);
+        let Place::At { server, since, .. } = place else {
+            return None;
+        };
+        self.services_with_room.insert(flight.service.clone());
+        let took = now.saturating_sub(since);
+        self.metrics.note_server(&flight.service, took);
+        if flight.shard.is_some() {
+            self.load.note_answer(&server, took);
+        }
+        self.balance.end(&server);
+        Some((server, since))
+    }
+
+    /// Gives a server's answer to the client.
+    pub(crate) fn pass_on(&mut self, id: FlightId, response: &Response) {
+        let Some(flight) = self.flights.remove(id) else {
+            return;
+        };
+        event!(
+            Event::RequestAnswered,
+            id = flight.request_id,
+            route = flight.route_name,
+            status = response.status,
+            sendings = flight.sendings,
+            instance = flight.tried.last().map_or("", |one| one.0.as_str()),
+            ms = self.now().saturating_sub(flight.began).as_millis()
+        );
+        let took = self.now().saturating_sub(flight.began);
+        self.metrics
+            .note_answer(&flight.service, response.status, "", took);
+        let stopping = self.stopping.is_some();
+        let Some(client) = self.clients.get_mut(&flight.client) else {
+            return;
+        };
+        let closes = !client.keeps_alive || stopping;
+        write_response(client.connection.outbound(), response, closes);
+        self.after_answer(flight.client, closes);
+    }
+
+    /// Gives up a request with an answer of the gateway's own.
+    pub(crate) fn finish(&mut self, id: FlightId, answer: OwnAnswer, reason: &str) {
+        let Some(flight) = self.flights.remove(id) else {
+            return;
+        };
+        let left = flight.deadline.saturating_sub(self.now());
+        let answer = OwnAnswer {
+            retry_after: answer.retry_after.map(|_| left.mul_f64(RETRY_AFTER_PART)),
+            ..answer
+        };
+        let what = match answer.status {
+            503 => Event::RequestRefused,
+            _ => Event::RequestFailed,
+        };
+        event!(
+            what,
+            id = flight.request_id,
+            route = flight.route_name,
+            service = flight.service,
+            status = answer.status,
+            reason = reason,
+            sendings = flight.sendings,
+            key = flight.key.map_or(-1, i64::from),
+            servers = flight
+                .tried
+                .iter()
+                .map(|one| one.0.as_str())
+                .collect::<Vec<_>>()
+                .join(","),
+            applied = self.table.applied(),
+            ms = self.now().saturating_sub(flight.began).as_millis()
+        );
+        let took = self.now().saturating_sub(flight.began);
+        self.metrics
+            .note_answer(&flight.service, answer.status, reason, took);
+        self.answer_client(flight.client, answer, &flight.request_id);
+    }
+
+    pub(crate) fn answer_client(&mut self, token: Token, answer: OwnAnswer, request_id: &str) {
+        let names = self.names;
+        let stopping = self.stopping.is_some();
+        let Some(client) = self.clients.get_mut(&token) else {
+            return;
+        };
+        let closes = answer.closes || !client.keeps_alive || stopping;
+        let answer = OwnAnswer { closes, ..answer };
+        write_own(client.connection.outbound(), answer, request_id, &names);
+        self.after_answer(token, closes);
+    }
+
+    pub(crate) fn after_answer(&mut self, token: Token, closes: bool) {
+        let now = self.now();
+        let Some(client) = self.clients.get_mut(&token) else {
+            return;
+        };
+        client.flight = None;
+        client.closing = closes;
+        client.rested_since = now;
+        let open = client.flush();
+        client.connection.trim();
+        match open {
+            true => self.take_request(token),
+            false => _ = self.clients.remove(&token),
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,12 +1,14 @@
 //! The gateway: takes clients' requests, finds the server that may run each, and answers.
 //!
 //! Everything is served from one thread. `table`, `balance`, `budget`, `verdict` decide and are pure;
-//! `clients`, `upstreams` and `follow` move bytes; `server` is the event loop that joins them.
+//! `clients`, `upstreams` and `follow` move bytes; `forwarding`, `sending` and `answering` are the phases of
+//! a request, and `server` is the event loop that joins them.
 //!
 //! Invariants: a request that is not repeatable is sent a second time only after proof that the first
 //! sending did not run; an answer reaches the client only whole, and only if it carries the id of
 //! its request; a request that is given up is answered at once.
 
+mod answering;
 pub mod answers;
 pub mod balance;
 pub mod budget;
@@ -16,6 +18,7 @@
 mod forwarding;
 mod headers;
 pub mod load;
+mod sending;
 mod server;
 mod settings;
 pub mod stopping;
--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use grebepin_catalog::{
-    Catalog, Command, FreedShard, Instance, InstanceId, InstanceState, ItemContent, ItemKind,
-    KeyRow, ShardOwnership, KEYS_PER_SHARD, SHARDS,
+    Catalog, Command, FreedShard, Instance, InstanceId, InstanceState, ShardOwnership, SHARDS,
 };
 
 use crate::beat::{Beat, Grant};
 use crate::load::{LoadBook, LoadSample};
-use crate::placement::{choose, Demand, MAXIMUM_ROWS};
+use crate::placement::{choose, Demand};
+use crate::registration::{freed, is_leaving, is_sharded, registration};
+use crate::rows::{granted_rows, withhold_surplus};
 use crate::server::Server;
 use crate::shares::Shares;
 use crate::timing::Timing;
@@ -402,110 +403,3 @@
         }
     }
 }
-
-/// Commands that take in the server and end earlier ones at its address.
-fn registration(catalog: &Catalog, beat: &Beat) -> Vec<Command> {
-    let state = match beat.draining {
-        true => InstanceState::Draining,
-        false => InstanceState::Ready,
-    };
-    let known = catalog.instance(&beat.id);
-    let instance = Instance {
-        id: beat.id.clone(),
-        service: beat.service.clone(),
-        address: beat.address.clone(),
-        zone: beat.zone.clone(),
-        slots: beat.slots,
-        state: known.map_or(state, |known| known.state.max(state)),
-    };
-    let mut commands = Vec::new();
-    if known == Some(&instance) {
-        return commands;
-    }
-    if known.is_none() {
-        let replaced = catalog
-            .instances()
-            .filter(|other| other.address == beat.address && other.state != InstanceState::Gone);
-        commands.extend(replaced.map(|other| Command::SetState {
-            id: other.id.clone(),
-            state: InstanceState::Gone,
-        }));
-    }
-    commands.push(Command::Register(instance));
-    commands
-}
-
-fn is_sharded(catalog: &Catalog, service: &str) -> bool {
-    let item = catalog.items().get(ItemKind::Service, service);
-    item.is_some_and(|item| match &item.content {
-        ItemContent::Service(service) => service.sharded,
-        _ => false,
-    })
-}
-
-fn freed(ownership: &ShardOwnership, shard: usize, handover: String) -> FreedShard {
-    FreedShard {
-        shard: shard as u16,
-        fence: ownership.shards()[shard].fence,
-        handover,
-    }
-}
-
-fn is_leaving(catalog: &Catalog, id: &InstanceId) -> bool {
-    let instance = catalog.instance(id);
-    instance.is_some_and(|instance| instance.state != InstanceState::Ready)
-}
-
-/// Rows of the server's shards that it is not releasing; a handover only until it was taken.
-fn granted_rows(ownership: &ShardOwnership, server: &Server, beat: &Beat) -> Vec<KeyRow> {
-    let granted = ownership
-        .owned_by(&beat.id)
-        .filter(|shard| !server.releasing.contains_key(shard));
-    let (taken, new): (Vec<usize>, Vec<usize>) =
-        granted.partition(|shard| beat.fence_of(*shard) == Some(ownership.shards()[*shard].fence));
-    let mut rows = ownership.rows(taken.into_iter());
-    for row in &mut rows {
-        row.handover.clear();
-    }
-    rows.extend(ownership.rows(new.into_iter()));
-    fit_into_answer(&mut rows);
-    rows
-}
-
-/// Tells a server to release what an answer has no room to list, as after many small moves.
-fn withhold_surplus(
-    ownership: &ShardOwnership,
-    server: &mut Server,
-    sequence: u64,
-    id: &InstanceId,
-) {
-    let kept: Vec<usize> = ownership
-        .owned_by(id)
-        .filter(|shard| !server.releasing.contains_key(shard))
-        .collect();
-    let rows = ownership.rows(kept.iter().copied());
-    let Some(first_surplus) = rows.get(MAXIMUM_ROWS) else {
-        return;
-    };
-    let is_surplus = |shard: &&usize| **shard as u32 * KEYS_PER_SHARD >= first_surplus.from;
-    let surplus = kept.iter().filter(is_surplus);
-    server
-        .releasing
-        .extend(surplus.map(|shard| (*shard, sequence)));
-}
-
-/// Keeps the rows within what an answer may hold: a handover that is left out only makes the keys
-/// slow for a while.
-fn fit_into_answer(rows: &mut [KeyRow]) {
-    let mut left = ANSWER_BYTES.saturating_sub(rows.len() * ROW_BYTES);
-    for row in rows {
-        match row.handover.len() <= left {
-            true => left -= row.handover.len(),
-            false => row.handover.clear(),
-        }
-    }
-}
-
-/// Bytes of rows that an answer may hold, and those of one row without its handover.
-const ANSWER_BYTES: usize = 3_800;
-const ROW_BYTES: usize = 23;
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -12,6 +12,8 @@
 mod coordinator;
 mod load;
 mod placement;
+mod registration;
+mod rows;
 mod server;
 mod shares;
 mod timing;
--- /dev/null
+++ b/crates/grants/src/registration.rs
@@ -0,0 +1,61 @@
+//! What a heartbeat says of its server, and what the replicated state says of it.
+
+use grebepin_catalog::{
+    Catalog, Command, FreedShard, Instance, InstanceId, InstanceState, ItemContent, ItemKind,
+    ShardOwnership,
+};
+
+use crate::beat::Beat;
+
+/// Commands that take in the server and end earlier ones at its address.
+pub(crate) fn registration(catalog: &Catalog, beat: &Beat) -> Vec<Command> {
+    let state = match beat.draining {
+        true => InstanceState::Draining,
+        false => InstanceState::Ready,
+    };
+    let known = catalog.instance(&beat.id);
+    let instance = Instance {
+        id: beat.id.clone(),
+        service: beat.service.clone(),
+        address: beat.address.clone(),
+        zone: beat.zone.clone(),
+        slots: beat.slots,
+        state: known.map_or(state, |known| known.state.max(state)),
+    };
+    let mut commands = Vec::new();
+    if known == Some(&instance) {
+        return commands;
+    }
+    if known.is_none() {
+        let replaced = catalog
+            .instances()
+            .filter(|other| other.address == beat.address && other.state != InstanceState::Gone);
+        commands.extend(replaced.map(|other| Command::SetState {
+            id: other.id.clone(),
+            state: InstanceState::Gone,
+        }));
+    }
+    commands.push(Command::Register(instance));
+    commands
+}
+
+pub(crate) fn is_sharded(catalog: &Catalog, service: &str) -> bool {
+    let item = catalog.items().get(ItemKind::Service, service);
+    item.is_some_and(|item| match &item.content {
+        ItemContent::Service(service) => service.sharded,
+        _ => false,
+    })
+}
+
+pub(crate) fn freed(ownership: &ShardOwnership, shard: usize, handover: String) -> FreedShard {
+    FreedShard {
+        shard: shard as u16,
+        fence: ownership.shards()[shard].fence,
+        handover,
+    }
+}
+
+pub(crate) fn is_leaving(catalog: &Catalog, id: &InstanceId) -> bool {
+    let instance = catalog.instance(id);
+    instance.is_some_and(|instance| instance.state != InstanceState::Ready)
+}
