A stopping gateway refuses what it could not finish

Ruled out: an end before the grace time (it used all but its reserve).

Change: a request that may take longer than the time left is answered 503 at once, with a time to come back and the end of its connection.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -111,11 +111,19 @@
             true => Some(shard_of_key(key.unwrap_or_default())),
             false => None,
         };
+        let expires = began + patience.min(route.timeout);
+        if self
+            .stopping
+            .is_some_and(|stopping| !stopping.can_finish(expires))
+        {
+            event!(Event::RequestRefused, id = request_id, reason = "stopping");
+            let answer = OwnAnswer::not_run(RETRY_AFTER).closing();
+            return self.answer_client(token, answer, &request_id);
+        }
         self.budgets.note_request(&service, now);
         if let Some(shard) = shard {
             self.load.note_request(&service, shard);
         }
-        let expires = began + patience.min(route.timeout);
         let flight = self.flights.add(Flight {
             client: token,
             request,
--- a/crates/gateway/src/stopping.rs
+++ b/crates/gateway/src/stopping.rs
@@ -29,9 +29,19 @@
         now >= self.began + NOTICE_TIME.min(self.grace / 2)
     }
 
+    /// Whether a request that may take until `expires` is over before the end. One that may not be is
+    /// refused at once, since it would be cut off.
+    pub fn can_finish(&self, expires: Duration) -> bool {
+        expires < self.last()
+    }
+
+    /// When the process ends at the latest.
+    fn last(&self) -> Duration {
+        self.began + self.grace.saturating_sub(RESERVE)
+    }
+
     /// Whether the process ends now, with so many requests under way.
     pub fn is_over(&self, now: Duration, flights: usize, clients: usize) -> bool {
-        let last = self.began + self.grace.saturating_sub(RESERVE);
-        now >= last || (self.closes_idle(now) && flights == 0 && clients == 0)
+        now >= self.last() || (self.closes_idle(now) && flights == 0 && clients == 0)
     }
 }
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -121,6 +121,17 @@
     assert!(stopping.is_over(ms(6_700), 1, 1));
 }
 
+/// A request taken 5.4 s after the request to stop was cut off 0.2 s later.
+#[test]
+fn a_stopping_gateway_refuses_what_it_could_not_finish() {
+    let stopping = Stopping::new(ms(23_107), ms(6_000));
+    assert!(!stopping.can_finish(ms(28_500 + 1_000)));
+    assert!(
+        stopping.can_finish(ms(26_200 + 1_000)),
+        "3 s after the request to stop"
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
 
