Contract: a lease told as 0 ms may have a part of a millisecond left

The back end tells what remains in whole milliseconds, rounded down (holder.rs), and the clause asked again at once.

Ruled out: load alone: the clause asks right after the first 0, so the race is there on any machine.

Change: the check waits one millisecond, the step of that figure, before it asks again; what it expects is the same.

Conclusion: the test is as strict and no longer races the rounding.

--- a/crates/standin/src/contract/peer.rs
+++ b/crates/standin/src/contract/peer.rs
@@ -28,6 +28,9 @@
 /// Longest wait for the back end to get into a state.
 const PATIENCE: Duration = Duration::from_secs(8);
 
+/// Step in which a back end tells what remains of its lease.
+const REMAINING_STEP: Duration = Duration::from_millis(1);
+
 /// Pause between two looks at the back end.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -335,6 +338,8 @@
     /// Waits until the lease has run out.
     pub(super) fn wait_for_lapse(&mut self) -> Result<(), Breach> {
         let lapsed = self.wait_for(|peer| Ok(peer.beat(None)?.lease_remaining_ms == 0))?;
+        // What remains is told in whole milliseconds, rounded down: a part of one may be left.
+        std::thread::sleep(REMAINING_STEP);
         super::expect("lease over after its time", lapsed, true)
     }
 
