Elections after 250 ms; refusals by type, each with the time at which to come back

Change: election timeout 250 ms, rounds 60 ms; gateway/refusal.rs names each refusal and its time to come back, a third of what the client has left; a spent retry budget has a reason of its own.

--- a/crates/directory/src/node/config.rs
+++ b/crates/directory/src/node/config.rs
@@ -31,8 +31,8 @@
     /// Durations for a group on one region's network, with these leases.
     pub fn regional(leases: Timing) -> Self {
         Self {
-            election_timeout: Duration::from_millis(500),
-            round: Duration::from_millis(125),
+            election_timeout: Duration::from_millis(250),
+            round: Duration::from_millis(60),
             tick: Duration::from_millis(100),
             replace_after: Duration::from_millis(2_500),
             snapshot_every: 4_000,
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -9,17 +9,14 @@
 
 use crate::answers::{write_own, write_response, OwnAnswer};
 use crate::flight::{FlightId, Place};
-use crate::forwarding::{LEAST_TIME, RETRY_AFTER};
+use crate::forwarding::LEAST_TIME;
+use crate::refusal::Refusal;
 use crate::server::{Due, Server};
 use crate::verdict::{may_repeat, Verdict};
 
 /// Pause before the same owner is asked again whether it holds the key by now.
 const SAME_OWNER_PAUSE: Duration = Duration::from_millis(120);
 
-/// When any other refused client may come back: after this part of the time it has left, so that a
-/// shard has moved or a queue has drained by then, and enough time remains to be served.
-const RETRY_AFTER_PART: f64 = 0.3;
-
 impl Server {
     /// Sends a request again where that is safe and allowed, or answers it.
     pub(crate) fn decide(
@@ -37,27 +34,36 @@
             && flight.sendings < flight.route.maximum_attempts
             && now + LEAST_TIME < flight.expires;
         let has_place = verdict != Verdict::NotRun || flight.shard.is_none();
-        if allowed && has_place && self.budgets.take(&flight.service, now) {
-            self.metrics
-                .note_retry(&flight.service, &format!("{verdict:?}"));
-            event!(
-                Event::RequestRetried,
-                id = flight.request_id,
-                instance = server.0,
-                verdict = format!("{verdict:?}"),
-                sendings = flight.sendings
-            );
-            return match (verdict, flight.shard) {
-                (Verdict::NotOwner, Some(shard)) => self.ask_owner_again(id, shard, server),
-                _ => self.dispatch(id),
-            };
+        let wanted = allowed && has_place;
+        if wanted && self.budgets.take(&flight.service, now) {
+            return self.send_again(id, verdict, server);
         }
         match (verdict, response) {
             (Verdict::Failed, Some(response)) => self.pass_on(id, &response),
-            (Verdict::NotRun | Verdict::NotOwner, _) => {
-                self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "server did not run it");
+            (Verdict::NotRun | Verdict::NotOwner, _) if wanted => {
+                self.refuse(id, Refusal::BudgetSpent);
             }
-            _ => self.finish(id, OwnAnswer::status(502), "server broke off"),
+            (Verdict::NotRun | Verdict::NotOwner, _) => self.refuse(id, Refusal::NotRun),
+            _ => self.fail(id, 502, "server broke off"),
+        }
+    }
+
+    fn send_again(&mut self, id: FlightId, verdict: Verdict, server: &InstanceId) {
+        let Some(flight) = self.flights.get(id) else {
+            return;
+        };
+        self.metrics
+            .note_retry(&flight.service, &format!("{verdict:?}"));
+        event!(
+            Event::RequestRetried,
+            id = flight.request_id,
+            instance = server.0,
+            verdict = format!("{verdict:?}"),
+            sendings = flight.sendings
+        );
+        match (verdict, flight.shard) {
+            (Verdict::NotOwner, Some(shard)) => self.ask_owner_again(id, shard, server),
+            _ => self.dispatch(id),
         }
     }
 
@@ -92,16 +98,15 @@
             _ => false,
         };
         let place = flight.place.clone();
-        // An earlier sending of a request that is not repeatable is proved not to have run.
-        let answer = match was_sent {
-            false => OwnAnswer::not_run(RETRY_AFTER),
-            true => OwnAnswer::status(504),
-        };
         if let (Place::At { server, since, .. }, true) = (place, was_sent) {
             self.balance.silent(&server, now, now.saturating_sub(since));
         }
         self.recall(id);
-        self.finish(id, answer, "time is up");
+        match was_sent {
+            // An earlier sending of a request that is not repeatable is proved not to have run.
+            false => self.refuse(id, Refusal::NoTime),
+            true => self.fail(id, 504, "time is up"),
+        }
     }
 
     /// Takes a request back from the connection it is on, which is closed.
@@ -157,20 +162,26 @@
         self.after_answer(flight.client, closes);
     }
 
-    /// Gives up a request with an answer of the gateway's own.
-    pub(crate) fn finish(&mut self, id: FlightId, answer: OwnAnswer, reason: &str) {
-        let Some(flight) = self.flights.remove(id) else {
+    /// Gives up a request that has not run.
+    pub(crate) fn refuse(&mut self, id: FlightId, refusal: Refusal) {
+        let Some(flight) = self.flights.get(id) else {
             return;
         };
         let left = flight.deadline.saturating_sub(self.now());
-        let answer = OwnAnswer {
-            retry_after: answer.retry_after.map(|_| left.mul_f64(RETRY_AFTER_PART)),
-            ..answer
-        };
-        let what = match answer.status {
-            503 => Event::RequestRefused,
-            _ => Event::RequestFailed,
+        let answer = OwnAnswer::not_run(refusal.retry_after(Some(left)));
+        self.give_up(id, answer, Event::RequestRefused, refusal.reason());
+    }
+
+    /// Gives up a request that may have run.
+    pub(crate) fn fail(&mut self, id: FlightId, status: u16, reason: &str) {
+        self.give_up(id, OwnAnswer::status(status), Event::RequestFailed, reason);
+    }
+
+    fn give_up(&mut self, id: FlightId, answer: OwnAnswer, what: Event, reason: &str) {
+        let Some(flight) = self.flights.remove(id) else {
+            return;
         };
+        let took = self.now().saturating_sub(flight.began);
         event!(
             what,
             id = flight.request_id,
@@ -180,16 +191,10 @@
             reason = reason,
             sendings = flight.sendings,
             key = flight.key.map_or(-1, i64::from),
-            servers = flight
-                .tried
-                .iter()
-                .map(|one| one.0.as_str())
-                .collect::<Vec<_>>()
-                .join(","),
+            servers = flight.servers_tried(),
             applied = self.table.applied(),
-            ms = self.now().saturating_sub(flight.began).as_millis()
+            ms = took.as_millis()
         );
-        let took = self.now().saturating_sub(flight.began);
         self.metrics
             .note_answer(&flight.service, answer.status, reason, took);
         self.answer_client(flight.client, answer, &flight.request_id);
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -19,7 +19,7 @@
 }
 
 impl OwnAnswer {
-    /// The request did not run and never will; it may come back after a time.
+    /// The request did not run and never will; its client may come back after a time.
     pub fn not_run(retry_after: Duration) -> Self {
         Self {
             status: 503,
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -75,6 +75,12 @@
     pub fn kind(&self) -> RequestKind {
         self.route.kind
     }
+
+    /// Ids of the servers that it was sent to, for logs.
+    pub fn servers_tried(&self) -> String {
+        let ids: Vec<&str> = self.tried.iter().map(|id| id.0.as_str()).collect();
+        ids.join(",")
+    }
 }
 
 /// All requests under way.
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -10,15 +10,13 @@
 
 use crate::answers::OwnAnswer;
 use crate::flight::{Flight, FlightId, Place};
+use crate::refusal::Refusal;
 use crate::server::{Due, Server};
 
 /// Longest wait for a key's owner or for room at a server, as a part of the target latency: a client
 /// that is refused by then can still be served in time.
 const WAIT_PART: f64 = 0.24;
 
-/// When a client may come back that was refused before anything was known of it.
-pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(200);
-
 /// Time that is left at least, so that sending a request makes sense.
 pub(crate) const LEAST_TIME: Duration = Duration::from_millis(5);
 
@@ -73,13 +71,13 @@
             .get(names.request_id)
             .unwrap_or_default()
             .to_owned();
+        let stated = request
+            .fields
+            .get(names.deadline_ms)
+            .and_then(|text| text.parse::<u64>().ok())
+            .map(Duration::from_millis);
         if !self.table.is_configured() {
-            event!(
-                Event::RequestRefused,
-                id = request_id,
-                reason = "no configuration"
-            );
-            return self.answer_client(token, OwnAnswer::not_run(RETRY_AFTER), &request_id);
+            return self.turn_away(token, Refusal::Unconfigured, stated, &request_id);
         }
         let host = request.fields.get("host").unwrap_or_default();
         let path = request.target.split('?').next().unwrap_or_default();
@@ -95,11 +93,7 @@
             return self.answer_client(token, OwnAnswer::status(404), &request_id);
         };
         let name = name.to_owned();
-        let stated = request
-            .fields
-            .get(names.deadline_ms)
-            .and_then(|text| text.parse::<u64>().ok());
-        let patience = stated.map_or(route.timeout, Duration::from_millis);
+        let patience = stated.unwrap_or(route.timeout);
         let service = route.targets[self.splitter.next(&name, &route)]
             .service
             .clone();
@@ -116,9 +110,7 @@
             .stopping
             .is_some_and(|stopping| !stopping.can_finish(expires))
         {
-            event!(Event::RequestRefused, id = request_id, reason = "stopping");
-            let answer = OwnAnswer::not_run(RETRY_AFTER).closing();
-            return self.answer_client(token, answer, &request_id);
+            return self.turn_away(token, Refusal::Stopping, stated, &request_id);
         }
         self.budgets.note_request(&service, now);
         if let Some(shard) = shard {
@@ -148,6 +140,24 @@
         self.dispatch(flight);
     }
 
+    /// Refuses a request that was not taken in.
+    fn turn_away(
+        &mut self,
+        token: Token,
+        refusal: Refusal,
+        patience: Option<Duration>,
+        request_id: &str,
+    ) {
+        let reason = refusal.reason();
+        event!(Event::RequestRefused, id = request_id, reason = reason);
+        let answer = OwnAnswer::not_run(refusal.retry_after(patience));
+        let answer = match refusal {
+            Refusal::Stopping => answer.closing(),
+            _ => answer,
+        };
+        self.answer_client(token, answer, request_id);
+    }
+
     /// Sends a request to the server that may run it.
     pub(crate) fn dispatch(&mut self, id: FlightId) {
         let now = self.now();
@@ -155,7 +165,7 @@
             return;
         };
         if now + LEAST_TIME >= flight.expires {
-            return self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no time left");
+            return self.refuse(id, Refusal::NoTime);
         }
         match flight.shard {
             Some(shard) => self.dispatch_to_owner(id, shard),
@@ -197,7 +207,7 @@
         let longest = flight.route.target_latency.mul_f64(WAIT_PART);
         let until = flight.began + longest;
         if now >= until {
-            return self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no owner");
+            return self.refuse(id, Refusal::NoOwner);
         }
         flight.place = Place::AwaitingOwner { fence };
         let due = Due::OwnerWait(id, flight.sendings);
@@ -212,7 +222,7 @@
         };
         let until = flight.began + flight.route.target_latency.mul_f64(WAIT_PART);
         if now >= until {
-            return self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no room");
+            return self.refuse(id, Refusal::NoRoom);
         }
         flight.place = Place::AwaitingRoom;
         let due = Due::RoomWait(id, flight.sendings);
@@ -225,7 +235,7 @@
             return;
         };
         if flight.place == Place::AwaitingRoom && flight.sendings == sendings {
-            self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no room");
+            self.refuse(id, Refusal::NoRoom);
         }
     }
 
@@ -249,7 +259,7 @@
         }
         let longest = flight.route.target_latency.mul_f64(WAIT_PART);
         match self.now() >= flight.began + longest {
-            true => self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no owner"),
+            true => self.refuse(id, Refusal::NoOwner),
             false => self.redispatch(id),
         }
     }
@@ -298,7 +308,7 @@
         match chosen {
             Some(server) => self.send(id, &server),
             None if has_others => self.await_room(id),
-            None => self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no server"),
+            None => self.refuse(id, Refusal::NoServer),
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod forwarding;
 mod headers;
 pub mod load;
+pub mod refusal;
 mod sending;
 mod server;
 mod settings;
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,68 @@
+//! Why a request is refused, and when its client may come back.
+//!
+//! Invariant: a refusal is a promise that the request has not run and never will, and it names a time
+//! at which another try is likely to be served and still leaves time for it.
+
+use std::time::Duration;
+
+/// Part of the time that a client has left after which it may come back: a shard has an owner or a
+/// queue has drained by then, and enough time remains to be served. Clients wait for a third at most.
+const RETRY_PART: f64 = 0.33;
+
+/// Pause before a client turns to another gateway, since this one is stopping.
+const STOPPING_PAUSE: Duration = Duration::from_millis(20);
+
+/// When a client may come back that did not say how long it waits.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    Unconfigured,
+    /// The gateway ends before the request might.
+    Stopping,
+    /// Its key's shard has no owner.
+    NoOwner,
+    /// No server that could run it has room.
+    NoRoom,
+    /// No server is left that was not tried.
+    NoServer,
+    /// No connection may be made to its server.
+    NoConnection,
+    /// Servers could not be reached.
+    OutOfReach,
+    /// The server says that it did not run it, and it can't be sent again.
+    NotRun,
+    /// The server says that it did not run it, and the retry budget is spent.
+    BudgetSpent,
+    /// Its time was up before it was sent.
+    NoTime,
+}
+
+impl Refusal {
+    /// The reason as logs and metrics tell it.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Unconfigured => "no configuration",
+            Self::Stopping => "stopping",
+            Self::NoOwner => "no owner",
+            Self::NoRoom => "no room",
+            Self::NoServer => "no server",
+            Self::NoConnection => "no connection",
+            Self::OutOfReach => "servers out of reach",
+            Self::NotRun => "server did not run it",
+            Self::BudgetSpent => "server did not run it, retry budget spent",
+            Self::NoTime => "no time left",
+        }
+    }
+
+    /// After which time a client may come back that waits for `left` more; `None` when it did not say.
+    pub fn retry_after(self, left: Option<Duration>) -> Duration {
+        match (self, left) {
+            (Self::Stopping, _) => STOPPING_PAUSE,
+            (_, Some(left)) => left.mul_f64(RETRY_PART),
+            (_, None) => DEFAULT_PAUSE,
+        }
+    }
+}
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -8,9 +8,9 @@
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
-use crate::answers::{write_request, OwnAnswer};
+use crate::answers::write_request;
 use crate::flight::{FlightId, Place};
-use crate::forwarding::RETRY_AFTER;
+use crate::refusal::Refusal;
 use crate::server::{Due, Server};
 use crate::upstreams::Upstream;
 use crate::verdict::{belongs, judge, Verdict};
@@ -45,7 +45,7 @@
             Some(token) => token,
             None => match self.connect(server, now) {
                 Some(token) => token,
-                None => return self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "no connection"),
+                None => return self.refuse(id, Refusal::NoConnection),
             },
         };
         let Some(flight) = self.flights.get_mut(id) else {
@@ -160,7 +160,7 @@
         flight.unreached += 1;
         flight.place = Place::Here;
         match flight.unreached > UNREACHED_LIMIT {
-            true => self.finish(id, OwnAnswer::not_run(RETRY_AFTER), "servers out of reach"),
+            true => self.refuse(id, Refusal::OutOfReach),
             false => self.dispatch(id),
         }
     }
