Limits below one request, leases of a heartbeat and 2.2 s, the own zone first

Cause: a hot key's owner got two requests at a time from each gateway, whatever it could take: late answers and sheds, and on the first site silent ones. A limit grew with lone requests as well, to 32. A server lost for good kept its keys for 5 s. Forwarding between zones was the dearest price after machines.

Change: gateway/limit.rs, one policy a module; first limits by slots and gateways; a factor of 2 for another zone; a lease is the time between heartbeats and 2.2 s.

--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -9,8 +9,10 @@
 /// Longest lease that any deployment allows.
 const DEFAULT_LEASE_LIMIT: f64 = 10.0;
 
-/// Lease of a server's shards unless the settings say otherwise.
-const DEFAULT_LEASE: f64 = 5.0;
+/// By how much a lease of a server's shards outlasts the time between two heartbeats, unless the
+/// settings say otherwise: a heartbeat that gets no answer for a second, the next that meets a group
+/// without a leader, and a margin.
+const LEASE_BEYOND_HEARTBEAT: f64 = 2.2;
 
 /// Link of a machine unless the settings say otherwise.
 const DEFAULT_LINK_MBPS: f64 = 100.0;
@@ -72,9 +74,9 @@
     pub data_dir: PathBuf,
     /// Seconds between two heartbeats of one server.
     pub heartbeat_s: f64,
-    /// Seconds of a server's lease on its shards.
-    #[serde(default = "default_lease")]
-    pub lease_s: f64,
+    /// Seconds of a server's lease on its shards; the time between two heartbeats and 2.2 s without.
+    #[serde(default)]
+    pub lease_s: Option<f64>,
     /// Megabits a second of the machine's link.
     #[serde(default = "default_link")]
     pub link_mbps: f64,
@@ -98,10 +100,6 @@
     DEFAULT_LINK_MBPS
 }
 
-fn default_lease() -> f64 {
-    DEFAULT_LEASE
-}
-
 impl DirectorySettings {
     /// Loads and checks a file.
     ///
@@ -115,7 +113,9 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         check_positive("heartbeat_s", self.heartbeat_s)?;
-        check_positive("lease_s", self.lease_s)?;
+        if let Some(lease) = self.lease_s {
+            check_positive("lease_s", lease)?;
+        }
         check_positive("link_mbps", self.link_mbps)?;
         if self.link_port == 0 {
             return Err(value("link_port", "must not be 0"));
@@ -147,7 +147,9 @@
     /// Length of a lease.
     pub fn lease(&self) -> Duration {
         let limit = self.bounds.hold_max_s.unwrap_or(DEFAULT_LEASE_LIMIT);
-        Duration::from_secs_f64(self.lease_s.min(limit))
+        let lease = self.lease_s;
+        let lease = lease.unwrap_or(self.heartbeat_s + LEASE_BEYOND_HEARTBEAT);
+        Duration::from_secs_f64(lease.min(limit))
     }
 
     /// Time in which a leaving server gives its shards back.
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -132,7 +132,7 @@
         if flight.shard.is_some() {
             self.load.note_answer(&server, took);
         }
-        self.balance.end(&server);
+        self.balance.end(&server, now);
         Some((server, since))
     }
 
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,8 +1,6 @@
 //! What this gateway knows of each server, and which one takes a request.
 //!
-//! Each server has a limit on this gateway's requests there. It grows while answers come well inside
-//! the time they are wanted in, and shrinks when the server sheds, stays silent or is late; so all
-//! gateways together settle near what the server can take, without telling each other.
+//! Each server has a limit on this gateway's requests there, see [`crate::limit`].
 //!
 //! A server's cost is the time that a request is expected to take there: what answers took lately,
 //! which holds its speed and everybody's load on it, times this gateway's own requests there.
@@ -12,6 +10,8 @@
 
 use grebepin_catalog::{Instance, InstanceId};
 
+use crate::limit::{first_limit, ConcurrencyLimit};
+
 /// Weight of a new answer in the mean of answer times.
 const MEAN_WEIGHT: f64 = 0.2;
 
@@ -19,7 +19,7 @@
 const ASSUMED_SECONDS: f64 = 0.1;
 
 /// Cost of another zone, as a factor.
-const OTHER_ZONE_FACTOR: f64 = 1.15;
+const OTHER_ZONE_FACTOR: f64 = 2.0;
 
 /// Range of the random factor that keeps gateways from choosing alike.
 const JITTER: f64 = 0.2;
@@ -28,91 +28,92 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
-/// Limit on requests at a server that is not known yet, and the least and the largest limit.
-const FIRST_LIMIT: f64 = 4.0;
-const LEAST_LIMIT: f64 = 2.0;
-const LARGEST_LIMIT: f64 = 32.0;
-
-/// Growth of a limit for a round of good answers.
-const LIMIT_GROWTH: f64 = 0.5;
-
 /// Part of the wanted time within which an answer lets the limit grow.
 const GOOD_PART: f64 = 0.7;
 
-/// What a late answer and an overload leave of a limit.
-const LATE_FACTOR: f64 = 0.85;
-const OVERLOAD_FACTOR: f64 = 0.6;
-
-/// Least time between two cuts of a limit, so that one burst of failures counts once.
-const CUT_PAUSE: Duration = Duration::from_millis(100);
-
 /// One server as this gateway knows it.
 #[derive(Clone, Debug)]
 struct Endpoint {
-    running: u32,
     connections: u32,
     mean_seconds: f64,
     failures: u32,
     aside_until: Duration,
-    limit: f64,
-    cut_at: Duration,
+    limit: ConcurrencyLimit,
 }
 
-impl Default for Endpoint {
-    fn default() -> Self {
+impl Endpoint {
+    fn new(limit: f64) -> Self {
         Self {
-            running: 0,
             connections: 0,
             mean_seconds: ASSUMED_SECONDS,
             failures: 0,
             aside_until: Duration::ZERO,
-            limit: FIRST_LIMIT,
-            cut_at: Duration::ZERO,
+            limit: ConcurrencyLimit::new(limit),
         }
     }
-}
 
-impl Endpoint {
-    fn cut_limit(&mut self, now: Duration, factor: f64) {
-        if now >= self.cut_at + CUT_PAUSE {
-            self.cut_at = now;
-            self.limit = (self.limit * factor).max(LEAST_LIMIT);
-        }
+    /// Takes an answer's time into the mean.
+    fn note_time(&mut self, took: Duration) {
+        self.mean_seconds += MEAN_WEIGHT * (took.as_secs_f64() - self.mean_seconds);
     }
 }
 
 /// All servers as this gateway knows them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Balance {
+    gateways: u32,
     endpoints: HashMap<InstanceId, Endpoint>,
 }
 
+impl Default for Balance {
+    fn default() -> Self {
+        Self {
+            gateways: 1,
+            endpoints: HashMap::new(),
+        }
+    }
+}
+
 impl Balance {
+    /// Takes over how many gateways share the servers.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways.max(1);
+    }
+
     /// A request went to a server.
     pub fn begin(&mut self, id: &InstanceId) {
-        self.endpoint(id).running += 1;
+        self.endpoint(id).limit.begin();
     }
 
     /// A request no longer is at a server.
-    pub fn end(&mut self, id: &InstanceId) {
+    pub fn end(&mut self, id: &InstanceId, now: Duration) {
         let endpoint = self.endpoint(id);
-        endpoint.running = endpoint.running.saturating_sub(1);
+        let expected = Duration::from_secs_f64(endpoint.mean_seconds);
+        endpoint.limit.end(now, expected);
     }
 
     /// Whether a server may get another request of this gateway now.
-    pub fn has_room(&self, id: &InstanceId) -> bool {
+    pub fn has_room(&self, id: &InstanceId, now: Duration) -> bool {
         let endpoint = self.endpoints.get(id);
-        endpoint.is_none_or(|one| f64::from(one.running) + 1.0 <= one.limit.max(LEAST_LIMIT))
+        endpoint.is_none_or(|one| one.limit.has_room(now))
+    }
+
+    /// When a server gets room that only a pause keeps from it.
+    pub fn opens_at(&self, id: &InstanceId, now: Duration) -> Option<Duration> {
+        self.endpoints.get(id)?.limit.opens_at(now)
     }
 
     /// A server shed a request or left it without an answer.
     pub fn overloaded(&mut self, id: &InstanceId, now: Duration) {
-        self.endpoint(id).cut_limit(now, OVERLOAD_FACTOR);
+        self.endpoint(id).limit.overloaded(now);
     }
 
     /// A connection to a server was begun.
-    pub fn connection_opened(&mut self, id: &InstanceId) {
-        self.endpoint(id).connections += 1;
+    pub fn connection_opened(&mut self, server: &Instance) {
+        let first = first_limit(server.slots, self.gateways);
+        let endpoint = self.endpoints.entry(server.id.clone());
+        let endpoint = endpoint.or_insert_with(|| Endpoint::new(first));
+        endpoint.connections += 1;
     }
 
     /// A connection to a server ended.
@@ -136,13 +137,11 @@
         wanted: Duration,
     ) -> bool {
         let endpoint = self.endpoint(id);
-        let seconds = took.as_secs_f64();
-        endpoint.mean_seconds += MEAN_WEIGHT * (seconds - endpoint.mean_seconds);
+        endpoint.note_time(took);
         if took <= wanted.mul_f64(GOOD_PART) {
-            let grown = endpoint.limit + LIMIT_GROWTH / endpoint.limit;
-            endpoint.limit = grown.min(LARGEST_LIMIT);
+            endpoint.limit.good_answer();
         } else if took > wanted {
-            endpoint.cut_limit(now, LATE_FACTOR);
+            endpoint.limit.late_answer(now);
         }
         endpoint.aside_until = Duration::ZERO;
         std::mem::take(&mut endpoint.failures) > 0
@@ -151,9 +150,8 @@
     /// A server left a request without an answer until its time was up.
     pub fn silent(&mut self, id: &InstanceId, now: Duration, took: Duration) {
         let endpoint = self.endpoint(id);
-        let seconds = took.as_secs_f64();
-        endpoint.mean_seconds += MEAN_WEIGHT * (seconds - endpoint.mean_seconds);
-        endpoint.cut_limit(now, OVERLOAD_FACTOR);
+        endpoint.note_time(took);
+        endpoint.limit.overloaded(now);
     }
 
     /// A server could not be reached or broke off: it is set aside for a growing time, which is returned.
@@ -175,7 +173,7 @@
     /// Forgets servers that have ended.
     pub fn retain(&mut self, is_live: impl Fn(&InstanceId) -> bool) {
         self.endpoints
-            .retain(|id, one| is_live(id) || one.running > 0 || one.connections > 0);
+            .retain(|id, one| is_live(id) || one.limit.running() > 0 || one.connections > 0);
     }
 
     /// The server of lowest cost among `candidates` that have room; those set aside only when no other
@@ -188,7 +186,7 @@
         now: Duration,
         random: &mut dyn FnMut() -> f64,
     ) -> Option<&'a Instance> {
-        let free = candidates.filter(|instance| self.has_room(&instance.id));
+        let free = candidates.filter(|instance| self.has_room(&instance.id, now));
         let trusted = free
             .clone()
             .filter(|instance| self.aside_until(&instance.id, now).is_none());
@@ -209,20 +207,22 @@
     }
 
     fn cost(&self, instance: &Instance, zone: &str, random: f64) -> f64 {
-        let unknown = Endpoint::default();
-        let endpoint = self.endpoints.get(&instance.id).unwrap_or(&unknown);
+        let endpoint = self.endpoints.get(&instance.id);
+        let running = endpoint.map_or(0, |one| one.limit.running());
+        let mean_seconds = endpoint.map_or(ASSUMED_SECONDS, |one| one.mean_seconds);
         let slots = f64::from(instance.slots.max(1));
-        let queued = 1.0 + f64::from(endpoint.running) / slots * 2.0;
+        let queued = 1.0 + f64::from(running) / slots * 2.0;
         let distance = match instance.zone == zone {
             true => 1.0,
             false => OTHER_ZONE_FACTOR,
         };
-        endpoint.mean_seconds * queued * distance * (1.0 + JITTER * random)
+        mean_seconds * queued * distance * (1.0 + JITTER * random)
     }
 
     fn endpoint(&mut self, id: &InstanceId) -> &mut Endpoint {
         if !self.endpoints.contains_key(id) {
-            self.endpoints.insert(id.clone(), Endpoint::default());
+            let first = first_limit(1, self.gateways);
+            self.endpoints.insert(id.clone(), Endpoint::new(first));
         }
         self.endpoints.get_mut(id).expect("just inserted")
     }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -174,6 +174,7 @@
     }
 
     fn dispatch_to_owner(&mut self, id: FlightId, shard: usize) {
+        let now = self.now();
         let Some(flight) = self.flights.get(id) else {
             return;
         };
@@ -192,7 +193,9 @@
                 );
                 self.await_owner(id, fence);
             }
-            Some(owner) if !self.balance.has_room(&owner.id) => self.await_room(id),
+            Some(owner) if !self.balance.has_room(&owner.id, now) => {
+                self.await_room(id, self.balance.opens_at(&owner.id, now));
+            }
             Some(owner) => self.send(id, &owner),
             None => self.await_owner(id, fence),
         }
@@ -214,8 +217,8 @@
         self.deadlines.add(until, due);
     }
 
-    /// Waits a bounded time for room at a server.
-    fn await_room(&mut self, id: FlightId) {
+    /// Waits a bounded time for room at a server, and looks again at `opens_at` if that is known.
+    fn await_room(&mut self, id: FlightId, opens_at: Option<Duration>) {
         let now = self.now();
         let Some(flight) = self.flights.get_mut(id) else {
             return;
@@ -226,16 +229,17 @@
         }
         flight.place = Place::AwaitingRoom;
         let due = Due::RoomWait(id, flight.sendings);
-        self.deadlines.add(until, due);
+        let look_at = opens_at.map_or(until, |opens_at| opens_at.min(until));
+        self.deadlines.add(look_at, due);
     }
 
-    /// The wait for room is over.
+    /// The wait for room, or the pause that took it, is over: looks again, or gives up when it is time.
     pub(crate) fn end_room_wait(&mut self, id: FlightId, sendings: u32) {
         let Some(flight) = self.flights.get(id) else {
             return;
         };
         if flight.place == Place::AwaitingRoom && flight.sendings == sendings {
-            self.refuse(id, Refusal::NoRoom);
+            self.redispatch(id);
         }
     }
 
@@ -299,6 +303,10 @@
         let candidates = servers
             .filter(|server| !flight.tried.contains(server))
             .filter_map(|server| self.table.instance(server));
+        let opens_at = candidates
+            .clone()
+            .filter_map(|server| self.balance.opens_at(&server.id, now))
+            .min();
         let zone = self.settings.zone.as_str();
         let random = &mut self.random;
         let chosen = self
@@ -307,7 +315,7 @@
             .cloned();
         match chosen {
             Some(server) => self.send(id, &server),
-            None if has_others => self.await_room(id),
+            None if has_others => self.await_room(id, opens_at),
             None => self.refuse(id, Refusal::NoServer),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod follow;
 mod forwarding;
 mod headers;
+pub mod limit;
 pub mod load;
 pub mod refusal;
 mod sending;
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -79,7 +79,7 @@
             Connection::connect(address, self.settings.bind_ip, self.poll.registry(), token)
                 .ok()?;
         connection.limit_silence(SILENCE_LIMIT);
-        self.balance.connection_opened(&server.id);
+        self.balance.connection_opened(server);
         let upstream = Upstream {
             connection,
             server: server.id.clone(),
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -331,6 +331,7 @@
                 Update::Entries(entries) => self.take_entries(&entries),
                 Update::Gateways(count) => {
                     self.budgets.set_gateways(count);
+                    self.balance.set_gateways(self.budgets.gateways());
                     TableChange::default()
                 }
             };
