--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -220,8 +220,8 @@
 fn a_shard_that_is_let_go_is_kept_for_its_receiver() {
     let (mut coordinator, mut catalog) = divided(4);
     let hot = owned_shards(&catalog, 2)[0];
-    let now = ms(8_000);
-    for second in 5..8 {
+    let now = ms(7_750);
+    for second in 4..7 {
         report_shards(
             &mut coordinator,
             &catalog,
