--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -32,6 +32,9 @@
 /// Least time between two times at which a server is told to give shards away.
 const GIVE_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Least time between two moves of one heavy shard.
+const HEAVY_PAUSE: Duration = Duration::from_millis(5_000);
+
 /// What a heartbeat leads to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BeatOutcome {
@@ -55,6 +58,8 @@
     next_look: Duration,
     /// Shards that are kept for servers, by service.
     reservations: BTreeMap<String, Reservations>,
+    /// When heavy shards were last moved, by service.
+    heavy_moved: BTreeMap<String, BTreeMap<usize, Duration>>,
     /// How each service's load should be divided, as of the last look.
     divisions: BTreeMap<String, Division>,
 }
@@ -80,6 +85,7 @@
             load: LoadBook::default(),
             next_look: since + LOOK_EVERY,
             reservations: BTreeMap::new(),
+            heavy_moved: BTreeMap::new(),
             divisions: BTreeMap::new(),
         }
     }
@@ -166,7 +172,10 @@
         let Some(division) = self.divisions.get(&beat.service) else {
             return;
         };
-        let misplaced = division.shares.misplaced(ownership, &beat.id);
+        let misplaced = division
+            .shares
+            .misplaced(ownership, &beat.id)
+            .filter(|shard| self.may_move_heavy(now, &beat.service, *shard));
         let excess = division.shares.excess(ownership, &beat.id);
         if misplaced.is_none() && excess.is_empty() {
             return;
@@ -182,7 +191,20 @@
             Some(better) => vec![better],
             None => share_out(excess, &mut receivers, Urgency::Optional, weight),
         };
+        let heavy = misplaced.filter(|shard| given.iter().any(|(_, run)| run == &[*shard]));
         self.let_go(now, beat, &receivers, given);
+        if let Some(shard) = heavy {
+            let moved = self.heavy_moved.entry(beat.service.clone()).or_default();
+            moved.insert(shard, now);
+        }
+    }
+
+    /// Whether a heavy shard has stayed long enough where it is: what its owner can take is known only
+    /// after a while of its load.
+    fn may_move_heavy(&self, now: Duration, service: &str, shard: usize) -> bool {
+        let moved = self.heavy_moved.get(service);
+        let moved = moved.and_then(|moved| moved.get(&shard));
+        moved.is_none_or(|at| now >= *at + HEAVY_PAUSE)
     }
 
     /// Whether a server may be told to give shards away again.
