One crate for what every replica does with its log and its members

Cause: control and directory wrote a Ready, admitted learners, promoted them and judged quorums in the same lines; gateway and directory opened their metrics server in the same lines.

Change: crates/replica: LogWriter and pure functions on memberships, with tests; TextServer::listen_at.

--- a/crates/control/src/node/members.rs
+++ b/crates/control/src/node/members.rs
@@ -6,16 +6,16 @@
 
 use std::time::Duration;
 
+use grebepin_replica::members;
 use grebepin_schema::{
     ApiErrorKind, JoinRequest, JoinResponse, LogIndex, Member, MemberRole, Membership, PeerFrame,
-    RemoveMemberAnswer, RemoveMemberRequest, ReplicaId, SocketAddress,
+    RemoveMemberAnswer, RemoveMemberRequest, ReplicaId,
 };
 use grebepin_storage::Disk;
 
 use super::input::ReplyId;
 use super::leadership::api_error;
 use super::output::AdminAnswer;
-use super::tolerance::voters;
 use super::waiting::EntryWaiter;
 use super::ControlNode;
 
@@ -58,35 +58,13 @@
         Some(JoinResponse::Joining)
     }
 
-    /// Adds a learner; an older learner at the same address, whose folder must be lost, goes first.
+    /// Adds a learner.
     fn admit(&mut self, now: Duration, member: Member) {
-        let members = &self.consensus.membership().members;
-        let stale = members.iter().find(|other| {
-            other.role == MemberRole::Learner && other.peer_address == member.peer_address
-        });
-        let next = match stale {
-            Some(stale) => self.membership_without(stale.replica),
-            None => {
-                let mut members = members.clone();
-                members.push(Member {
-                    role: MemberRole::Learner,
-                    ..member
-                });
-                Membership { members }
-            }
-        };
+        let next = members::admitting(self.consensus.membership(), member);
         // A refused change is made again when the replica asks again.
         let _ = self.consensus.propose_membership(now, next);
     }
 
-    fn membership_without(&self, replica: ReplicaId) -> Membership {
-        let members = self.consensus.membership().members.iter();
-        let members = members.filter(|member| member.replica != replica);
-        Membership {
-            members: members.cloned().collect(),
-        }
-    }
-
     /// Moves one learner on: first the voter at its address goes, then the learner becomes a voter.
     pub(super) fn keep_members(&mut self, now: Duration) {
         if self.leadership.is_none() {
@@ -105,38 +83,19 @@
             member.role == MemberRole::Learner
                 && self.consensus.learner_is_caught_up(member.replica)
         })?;
-        if let Some(replaced) = self.voter_at(&learner.peer_address) {
+        if let Some(replaced) = members::voter_at(membership, &learner.peer_address) {
             let is_lost = !self.alive_members(now).contains(&replaced);
             let allowed = is_lost && self.keeps_quorum_without(now, replaced);
-            return allowed.then(|| self.membership_without(replaced));
+            return allowed.then(|| members::without(membership, replaced));
         }
-        let mut next = membership.clone();
-        for member in &mut next.members {
-            if member.replica == learner.replica {
-                member.role = MemberRole::Voter;
-            }
-        }
-        Some(next)
-    }
-
-    fn voter_at(&self, address: &SocketAddress) -> Option<ReplicaId> {
-        voters(self.consensus.membership())
-            .find(|member| member.peer_address == *address)
-            .map(|member| member.replica)
+        Some(members::promoting(membership, learner.replica))
     }
 
     /// Whether the voters heard from lately are a majority of those that remain.
     fn keeps_quorum_without(&self, now: Duration, removed: ReplicaId) -> bool {
         let alive = self.alive_members(now);
-        let remaining: Vec<ReplicaId> = voters(self.consensus.membership())
-            .map(|member| member.replica)
-            .filter(|replica| *replica != removed)
-            .collect();
-        let heard = remaining
-            .iter()
-            .filter(|replica| alive.contains(replica))
-            .count();
-        heard > remaining.len() / 2
+        let is_heard = |replica: ReplicaId| alive.contains(&replica);
+        members::keeps_quorum_without(self.consensus.membership(), removed, is_heard)
     }
 
     pub(super) fn remove_member(
@@ -160,7 +119,7 @@
             let error = api_error(ApiErrorKind::MembershipBusy, message.to_owned());
             return self.reply(reply, Err(error));
         }
-        let next = self.membership_without(replica);
+        let next = members::without(self.consensus.membership(), replica);
         match self.consensus.propose_membership(now, next) {
             Ok((term, index)) => {
                 let waiter = EntryWaiter::RemoveMember(reply);
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -8,7 +8,8 @@
 
 use grebepin_consensus::Consensus;
 use grebepin_ownership::OwnershipState;
-use grebepin_schema::{LogIndex, PeerFrame, ReplicaId, Term};
+use grebepin_replica::LogWriter;
+use grebepin_schema::{LogIndex, PeerFrame, ReplicaId};
 use grebepin_storage::{Disk, ReplicaStorage};
 
 mod admin;
@@ -48,7 +49,7 @@
     state: OwnershipState,
     applied: LogIndex,
     /// Term and vote last made durable.
-    durable_vote: (Term, Option<ReplicaId>),
+    log_writer: LogWriter,
     leadership: Option<Leadership>,
     waiting: Waiting,
     routers: Routers,
--- a/crates/control/src/node/replication.rs
+++ b/crates/control/src/node/replication.rs
@@ -9,8 +9,8 @@
 use grebepin_ownership::Applied;
 use grebepin_schema::framing::decode;
 use grebepin_schema::{
-    Command, Entry, EntryPayload, HardState, LogIndex, MemberRole, Membership, PeerFrame,
-    PeerMessage, ReplicaId, SnapshotMeta, SocketAddress, Term,
+    Command, Entry, EntryPayload, LogIndex, MemberRole, Membership, PeerFrame, PeerMessage,
+    ReplicaId, SnapshotMeta, SocketAddress,
 };
 use grebepin_storage::Disk;
 
@@ -40,7 +40,9 @@
     }
 
     fn work_off(&mut self, now: Duration, ready: Ready) -> Result<(), NodeError> {
-        self.make_durable(&ready)?;
+        let written = self.log_writer.write(&mut self.storage, &ready)?;
+        self.metrics.syncs += written.syncs;
+        self.metrics.entries += written.entries;
         self.consensus.synced(now);
         for message in ready.messages {
             self.send(message);
@@ -61,26 +63,6 @@
         Ok(())
     }
 
-    fn make_durable(&mut self, ready: &Ready) -> Result<(), NodeError> {
-        if let Some((meta, data)) = &ready.snapshot {
-            self.storage.install_snapshot(meta, data)?;
-            self.metrics.syncs += 1;
-        }
-        let hard_state = ready.hard_state.as_ref();
-        let vote_changed = hard_state.is_some_and(|state| vote_of(state) != self.durable_vote);
-        if !vote_changed && ready.entries.is_empty() {
-            // A commit index alone may be forgotten: the leader tells it again.
-            return Ok(());
-        }
-        self.storage.persist(hard_state, &ready.entries)?;
-        self.metrics.syncs += 1;
-        self.metrics.entries += ready.entries.len() as u64;
-        if let Some(state) = hard_state {
-            self.durable_vote = vote_of(state);
-        }
-        Ok(())
-    }
-
     /// Sends a message to the addressee; to every configured replica while its address isn't known,
     /// as at a replica whose log is still empty. The others drop it.
     fn send(&mut self, message: PeerMessage) {
@@ -188,7 +170,3 @@
         Ok(())
     }
 }
-
-fn vote_of(state: &HardState) -> (Term, Option<ReplicaId>) {
-    (state.term, state.vote)
-}
--- a/crates/control/src/node/startup.rs
+++ b/crates/control/src/node/startup.rs
@@ -7,6 +7,7 @@
 
 use grebepin_consensus::{Consensus, Restored};
 use grebepin_ownership::OwnershipState;
+use grebepin_replica::LogWriter;
 use grebepin_schema::{HardState, LogIndex, ReplicaId, SnapshotMeta, Term};
 use grebepin_storage::{Disk, Identity, Opened, ReplicaStorage, RestoredState};
 
@@ -59,7 +60,7 @@
     now: Duration,
 ) -> Result<ControlNode<D>, NodeError> {
     let (state, applied) = restore_state(&config, restored.snapshot.as_ref())?;
-    let durable_vote = (restored.hard_state.term, restored.hard_state.vote);
+    let log_writer = LogWriter::new(&restored.hard_state);
     let mut outputs = Vec::new();
     if let Some(torn) = &restored.torn_tail {
         let bytes = torn.bytes;
@@ -76,7 +77,7 @@
         storage,
         state,
         applied,
-        durable_vote,
+        log_writer,
         leadership: None,
         waiting: Waiting::default(),
         routers: Routers::new(config.timing.server_heartbeat),
--- a/crates/control/src/node/tolerance.rs
+++ b/crates/control/src/node/tolerance.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use grebepin_schema::{Member, MemberRole, Membership, ReplicaId, ToleratedLosses, ZoneName};
+use grebepin_replica::members::voters;
+use grebepin_schema::{Member, Membership, ReplicaId, ToleratedLosses, ZoneName};
 
 /// Losses tolerated now, given the members that are heard from.
 ///
@@ -33,11 +34,3 @@
         zones,
     }
 }
-
-/// The members that count towards a majority.
-pub(super) fn voters(membership: &Membership) -> impl Iterator<Item = &Member> {
-    membership
-        .members
-        .iter()
-        .filter(|member| member.role == MemberRole::Voter)
-}
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -1,7 +1,6 @@
 //! The event loop.
 
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -92,14 +91,10 @@
         let registry = poll.registry();
         registry.register(&mut control, CONTROL_LISTENER, Interest::READABLE)?;
         registry.register(&mut links, LINK_LISTENER, Interest::READABLE)?;
-        let metrics_server = match settings.metrics_port {
-            0 => None,
-            port => {
-                let address = SocketAddr::new(settings.control_address.ip(), port);
-                let address = settings.bind_address(address);
-                Some(TextServer::listen(address, registry, METRICS_LISTENER)?)
-            }
-        };
+        let metrics_ip = settings.bind_address(settings.control_address).ip();
+        let metrics_port = settings.metrics_port;
+        let metrics_server =
+            TextServer::listen_at(metrics_ip, metrics_port, registry, METRICS_LISTENER)?;
         let registered = Metrics::new();
         let metrics = DirectoryMetrics::register(&registered)?;
         let node = open_node(&settings)?;
--- a/crates/directory/src/node/founding.rs
+++ b/crates/directory/src/node/founding.rs
@@ -11,6 +11,7 @@
 use grebepin_catalog::Catalog;
 use grebepin_consensus::{Consensus, Restored};
 use grebepin_reactor::{decode_frame, FrameError};
+use grebepin_replica::LogWriter;
 use grebepin_schema::{
     ClusterId, HardState, LogIndex, MemberRole, Membership, ReplicaId, SnapshotMeta, Term,
 };
@@ -48,7 +49,7 @@
             None => (Catalog::default(), LogIndex(0)),
         };
         let replica = storage.identity().replica;
-        let durable_vote = (restored.hard_state.term, restored.hard_state.vote);
+        let log_writer = LogWriter::new(&restored.hard_state);
         let replay_until = restored.hard_state.commit;
         let restored = Restored {
             hard_state: restored.hard_state,
@@ -63,7 +64,7 @@
             applied,
             replay_until,
             recent: VecDeque::new(),
-            durable_vote,
+            log_writer,
             leadership: None,
             waiting: Waiting::default(),
             joining: Joining::new(now + config.timing.election_timeout),
--- a/crates/directory/src/node/membership.rs
+++ b/crates/directory/src/node/membership.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use grebepin_replica::members;
 use grebepin_schema::{
     JoinRequest, JoinResponse, Member, MemberRole, Membership, PeerFrame, ReplicaId, SocketAddress,
 };
@@ -143,36 +144,17 @@
         members.iter().any(|member| member.replica == replica)
     }
 
-    /// Adds a learner; an older learner at its address, whose folder must be lost, goes first.
+    /// Adds a learner.
     fn admit(&mut self, now: Duration, member: Member) {
-        let members = &self.consensus.membership().members;
-        let stale = members.iter().find(|other| {
-            other.role == MemberRole::Learner && other.peer_address == member.peer_address
-        });
-        let next = match stale {
-            Some(stale) => self.membership_without(stale.replica),
-            None if members.len() >= MAXIMUM_MEMBERS => return,
-            None => {
-                let mut members = members.clone();
-                members.push(Member {
-                    role: MemberRole::Learner,
-                    ..member
-                });
-                Membership { members }
-            }
-        };
+        let membership = self.consensus.membership();
+        let next = members::admitting(membership, member);
+        if next.members.len() > MAXIMUM_MEMBERS {
+            return;
+        }
         // A refused change is made again when the replica asks again.
         let _ = self.consensus.propose_membership(now, next);
     }
 
-    fn membership_without(&self, replica: ReplicaId) -> Membership {
-        let members = self.consensus.membership().members.iter();
-        let members = members.filter(|member| member.replica != replica);
-        Membership {
-            members: members.cloned().collect(),
-        }
-    }
-
     /// Makes one change of membership where one is due.
     pub(super) fn keep_members(&mut self, now: Duration) {
         if let Some(next) = self.next_membership(now) {
@@ -190,37 +172,27 @@
         let Some(learner) = learner else {
             return self.without_forgotten_learner(now);
         };
-        let replaced = self
-            .voter_at(&learner.peer_address)
-            .or_else(|| self.silent_voter(now));
+        // A voter at the address of a newer replica has lost its folder.
+        let replaced =
+            members::voter_at(membership, &learner.peer_address).or_else(|| self.silent_voter(now));
         if let Some(replaced) = replaced {
             let allowed = self.keeps_quorum_without(now, replaced);
-            return allowed.then(|| self.membership_without(replaced));
+            return allowed.then(|| members::without(membership, replaced));
         }
-        if self.voters().count() >= WANTED_VOTERS {
-            return None;
-        }
-        let mut next = membership.clone();
-        for member in &mut next.members {
-            if member.replica == learner.replica {
-                member.role = MemberRole::Voter;
-            }
-        }
-        Some(next)
+        let wants_voter = members::voters(membership).count() < WANTED_VOTERS;
+        wants_voter.then(|| members::promoting(membership, learner.replica))
     }
 
     fn without_forgotten_learner(&self, now: Duration) -> Option<Membership> {
-        let is_learner = |replica: &ReplicaId| !self.voters().any(|one| one.replica == *replica);
+        let membership = self.consensus.membership();
+        let is_learner = |replica: &ReplicaId| {
+            !members::voters(membership).any(|voter| voter.replica == *replica)
+        };
         let forgotten = self
             .silence(now)
             .into_iter()
             .find(|(replica, silence)| is_learner(replica) && *silence > LEARNER_FORGOTTEN_AFTER);
-        forgotten.map(|(replica, _)| self.membership_without(replica))
-    }
-
-    fn voters(&self) -> impl Iterator<Item = &Member> {
-        let members = self.consensus.membership().members.iter();
-        members.filter(|member| member.role == MemberRole::Voter)
+        forgotten.map(|(replica, _)| members::without(membership, replica))
     }
 
     /// For how long each other member has been silent, counted from the start of this leader's time.
@@ -232,17 +204,11 @@
             .collect()
     }
 
-    /// A voter at the address of a newer replica: its folder is lost.
-    fn voter_at(&self, address: &SocketAddress) -> Option<ReplicaId> {
-        self.voters()
-            .find(|member| member.peer_address == *address)
-            .map(|member| member.replica)
-    }
-
     fn silent_voter(&self, now: Duration) -> Option<ReplicaId> {
         let limit = self.config.timing.replace_after;
         let silent = self.silence(now).into_iter().find(|(replica, silence)| {
-            *silence > limit && self.voters().any(|voter| voter.replica == *replica)
+            let mut voters = members::voters(self.consensus.membership());
+            *silence > limit && voters.any(|voter| voter.replica == *replica)
         });
         silent.map(|(replica, _)| replica)
     }
@@ -256,12 +222,6 @@
                     .iter()
                     .any(|(one, silence)| *one == replica && *silence < limit)
         };
-        let remaining: Vec<ReplicaId> = self
-            .voters()
-            .map(|member| member.replica)
-            .filter(|replica| *replica != removed)
-            .collect();
-        let heard = remaining.iter().filter(|one| is_heard(**one)).count();
-        heard > remaining.len() / 2
+        members::keeps_quorum_without(self.consensus.membership(), removed, is_heard)
     }
 }
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -18,7 +18,8 @@
 
 use grebepin_catalog::{Catalog, Entry};
 use grebepin_consensus::Consensus;
-use grebepin_schema::{LogIndex, ReplicaId, Term};
+use grebepin_replica::LogWriter;
+use grebepin_schema::{LogIndex, ReplicaId};
 use grebepin_storage::{Disk, ReplicaStorage, StorageError};
 
 pub use config::{NodeConfig, NodeTiming};
@@ -50,7 +51,7 @@
     replay_until: LogIndex,
     /// The last applied entries, for gateways that missed a few.
     recent: VecDeque<(u64, Entry)>,
-    durable_vote: (Term, Option<ReplicaId>),
+    log_writer: LogWriter,
     leadership: Option<Leadership>,
     waiting: Waiting,
     joining: Joining,
--- a/crates/directory/src/node/replication.rs
+++ b/crates/directory/src/node/replication.rs
@@ -6,8 +6,7 @@
 use grebepin_consensus::Ready;
 use grebepin_reactor::decode_frame;
 use grebepin_schema::{
-    Entry, EntryPayload, HardState, LogIndex, MemberRole, Membership, PeerFrame, PeerMessage,
-    ReplicaId, SnapshotMeta, Term,
+    Entry, EntryPayload, LogIndex, MemberRole, Membership, PeerFrame, PeerMessage, SnapshotMeta,
 };
 use grebepin_storage::Disk;
 
@@ -58,7 +57,7 @@
         clock: &mut dyn FnMut() -> Duration,
         ready: Ready,
     ) -> Result<(), NodeError> {
-        self.make_durable(&ready)?;
+        self.log_writer.write(&mut self.storage, &ready)?;
         let now = clock();
         self.consensus.synced(now);
         for message in ready.messages {
@@ -84,23 +83,6 @@
         Ok(())
     }
 
-    fn make_durable(&mut self, ready: &Ready) -> Result<(), NodeError> {
-        if let Some((meta, data)) = &ready.snapshot {
-            self.storage.install_snapshot(meta, data)?;
-        }
-        let hard_state = ready.hard_state.as_ref();
-        let vote_changed = hard_state.is_some_and(|state| vote_of(state) != self.durable_vote);
-        if !vote_changed && ready.entries.is_empty() {
-            // A commit index alone may be forgotten: the leader tells it again.
-            return Ok(());
-        }
-        self.storage.persist(hard_state, &ready.entries)?;
-        if let Some(state) = hard_state {
-            self.durable_vote = vote_of(state);
-        }
-        Ok(())
-    }
-
     fn send(&mut self, message: PeerMessage) {
         let members = &self.consensus.membership().members;
         let known = members.iter().find(|member| member.replica == message.to);
@@ -234,7 +216,3 @@
         ))
     }
 }
-
-fn vote_of(state: &HardState) -> (Term, Option<ReplicaId>) {
-    (state.term, state.vote)
-}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,7 +1,6 @@
 //! The event loop: connections, deadlines, reloads and the end.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -120,14 +119,10 @@
         registry.register(&mut front, FRONT_LISTENER, Interest::READABLE)?;
         let ready_address = settings.bind_address(settings.ready_address);
         let ready = TextServer::listen(ready_address, registry, READY_LISTENER)?;
-        let metrics_server = match settings.metrics_port {
-            0 => None,
-            port => {
-                let address = SocketAddr::new(settings.front_address.ip(), port);
-                let address = settings.bind_address(address);
-                Some(TextServer::listen(address, registry, METRICS_LISTENER)?)
-            }
-        };
+        let metrics_ip = settings.bind_address(settings.front_address).ip();
+        let metrics_port = settings.metrics_port;
+        let metrics_server =
+            TextServer::listen_at(metrics_ip, metrics_port, registry, METRICS_LISTENER)?;
         let relay = match settings.relay_address() {
             None => None,
             Some(address) => {
--- a/crates/reactor/src/text_server.rs
+++ b/crates/reactor/src/text_server.rs
@@ -4,7 +4,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use mio::net::TcpListener;
@@ -66,6 +66,22 @@
         })
     }
 
+    /// Listens at a port of an address; `None` for port 0.
+    ///
+    /// # Errors
+    /// The address is taken or not of this machine.
+    pub fn listen_at(
+        ip: IpAddr,
+        port: u16,
+        registry: &Registry,
+        token: Token,
+    ) -> io::Result<Option<Self>> {
+        match port {
+            0 => Ok(None),
+            port => Self::listen(SocketAddr::new(ip, port), registry, token).map(Some),
+        }
+    }
+
     /// Whether a token is the listener's or a connection's.
     pub fn owns(&self, token: Token) -> bool {
         token == self.token || self.clients.contains_key(&token)
--- /dev/null
+++ b/crates/replica/tests/members.rs
@@ -0,0 +1,74 @@
+//! Memberships that follow from a present one.
+
+use grebepin_replica::members::{
+    admitting, keeps_quorum_without, promoting, voter_at, voters, without,
+};
+use grebepin_schema::{Member, MemberRole, Membership, ReplicaId, SocketAddress, ZoneName};
+
+fn address(text: &str) -> SocketAddress {
+    SocketAddress::try_from(text).expect("well formed")
+}
+
+fn member(replica: u64, role: MemberRole, port: u16) -> Member {
+    let at = address(&format!("10.0.0.1:{port}"));
+    Member {
+        admin_address: at.clone(),
+        router_address: at.clone(),
+        peer_address: at,
+        replica: ReplicaId(replica),
+        role,
+        zone: ZoneName::try_from("z").expect("well formed"),
+    }
+}
+
+fn three_voters() -> Membership {
+    let members = (1..=3).map(|number| member(number, MemberRole::Voter, 7_000 + number as u16));
+    Membership {
+        members: members.collect(),
+    }
+}
+
+fn replicas(membership: &Membership) -> Vec<u64> {
+    membership.members.iter().map(|one| one.replica.0).collect()
+}
+
+#[test]
+fn a_newcomer_is_a_learner_whatever_it_claims() {
+    let next = admitting(&three_voters(), member(9, MemberRole::Voter, 7_009));
+    assert_eq!(replicas(&next), [1, 2, 3, 9]);
+    assert_eq!(voters(&next).count(), 3);
+}
+
+#[test]
+fn an_older_learner_at_a_newcomers_address_goes_first() {
+    let with_learner = admitting(&three_voters(), member(9, MemberRole::Learner, 7_009));
+    let next = admitting(&with_learner, member(10, MemberRole::Learner, 7_009));
+    assert_eq!(replicas(&next), [1, 2, 3], "one change at a time");
+}
+
+#[test]
+fn a_promoted_learner_is_a_voter_and_a_removed_member_is_gone() {
+    let with_learner = admitting(&three_voters(), member(9, MemberRole::Learner, 7_009));
+    assert_eq!(voter_at(&with_learner, &address("10.0.0.1:7009")), None);
+    let promoted = promoting(&with_learner, ReplicaId(9));
+    assert_eq!(
+        voter_at(&promoted, &address("10.0.0.1:7009")),
+        Some(ReplicaId(9))
+    );
+    assert_eq!(replicas(&without(&promoted, ReplicaId(1))), [2, 3, 9]);
+}
+
+#[test]
+fn a_voter_may_go_only_while_the_others_heard_from_are_a_majority() {
+    let heard = |heard: &'static [u64]| move |replica: ReplicaId| heard.contains(&replica.0);
+    assert!(keeps_quorum_without(
+        &three_voters(),
+        ReplicaId(3),
+        heard(&[1, 2])
+    ));
+    assert!(!keeps_quorum_without(
+        &three_voters(),
+        ReplicaId(3),
+        heard(&[1, 3])
+    ));
+}
