--- a/crates/control/src/node/members.rs
+++ b/crates/control/src/node/members.rs
@@ -79,10 +79,7 @@
 
     fn next_membership(&self, now: Duration) -> Option<Membership> {
         let membership = self.consensus.membership();
-        let learner = membership.members.iter().find(|member| {
-            member.role == MemberRole::Learner
-                && self.consensus.learner_is_caught_up(member.replica)
-        })?;
+        let learner = members::caught_up_learner(&self.consensus)?;
         if let Some(replaced) = members::voter_at(membership, &learner.peer_address) {
             let is_lost = !self.alive_members(now).contains(&replaced);
             let allowed = is_lost && self.keeps_quorum_without(now, replaced);
--- a/crates/directory/src/daemon/house.rs
+++ b/crates/directory/src/daemon/house.rs
@@ -29,12 +29,14 @@
 impl Server<'_> {
     pub(super) fn on_metrics(&mut self, now: Duration, token: Token) {
         self.measure(now);
-        let body = self.registered.render().unwrap_or_default();
-        let answer = TextAnswer { status: 200, body };
-        let registry = self.poll.registry();
-        let next = &mut self.next_token;
+        let registered = &self.registered;
+        let answer = || TextAnswer {
+            status: 200,
+            body: registered.render().unwrap_or_default(),
+        };
         if let Some(metrics) = &mut self.metrics_server {
-            metrics.on_event(now, token, registry, next, |_| answer.clone());
+            let registry = self.poll.registry();
+            metrics.on_event(now, token, registry, &mut self.next_token, answer);
         }
     }
 
--- a/crates/directory/src/node/membership.rs
+++ b/crates/directory/src/node/membership.rs
@@ -165,11 +165,7 @@
 
     fn next_membership(&self, now: Duration) -> Option<Membership> {
         let membership = self.consensus.membership();
-        let learner = membership.members.iter().find(|member| {
-            member.role == MemberRole::Learner
-                && self.consensus.learner_is_caught_up(member.replica)
-        });
-        let Some(learner) = learner else {
+        let Some(learner) = members::caught_up_learner(&self.consensus) else {
             return self.without_forgotten_learner(now);
         };
         // A voter at the address of a newer replica has lost its folder.
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -303,19 +303,22 @@
         let candidates = servers
             .filter(|server| !flight.tried.contains(server))
             .filter_map(|server| self.table.instance(server));
-        let opens_at = candidates
-            .clone()
-            .filter_map(|server| self.balance.opens_at(&server.id, now))
-            .min();
         let zone = self.settings.zone.as_str();
         let random = &mut self.random;
         let chosen = self
             .balance
-            .choose(candidates, zone, now, &mut || random.random::<f64>())
+            .choose(candidates.clone(), zone, now, &mut || {
+                random.random::<f64>()
+            })
             .cloned();
         match chosen {
             Some(server) => self.send(id, &server),
-            None if has_others => self.await_room(id, opens_at),
+            None if has_others => {
+                let opens_at =
+                    candidates.filter_map(|server| self.balance.opens_at(&server.id, now));
+                let first = opens_at.min();
+                self.await_room(id, first);
+            }
             None => self.refuse(id, Refusal::NoServer),
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -286,25 +286,26 @@
             true => 200,
             false => 503,
         };
-        let answer = TextAnswer {
+        let registry = self.poll.registry();
+        let next = &mut self.next_token;
+        let answer = || TextAnswer {
             status,
             body: String::new(),
         };
-        let registry = self.poll.registry();
-        let next = &mut self.next_token;
-        self.ready
-            .on_event(now, token, registry, next, |_| answer.clone());
+        self.ready.on_event(now, token, registry, next, answer);
     }
 
     fn on_metrics(&mut self, token: Token) {
         let now = self.now();
         self.measure(now);
-        let body = self.registered.render().unwrap_or_default();
-        let answer = TextAnswer { status: 200, body };
-        let registry = self.poll.registry();
-        let next = &mut self.next_token;
+        let registered = &self.registered;
+        let answer = || TextAnswer {
+            status: 200,
+            body: registered.render().unwrap_or_default(),
+        };
         if let Some(metrics) = &mut self.metrics_server {
-            metrics.on_event(now, token, registry, next, |_| answer.clone());
+            let registry = self.poll.registry();
+            metrics.on_event(now, token, registry, &mut self.next_token, answer);
         }
     }
 
--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -4,18 +4,19 @@
 use std::time::Duration;
 
 use grebepin_catalog::{
-    Catalog, Command, FreedShard, Instance, InstanceId, InstanceState, ShardOwnership, SHARDS,
+    Catalog, Command, FreedShard, Instance, InstanceId, InstanceState, ShardOwnership,
 };
 
 use crate::beat::{Beat, Grant};
+use crate::division::Division;
 use crate::load::{LoadBook, LoadSample};
-use crate::placement::{choose, Demand, MAXIMUM_ROWS};
+use crate::placement::choose;
 use crate::registration::{freed, is_leaving, is_sharded, registration};
 use crate::rows::{granted_rows, withhold_surplus};
 use crate::server::Server;
-use crate::shares::{runs_of, Shares};
+use crate::shares::runs_of;
 use crate::timing::Timing;
-use crate::transfer::{share_out, soonest, Receiver, Reservations, Urgency};
+use crate::transfer::{share_out, Receiver, Reservations, Urgency};
 
 /// Time in which a new leader only learns the load, since it knows nothing of it.
 const LEARNING_TIME: Duration = Duration::from_millis(4_000);
@@ -26,9 +27,6 @@
 /// How long a shard that a command assigns is kept from other servers while it has no owner yet.
 const PROMISE_LIFETIME: Duration = Duration::from_millis(1_000);
 
-/// How long a division of load is kept.
-const DIVISION_LIFETIME: Duration = Duration::from_millis(700);
-
 /// Least time between two times at which a server is told to give shards away.
 const GIVE_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -64,15 +62,6 @@
     divisions: BTreeMap<String, Division>,
 }
 
-/// How a service's load should be divided, as of a moment. Working it out touches every shard, so it
-/// is kept for a while.
-#[derive(Debug)]
-struct Division {
-    at: Duration,
-    shares: Shares,
-    eligible: Vec<InstanceId>,
-}
-
 impl Coordinator {
     /// A leader whose time began at `since`, in which nobody else leads.
     pub fn new(timing: Timing, since: Duration) -> Self {
@@ -148,15 +137,11 @@
     /// Works out how a service's load should be divided, unless that was done lately.
     fn divide(&mut self, now: Duration, catalog: &Catalog, service: &str) {
         let division = self.divisions.get(service);
-        if division.is_some_and(|division| now < division.at + DIVISION_LIFETIME) {
+        if division.is_some_and(|division| division.is_fresh(now)) {
             return;
         }
         let eligible = self.eligible(now, catalog, service);
-        let division = Division {
-            at: now,
-            shares: Shares::new(now, &self.load, service, &eligible),
-            eligible: eligible.into_iter().cloned().collect(),
-        };
+        let division = Division::new(now, &self.load, service, eligible);
         self.divisions.insert(service.to_owned(), division);
     }
 
@@ -180,7 +165,8 @@
         if misplaced.is_none() && excess.is_empty() {
             return;
         }
-        let mut receivers = self.receivers(now, division, ownership, &beat.id);
+        let expected_beat = |id: &InstanceId| self.expected_beat(id);
+        let mut receivers = division.receivers(now, ownership, &beat.id, expected_beat);
         let better = misplaced.and_then(|shard| {
             let shares = &division.shares;
             let better = shares.better_for(shard, ownership, &beat.id, &receivers)?;
@@ -191,12 +177,19 @@
             Some(better) => vec![better],
             None => share_out(excess, &mut receivers, Urgency::Optional, weight),
         };
+        if given.is_empty() {
+            return;
+        }
         let heavy = misplaced.filter(|shard| given.iter().any(|(_, run)| run == &[*shard]));
-        self.let_go(now, beat, &receivers, given);
         if let Some(shard) = heavy {
             let moved = self.heavy_moved.entry(beat.service.clone()).or_default();
             moved.insert(shard, now);
         }
+        self.keep_for(&beat.service, &receivers, &given);
+        self.withhold(now, &beat.id, given.into_iter().flat_map(|(_, run)| run));
+        if let Some(server) = self.servers.get_mut(&beat.id) {
+            server.gave_at = now;
+        }
     }
 
     /// Whether a heavy shard has stayed long enough where it is: what its owner can take is known only
@@ -213,49 +206,17 @@
         server.is_some_and(|one| one.releasing.is_empty() && now >= one.gave_at + GIVE_PAUSE)
     }
 
-    /// Servers that send a heartbeat next, with what each may take, the first to come first.
-    fn receivers(
-        &self,
-        now: Duration,
-        division: &Division,
-        ownership: &ShardOwnership,
-        giver: &InstanceId,
-    ) -> Vec<Receiver> {
-        let others = division.eligible.iter().filter(|id| *id != giver);
-        let expected = others.filter_map(|id| {
-            let last_beat = self.servers.get(id)?.last_beat;
-            Some((id, last_beat + self.timing.heartbeat))
-        });
-        let receivers = soonest(now, expected).into_iter();
-        let receivers = receivers.map(|(id, expected)| Receiver {
-            id: id.clone(),
-            expected,
-            room: division.shares.room(ownership, id),
-            capacity: division.shares.capacity(id),
-            rows_left: MAXIMUM_ROWS.saturating_sub(ownership.rows(ownership.owned_by(id)).len()),
-        });
-        receivers.collect()
+    /// When a server's next heartbeat is expected.
+    fn expected_beat(&self, id: &InstanceId) -> Option<Duration> {
+        Some(self.servers.get(id)?.last_beat + self.timing.heartbeat)
     }
 
-    /// Leaves shards out of the answer to a heartbeat and keeps them for their receivers.
-    fn let_go(
-        &mut self,
-        now: Duration,
-        beat: &Beat,
-        receivers: &[Receiver],
-        given: Vec<(usize, Vec<usize>)>,
-    ) {
-        let Some(server) = self.servers.get_mut(&beat.id) else {
-            return;
-        };
-        let reservations = self.reservations.entry(beat.service.clone()).or_default();
+    /// Keeps shards that are let go for those who are to take them.
+    fn keep_for(&mut self, service: &str, receivers: &[Receiver], given: &[(usize, Vec<usize>)]) {
+        let reservations = self.reservations.entry(service.to_owned()).or_default();
         for (number, shards) in given {
-            let receiver = &receivers[number];
-            reservations.reserve(&shards, &receiver.id, receiver.kept_until());
-            server
-                .releasing
-                .extend(shards.iter().map(|shard| (*shard, beat.sequence)));
-            server.gave_at = now;
+            let receiver = &receivers[*number];
+            reservations.reserve(shards, &receiver.id, receiver.kept_until());
         }
     }
 
@@ -271,7 +232,7 @@
             self.note_unowned(now, service, ownership);
             for (id, shards) in ownership.owners() {
                 if now > self.lease_end(id) {
-                    self.withhold(now, id, shards);
+                    self.withhold(now, id, shards.iter().map(|shard| usize::from(*shard)));
                     commands.push(Command::FreeShards {
                         service: service.clone(),
                         id: id.clone(),
@@ -301,15 +262,14 @@
         given_before.max(given_here.unwrap_or_default())
     }
 
-    /// Leaves shards out of every grant from now on, since they are about to be freed.
-    fn withhold(&mut self, now: Duration, id: &InstanceId, shards: &BTreeSet<u16>) {
+    /// Leaves shards out of every grant from now on: they are let go, or about to be freed.
+    fn withhold(&mut self, now: Duration, id: &InstanceId, shards: impl Iterator<Item = usize>) {
         let server = self
             .servers
             .entry(id.clone())
             .or_insert_with(|| Server::silent_since(now));
         let sequence = server.sequence;
         for shard in shards {
-            let shard = usize::from(*shard);
             server.releasing.entry(shard).or_insert(sequence);
         }
     }
@@ -375,21 +335,17 @@
         if shards.is_empty() {
             return;
         }
-        if let Some(server) = self.servers.get_mut(&beat.id) {
-            let sequence = beat.sequence;
-            server
-                .releasing
-                .extend(shards.iter().map(|shard| (*shard, sequence)));
-        }
+        self.withhold(now, &beat.id, shards.iter().copied());
         self.divide(now, catalog, &beat.service);
         let Some(division) = self.divisions.get(&beat.service) else {
             return;
         };
-        let mut receivers = self.receivers(now, division, ownership, &beat.id);
+        let expected_beat = |id: &InstanceId| self.expected_beat(id);
+        let mut receivers = division.receivers(now, ownership, &beat.id, expected_beat);
         let weight = |run: &[usize]| division.shares.weight_of(run);
         let runs = runs_of(shards.into_iter());
         let given = share_out(runs, &mut receivers, Urgency::Required, weight);
-        self.let_go(now, beat, &receivers, given);
+        self.keep_for(&beat.service, &receivers, &given);
     }
 
     /// Lets the server take shards that nobody holds.
@@ -429,30 +385,17 @@
         let room = division.shares.room(ownership, &beat.id);
         let reservations = self.reservations.entry(beat.service.clone()).or_default();
         reservations.expire(now);
-        let unowned = ownership.unowned().iter().map(|shard| usize::from(*shard));
-        let reserved: Vec<usize> = unowned
-            .filter(|shard| reservations.receiver(*shard) == Some(&beat.id))
-            .collect();
-        let is_empty = |id: &&InstanceId| ownership.count_of(id) == 0;
-        let owned = ownership.count_of(&beat.id);
-        let demand = Demand {
-            total: SHARDS,
-            owned,
-            rows: ownership.rows(ownership.owned_by(&beat.id)).len(),
-            room,
-            eligible: division.eligible.len(),
-            empty: match owned {
-                0 => division.eligible.iter().filter(is_empty).count(),
-                _ => 0,
-            },
-            overdue,
-        };
-        let unowned = ownership.unowned().iter().map(|shard| usize::from(*shard));
-        let free: Vec<usize> = unowned
-            .filter(|shard| reservations.receiver(*shard).is_none())
-            .collect();
-        let mut shards = reserved;
+        let mut shards = Vec::new();
+        let mut free = Vec::new();
+        for shard in ownership.unowned().iter().map(|shard| usize::from(*shard)) {
+            match reservations.receiver(shard) {
+                Some(receiver) if *receiver == beat.id => shards.push(shard),
+                Some(_) => {}
+                None => free.push(shard),
+            }
+        }
         if room > 0.0 || overdue {
+            let demand = division.demand(ownership, &beat.id, room, overdue);
             shards.extend(choose(demand, &free, |shard| division.shares.weight(shard)));
         }
         if shards.is_empty() {
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod beat;
 mod coordinator;
+mod division;
 mod load;
 mod placement;
 mod registration;
--- a/crates/grants/src/shares.rs
+++ b/crates/grants/src/shares.rs
@@ -36,6 +36,8 @@
     /// What each server that can take shards should own, in the weights' unit.
     shares: BTreeMap<InstanceId, f64>,
     capacities: BTreeMap<InstanceId, f64>,
+    /// What a server that came since should own.
+    mean_share: f64,
 }
 
 impl Shares {
@@ -60,12 +62,13 @@
             .collect();
         let all: f64 = capacities.values().sum();
         let total: f64 = weights.iter().sum();
-        let shares = capacities
+        let shares: BTreeMap<InstanceId, f64> = capacities
             .iter()
             .map(|(id, capacity)| (id.clone(), total * capacity / all.max(f64::MIN_POSITIVE)))
             .collect();
         Self {
             weights,
+            mean_share: shares.values().sum::<f64>() / shares.len().max(1) as f64,
             shares,
             capacities,
         }
@@ -83,9 +86,7 @@
 
     /// What a server may still take.
     pub(crate) fn room(&self, ownership: &ShardOwnership, id: &InstanceId) -> f64 {
-        // A server that came since counts as one of the mean.
-        let mean = self.shares.values().sum::<f64>() / self.shares.len().max(1) as f64;
-        let share = self.shares.get(id).copied().unwrap_or(mean);
+        let share = self.shares.get(id).copied().unwrap_or(self.mean_share);
         share - self.owned(ownership, id)
     }
 
--- a/crates/reactor/src/text_server.rs
+++ b/crates/reactor/src/text_server.rs
@@ -11,7 +11,7 @@
 use mio::{Interest, Registry, Token};
 
 use crate::connection::{Connection, ReadOutcome};
-use crate::http::{Request, RequestLimits, RequestReader};
+use crate::http::{RequestLimits, RequestReader};
 
 /// Connections at a time; further ones are closed at once.
 const CONNECTION_LIMIT: usize = 64;
@@ -87,14 +87,15 @@
         token == self.token || self.clients.contains_key(&token)
     }
 
-    /// Handles what happened on a token. Tokens from `next_token` on are free.
+    /// Handles what happened on a token; `answer` is asked for each request. Tokens from `next_token` on
+    /// are free.
     pub fn on_event(
         &mut self,
         now: Duration,
         token: Token,
         registry: &Registry,
         next_token: &mut usize,
-        answer: impl Fn(&Request) -> TextAnswer,
+        answer: impl Fn() -> TextAnswer,
     ) {
         if token == self.token {
             self.accept(now, registry, next_token);
@@ -128,12 +129,7 @@
     }
 
     /// Answers the whole requests of a connection; whether it is still of use.
-    fn serve(
-        &mut self,
-        now: Duration,
-        token: Token,
-        answer: impl Fn(&Request) -> TextAnswer,
-    ) -> bool {
+    fn serve(&mut self, now: Duration, token: Token, answer: impl Fn() -> TextAnswer) -> bool {
         let Some(client) = self.clients.get_mut(&token) else {
             return false;
         };
@@ -142,8 +138,8 @@
         loop {
             match client.reader.take(&mut client.connection.inbound, LIMITS) {
                 Ok(None) => break,
-                Ok(Some(request)) => {
-                    let answer = answer(&request);
+                Ok(Some(_)) => {
+                    let answer = answer();
                     let head = format!(
                         "HTTP/1.1 {} Status\r\nContent-Type: text/plain; version=0.0.4\r\nContent-Length: {}\r\n\r\n",
                         answer.status,
--- a/crates/replica/src/members.rs
+++ b/crates/replica/src/members.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariant: each function changes one member only.
 
+use grebepin_consensus::Consensus;
 use grebepin_schema::{Member, MemberRole, Membership, ReplicaId, SocketAddress};
 
 /// The members that count towards a majority.
@@ -17,6 +18,13 @@
     voter.map(|member| member.replica)
 }
 
+/// The first learner that holds all that the leader's log does; only a leader knows.
+pub fn caught_up_learner(consensus: &Consensus) -> Option<&Member> {
+    consensus.membership().members.iter().find(|member| {
+        member.role == MemberRole::Learner && consensus.learner_is_caught_up(member.replica)
+    })
+}
+
 /// The membership without a member.
 pub fn without(membership: &Membership, replica: ReplicaId) -> Membership {
     let members = membership.members.iter();
