The leader's work a heartbeat no longer grows with the servers; shards' rates follow a sudden crowd

Change: servers stand in the order of their heartbeats (servers.rs), at most 24 receivers are weighed, capacities are estimated when the load is divided.

Change: a second rate with a memory of 1 s counts in place of the steady one when both differ by four deviations and by a twentieth of the service's load; divisions each 0.4 s.

--- a/crates/catalog/src/ownership.rs
+++ b/crates/catalog/src/ownership.rs
@@ -163,6 +163,11 @@
         self.by_owner.get(id).map_or(0, BTreeSet::len)
     }
 
+    /// How many servers own shards.
+    pub fn owner_count(&self) -> usize {
+        self.by_owner.len()
+    }
+
     /// Every owner with its shards.
     pub fn owners(&self) -> impl Iterator<Item = (&InstanceId, &BTreeSet<u16>)> {
         self.by_owner.iter()
--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -13,10 +13,10 @@
 use crate::placement::choose;
 use crate::registration::{freed, is_leaving, is_sharded, registration};
 use crate::rows::{granted_rows, withhold_surplus};
-use crate::server::Server;
+use crate::servers::Servers;
 use crate::shares::runs_of;
 use crate::timing::Timing;
-use crate::transfer::{share_out, Receiver, Reservations, Urgency};
+use crate::transfer::{share_out, soonest, Receiver, Reservations, Urgency, NEAREST};
 
 /// Time in which a new leader only learns the load, since it knows nothing of it.
 const LEARNING_TIME: Duration = Duration::from_millis(4_000);
@@ -47,7 +47,7 @@
 pub struct Coordinator {
     timing: Timing,
     since: Duration,
-    servers: BTreeMap<InstanceId, Server>,
+    servers: Servers,
     /// When the first heartbeat for a service came.
     first_beats: BTreeMap<String, Duration>,
     /// Since when some shard of a service has had no owner.
@@ -68,7 +68,7 @@
         Self {
             timing,
             since,
-            servers: BTreeMap::new(),
+            servers: Servers::default(),
             first_beats: BTreeMap::new(),
             unowned_since: BTreeMap::new(),
             load: LoadBook::default(),
@@ -85,16 +85,12 @@
         if known.is_some_and(|known| known.state == InstanceState::Gone) {
             return BeatOutcome::Stale;
         }
-        let server = self
-            .servers
-            .entry(beat.id.clone())
-            .or_insert_with(|| Server::new(now));
-        if beat.sequence <= server.sequence && server.sequence > 0 {
+        if !self.servers.note_beat(now, beat) {
             return BeatOutcome::Stale;
         }
-        server.sequence = beat.sequence;
-        server.last_beat = now;
-        self.first_beats.entry(beat.service.clone()).or_insert(now);
+        if !self.first_beats.contains_key(&beat.service) {
+            self.first_beats.insert(beat.service.clone(), now);
+        }
         let mut commands = registration(catalog, beat);
         if is_sharded(catalog, &beat.service) {
             self.release(now, catalog, beat, &mut commands);
@@ -141,7 +137,8 @@
             return;
         }
         let eligible = self.eligible(now, catalog, service);
-        let division = Division::new(now, &self.load, service, eligible);
+        self.load.estimate(now, &eligible);
+        let division = Division::new(now, &self.load, service, &eligible);
         self.divisions.insert(service.to_owned(), division);
     }
 
@@ -165,8 +162,7 @@
         if misplaced.is_none() && excess.is_empty() {
             return;
         }
-        let expected_beat = |id: &InstanceId| self.expected_beat(id);
-        let mut receivers = division.receivers(now, ownership, &beat.id, expected_beat);
+        let mut receivers = self.receivers(now, catalog, division, beat);
         let better = misplaced.and_then(|shard| {
             let shares = &division.shares;
             let better = shares.better_for(shard, ownership, &beat.id, &receivers)?;
@@ -206,9 +202,25 @@
         server.is_some_and(|one| one.releasing.is_empty() && now >= one.gave_at + GIVE_PAUSE)
     }
 
-    /// When a server's next heartbeat is expected.
-    fn expected_beat(&self, id: &InstanceId) -> Option<Duration> {
-        Some(self.servers.get(id)?.last_beat + self.timing.heartbeat)
+    /// Servers that send a heartbeat next and can take shards of the one that sent `beat`.
+    fn receivers(
+        &self,
+        now: Duration,
+        catalog: &Catalog,
+        division: &Division,
+        beat: &Beat,
+    ) -> Vec<Receiver> {
+        let Some(ownership) = catalog.ownership(&beat.service) else {
+            return Vec::new();
+        };
+        let since = (now + NEAREST).saturating_sub(self.timing.heartbeat);
+        let heard = self.servers.heard_since(&beat.service, since);
+        let expected = heard.map(|(id, at)| (id, at + self.timing.heartbeat));
+        let others = expected.filter(|(id, _)| **id != beat.id && can_take(catalog, id));
+        let receivers = soonest(now, others).into_iter();
+        receivers
+            .map(|(id, expected)| division.receiver(ownership, id, expected))
+            .collect()
     }
 
     /// Keeps shards that are let go for those who are to take them.
@@ -222,37 +234,90 @@
 
     /// Commands that the passing of time asks for: shards of leases that ran out, servers that ended.
     pub fn tick(&mut self, now: Duration, catalog: &Catalog) -> Vec<Command> {
+        for (service, ownership) in catalog.all_ownership() {
+            self.note_unowned(now, service, ownership);
+        }
+        let silent = match self.looks_at_all(now) {
+            true => {
+                self.next_look = now + LOOK_EVERY;
+                self.load.retain(|id| is_live(catalog, id));
+                catalog
+                    .instances()
+                    .map(|instance| &instance.id)
+                    .cloned()
+                    .collect()
+            }
+            false => self.silent(now),
+        };
         let mut commands = Vec::new();
-        if now >= self.next_look {
-            self.next_look = now + LOOK_EVERY;
-            let servers = &self.servers;
-            self.load.retain(|id| servers.contains_key(id));
+        for id in silent {
+            self.end_lease(now, catalog, &id, &mut commands);
+            self.end_server(now, catalog, &id, &mut commands);
+        }
+        commands
+    }
+
+    /// Whether every server is looked at now: those that this leader never heard stand in no order, and
+    /// their leases end soon after its time began.
+    fn looks_at_all(&self, now: Duration) -> bool {
+        now >= self.next_look || now < self.since + self.timing.lease * 2
+    }
+
+    /// Servers whose lease may be over, or that may have ended, by their silence.
+    fn silent(&self, now: Duration) -> Vec<InstanceId> {
+        let least = self.timing.lease.min(self.timing.forget_after);
+        let silent = self.servers.silent_since(now.saturating_sub(least));
+        silent.cloned().collect()
+    }
+
+    /// Frees the shards of a server whose lease is over.
+    fn end_lease(
+        &mut self,
+        now: Duration,
+        catalog: &Catalog,
+        id: &InstanceId,
+        commands: &mut Vec<Command>,
+    ) {
+        if now <= self.lease_end(id) {
+            return;
         }
         for (service, ownership) in catalog.all_ownership() {
-            self.note_unowned(now, service, ownership);
-            for (id, shards) in ownership.owners() {
-                if now > self.lease_end(id) {
-                    self.withhold(now, id, shards.iter().map(|shard| usize::from(*shard)));
-                    commands.push(Command::FreeShards {
-                        service: service.clone(),
-                        id: id.clone(),
-                        shards: shards
-                            .iter()
-                            .map(|shard| freed(ownership, usize::from(*shard), String::new()))
-                            .collect(),
-                    });
-                }
+            if ownership.count_of(id) == 0 {
+                continue;
             }
+            self.withhold(now, id, ownership.owned_by(id));
+            let shards = ownership.owned_by(id);
+            commands.push(Command::FreeShards {
+                service: service.clone(),
+                id: id.clone(),
+                shards: shards
+                    .map(|shard| freed(ownership, shard, String::new()))
+                    .collect(),
+            });
         }
-        for instance in catalog.instances() {
-            if instance.state != InstanceState::Gone && self.is_forgotten(now, &instance.id) {
+    }
+
+    /// Notes that a server ended that was silent for long.
+    fn end_server(
+        &mut self,
+        now: Duration,
+        catalog: &Catalog,
+        id: &InstanceId,
+        commands: &mut Vec<Command>,
+    ) {
+        if is_live(catalog, id) {
+            if self.is_forgotten(now, id) {
                 commands.push(Command::SetState {
-                    id: instance.id.clone(),
+                    id: id.clone(),
                     state: InstanceState::Gone,
                 });
             }
+            return;
+        }
+        let owns = |(_, ownership): (&String, &ShardOwnership)| ownership.count_of(id) > 0;
+        if !catalog.all_ownership().any(owns) {
+            self.servers.drop_from_order(id);
         }
-        commands
     }
 
     /// When the lease of a server has certainly ended, whoever gave it.
@@ -264,10 +329,7 @@
 
     /// Leaves shards out of every grant from now on: they are let go, or about to be freed.
     fn withhold(&mut self, now: Duration, id: &InstanceId, shards: impl Iterator<Item = usize>) {
-        let server = self
-            .servers
-            .entry(id.clone())
-            .or_insert_with(|| Server::silent_since(now));
+        let server = self.servers.get_or_silent(id, now);
         let sequence = server.sequence;
         for shard in shards {
             server.releasing.entry(shard).or_insert(sequence);
@@ -329,9 +391,6 @@
 
     /// Leaves shards of a leaving server out of its answer, for others that beat soon if there are any.
     fn empty(&mut self, now: Duration, catalog: &Catalog, beat: &Beat, shards: Vec<usize>) {
-        let Some(ownership) = catalog.ownership(&beat.service) else {
-            return;
-        };
         if shards.is_empty() {
             return;
         }
@@ -340,8 +399,7 @@
         let Some(division) = self.divisions.get(&beat.service) else {
             return;
         };
-        let expected_beat = |id: &InstanceId| self.expected_beat(id);
-        let mut receivers = division.receivers(now, ownership, &beat.id, expected_beat);
+        let mut receivers = self.receivers(now, catalog, division, beat);
         let weight = |run: &[usize]| division.shares.weight_of(run);
         let runs = runs_of(shards.into_iter());
         let given = share_out(runs, &mut receivers, Urgency::Required, weight);
@@ -445,3 +503,15 @@
         }
     }
 }
+
+/// Whether a server has not ended, as far as the group knows.
+fn is_live(catalog: &Catalog, id: &InstanceId) -> bool {
+    let instance = catalog.instance(id);
+    instance.is_some_and(|instance| instance.state != InstanceState::Gone)
+}
+
+/// Whether a server takes shards.
+fn can_take(catalog: &Catalog, id: &InstanceId) -> bool {
+    let instance = catalog.instance(id);
+    instance.is_some_and(|instance| instance.state == InstanceState::Ready)
+}
--- a/crates/grants/src/division.rs
+++ b/crates/grants/src/division.rs
@@ -9,17 +9,18 @@
 use crate::load::LoadBook;
 use crate::placement::{Demand, MAXIMUM_ROWS};
 use crate::shares::Shares;
-use crate::transfer::{soonest, Receiver};
+use crate::transfer::Receiver;
 
 /// How long a division is kept.
-const LIFETIME: Duration = Duration::from_millis(700);
+const LIFETIME: Duration = Duration::from_millis(400);
 
 /// The division of a service's load.
 #[derive(Debug)]
 pub(crate) struct Division {
     at: Duration,
     pub shares: Shares,
-    eligible: Vec<InstanceId>,
+    /// Servers that can take shards.
+    eligible: usize,
 }
 
 impl Division {
@@ -28,12 +29,12 @@
         now: Duration,
         load: &LoadBook,
         service: &str,
-        eligible: Vec<&InstanceId>,
+        eligible: &[&InstanceId],
     ) -> Self {
         Self {
             at: now,
-            shares: Shares::new(now, load, service, &eligible),
-            eligible: eligible.into_iter().cloned().collect(),
+            shares: Shares::new(now, load, service, eligible),
+            eligible: eligible.len(),
         }
     }
 
@@ -42,26 +43,20 @@
         now < self.at + LIFETIME
     }
 
-    /// Servers that send a heartbeat next, with what each may take, the first to come first.
-    /// `expected_beat` tells when that of a server is expected.
-    pub(crate) fn receivers(
+    /// What a server may take whose next heartbeat is expected at a time.
+    pub(crate) fn receiver(
         &self,
-        now: Duration,
         ownership: &ShardOwnership,
-        giver: &InstanceId,
-        expected_beat: impl Fn(&InstanceId) -> Option<Duration>,
-    ) -> Vec<Receiver> {
-        let others = self.eligible.iter().filter(|id| *id != giver);
-        let expected = others.filter_map(|id| Some((id, expected_beat(id)?)));
-        let receivers = soonest(now, expected).into_iter();
-        let receivers = receivers.map(|(id, expected)| Receiver {
+        id: &InstanceId,
+        expected: Duration,
+    ) -> Receiver {
+        Receiver {
             id: id.clone(),
             expected,
             room: self.shares.room(ownership, id),
             capacity: self.shares.capacity(id),
             rows_left: MAXIMUM_ROWS.saturating_sub(rows_of(ownership, id)),
-        });
-        receivers.collect()
+        }
     }
 
     /// What a server that asks for shards has and may still take.
@@ -72,18 +67,14 @@
         room: f64,
         overdue: bool,
     ) -> Demand {
-        let is_empty = |id: &&InstanceId| ownership.count_of(id) == 0;
         let owned = ownership.count_of(id);
         Demand {
             total: SHARDS,
             owned,
             rows: rows_of(ownership, id),
             room,
-            eligible: self.eligible.len(),
-            empty: match owned {
-                0 => self.eligible.iter().filter(is_empty).count(),
-                _ => 0,
-            },
+            eligible: self.eligible,
+            empty: self.eligible.saturating_sub(ownership.owner_count()),
             overdue,
         }
     }
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -1,7 +1,7 @@
 //! What the gateways tell about load: requests for each shard, and what each server makes of them.
 //!
-//! A server's capacity is estimated in two regimes: while hardly anything waits there, from the time
-//! that answers take; while much waits, from the answers that it gives. In between it is left as it is.
+//! A server's capacity is estimated from the rate of its answers and from how many requests are there at a
+//! time, whenever a service's load is divided and not at each report: reports come from every gateway.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -9,20 +9,21 @@
 use grebepin_catalog::{InstanceId, SHARDS};
 use serde::{Deserialize, Serialize};
 
-/// Time in which an old rate loses most of its weight.
-pub(crate) const RATE_MEMORY: Duration = Duration::from_millis(4_000);
+use crate::rate::{AlertRate, Rate, RATE_MEMORY};
 
 /// Utilization above which a server counts as saturated, and steps to find one.
 const LARGEST_UTILIZATION: f64 = 0.99;
 const BISECTIONS: u32 = 20;
 
-/// Weight of one answer in the estimate of a capacity, and the largest weight of one report.
+/// Weight of one answer in the estimate of a capacity.
 const ANSWER_WEIGHT: f64 = 0.1;
-const LARGEST_WEIGHT: f64 = 0.5;
 
 /// Answers after which a server's capacity counts as known.
 const KNOWN_AFTER_ANSWERS: f64 = 10.0;
 
+/// Part of a service's load by which one shard must change to count as suddenly changed.
+const LEAST_CHANGE_PART: f64 = 0.05;
+
 /// Load that each shard has whether it is asked for or not, as a part of the mean load of a shard.
 const BASE_PART: f64 = 0.25;
 
@@ -46,44 +47,24 @@
     pub servers: Vec<ServerSample>,
 }
 
-/// A rate that forgets.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    events: f64,
-    at: Duration,
-}
-
-impl Rate {
-    fn decayed(self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.events * (-age / RATE_MEMORY.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, now: Duration, events: f64) {
-        self.events = self.decayed(now) + events;
-        self.at = now;
-    }
-
-    /// Events a second.
-    fn per_second(self, now: Duration) -> f64 {
-        self.decayed(now) / RATE_MEMORY.as_secs_f64()
-    }
-}
-
 /// One server's answers.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct ServerLoad {
     answers: Rate,
     seconds: Rate,
+    /// Requests that it works on at a time.
+    slots: f64,
     capacity: Option<f64>,
     /// Answers that the estimate of the capacity rests on.
     estimated_from: f64,
+    /// Answers since the last estimate.
+    fresh_answers: f64,
 }
 
 /// The load of all services, as the leader knows it.
 #[derive(Debug, Default)]
 pub(crate) struct LoadBook {
-    shards: HashMap<String, Vec<Rate>>,
+    shards: HashMap<String, Vec<AlertRate>>,
     servers: BTreeMap<InstanceId, ServerLoad>,
 }
 
@@ -99,7 +80,7 @@
             let rates = self
                 .shards
                 .entry(service.clone())
-                .or_insert_with(|| vec![Rate::default(); SHARDS]);
+                .or_insert_with(|| vec![AlertRate::default(); SHARDS]);
             for (shard, count) in counts {
                 if let Some(rate) = rates.get_mut(usize::from(*shard)) {
                     rate.add(now, f64::from(*count));
@@ -113,7 +94,17 @@
             let load = self.servers.entry(server.id.clone()).or_default();
             load.answers.add(now, f64::from(server.answers));
             load.seconds.add(now, f64::from(server.seconds));
-            load.estimate(now, f64::from(server.answers), f64::from(slots.max(1)));
+            load.slots = f64::from(slots.max(1));
+            load.fresh_answers += f64::from(server.answers);
+        }
+    }
+
+    /// Brings the estimates of some servers' capacities up to date.
+    pub(crate) fn estimate(&mut self, now: Duration, servers: &[&InstanceId]) {
+        for id in servers {
+            if let Some(load) = self.servers.get_mut(*id) {
+                load.estimate(now);
+            }
         }
     }
 
@@ -126,7 +117,7 @@
     /// asks for are divided as well.
     pub(crate) fn weights(&self, now: Duration, service: &str) -> Vec<f64> {
         let rates: Vec<f64> = match self.shards.get(service) {
-            Some(rates) => rates.iter().map(|rate| rate.per_second(now)).collect(),
+            Some(rates) => current_rates(now, rates),
             None => vec![0.0; SHARDS],
         };
         let total: f64 = rates.iter().sum();
@@ -142,21 +133,46 @@
     }
 }
 
+impl Default for ServerLoad {
+    fn default() -> Self {
+        Self {
+            answers: Rate::new(RATE_MEMORY),
+            seconds: Rate::new(RATE_MEMORY),
+            slots: 1.0,
+            capacity: None,
+            estimated_from: 0.0,
+            fresh_answers: 0.0,
+        }
+    }
+}
+
 impl ServerLoad {
-    fn estimate(&mut self, now: Duration, answers: f64, slots: f64) {
+    fn estimate(&mut self, now: Duration) {
+        let answers = std::mem::take(&mut self.fresh_answers);
         let rate = self.answers.per_second(now);
         let at_a_time = self.seconds.per_second(now);
-        if rate <= 0.0 || at_a_time <= 0.0 {
+        if answers <= 0.0 || rate <= 0.0 || at_a_time <= 0.0 {
             return;
         }
-        let seen = rate / utilization(at_a_time, slots);
-        let weight = (answers * ANSWER_WEIGHT).min(LARGEST_WEIGHT);
+        let seen = rate / utilization(at_a_time, self.slots);
+        let weight = 1.0 - (1.0 - ANSWER_WEIGHT).powf(answers);
         let present = self.capacity.unwrap_or(seen);
         self.capacity = Some(present + weight * (seen - present));
         self.estimated_from += answers;
     }
 }
 
+/// Requests a second for each shard. A sudden change of one shard counts when it matters to the whole
+/// service: among thousands of shards some always seem to change by chance.
+fn current_rates(now: Duration, rates: &[AlertRate]) -> Vec<f64> {
+    let steady = rates.iter().map(|rate| rate.steady_per_second(now));
+    let least = steady.sum::<f64>() * LEAST_CHANGE_PART;
+    rates
+        .iter()
+        .map(|rate| rate.per_second(now, least))
+        .collect()
+}
+
 /// The part of the time that each slot of a server is busy, when so many requests are there at a time,
 /// those that wait included. Inverts Sakasegawa's approximation of the queue of several servers:
 /// `slots * u + u^sqrt(2 * (slots + 1)) / (1 - u)` requests at a utilization `u`.
--- /dev/null
+++ b/crates/grants/src/servers/tests.rs
@@ -0,0 +1,105 @@
+use std::time::Duration;
+
+use grebepin_catalog::InstanceId;
+use proptest::prelude::*;
+
+use super::Servers;
+use crate::beat::Beat;
+use crate::transfer::soonest;
+
+const SERVICE: &str = "s";
+const HEARTBEAT: Duration = Duration::from_millis(1_000);
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn beat(number: u64, sequence: u64) -> Beat {
+    Beat {
+        id: InstanceId(format!("i-{number:05}")),
+        service: SERVICE.to_owned(),
+        address: format!("10.0.0.1:{number}"),
+        zone: "z".to_owned(),
+        slots: 2,
+        draining: false,
+        sequence,
+        holds: Vec::new(),
+        freed: Vec::new(),
+    }
+}
+
+/// So many servers that beat one after another, all within one heartbeat that ends at `now`.
+fn heard(count: u64, now: Duration) -> Servers {
+    let mut servers = Servers::default();
+    for number in 0..count {
+        let at = now - HEARTBEAT + HEARTBEAT * number as u32 / count as u32;
+        assert!(servers.note_beat(at, &beat(number, 1)));
+    }
+    servers
+}
+
+#[test]
+fn an_older_heartbeat_changes_nothing() {
+    let mut servers = Servers::default();
+    assert!(servers.note_beat(ms(1), &beat(1, 5)));
+    assert!(!servers.note_beat(ms(2), &beat(1, 5)));
+    assert!(!servers.note_beat(ms(3), &beat(1, 4)));
+    let order: Vec<_> = servers.heard_since(SERVICE, ms(0)).collect();
+    assert_eq!(order, [(&InstanceId("i-00001".to_owned()), ms(1))]);
+}
+
+#[test]
+fn the_work_for_receivers_does_not_grow_with_the_servers() {
+    let now = ms(10_000);
+    let asked = |count: u64| {
+        let servers = heard(count, now);
+        let mut asked = 0;
+        let since = now + ms(110) - HEARTBEAT;
+        let expected = servers.heard_since(SERVICE, since);
+        let expected = expected.map(|(id, at)| {
+            asked += 1;
+            (id, at + HEARTBEAT)
+        });
+        let receivers = soonest(now, expected).len();
+        (asked, receivers)
+    };
+    let (few, _) = asked(100);
+    let (many, receivers) = asked(10_000);
+    assert!(receivers >= 4, "{receivers}");
+    assert!(many <= few + 10, "{few} looked at of 100, {many} of 10,000");
+}
+
+#[test]
+fn a_server_that_ended_is_looked_at_no_more() {
+    let mut servers = heard(3, ms(10_000));
+    assert_eq!(servers.silent_since(ms(60_000)).count(), 3);
+    let ended = InstanceId("i-00001".to_owned());
+    servers.drop_from_order(&ended);
+    assert!(servers.silent_since(ms(60_000)).all(|id| *id != ended));
+    assert_eq!(servers.silent_since(ms(60_000)).count(), 2);
+    assert!(servers.get(&ended).is_some(), "its lease must stay known");
+}
+
+proptest! {
+    /// Both ends of the order are what a look at every server finds.
+    #[test]
+    fn the_order_is_that_of_the_last_heartbeats(beats in prop::collection::vec((0_u64..20, 1_u64..50), 1..200)) {
+        let mut servers = Servers::default();
+        let mut last = std::collections::BTreeMap::new();
+        for (turn, (number, pause)) in beats.iter().enumerate() {
+            let at = ms(turn as u64 * 10 + pause % 10);
+            servers.note_beat(at, &beat(*number, turn as u64 + 1));
+            last.insert(beat(*number, 1).id, at);
+        }
+        let middle = ms(beats.len() as u64 * 5);
+        let mut silent: Vec<_> = servers.silent_since(middle).cloned().collect();
+        silent.sort();
+        let expected: Vec<_> = last.iter().filter(|(_, at)| **at < middle).map(|(id, _)| id.clone()).collect();
+        prop_assert_eq!(silent, expected);
+        let mut since: Vec<_> = servers.heard_since(SERVICE, middle).map(|(id, at)| (at, id.clone())).collect();
+        let found = since.clone();
+        since.sort();
+        prop_assert_eq!(&found, &since);
+        prop_assert_eq!(found.len(), last.values().filter(|at| **at >= middle).count());
+    }
+}
--- a/crates/grants/src/shares.rs
+++ b/crates/grants/src/shares.rs
@@ -5,7 +5,8 @@
 
 use grebepin_catalog::{InstanceId, ShardOwnership};
 
-use crate::load::{LoadBook, RATE_MEMORY};
+use crate::load::LoadBook;
+use crate::rate::RATE_MEMORY;
 use crate::transfer::Receiver;
 
 /// Part of a capacity below which a server has no reason to give shards away.
--- a/crates/grants/src/transfer.rs
+++ b/crates/grants/src/transfer.rs
@@ -12,13 +12,16 @@
 
 /// How soon after a shard is let go its receiver's heartbeat may come: releasing takes a heartbeat
 /// of the giver, which follows within 100 ms, and what runs there ends first.
-const NEAREST: Duration = Duration::from_millis(110);
+pub(crate) const NEAREST: Duration = Duration::from_millis(110);
 
 /// Servers among which there is a choice of receivers, and how late after a shard is let go the
 /// heartbeat of any of them may be expected as long as there are fewer.
 const CHOICE: usize = 4;
 const SOON: Duration = Duration::from_millis(300);
 
+/// Servers among which receivers are chosen at most, however many beat soon.
+const MOST_RECEIVERS: usize = 24;
+
 /// Time beyond its receiver's expected heartbeat for which a shard is kept for it.
 const PATIENCE: Duration = Duration::from_millis(300);
 
@@ -36,18 +39,21 @@
     pub rows_left: usize,
 }
 
-/// Servers whose next heartbeat suits shards that are let go now: all that beat soon, and in any case
-/// the next few, in the order of their heartbeats.
+/// Servers whose next heartbeat suits shards that are let go now: those that beat soon, and in any case
+/// the next few. `expected` gives servers in the order of their heartbeats; no more of them are asked for
+/// than are needed.
 pub(crate) fn soonest<'a>(
     now: Duration,
     expected: impl Iterator<Item = (&'a InstanceId, Duration)>,
 ) -> Vec<(&'a InstanceId, Duration)> {
-    let mut servers: Vec<_> = expected
-        .filter(|(_, expected)| *expected >= now + NEAREST)
-        .collect();
-    servers.sort_by_key(|(_, expected)| *expected);
-    let soon = servers.partition_point(|(_, expected)| *expected <= now + SOON);
-    servers.truncate(soon.max(CHOICE));
+    let mut servers = Vec::new();
+    for (id, expected) in expected.filter(|(_, expected)| *expected >= now + NEAREST) {
+        let is_soon = expected <= now + SOON;
+        if servers.len() >= MOST_RECEIVERS || (servers.len() >= CHOICE && !is_soon) {
+            break;
+        }
+        servers.push((id, expected));
+    }
     servers
 }
 
