Replicas hand calls on in one write a turn; with 600 servers on they keep heartbeats and relay them

Each relayed call and its answer was a write of its own, and every server was sent on to the leader. Change: frames for replicas are queued and sent at the end of a turn; from 600 known servers on an answer names no other replica.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -61,6 +61,11 @@
         self.instances.values()
     }
 
+    /// How many servers are known, ended ones included.
+    pub fn instance_count(&self) -> usize {
+        self.instances.len()
+    }
+
     /// One server.
     pub fn instance(&self, id: &InstanceId) -> Option<&Instance> {
         self.instances.get(id)
--- a/crates/directory/src/daemon/house.rs
+++ b/crates/directory/src/daemon/house.rs
@@ -103,6 +103,7 @@
         for id in self.calls.overdue(now) {
             self.reply(id, &Reply::Unavailable(UnavailableReason::LeaderSilent));
         }
+        self.flush_links();
         if now >= self.next_settings_look || self.signals.take_reload() {
             self.next_settings_look = now + SETTINGS_LOOK_EVERY;
             self.look_at_settings();
--- a/crates/directory/src/daemon/link_side.rs
+++ b/crates/directory/src/daemon/link_side.rs
@@ -61,18 +61,28 @@
         }
     }
 
+    /// Takes a frame to be sent by [`LinkConnection::flush`].
+    pub(super) fn queue(&mut self, frame: &FromReplica) {
+        let _ = encode_frame(frame, self.connection.outbound());
+    }
+
+    /// Sends what was queued; whether the connection is still of use.
+    pub(super) fn flush(&mut self) -> bool {
+        self.connection.unsent() <= UNSENT_LIMIT && self.connection.flush().is_ok()
+    }
+
     /// Sends a frame; whether the connection is still of use.
     pub(super) fn send(&mut self, frame: &FromReplica) -> bool {
         if encode_frame(frame, self.connection.outbound()).is_err() {
             return true;
         }
-        self.connection.unsent() <= UNSENT_LIMIT && self.connection.flush().is_ok()
+        self.flush()
     }
 
     /// Sends an encoded frame; whether the connection is still of use.
     pub(super) fn send_bytes(&mut self, frame: &[u8]) -> bool {
         self.connection.queue(frame);
-        self.connection.unsent() <= UNSENT_LIMIT && self.connection.flush().is_ok()
+        self.flush()
     }
 
     /// Whether nothing came for so long that the peer counts as gone.
--- a/crates/directory/src/daemon/peers.rs
+++ b/crates/directory/src/daemon/peers.rs
@@ -1,6 +1,6 @@
 //! Connections that this replica opens to others.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -38,6 +38,8 @@
 pub(super) struct Peers {
     by_token: HashMap<Token, PeerConnection>,
     by_address: HashMap<String, Token>,
+    /// Connections with frames that were not handed to the system yet.
+    unsent: BTreeSet<Token>,
     retry_at: HashMap<String, Duration>,
     source: Option<IpAddr>,
 }
@@ -56,8 +58,8 @@
         self.by_token.contains_key(&token)
     }
 
-    /// Sends a frame, or drops it. `token` names the connection if a new one is begun; whether one was.
-    pub(super) fn send(
+    /// Takes a frame to be sent by [`Peers::flush`], or drops it. `token` names the connection if a new one is begun; whether one was.
+    pub(super) fn queue(
         &mut self,
         now: Duration,
         registry: &Registry,
@@ -76,13 +78,23 @@
         if peer.connection.unsent() > UNSENT_LIMIT {
             return began;
         }
-        let sent = encode_frame(frame, peer.connection.outbound()).is_ok();
-        if sent && peer.connected && peer.connection.flush().is_err() {
-            self.drop_connection(now, token);
+        if encode_frame(frame, peer.connection.outbound()).is_ok() {
+            self.unsent.insert(token);
         }
         began
     }
 
+    /// Sends what was queued since: many frames to one replica are one write.
+    pub(super) fn flush(&mut self, now: Duration) {
+        for token in std::mem::take(&mut self.unsent) {
+            let peer = self.by_token.get_mut(&token);
+            let broke = peer.is_some_and(|peer| peer.connected && peer.connection.flush().is_err());
+            if broke {
+                self.drop_connection(now, token);
+            }
+        }
+    }
+
     fn begin(&mut self, now: Duration, registry: &Registry, token: Token, address: &str) -> bool {
         if self.retry_at.get(address).is_some_and(|at| now < *at) {
             return false;
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -1,6 +1,6 @@
 //! The event loop.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -46,6 +46,9 @@
 /// Connections taken in at once.
 const CONNECTION_LIMIT: usize = 3_000;
 
+/// Servers whose heartbeats the leader takes alone.
+const SERVERS_OF_ONE_REPLICA: usize = 600;
+
 /// Rounds of inputs that follow from outputs, before the network gets its turn.
 const MAXIMUM_ROUNDS: usize = 8;
 
@@ -67,6 +70,8 @@
     pub(super) https: HashMap<Token, HttpConnection>,
     pub(super) waiting_callers: VecDeque<Token>,
     pub(super) inbound: HashMap<Token, LinkConnection>,
+    /// Links with frames that were not handed to the system yet.
+    unsent_links: BTreeSet<Token>,
     pub(super) peers: Peers,
     pub(super) feeder: Feeder,
     pub(super) calls: Calls,
@@ -124,6 +129,7 @@
             https: HashMap::new(),
             waiting_callers: VecDeque::new(),
             inbound: HashMap::new(),
+            unsent_links: BTreeSet::new(),
             calls: Calls::default(),
             inputs: Vec::new(),
             next_head: Duration::ZERO,
@@ -372,7 +378,7 @@
             let reply = match reply {
                 Reply::Heartbeat { grant, .. } => Reply::Heartbeat {
                     grant,
-                    endpoint: Some(leader),
+                    endpoint: self.sends_on().then_some(leader),
                 },
                 other => other,
             };
@@ -380,6 +386,12 @@
         }
     }
 
+    /// Whether servers are sent on to the leader. With many of them their calls would be more than it can
+    /// take, so every replica keeps those that come to it and relays them.
+    fn sends_on(&self) -> bool {
+        self.node.catalog().instance_count() < SERVERS_OF_ONE_REPLICA
+    }
+
     /// Lets the node work on what came in, and carries out what it says.
     fn turn(&mut self) -> Result<(), NodeError> {
         for _ in 0..MAXIMUM_ROUNDS {
@@ -394,12 +406,26 @@
                 break;
             }
         }
+        self.flush_links();
         if self.feeder.is_behind {
             self.feed();
         }
         Ok(())
     }
 
+    /// Sends what was queued for other replicas: however many calls and answers a turn relays, each replica
+    /// gets them in one write.
+    pub(super) fn flush_links(&mut self) {
+        let now = self.now();
+        self.peers.flush(now);
+        for token in std::mem::take(&mut self.unsent_links) {
+            let link = self.inbound.get_mut(&token);
+            if link.is_some_and(|link| !link.flush()) {
+                self.inbound.remove(&token);
+            }
+        }
+    }
+
     fn carry_out(&mut self, output: NodeOutput) {
         match output {
             NodeOutput::Peer { address, frame } => {
@@ -437,7 +463,7 @@
         let now = self.now();
         let token = Token(self.next_token);
         let registry = self.poll.registry();
-        if self.peers.send(now, registry, token, address, frame) {
+        if self.peers.queue(now, registry, token, address, frame) {
             self.next_token += 1;
         }
     }
@@ -462,9 +488,8 @@
                     reply: reply.clone(),
                 };
                 if let Some(link) = self.inbound.get_mut(&token) {
-                    if !link.send(&frame) {
-                        self.inbound.remove(&token);
-                    }
+                    link.queue(&frame);
+                    self.unsent_links.insert(token);
                 }
             }
             Origin::Http(token) => {
