Heavy shards no longer rest 5 s after a move

The rest kept a shard from moving while its owner's capacity was not known yet; capacities now come from light or lasting heavy load, and a crowd that is over shows within seconds. No rule needs it. Change: the rest and its table of moves go.

--- a/crates/grants/src/coordinator.rs
+++ b/crates/grants/src/coordinator.rs
@@ -30,9 +30,6 @@
 /// Least time between two times at which a server is told to give shards away.
 const GIVE_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Least time between two moves of one heavy shard.
-const HEAVY_PAUSE: Duration = Duration::from_millis(5_000);
-
 /// What a heartbeat leads to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BeatOutcome {
@@ -56,8 +53,6 @@
     next_look: Duration,
     /// Shards that are kept for servers, by service.
     reservations: BTreeMap<String, Reservations>,
-    /// When heavy shards were last moved, by service.
-    heavy_moved: BTreeMap<String, BTreeMap<usize, Duration>>,
     /// How each service's load should be divided, as of the last look.
     divisions: BTreeMap<String, Division>,
 }
@@ -74,7 +69,6 @@
             load: LoadBook::default(),
             next_look: since + LOOK_EVERY,
             reservations: BTreeMap::new(),
-            heavy_moved: BTreeMap::new(),
             divisions: BTreeMap::new(),
         }
     }
@@ -154,10 +148,7 @@
         let Some(division) = self.divisions.get(&beat.service) else {
             return;
         };
-        let misplaced = division
-            .shares
-            .misplaced(ownership, &beat.id)
-            .filter(|shard| self.may_move_heavy(now, &beat.service, *shard));
+        let misplaced = division.shares.misplaced(ownership, &beat.id);
         let excess = division.shares.excess(ownership, &beat.id);
         if misplaced.is_none() && excess.is_empty() {
             return;
@@ -176,11 +167,6 @@
         if given.is_empty() {
             return;
         }
-        let heavy = misplaced.filter(|shard| given.iter().any(|(_, run)| run == &[*shard]));
-        if let Some(shard) = heavy {
-            let moved = self.heavy_moved.entry(beat.service.clone()).or_default();
-            moved.insert(shard, now);
-        }
         self.keep_for(&beat.service, &receivers, &given);
         self.withhold(now, &beat.id, given.into_iter().flat_map(|(_, run)| run));
         if let Some(server) = self.servers.get_mut(&beat.id) {
@@ -188,14 +174,6 @@
         }
     }
 
-    /// Whether a heavy shard has stayed long enough where it is: what its owner can take is known only
-    /// after a while of its load.
-    fn may_move_heavy(&self, now: Duration, service: &str, shard: usize) -> bool {
-        let moved = self.heavy_moved.get(service);
-        let moved = moved.and_then(|moved| moved.get(&shard));
-        moved.is_none_or(|at| now >= *at + HEAVY_PAUSE)
-    }
-
     /// Whether a server may be told to give shards away again.
     fn may_give(&self, now: Duration, id: &InstanceId) -> bool {
         let server = self.servers.get(id);
