Coordinator, the directory's event loop and the gateway's links in smaller files; capacities in one regime

Change: coordinator/{giving, ending, assigning}, daemon/relaying, follow/link hold what they name; behaviour as it was. Capacities are estimated at any load again, by the quick rates.

--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 mod link_side;
 mod opening;
 mod peers;
+mod relaying;
 mod server;
 mod signals;
 
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -20,7 +20,7 @@
 use super::peers::Peers;
 use super::signals::Signals;
 use super::DirectoryError;
-use crate::call::{Call, Reply, UnavailableReason};
+use crate::call::Reply;
 use crate::dialect::{BadCall, Dialect, HttpCall};
 use crate::link::{FromReplica, ToReplica};
 use crate::node::{Node, NodeError, NodeInput, NodeOutput};
@@ -46,9 +46,6 @@
 /// Connections taken in at once.
 const CONNECTION_LIMIT: usize = 3_000;
 
-/// Servers whose heartbeats the leader takes alone.
-const SERVERS_OF_ONE_REPLICA: usize = 600;
-
 /// Rounds of inputs that follow from outputs, before the network gets its turn.
 const MAXIMUM_ROUNDS: usize = 8;
 
@@ -71,7 +68,7 @@
     pub(super) waiting_callers: VecDeque<Token>,
     pub(super) inbound: HashMap<Token, LinkConnection>,
     /// Links with frames that were not handed to the system yet.
-    unsent_links: BTreeSet<Token>,
+    pub(super) unsent_links: BTreeSet<Token>,
     pub(super) peers: Peers,
     pub(super) feeder: Feeder,
     pub(super) calls: Calls,
@@ -369,29 +366,6 @@
         }
     }
 
-    fn on_peer_frame(&mut self, frame: FromReplica) {
-        if let FromReplica::Relayed { id, reply } = frame {
-            let id = crate::node::CallId(id);
-            let Some(leader) = self.calls.take_endpoint(id) else {
-                return;
-            };
-            let reply = match reply {
-                Reply::Heartbeat { grant, .. } => Reply::Heartbeat {
-                    grant,
-                    endpoint: self.sends_on().then_some(leader),
-                },
-                other => other,
-            };
-            self.reply(id, &reply);
-        }
-    }
-
-    /// Whether servers are sent on to the leader. With many of them their calls would be more than it can
-    /// take, so every replica keeps those that come to it and relays them.
-    fn sends_on(&self) -> bool {
-        self.node.catalog().instance_count() < SERVERS_OF_ONE_REPLICA
-    }
-
     /// Lets the node work on what came in, and carries out what it says.
     fn turn(&mut self) -> Result<(), NodeError> {
         for _ in 0..MAXIMUM_ROUNDS {
@@ -413,19 +387,6 @@
         Ok(())
     }
 
-    /// Sends what was queued for other replicas: however many calls and answers a turn relays, each replica
-    /// gets them in one write.
-    pub(super) fn flush_links(&mut self) {
-        let now = self.now();
-        self.peers.flush(now);
-        for token in std::mem::take(&mut self.unsent_links) {
-            let link = self.inbound.get_mut(&token);
-            if link.is_some_and(|link| !link.flush()) {
-                self.inbound.remove(&token);
-            }
-        }
-    }
-
     fn carry_out(&mut self, output: NodeOutput) {
         match output {
             NodeOutput::Peer { address, frame } => {
@@ -449,25 +410,6 @@
         }
     }
 
-    fn relay(&mut self, id: crate::node::CallId, address: &str, endpoint: String, call: Call) {
-        // A call is relayed once; a replica that does not lead sends it back unanswered.
-        if let Some(Origin::Replica(..)) = self.calls.origin(id) {
-            return self.reply(id, &Reply::Unavailable(UnavailableReason::NoLeader));
-        }
-        let now = self.now();
-        self.calls.note_relayed(id, now, endpoint);
-        self.send_peer(address, &ToReplica::Relay { id: id.0, call });
-    }
-
-    fn send_peer(&mut self, address: &str, frame: &ToReplica) {
-        let now = self.now();
-        let token = Token(self.next_token);
-        let registry = self.poll.registry();
-        if self.peers.queue(now, registry, token, address, frame) {
-            self.next_token += 1;
-        }
-    }
-
     pub(super) fn reply(&mut self, id: crate::node::CallId, reply: &Reply) {
         if let Reply::Unavailable(reason) = reply {
             event!(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,6 +1,8 @@
 //! Links to the directory's replicas; the one that surely leads feeds this gateway. While none speaks to
 //! it, other gateways do.
 
+mod link;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -8,8 +10,9 @@
 use grebepin_catalog::{Catalog, Entry};
 use grebepin_directory::link::{Follow, FromReplica, GatewayReport, Head, ToReplica};
 use grebepin_grants::LoadSample;
-use grebepin_reactor::{decode_frame, encode_frame, take_frame, Connection, ReadOutcome};
+use grebepin_reactor::{decode_frame, Connection};
 use grebepin_telemetry::{event, Event};
+use link::{Link, LinkEnd};
 use mio::{Registry, Token};
 
 use crate::first_state::newest_of_majority;
@@ -34,9 +37,6 @@
 /// Time for which a replica that only others named is still tried.
 const HINT_LIFETIME: Duration = Duration::from_secs(30);
 
-/// Bytes taken in before a frame must be whole.
-const BUFFER_LIMIT: usize = 65 << 20;
-
 /// Bytes before the value of an encoded state.
 const STATE_PREFIX_BYTES: usize = 4;
 
@@ -51,29 +51,6 @@
     Gateways(u32),
 }
 
-/// What is at the other end of a link.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LinkEnd {
-    /// A replica of the directory.
-    Replica,
-    /// Another gateway.
-    Relay,
-}
-
-/// One link.
-#[derive(Debug)]
-struct Link {
-    end: LinkEnd,
-    address: String,
-    connection: Connection,
-    connected: bool,
-    began: Duration,
-    heard: Duration,
-    head: Option<Head>,
-    /// When the last report went out; `None` before the first.
-    reported: Option<Duration>,
-}
-
 /// All links.
 #[derive(Debug)]
 pub struct Directory {
@@ -183,17 +160,8 @@
         };
         *next_token += 1;
         connection.limit_silence(SILENCE_LIMIT);
-        let link = Link {
-            end,
-            address,
-            connection,
-            connected: false,
-            began: now,
-            heard: now,
-            head: None,
-            reported: None,
-        };
-        self.links.insert(token, link);
+        self.links
+            .insert(token, Link::new(end, address, connection, now));
     }
 
     /// Whether the leader speaks to this gateway, so that its state is fresh.
@@ -247,15 +215,15 @@
             relay: self.relays.own().to_owned(),
             load,
         });
-        let _ = encode_frame(&frame, link.connection.outbound());
-        let _ = link.connection.flush();
+        link.send(&frame);
     }
 
     /// Handles what happened on a link. `applied` is the log index in force here.
     pub fn on_event(&mut self, now: Duration, token: Token, applied: u64) -> Vec<Update> {
         let mut frames = Vec::new();
         let was_connected = self.links.get(&token).is_some_and(|link| link.connected);
-        if !self.advance(now, token, &mut frames) {
+        let link = self.links.get_mut(&token);
+        if link.is_some_and(|link| !link.advance(now, &mut frames)) {
             self.drop_link(now, token);
         }
         if !was_connected && self.links.get(&token).is_some_and(|link| link.connected) {
@@ -308,38 +276,6 @@
         self.ask(token, applied);
     }
 
-    fn advance(&mut self, now: Duration, token: Token, frames: &mut Vec<FromReplica>) -> bool {
-        let Some(link) = self.links.get_mut(&token) else {
-            return true;
-        };
-        if !link.connected {
-            match link.connection.check_connected() {
-                Ok(true) => {
-                    link.connected = true;
-                    link.heard = now;
-                }
-                Ok(false) => return true,
-                Err(_) => return false,
-            }
-        }
-        let outcome = link.connection.fill(BUFFER_LIMIT);
-        loop {
-            let taken = take_frame::<FromReplica>(&mut link.connection.inbound);
-            let unpacked = taken.and_then(|frame| frame.map(FromReplica::unpacked).transpose());
-            match unpacked {
-                Ok(Some(frame)) => frames.push(frame),
-                Ok(None) => break,
-                Err(_) => return false,
-            }
-        }
-        link.connection.trim();
-        if !frames.is_empty() {
-            link.heard = now;
-        }
-        let is_open = matches!(outcome, Ok(ReadOutcome::Open | ReadOutcome::Full));
-        is_open && link.connection.flush().is_ok()
-    }
-
     fn on_head(
         &mut self,
         now: Duration,
@@ -407,8 +343,7 @@
         };
         self.asked_for_state = true;
         event!(Event::StateFetched, replica = link.address);
-        let _ = encode_frame(&ToReplica::FetchState, link.connection.outbound());
-        let _ = link.connection.flush();
+        link.send(&ToReplica::FetchState);
     }
 
     fn ask(&mut self, token: Token, applied: u64) {
@@ -419,8 +354,7 @@
             node: self.node.clone(),
             applied,
         });
-        let _ = encode_frame(&frame, link.connection.outbound());
-        let _ = link.connection.flush();
+        link.send(&frame);
     }
 
     fn drop_link(&mut self, now: Duration, token: Token) {
--- /dev/null
+++ b/crates/grants/src/coordinator/assigning.rs
@@ -0,0 +1,117 @@
+//! Which shards without an owner the server of a heartbeat takes.
+
+use std::time::Duration;
+
+use grebepin_catalog::{Catalog, Command, Instance, InstanceId, InstanceState, ShardOwnership};
+
+use super::Coordinator;
+use crate::beat::Beat;
+use crate::placement::choose;
+use crate::registration::is_leaving;
+
+/// How long a shard that a command assigns is kept from other servers while it has no owner yet.
+const PROMISE_LIFETIME: Duration = Duration::from_millis(1_000);
+
+impl Coordinator {
+    /// Lets the server take shards that nobody holds.
+    pub(super) fn assign(
+        &mut self,
+        now: Duration,
+        catalog: &Catalog,
+        beat: &Beat,
+        commands: &mut Vec<Command>,
+    ) {
+        if beat.draining || is_leaving(catalog, &beat.id) {
+            return;
+        }
+        let ownership = catalog.ownership(&beat.service);
+        if ownership.is_none() && !self.is_settled(now, &beat.service) {
+            return;
+        }
+        let nothing_yet;
+        let ownership = match ownership {
+            Some(ownership) => ownership,
+            None => {
+                nothing_yet = ShardOwnership::default();
+                &nothing_yet
+            }
+        };
+        if ownership.unowned().is_empty() {
+            return;
+        }
+        self.divide(now, catalog, &beat.service);
+        let Some(division) = self.divisions.get(&beat.service) else {
+            return;
+        };
+        let overdue = self
+            .unowned_since
+            .get(&beat.service)
+            .is_some_and(|since| now > *since + self.timing.heartbeat / 2);
+        let room = division.shares.room(ownership, &beat.id);
+        let reservations = self.reservations.entry(beat.service.clone()).or_default();
+        reservations.expire(now);
+        let mut shards = Vec::new();
+        let mut free = Vec::new();
+        for shard in ownership.unowned().iter().map(|shard| usize::from(*shard)) {
+            match reservations.receiver(shard) {
+                Some(receiver) if *receiver == beat.id => shards.push(shard),
+                Some(_) => {}
+                None => free.push(shard),
+            }
+        }
+        if room > 0.0 || overdue {
+            let demand = division.demand(ownership, &beat.id, room, overdue);
+            shards.extend(choose(demand, &free, |shard| division.shares.weight(shard)));
+        }
+        if shards.is_empty() {
+            return;
+        }
+        // Others leave them alone until the command is committed.
+        reservations.reserve(&shards, &beat.id, now + PROMISE_LIFETIME);
+        commands.push(Command::AssignShards {
+            service: beat.service.clone(),
+            id: beat.id.clone(),
+            shards: shards.into_iter().map(|shard| shard as u16).collect(),
+        });
+    }
+
+    fn is_settled(&self, now: Duration, service: &str) -> bool {
+        let first = self.first_beats.get(service);
+        first.is_some_and(|first| now >= *first + self.timing.settle())
+    }
+
+    /// Servers of a service that can take shards.
+    pub(super) fn eligible<'a>(
+        &self,
+        now: Duration,
+        catalog: &'a Catalog,
+        service: &str,
+    ) -> Vec<&'a InstanceId> {
+        let recent = self.timing.recent();
+        let is_recent = |instance: &&Instance| {
+            let heard = self.servers.get(&instance.id);
+            let heard = heard.map_or(self.since, |server| server.last_beat);
+            now.saturating_sub(heard) <= recent
+        };
+        catalog
+            .instances()
+            .filter(|instance| instance.service == service)
+            .filter(|instance| instance.state == InstanceState::Ready)
+            .filter(is_recent)
+            .map(|instance| &instance.id)
+            .collect()
+    }
+
+    pub(super) fn note_unowned(
+        &mut self,
+        now: Duration,
+        service: &str,
+        ownership: &ShardOwnership,
+    ) {
+        if ownership.unowned().is_empty() {
+            self.unowned_since.remove(service);
+        } else if !self.unowned_since.contains_key(service) {
+            self.unowned_since.insert(service.to_owned(), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/grants/src/coordinator/ending.rs
@@ -0,0 +1,109 @@
+//! What silence ends: leases, and servers that are heard no more.
+
+use std::time::Duration;
+
+use grebepin_catalog::{Catalog, Command, InstanceId, InstanceState, ShardOwnership};
+
+use super::{Coordinator, LOOK_EVERY};
+use crate::registration::freed;
+
+impl Coordinator {
+    /// Commands that the passing of time asks for: shards of leases that ran out, servers that ended.
+    pub fn tick(&mut self, now: Duration, catalog: &Catalog) -> Vec<Command> {
+        for (service, ownership) in catalog.all_ownership() {
+            self.note_unowned(now, service, ownership);
+        }
+        let silent = match self.looks_at_all(now) {
+            true => {
+                self.next_look = now + LOOK_EVERY;
+                self.load.retain(|id| is_live(catalog, id));
+                catalog
+                    .instances()
+                    .map(|instance| &instance.id)
+                    .cloned()
+                    .collect()
+            }
+            false => self.silent(now),
+        };
+        let mut commands = Vec::new();
+        for id in silent {
+            self.end_lease(now, catalog, &id, &mut commands);
+            self.end_server(now, catalog, &id, &mut commands);
+        }
+        commands
+    }
+
+    /// Whether every server is looked at now: those that this leader never heard stand in no order, and
+    /// their leases end soon after its time began.
+    fn looks_at_all(&self, now: Duration) -> bool {
+        now >= self.next_look || now < self.since + self.timing.lease * 2
+    }
+
+    /// Servers whose lease may be over, or that may have ended, by their silence.
+    fn silent(&self, now: Duration) -> Vec<InstanceId> {
+        let least = self.timing.lease.min(self.timing.forget_after);
+        let silent = self.servers.silent_since(now.saturating_sub(least));
+        silent.cloned().collect()
+    }
+
+    /// Frees the shards of a server whose lease is over.
+    fn end_lease(
+        &mut self,
+        now: Duration,
+        catalog: &Catalog,
+        id: &InstanceId,
+        commands: &mut Vec<Command>,
+    ) {
+        if now <= self.lease_end(id) {
+            return;
+        }
+        for (service, ownership) in catalog.all_ownership() {
+            if ownership.count_of(id) == 0 {
+                continue;
+            }
+            self.withhold(now, id, ownership.owned_by(id));
+            let shards = ownership.owned_by(id);
+            commands.push(Command::FreeShards {
+                service: service.clone(),
+                id: id.clone(),
+                shards: shards
+                    .map(|shard| freed(ownership, shard, String::new()))
+                    .collect(),
+            });
+        }
+    }
+
+    /// Notes that a server ended that was silent for long.
+    fn end_server(
+        &mut self,
+        now: Duration,
+        catalog: &Catalog,
+        id: &InstanceId,
+        commands: &mut Vec<Command>,
+    ) {
+        if is_live(catalog, id) {
+            if self.is_forgotten(now, id) {
+                commands.push(Command::SetState {
+                    id: id.clone(),
+                    state: InstanceState::Gone,
+                });
+            }
+            return;
+        }
+        let owns = |(_, ownership): (&String, &ShardOwnership)| ownership.count_of(id) > 0;
+        if !catalog.all_ownership().any(owns) {
+            self.servers.drop_from_order(id);
+        }
+    }
+
+    fn is_forgotten(&self, now: Duration, id: &InstanceId) -> bool {
+        let heard = self.servers.get(id).map(|server| server.last_beat);
+        now.saturating_sub(heard.unwrap_or(self.since)) > self.timing.forget_after
+    }
+}
+
+/// Whether a server has not ended, as far as the group knows.
+fn is_live(catalog: &Catalog, id: &InstanceId) -> bool {
+    let instance = catalog.instance(id);
+    instance.is_some_and(|instance| instance.state != InstanceState::Gone)
+}
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -21,9 +21,6 @@
 /// Memory of the rates that a capacity is estimated from.
 const CAPACITY_MEMORY: Duration = Duration::from_millis(1_500);
 
-/// Requests for each slot from which on a server counts as saturated.
-const HEAVY_FACTOR: f64 = 2.0;
-
 /// Answers after which a server's capacity counts as known.
 const KNOWN_AFTER_ANSWERS: f64 = 10.0;
 
@@ -60,8 +57,6 @@
     seconds: Rate,
     /// Requests that it works on at a time.
     slots: f64,
-    /// Whether much more was there than it works on at a time, at the last estimate.
-    is_heavy: bool,
     capacity: Option<f64>,
     /// Answers that the estimate of the capacity rests on.
     estimated_from: f64,
@@ -147,7 +142,6 @@
             answers: Rate::new(CAPACITY_MEMORY),
             seconds: Rate::new(CAPACITY_MEMORY),
             slots: 1.0,
-            is_heavy: false,
             capacity: None,
             estimated_from: 0.0,
             fresh_answers: 0.0,
@@ -163,13 +157,7 @@
         if answers <= 0.0 || rate <= 0.0 || at_a_time <= 0.0 {
             return;
         }
-        let was_heavy =
-            std::mem::replace(&mut self.is_heavy, at_a_time > self.slots * HEAVY_FACTOR);
-        let seen = match (was_heavy, self.is_heavy) {
-            (false, false) if at_a_time <= self.slots => rate / utilization(at_a_time, self.slots),
-            (true, true) => rate / utilization(at_a_time, self.slots),
-            _ => return,
-        };
+        let seen = rate / utilization(at_a_time, self.slots);
         let weight = 1.0 - (1.0 - ANSWER_WEIGHT).powf(answers);
         let present = self.capacity.unwrap_or(seen);
         self.capacity = Some(present + weight * (seen - present));
