A test of early reports of a crowd; one comment in two lines

Cause: the counts that make a report due early had no test of their own. Change: a crowd is told once, and counts begin anew after a report. Ruled out: a test of the report's time itself, which lies with sockets. Conclusion: no behaviour changed.

--- a/crates/directory/src/daemon/peers.rs
+++ b/crates/directory/src/daemon/peers.rs
@@ -58,7 +58,8 @@
         self.by_token.contains_key(&token)
     }
 
-    /// Takes a frame to be sent by [`Peers::flush`], or drops it. `token` names the connection if a new one is begun; whether one was.
+    /// Takes a frame to be sent by [`Peers::flush`], or drops it. `token` names the connection if a new one
+    /// is begun; whether one was.
     pub(super) fn queue(
         &mut self,
         now: Duration,
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -5,6 +5,7 @@
 use grebepin_catalog::{Instance, InstanceId, InstanceState, RequestKind, Route, WeightedService};
 use grebepin_gateway::balance::Balance;
 use grebepin_gateway::budget::{BudgetBound, Budgets};
+use grebepin_gateway::load::LoadCounts;
 use grebepin_gateway::refusal::Refusal;
 use grebepin_gateway::relays::Relays;
 use grebepin_gateway::stopping::Stopping;
@@ -266,3 +267,22 @@
         }
     }
 }
+
+#[test]
+fn a_crowd_is_told_once_and_counts_begin_anew() {
+    let mut counts = LoadCounts::default();
+    counts.note_request("s", 7);
+    assert!(
+        !counts.is_crowded(),
+        "a request that found room is no crowd"
+    );
+    counts.note_crowd();
+    assert!(counts.is_crowded());
+    let sample = counts.take();
+    assert_eq!(sample.shards, [("s".to_owned(), vec![(7, 1)])]);
+    assert!(
+        !counts.is_crowded(),
+        "the next report has its usual time again"
+    );
+    assert!(counts.take().shards.is_empty());
+}
