A gateway without a state looks for replicas each 40 ms

A refused link was tried again after 0.2 s, at the next housekeeping, another 0.2 s apart. Change: until the first configuration both are 40 and 20 ms; with one they stay as they were.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -28,6 +28,10 @@
 /// Pause before a link is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// The same for a gateway that has no state yet: after a loss of everything replicas may start some
+/// tenths of a second later than gateways.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(40);
+
 /// Time between two words to each replica.
 const REPORT_EVERY: Duration = Duration::from_millis(1_000);
 
@@ -60,6 +64,8 @@
     hints: BTreeMap<String, Duration>,
     links: BTreeMap<Token, Link>,
     retry_at: BTreeMap<String, Duration>,
+    /// Pause before a replica is tried again.
+    retry_pause: Duration,
     followed: Option<Token>,
     relays: Relays,
     /// Whether a replica was asked for its state before any leader spoke.
@@ -78,6 +84,7 @@
             hints: BTreeMap::new(),
             links: BTreeMap::new(),
             retry_at: BTreeMap::new(),
+            retry_pause: FIRST_RETRY_PAUSE,
             followed: None,
             relays: Relays::new(relay),
             asked_for_state: false,
@@ -103,7 +110,12 @@
         registry: &Registry,
         next_token: &mut usize,
         load: &mut LoadCounts,
+        is_configured: bool,
     ) {
+        self.retry_pause = match is_configured {
+            true => RETRY_PAUSE,
+            false => FIRST_RETRY_PAUSE,
+        };
         let useless = self.links.iter().filter(|(_, link)| match link.connected {
             false => now > link.began + CONNECT_LIMIT,
             true => now > link.heard + SILENCE_LIMIT,
@@ -154,7 +166,8 @@
             .parse()
             .ok()
             .and_then(|parsed| Connection::connect(parsed, self.source, registry, token).ok());
-        self.retry_at.insert(address.clone(), now + RETRY_PAUSE);
+        self.retry_at
+            .insert(address.clone(), now + self.retry_pause);
         let Some(connection) = begun else {
             return;
         };
@@ -366,7 +379,7 @@
             return;
         }
         self.retry_at
-            .insert(link.address.clone(), now + RETRY_PAUSE);
+            .insert(link.address.clone(), now + self.retry_pause);
         if self.followed == Some(token) {
             self.followed = None;
             event!(Event::GatewayLost, replica = link.address);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -44,6 +44,9 @@
 /// Time between two rounds of housekeeping.
 const HOUSE_EVERY: Duration = Duration::from_millis(200);
 
+/// The same until the first configuration, so that replicas are found as soon as they listen.
+const FIRST_HOUSE_EVERY: Duration = Duration::from_millis(20);
+
 /// Time between two looks at the settings file.
 const SETTINGS_LOOK_EVERY: Duration = Duration::from_secs(1);
 
@@ -423,11 +426,16 @@
         if now < self.next_house {
             return;
         }
-        self.next_house = now + HOUSE_EVERY;
+        let is_configured = self.table.is_configured();
+        self.next_house = now
+            + match is_configured {
+                true => HOUSE_EVERY,
+                false => FIRST_HOUSE_EVERY,
+            };
         let registry = self.poll.registry();
         let load = &mut self.load;
         self.directory
-            .tick(now, registry, &mut self.next_token, load);
+            .tick(now, registry, &mut self.next_token, load, is_configured);
         self.close_spent_connections(now);
         self.close_resting_clients(now);
         if let Some(relay) = &mut self.relay {
