--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -32,6 +32,11 @@
 /// tenths of a second later than gateways.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(40);
 
+/// Time between two ticks, and until the first configuration, so that replicas are found as soon as they
+/// listen.
+const TICK_EVERY: Duration = Duration::from_millis(200);
+const FIRST_TICK_EVERY: Duration = Duration::from_millis(20);
+
 /// Time between two words to each replica.
 const REPORT_EVERY: Duration = Duration::from_millis(1_000);
 
@@ -102,6 +107,14 @@
         self.links.contains_key(&token)
     }
 
+    /// Time after which [`Directory::tick`] is due again.
+    pub fn tick_pause(is_configured: bool) -> Duration {
+        match is_configured {
+            true => TICK_EVERY,
+            false => FIRST_TICK_EVERY,
+        }
+    }
+
     /// Makes links that are missing and drops those that are of no use. Tokens from `next_token` on
     /// are free.
     pub fn tick(
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -41,12 +41,6 @@
 /// Longest sleep, so that signals are noticed.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 
-/// Time between two rounds of housekeeping.
-const HOUSE_EVERY: Duration = Duration::from_millis(200);
-
-/// The same until the first configuration, so that replicas are found as soon as they listen.
-const FIRST_HOUSE_EVERY: Duration = Duration::from_millis(20);
-
 /// Time between two looks at the settings file.
 const SETTINGS_LOOK_EVERY: Duration = Duration::from_secs(1);
 
@@ -427,11 +421,7 @@
             return;
         }
         let is_configured = self.table.is_configured();
-        self.next_house = now
-            + match is_configured {
-                true => HOUSE_EVERY,
-                false => FIRST_HOUSE_EVERY,
-            };
+        self.next_house = now + Directory::tick_pause(is_configured);
         let registry = self.poll.registry();
         let load = &mut self.load;
         self.directory
