A new leader frees the shards of owners that the catalog has forgotten

Change: the look at all servers takes owners in that are not known. Ruled out: keeping such servers in the catalog, which bounds what it remembers. Run: the new test of placement.rs fails without the change and passes with it; all tests of the crate green.

--- a/crates/grants/src/coordinator/ending.rs
+++ b/crates/grants/src/coordinator/ending.rs
@@ -17,11 +17,7 @@
             true => {
                 self.next_look = now + LOOK_EVERY;
                 self.load.retain(|id| is_live(catalog, id));
-                catalog
-                    .instances()
-                    .map(|instance| &instance.id)
-                    .cloned()
-                    .collect()
+                everybody(catalog)
             }
             false => self.silent(now),
         };
@@ -107,3 +103,13 @@
     let instance = catalog.instance(id);
     instance.is_some_and(|instance| instance.state != InstanceState::Gone)
 }
+
+/// Every server that is known or owns shards: one that ended is forgotten after many others, whatever it
+/// owns.
+fn everybody(catalog: &Catalog) -> Vec<InstanceId> {
+    let known = catalog.instances().map(|instance| &instance.id);
+    let owners = catalog.all_ownership();
+    let owners = owners.flat_map(|(_, ownership)| ownership.owners().map(|(id, _)| id));
+    let unknown = owners.filter(|id| catalog.instance(id).is_none());
+    known.chain(unknown).cloned().collect()
+}
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use grebepin_catalog::{
-    Catalog, Command, InstanceId, Item, ItemChange, ItemContent, Service, Version, SHARDS,
+    Catalog, Command, Instance, InstanceId, InstanceState, Item, ItemChange, ItemContent, Service,
+    Version, SHARDS,
 };
 use grebepin_grants::{Beat, BeatOutcome, Coordinator, LoadSample, ServerSample, Timing};
 
@@ -250,3 +251,34 @@
     let shards = ownership.owned_by(&id(number));
     shards.map(|shard| shard as u16).collect()
 }
+
+/// Ended servers are remembered in bounded number; one that is forgotten may still own shards.
+#[test]
+fn shards_of_a_server_that_is_no_longer_remembered_are_freed_by_a_new_leader() {
+    let (_, mut catalog) = divided(1);
+    let owned_before = owned(&catalog, 1);
+    assert!(owned_before[0] > 0);
+    let end = |catalog: &mut Catalog, number: usize| {
+        catalog.apply(&Command::SetState {
+            id: id(number),
+            state: InstanceState::Gone,
+        });
+    };
+    end(&mut catalog, 0);
+    for number in 1..5_000 {
+        catalog.apply(&Command::Register(Instance {
+            id: id(number),
+            service: SERVICE.to_owned(),
+            address: "10.0.0.9:80".to_owned(),
+            zone: "z".to_owned(),
+            slots: 2,
+            state: InstanceState::Ready,
+        }));
+        end(&mut catalog, number);
+    }
+    assert!(catalog.instance(&id(0)).is_none(), "it is forgotten");
+    let mut coordinator = Coordinator::new(timing(), ms(0));
+    let commands = coordinator.tick(ms(20_000), &catalog);
+    let frees = |command: &Command| matches!(command, Command::FreeShards { id: owner, .. } if *owner == id(0));
+    assert!(commands.iter().any(frees), "its shards are freed");
+}
