Gateways follow two replicas of their own zone; replicas gather load and counts for the leader

Ruled out: one link a gateway (a frozen replica would cost 1.6 s); feeding from the standby as well (twice the bytes). Change: every replica that holds what the leader committed feeds gateways (Node::is_fed); a gateway links to two, own zone first, spread by rendezvous hashing (gateway::replicas), follows one that is fed, and tries four at a time when none is; replicas add up load and tell the leader each 150 ms, which tells back how many gateways there are and whom to follow during a cut (directory::fleet); second sendings wait until that count has settled. A first state needs a majority of the voters only (learners counted too, so a large group never found one) and is taken from the nearest replica that holds it. Test changed: gateway/tests/first_state.rs builds heads from typed addresses; its assertions are the same, one more test. New: gateway/tests/replicas.rs, directory/tests/fleet.rs, one in replication.rs.

--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -44,6 +44,8 @@
     pub(crate) state: State,
     pub(crate) leader: Option<ReplicaId>,
     pub(crate) last_leader_contact: Option<Duration>,
+    /// Highest commit index that a leader told, whether this replica holds it or not.
+    pub(crate) leader_commit: LogIndex,
     pub(crate) election_deadline: Duration,
     pub(crate) incoming: Option<IncomingSnapshot>,
     /// A snapshot that is installed here and not yet handed to storage.
@@ -79,6 +81,7 @@
             state: State::Follower,
             leader: None,
             last_leader_contact: None,
+            leader_commit: LogIndex(0),
             election_deadline: now,
             incoming: None,
             snapshot_to_save: None,
--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -14,6 +14,7 @@
         if !is_well_formed(&request, self.term) || !self.follow(from) {
             return;
         }
+        self.leader_commit = self.leader_commit.max(request.commit);
         if !self.skip_committed(&mut request) {
             return;
         }
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -66,6 +66,7 @@
         if !plausible || !self.follow(from) {
             return;
         }
+        self.leader_commit = self.leader_commit.max(index);
         if self.holds(&request.meta) {
             self.log.commit_to(index);
             self.incoming = None;
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -35,6 +35,12 @@
         self.leader
     }
 
+    /// When a leader was last heard, and the highest commit index that any told; `None` before the first word.
+    pub fn leader_contact(&self) -> Option<(Duration, LogIndex)> {
+        let at = self.last_leader_contact?;
+        Some((at, self.leader_commit))
+    }
+
     /// The present term.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/directory/src/daemon/house.rs
+++ b/crates/directory/src/daemon/house.rs
@@ -11,13 +11,15 @@
 use super::opening::changed_at;
 use super::server::Server;
 use crate::call::{Reply, UnavailableReason};
-use crate::link::{FromReplica, Head};
+use crate::fleet::{FleetSummary, ReplicaReport};
+use crate::link::{FromReplica, Head, ToReplica};
+use crate::node::NodeInput;
 use crate::settings::DirectorySettings;
 
 /// Time between two words to the gateways about this replica.
 const HEAD_EVERY: Duration = Duration::from_millis(500);
 
-/// Gateways that one word names.
+/// Gateways here that one report to the leader names.
 const RELAYS_TOLD: usize = 3;
 
 /// Time between two looks at the settings file.
@@ -26,6 +28,11 @@
 /// Rest after which a caller's connection is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
+/// Number of the present word about this replica.
+fn rounds_until(now: Duration) -> u64 {
+    (now.as_millis() / HEAD_EVERY.as_millis()) as u64
+}
+
 impl Server<'_> {
     pub(super) fn on_metrics(&mut self, now: Duration, token: Token) {
         self.measure(now);
@@ -50,8 +57,8 @@
         metrics.applied_index.set(applied as i64);
         let unapplied = consensus.last_index().0.saturating_sub(applied);
         metrics.unapplied_entries.set(unapplied as i64);
-        let followers = self.inbound.values().filter(|link| link.fed.is_some());
-        metrics.followers.set(followers.count() as i64);
+        metrics.followers.set(i64::from(self.followers()));
+        metrics.is_fed.set(i64::from(self.node.is_fed(now)));
         metrics
             .members
             .set(consensus.membership().members.len() as i64);
@@ -63,28 +70,62 @@
     }
 
     pub(super) fn head(&self, now: Duration) -> Head {
-        let gateways = self
-            .inbound
-            .values()
-            .filter(|link| !link.gateway.is_empty());
+        let leads = self.node.leads_surely(now);
         Head {
             term: self.node.consensus().term().0,
-            leads: self.node.leads_surely(now),
+            leads,
             applied: self.node.applied(),
-            replicas: self.node.replica_addresses(),
-            gateways: gateways.count() as u32,
-            is_fed: self.node.leads_surely(now),
-            relays: self.some_relays(now),
+            replicas: self.node.replicas(),
+            gateways: self.fleet.gateways(now, leads, self.followers()),
+            is_fed: self.node.is_fed(now),
+            relays: self.fleet.some_relays(rounds_until(now)),
             votes: self.node.votes(),
         }
     }
 
-    /// Some of the gateways that give the state on, others each time.
-    fn some_relays(&self, now: Duration) -> Vec<String> {
+    /// At the leader: what other replicas are told of all gateways.
+    pub(super) fn fleet_summary(&self, now: Duration) -> FleetSummary {
+        FleetSummary {
+            gateways: self.fleet.gateways(now, true, self.followers()),
+            relays: self.fleet.some_relays(rounds_until(now)),
+        }
+    }
+
+    /// Gateways that follow this replica.
+    fn followers(&self) -> u32 {
+        let links = self.inbound.values();
+        links.filter(|link| link.fed.is_some()).count() as u32
+    }
+
+    /// Tells the leader what the gateways here reported, when it is time.
+    pub(super) fn report_to_leader(&mut self, now: Duration) {
+        if !self.gathered.is_due(now) {
+            return;
+        }
+        if self.node.leads_surely(now) {
+            let load = self.gathered.take(now);
+            if !load.is_empty() {
+                self.inputs.push(NodeInput::Load(load));
+            }
+            return;
+        }
+        let Some(leader) = self.node.other_leader() else {
+            return;
+        };
+        let report = ReplicaReport {
+            replica: self.settings.link_address().to_string(),
+            gateways: self.followers(),
+            relays: self.own_relays(now),
+            load: self.gathered.take(now),
+        };
+        self.send_peer(&leader, &ToReplica::ReplicaReport(report));
+    }
+
+    /// Some of the gateways here that give the state on, others each time.
+    fn own_relays(&self, now: Duration) -> Vec<String> {
         let relays = self.inbound.values().map(|link| &link.relay);
         let relays: Vec<&String> = relays.filter(|relay| !relay.is_empty()).collect();
-        let rounds = now.as_millis() / HEAD_EVERY.as_millis();
-        let start = rounds as usize * RELAYS_TOLD % relays.len().max(1);
+        let start = rounds_until(now) as usize * RELAYS_TOLD % relays.len().max(1);
         let from_start = relays.iter().cycle().skip(start);
         from_start
             .take(RELAYS_TOLD.min(relays.len()))
@@ -95,19 +136,24 @@
     /// What the passing of time asks for.
     pub(super) fn keep_house(&mut self) {
         let now = self.now();
-        if now >= self.next_head {
+        let is_fed = self.node.is_fed(now);
+        if now >= self.next_head || is_fed != self.told_fed {
+            self.told_fed = is_fed;
             self.next_head = now + HEAD_EVERY;
             if let Some(metrics) = &mut self.metrics_server {
                 metrics.close_resting(now);
             }
             self.tell_heads(now);
             self.peers.tick(now);
+            let relays = self.own_relays(now);
+            self.fleet.note_relays(now, &relays);
             let idle = |http: &HttpConnection| !http.busy && now > http.active + IDLE_LIMIT;
             self.https.retain(|_, http| !idle(http));
         }
         for id in self.calls.overdue(now) {
             self.reply(id, &Reply::Unavailable(UnavailableReason::LeaderSilent));
         }
+        self.report_to_leader(now);
         self.flush_links();
         if now >= self.next_settings_look || self.signals.take_reload() {
             self.next_settings_look = now + SETTINGS_LOOK_EVERY;
--- a/crates/directory/src/daemon/relaying.rs
+++ b/crates/directory/src/daemon/relaying.rs
@@ -5,27 +5,57 @@
 use super::calls::Origin;
 use super::server::Server;
 use crate::call::{Call, Reply, UnavailableReason};
+use crate::fleet::ReplicaReport;
 use crate::link::{FromReplica, ToReplica};
-use crate::node::CallId;
+use crate::node::{CallId, NodeInput};
 
 /// Servers whose heartbeats the leader takes alone.
 const SERVERS_OF_ONE_REPLICA: usize = 600;
 
 impl Server<'_> {
     pub(super) fn on_peer_frame(&mut self, frame: FromReplica) {
-        if let FromReplica::Relayed { id, reply } = frame {
-            let id = CallId(id);
-            let Some(leader) = self.calls.take_endpoint(id) else {
-                return;
-            };
-            let reply = match reply {
-                Reply::Heartbeat { grant, .. } => Reply::Heartbeat {
-                    grant,
-                    endpoint: self.sends_on().then_some(leader),
-                },
-                other => other,
-            };
-            self.reply(id, &reply);
+        match frame {
+            FromReplica::Relayed { id, reply } => self.on_relayed(CallId(id), reply),
+            FromReplica::Fleet(summary) => {
+                let now = self.now();
+                self.fleet.note_summary(now, &summary);
+            }
+            // What gateways are told; a replica learns it from the log.
+            FromReplica::Head(_)
+            | FromReplica::Whole { .. }
+            | FromReplica::Entries(_)
+            | FromReplica::Packed(_) => {}
+        }
+    }
+
+    fn on_relayed(&mut self, id: CallId, reply: Reply) {
+        let Some(leader) = self.calls.take_endpoint(id) else {
+            return;
+        };
+        let reply = match reply {
+            Reply::Heartbeat { grant, .. } => Reply::Heartbeat {
+                grant,
+                endpoint: self.sends_on().then_some(leader),
+            },
+            other => other,
+        };
+        self.reply(id, &reply);
+    }
+
+    /// Another replica took this one for the leader and told what its gateways reported.
+    pub(super) fn on_replica_report(&mut self, token: Token, report: ReplicaReport) {
+        let now = self.now();
+        if !self.node.leads_surely(now) {
+            return;
+        }
+        self.fleet.note_report(now, &report);
+        if !report.load.is_empty() {
+            self.inputs.push(NodeInput::Load(report.load));
+        }
+        let summary = self.fleet_summary(now);
+        if let Some(link) = self.inbound.get_mut(&token) {
+            link.queue(&FromReplica::Fleet(summary));
+            self.unsent_links.insert(token);
         }
     }
 
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -22,6 +22,7 @@
 use super::DirectoryError;
 use crate::call::Reply;
 use crate::dialect::{BadCall, Dialect, HttpCall};
+use crate::fleet::{Fleet, Gathered};
 use crate::link::{FromReplica, ToReplica};
 use crate::node::{Node, NodeError, NodeInput, NodeOutput};
 use crate::settings::DirectorySettings;
@@ -71,6 +72,10 @@
     pub(super) unsent_links: BTreeSet<Token>,
     pub(super) peers: Peers,
     pub(super) feeder: Feeder,
+    pub(super) fleet: Fleet,
+    pub(super) gathered: Gathered,
+    /// Whether gateways were last told that what they get from here is fresh.
+    pub(super) told_fed: bool,
     pub(super) calls: Calls,
     pub(super) inputs: Vec<NodeInput>,
     pub(super) next_head: Duration,
@@ -127,6 +132,9 @@
             waiting_callers: VecDeque::new(),
             inbound: HashMap::new(),
             unsent_links: BTreeSet::new(),
+            fleet: Fleet::default(),
+            gathered: Gathered::default(),
+            told_fed: false,
             calls: Calls::default(),
             inputs: Vec::new(),
             next_head: Duration::ZERO,
@@ -340,8 +348,9 @@
             }
             ToReplica::Report(report) => {
                 self.note_gateway(token, report.node, report.relay);
-                self.inputs.push(NodeInput::Load(report.load));
+                self.gathered.add(&report.load);
             }
+            ToReplica::ReplicaReport(report) => self.on_replica_report(token, report),
         }
     }
 
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod call;
 mod daemon;
 pub mod dialect;
+pub mod fleet;
 pub mod link;
 pub mod node;
 pub mod pacing;
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Call, Reply};
+use crate::fleet::{FleetSummary, ReplicaReport};
 
 /// Frame that the side which opened a connection sends.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -24,6 +25,8 @@
     Follow(Follow),
     /// A gateway tells that it is there, with what it counted.
     Report(GatewayReport),
+    /// Between replicas: what the sender's gateways told, for the leader.
+    ReplicaReport(ReplicaReport),
     /// A gateway that has no state yet, and hears no leader, asks for the whole state as it is applied here,
     /// once.
     FetchState,
@@ -60,6 +63,8 @@
         /// Its outcome.
         reply: Reply,
     },
+    /// The leader's answer to a replica's report.
+    Fleet(FleetSummary),
     /// What this replica is at present.
     Head(Head),
     /// The whole state at a log index, encoded as [`grebepin_catalog::Catalog`].
@@ -123,6 +128,17 @@
     }
 }
 
+/// Where a replica is reached, and what it counts for.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaAddress {
+    /// Internal address, `IP:PORT`.
+    pub address: String,
+    /// Zone that it stands in.
+    pub zone: String,
+    /// Whether it is a voter of the group.
+    pub votes: bool,
+}
+
 /// What a replica, or a gateway that gives the state on, is at present.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
@@ -132,11 +148,11 @@
     pub leads: bool,
     /// Log index that it has applied.
     pub applied: u64,
-    /// Internal addresses of all replicas, `IP:PORT`.
-    pub replicas: Vec<String>,
-    /// Gateways that are there, as the leader counts them; 0 from others.
+    /// All replicas.
+    pub replicas: Vec<ReplicaAddress>,
+    /// Gateways that follow any replica, as the leader last counted them; 0 when that is not known.
     pub gateways: u32,
-    /// Whether what it gives on is fresh: it leads, or the leader speaks to it.
+    /// Whether what it gives on is fresh: it leads, or it holds what a leader that speaks to it has committed.
     pub is_fed: bool,
     /// Internal addresses of some gateways that give the state on, `IP:PORT`.
     pub relays: Vec<String>,
--- a/crates/directory/src/node/founding.rs
+++ b/crates/directory/src/node/founding.rs
@@ -68,6 +68,7 @@
             leadership: None,
             waiting: Waiting::default(),
             joining: Joining::new(now + config.timing.election_timeout),
+            caught_up: None,
             outputs,
             config,
         })
--- a/crates/directory/src/node/membership.rs
+++ b/crates/directory/src/node/membership.rs
@@ -10,13 +10,14 @@
 use grebepin_consensus::ProposeError;
 use grebepin_replica::members;
 use grebepin_schema::{
-    JoinRequest, JoinResponse, Member, Membership, PeerFrame, ReplicaId, SocketAddress,
+    JoinRequest, JoinResponse, Member, MemberRole, Membership, PeerFrame, ReplicaId, SocketAddress,
 };
 use grebepin_storage::Disk;
 
 use super::config::{socket_address, zone_name, FaultTolerance, GROUP, UNKNOWN_ZONE};
 use super::messages::{NodeOutput, Notice};
 use super::Node;
+use crate::link::ReplicaAddress;
 
 /// Most members, voters and learners: a bound on what one leader sends to at all, well above the control
 /// machines of any deployment planned.
@@ -55,13 +56,32 @@
 
 impl<D: Disk> Node<D> {
     /// Internal addresses of all replicas known.
-    pub fn replica_addresses(&self) -> Vec<String> {
+    fn replica_addresses(&self) -> Vec<String> {
         let members = self.consensus.membership().members.iter();
         members
             .map(|member| member.peer_address.to_string())
             .collect()
     }
 
+    /// All replicas known, for gateways.
+    pub fn replicas(&self) -> Vec<ReplicaAddress> {
+        let members = self.consensus.membership().members.iter();
+        members
+            .map(|member| ReplicaAddress {
+                address: member.peer_address.to_string(),
+                zone: member.zone.to_string(),
+                votes: member.role == MemberRole::Voter,
+            })
+            .collect()
+    }
+
+    /// Internal address of another replica that leads.
+    pub fn other_leader(&self) -> Option<String> {
+        let leader = self.leader_address()?;
+        let own = socket_address(self.config.link_address);
+        (leader != own).then(|| leader.to_string())
+    }
+
     /// Whether this replica is a voter of the group.
     pub fn votes(&self) -> bool {
         let mut voters = members::voters(self.consensus.membership());
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -55,9 +55,16 @@
     leadership: Option<Leadership>,
     waiting: Waiting,
     joining: Joining,
+    /// When a leader last spoke to this replica while everything that it had committed was applied here.
+    caught_up: Option<Duration>,
     outputs: Vec<NodeOutput>,
 }
 
+/// Time after the last word of a leader for which what a replica holds counts as fresh: two of a leader's
+/// rounds of 60 ms that get lost, an election of 250 ms, and a margin. A gateway has 2 s to learn of a change
+/// by another way.
+const FRESH_FOR: Duration = Duration::from_millis(600);
+
 impl<D: Disk> Node<D> {
     /// The replicated state as far as it is applied here.
     pub fn catalog(&self) -> &Catalog {
@@ -113,9 +120,25 @@
         // Only now: what came in while this process was held up may show that a majority answers.
         self.consensus.tick(now);
         self.advance(clock)?;
+        self.note_caught_up();
         Ok(std::mem::take(&mut self.outputs))
     }
 
+    fn note_caught_up(&mut self) {
+        if let Some((at, committed)) = self.consensus.leader_contact() {
+            if self.applied >= committed {
+                self.caught_up = Some(at);
+            }
+        }
+    }
+
+    /// Whether what is applied here is fresh enough to feed gateways with.
+    pub fn is_fed(&self, now: Duration) -> bool {
+        let is_member = !self.consensus.membership().members.is_empty();
+        let caught_up = self.caught_up.is_some_and(|at| now < at + FRESH_FOR);
+        self.leads_surely(now) || (is_member && caught_up)
+    }
+
     /// When [`Node::handle`] must be called next, at the latest.
     pub fn next_wake(&self) -> Duration {
         let mut wake = self.consensus.next_wake();
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -253,6 +253,12 @@
         [leader, others[self.random.random_range(0..others.len())]]
     }
 
+    /// Whether a replica would feed gateways.
+    pub fn is_fed(&self, number: usize) -> bool {
+        let node = self.replicas[number].node.as_ref();
+        node.is_some_and(|node| node.is_fed(self.now))
+    }
+
     pub fn has_applied(&self, number: usize, version: u64) -> bool {
         let node = self.replicas[number].node.as_ref();
         node.is_some_and(|node| held_version(node) == version)
--- a/crates/directory/tests/replication.rs
+++ b/crates/directory/tests/replication.rs
@@ -131,3 +131,32 @@
         assert_eq!(cluster.acknowledged, vec![1, 2], "seed {seed}");
     }
 }
+
+/// Gateways follow any replica that is fed: one that hears no leader, or lacks what the leader has committed,
+/// must say so within a second.
+#[test]
+fn only_a_replica_that_holds_what_the_leader_committed_feeds_gateways() {
+    for seed in SEEDS {
+        let mut cluster = Cluster::new(seed, 4);
+        cluster.run(seconds(4.0));
+        cluster.change_until_acknowledged(1);
+        cluster.run(seconds(0.5));
+        assert!((0..4).all(|one| cluster.is_fed(one)), "seed {seed}");
+        let old = cluster.leader().expect("a leader");
+        cluster.strike(Fault::CutLeader);
+        cluster.run(seconds(1.0));
+        assert!(!cluster.is_fed(old), "cut off, seed {seed}");
+        cluster.change_until_acknowledged(2);
+        let others = (0..4).filter(|one| *one != old);
+        for other in others {
+            assert!(cluster.is_fed(other), "replica {other}, seed {seed}");
+            assert!(
+                cluster.has_applied(other, 2),
+                "replica {other}, seed {seed}"
+            );
+        }
+        cluster.run(seconds(6.0));
+        assert!(cluster.is_fed(old), "healed, seed {seed}");
+        assert!(cluster.has_applied(old, 2), "healed, seed {seed}");
+    }
+}
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -36,7 +36,7 @@
         let has_place = verdict != Verdict::NotRun || flight.shard.is_none();
         let wanted = allowed && has_place;
         // How many gateways share the budget is known from a leader only.
-        let shares_budget = self.directory.leader_heard.is_some();
+        let shares_budget = self.directory.knows_gateways(now);
         if wanted && shares_budget && self.budgets.take(&flight.service, now) {
             return self.send_again(id, verdict, server);
         }
--- a/crates/gateway/src/first_state.rs
+++ b/crates/gateway/src/first_state.rs
@@ -11,18 +11,21 @@
 
 use grebepin_directory::link::Head;
 
-/// The replica whose state is taken, out of the heads that replicas at these addresses told; `None` as long as
-/// they are no majority.
-pub fn newest_of_majority<'a, T>(heads: impl Iterator<Item = (T, &'a str, &'a Head)>) -> Option<T> {
-    let voters: Vec<(T, &str, &Head)> = heads.filter(|(_, _, head)| head.votes).collect();
+/// The log index of the newest state that a majority of the voters holds, out of the heads that replicas at these
+/// addresses told; `None` as long as they are no majority. Any replica that has applied as much will do to take
+/// the state from.
+pub fn newest_of_majority<'a>(heads: impl Iterator<Item = (&'a str, &'a Head)>) -> Option<u64> {
+    let voters: Vec<(&str, &Head)> = heads.filter(|(_, head)| head.votes).collect();
     let is_covered = |head: &Head| {
-        let members = head.replicas.iter();
-        let asked = members.filter(|member| voters.iter().any(|voter| voter.1 == member.as_str()));
-        asked.count() > head.replicas.len() / 2
+        let members = head.replicas.iter().filter(|member| member.votes);
+        let members: Vec<&str> = members.map(|member| member.address.as_str()).collect();
+        let asked = members
+            .iter()
+            .filter(|member| voters.iter().any(|voter| voter.0 == **member));
+        asked.count() > members.len() / 2
     };
-    if !voters.iter().all(|(_, _, head)| is_covered(head)) {
+    if !voters.iter().all(|(_, head)| is_covered(head)) {
         return None;
     }
-    let newest = voters.into_iter().max_by_key(|(_, _, head)| head.applied);
-    newest.map(|(replica, _, _)| replica)
+    voters.into_iter().map(|(_, head)| head.applied).max()
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,8 +1,9 @@
-//! Links to the directory's replicas; the one that surely leads feeds this gateway. While none speaks to
-//! it, other gateways do.
+//! Links to two of the directory's replicas; one that is fed by the leader, or leads itself, feeds this gateway.
+//! While none does, other gateways do.
 
 mod link;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -18,6 +19,8 @@
 use crate::first_state::newest_of_majority;
 use crate::load::LoadCounts;
 use crate::relays::Relays;
+use crate::replicas::Replicas;
+use crate::settings::GatewaySettings;
 
 /// Time a link may take to come up.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -25,6 +28,22 @@
 /// Time without a word after which a link is made anew.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
 
+/// Time without a word after which another fed replica is followed; replicas speak each 500 ms.
+const FEED_SILENCE_LIMIT: Duration = Duration::from_millis(900);
+
+/// Time for which a replica that is not fed is left alone.
+const UNFED_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Links at a time, to replicas that are wanted and others that are on their way out.
+const LINK_LIMIT: usize = 8;
+
+/// The same for a gateway that asks voters for a first state.
+const FIRST_LINK_LIMIT: usize = 20;
+
+/// Time after the first count of all gateways for which it may still be too low: a new leader hears from all
+/// replicas within 0.5 s.
+const COUNT_SETTLES_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Pause before a link is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -43,9 +62,6 @@
 /// The same for the followed replica while requests find no room.
 const CROWDED_REPORT_EVERY: Duration = Duration::from_millis(300);
 
-/// Time for which a replica that only others named is still tried.
-const HINT_LIFETIME: Duration = Duration::from_secs(30);
-
 /// Bytes before the value of an encoded state.
 const STATE_PREFIX_BYTES: usize = 4;
 
@@ -56,50 +72,59 @@
     Whole(u64, Box<Catalog>),
     /// Entries in the order of the log.
     Entries(Vec<(u64, Entry)>),
-    /// How many gateways the leader counts.
+    /// How many gateways there are, as the leader counts them.
     Gateways(u32),
 }
 
+/// The state in force here, as far as links depend on it.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldState {
+    /// Log index applied; 0 without any state.
+    pub applied: u64,
+    /// Whether it holds a configuration.
+    pub is_configured: bool,
+}
+
 /// All links.
 #[derive(Debug)]
 pub struct Directory {
     node: String,
     source: Option<IpAddr>,
-    seeds: Vec<String>,
-    hints: BTreeMap<String, Duration>,
+    replicas: Replicas,
     links: BTreeMap<Token, Link>,
-    retry_at: BTreeMap<String, Duration>,
-    /// Pause before a replica is tried again.
+    /// Pause before a replica that can't be reached is tried again.
     retry_pause: Duration,
     followed: Option<Token>,
     relays: Relays,
-    /// Whether a replica was asked for its state before any leader spoke.
-    asked_for_state: bool,
-    /// When the followed replica last spoke.
+    /// The link whose replica was asked for its state before any leader spoke.
+    asked_for_state: Option<Token>,
+    /// When a replica first told how many gateways there are.
+    counted_since: Option<Duration>,
+    /// When the followed replica last spoke and was fed.
     pub leader_heard: Option<Duration>,
 }
 
 impl Directory {
-    /// No links yet; `relay` is where this gateway gives the state on itself, empty for nowhere.
-    pub fn new(node: &str, seeds: &[SocketAddr], source: Option<IpAddr>, relay: &str) -> Self {
+    /// No links yet.
+    pub fn new(settings: &GatewaySettings) -> Self {
+        let seeds = addresses(&settings.seed_links());
         Self {
-            source,
-            node: node.to_owned(),
-            seeds: seeds.iter().map(ToString::to_string).collect(),
-            hints: BTreeMap::new(),
+            source: settings.bind_ip,
+            node: settings.node.clone(),
+            replicas: Replicas::new(&settings.node, &settings.zone, seeds),
             links: BTreeMap::new(),
-            retry_at: BTreeMap::new(),
             retry_pause: FIRST_RETRY_PAUSE,
             followed: None,
-            relays: Relays::new(relay),
-            asked_for_state: false,
+            relays: Relays::new(&settings.relay_name()),
+            asked_for_state: None,
+            counted_since: None,
             leader_heard: None,
         }
     }
 
     /// Takes other seeds over from changed settings.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
-        self.seeds = seeds.iter().map(ToString::to_string).collect();
+        self.replicas.set_seeds(addresses(seeds));
     }
 
     /// Whether a token names one of these links.
@@ -107,6 +132,17 @@
         self.links.contains_key(&token)
     }
 
+    /// Whether the count of all gateways is known and has settled, so that what they share can be divided.
+    pub fn knows_gateways(&self, now: Duration) -> bool {
+        let since = self.counted_since;
+        since.is_some_and(|since| now >= since + COUNT_SETTLES_AFTER)
+    }
+
+    /// Links to replicas at present.
+    pub fn link_count(&self) -> usize {
+        self.links.len()
+    }
+
     /// Time after which [`Directory::tick`] is due again.
     pub fn tick_pause(is_configured: bool) -> Duration {
         match is_configured {
@@ -123,12 +159,25 @@
         registry: &Registry,
         next_token: &mut usize,
         load: &mut LoadCounts,
-        is_configured: bool,
+        held: HeldState,
     ) {
-        self.retry_pause = match is_configured {
+        self.retry_pause = match held.is_configured {
             true => RETRY_PAUSE,
             false => FIRST_RETRY_PAUSE,
         };
+        self.drop_useless(now);
+        self.replicas.tick(now);
+        self.choose_feed(now, held.applied);
+        for address in self.missing(now, held.applied) {
+            self.begin(now, registry, next_token, LinkEnd::Replica, address);
+        }
+        self.drop_surplus(now);
+        self.keep_relays(now, registry, next_token);
+        self.report(now, load);
+    }
+
+    /// Drops links that don't come up or are silent.
+    fn drop_useless(&mut self, now: Duration) {
         let useless = self.links.iter().filter(|(_, link)| match link.connected {
             false => now > link.began + CONNECT_LIMIT,
             true => now > link.heard + SILENCE_LIMIT,
@@ -137,12 +186,78 @@
         for token in useless {
             self.drop_link(now, token);
         }
-        self.hints.retain(|_, told| now < *told + HINT_LIFETIME);
-        for address in self.missing(now) {
-            self.begin(now, registry, next_token, LinkEnd::Replica, address);
+    }
+
+    /// Drops links that are not wanted any more, once a wanted one is followed.
+    fn drop_surplus(&mut self, now: Duration) {
+        let Some(followed) = self.followed.filter(|token| self.is_fed_link(now, *token)) else {
+            return;
+        };
+        let wanted = self.replicas.wanted(now, true);
+        if !wanted.contains(&self.links[&followed].address) {
+            return;
         }
-        self.keep_relays(now, registry, next_token);
-        self.report(now, load);
+        self.links
+            .retain(|_, link| link.end == LinkEnd::Relay || wanted.contains(&link.address));
+    }
+
+    /// Whether a link leads to a replica that is fed and has spoken lately.
+    fn is_fed_link(&self, now: Duration, token: Token) -> bool {
+        self.links.get(&token).is_some_and(|link| {
+            let is_fed = link.head.as_ref().is_some_and(|head| head.is_fed);
+            let speaks = now <= link.heard + FEED_SILENCE_LIMIT;
+            link.end == LinkEnd::Replica && link.connected && is_fed && speaks
+        })
+    }
+
+    /// Follows the best fed replica; the present one as long as it is fed and wanted.
+    fn choose_feed(&mut self, now: Duration, applied: u64) {
+        let has_feed = self
+            .followed
+            .is_some_and(|token| self.is_fed_link(now, token));
+        let best = self.links.keys().copied();
+        let best = best.filter(|token| self.is_fed_link(now, *token));
+        let best = best.min_by(|one, other| {
+            let (one, other) = (&self.links[one].address, &self.links[other].address);
+            match self.replicas.is_better(one, other) {
+                true => Ordering::Less,
+                false => Ordering::Greater,
+            }
+        });
+        let Some(best) = best else {
+            return;
+        };
+        if self.followed == Some(best) {
+            return;
+        }
+        if has_feed {
+            let wanted = self.replicas.wanted(now, true);
+            let present = self.followed.and_then(|token| self.links.get(&token));
+            if present.is_some_and(|link| wanted.contains(&link.address)) {
+                return;
+            }
+        }
+        self.follow(now, best, applied);
+    }
+
+    /// Follows a replica, and ends the link to the one before: what that one fed would come twice.
+    fn follow(&mut self, now: Duration, token: Token, applied: u64) {
+        if let Some(before) = self.followed.replace(token) {
+            self.links.remove(&before);
+        }
+        let link = &self.links[&token];
+        let head = link.head.as_ref();
+        event!(
+            Event::GatewayFollows,
+            replica = link.address,
+            zone = self.replicas.zone_of(&link.address),
+            leads = head.is_some_and(|head| head.leads),
+            term = head.map_or(0, |head| head.term),
+            applied = applied,
+            behind = head.is_some_and(|head| head.applied > applied)
+        );
+        self.leader_heard = Some(now);
+        self.ask(token, applied);
     }
 
     /// Follows relays while no leader speaks, and leaves them once one does.
@@ -179,9 +294,8 @@
             .parse()
             .ok()
             .and_then(|parsed| Connection::connect(parsed, self.source, registry, token).ok());
-        self.retry_at
-            .insert(address.clone(), now + self.retry_pause);
         let Some(connection) = begun else {
+            self.replicas.avoid(now, &address, self.retry_pause);
             return;
         };
         *next_token += 1;
@@ -196,18 +310,28 @@
     }
 
     /// Addresses that should be linked and are not.
-    fn missing(&self, now: Duration) -> Vec<String> {
+    fn missing(&self, now: Duration, applied: u64) -> Vec<String> {
+        let has_feed = self
+            .followed
+            .is_some_and(|token| self.is_fed_link(now, token));
+        let mut wanted = self.replicas.wanted(now, has_feed);
+        let mut limit = LINK_LIMIT;
+        if applied == 0 {
+            wanted.extend(self.replicas.witnesses(now));
+            limit = FIRST_LINK_LIMIT;
+        }
         let linked: BTreeSet<&String> = self.links.values().map(|link| &link.address).collect();
-        let known: BTreeSet<&String> = self.seeds.iter().chain(self.hints.keys()).collect();
-        known
-            .into_iter()
-            .filter(|address| !linked.contains(address))
-            .filter(|address| self.retry_at.get(*address).is_none_or(|at| now >= *at))
-            .cloned()
-            .collect()
+        let mut missing: Vec<String> = Vec::new();
+        for address in wanted {
+            if !linked.contains(&address) && !missing.contains(&address) {
+                missing.push(address);
+            }
+        }
+        missing.truncate(limit.saturating_sub(self.links.len()));
+        missing
     }
 
-    /// Tells every replica that this gateway is there, and the followed one what was counted.
+    /// Tells every linked replica that this gateway is there, and the followed one what was counted.
     fn report(&mut self, now: Duration, load: &mut LoadCounts) {
         let pause_of_followed = match load.is_crowded() {
             true => CROWDED_REPORT_EVERY,
@@ -268,10 +392,10 @@
                         updates.push(Update::Whole(index, Box::new(catalog)));
                     }
                 }
-                FromReplica::Relayed { .. } | FromReplica::Packed(_) => {}
+                FromReplica::Relayed { .. } | FromReplica::Packed(_) | FromReplica::Fleet(_) => {}
             }
         }
-        if self.followed == Some(token) {
+        if self.followed == Some(token) && self.is_fed_link(now, token) {
             self.leader_heard = Some(now);
         }
         updates
@@ -318,58 +442,70 @@
             }
             return;
         }
-        for replica in &head.replicas {
-            self.hints.insert(replica.clone(), now);
-        }
-        let (leads, term) = (head.leads, head.term);
-        let behind = head.applied > applied;
-        if leads {
+        self.replicas.note(now, &head.replicas);
+        let is_fed = head.is_fed;
+        if is_fed && head.gateways > 0 {
+            self.counted_since.get_or_insert(now);
             updates.push(Update::Gateways(head.gateways));
         }
-        if let Some(link) = self.links.get_mut(&token) {
-            link.head = Some(head);
+        let Some(link) = self.links.get_mut(&token) else {
+            return;
+        };
+        link.head = Some(head);
+        match is_fed {
+            true => {
+                self.replicas.trust(&link.address);
+                self.choose_feed(now, applied);
+            }
+            false => self.leave_unfed(now, token, applied),
         }
-        if applied == 0 && !leads {
-            self.ask_for_first_state();
+    }
+
+    /// A replica is not fed: others are tried in its place. A gateway without a state asks it for its own.
+    fn leave_unfed(&mut self, now: Duration, token: Token, applied: u64) {
+        if applied == 0 {
+            return self.ask_for_first_state();
         }
-        let followed_term = self
-            .followed
-            .and_then(|followed| self.links.get(&followed)?.head.as_ref())
-            .filter(|head| head.leads)
-            .map(|head| head.term);
-        let is_better = followed_term.is_none_or(|present| present < term);
-        if leads && self.followed != Some(token) && is_better {
-            self.followed = Some(token);
-            let replica = self.links.get(&token).map(|link| link.address.clone());
-            event!(
-                Event::GatewayFollows,
-                replica = replica.unwrap_or_default(),
-                term = term,
-                applied = applied,
-                behind = behind
-            );
-            self.ask(token, applied);
+        let Some(link) = self.links.get(&token) else {
+            return;
+        };
+        self.replicas.avoid(now, &link.address, UNFED_PAUSE);
+        // A few such links stay while nobody is fed: they tell at once when a leader speaks.
+        if self.followed != Some(token) && self.links.len() >= LINK_LIMIT {
+            self.links.remove(&token);
         }
     }
 
-    /// Asks for the state that a majority of the replicas holds, until a leader speaks.
+    /// Asks for the state that a majority of the voters holds, until a leader speaks.
     fn ask_for_first_state(&mut self) {
-        if self.followed.is_some() || self.asked_for_state {
+        if self.followed.is_some() || self.asked_for_state.is_some() {
             return;
         }
-        let replicas = self.links.iter().filter_map(|(token, link)| {
-            let head = link.head.as_ref()?;
-            Some((*token, link.address.as_str(), head))
-        });
-        let Some(token) = newest_of_majority(replicas) else {
+        let heads = || {
+            self.links.iter().filter_map(|(token, link)| {
+                let head = link.head.as_ref()?;
+                Some((*token, link.address.as_str(), head))
+            })
+        };
+        let told = heads().map(|(_, address, head)| (address, head));
+        let Some(index) = newest_of_majority(told) else {
             return;
         };
-        let Some(link) = self.links.get_mut(&token) else {
+        let holders = heads().filter(|(_, _, head)| head.applied >= index);
+        let nearest = holders.min_by(|(_, one, _), (_, other, _)| {
+            match self.replicas.is_better(one, other) {
+                true => Ordering::Less,
+                false => Ordering::Greater,
+            }
+        });
+        let Some((token, address, _)) = nearest else {
             return;
         };
-        self.asked_for_state = true;
-        event!(Event::StateFetched, replica = link.address);
-        link.send(&ToReplica::FetchState);
+        event!(Event::StateFetched, replica = address, index = index);
+        self.asked_for_state = Some(token);
+        if let Some(link) = self.links.get_mut(&token) {
+            link.send(&ToReplica::FetchState);
+        }
     }
 
     fn ask(&mut self, token: Token, applied: u64) {
@@ -391,11 +527,17 @@
             self.relays.failed(now, &link.address);
             return;
         }
-        self.retry_at
-            .insert(link.address.clone(), now + self.retry_pause);
+        self.replicas.avoid(now, &link.address, self.retry_pause);
+        if self.asked_for_state == Some(token) {
+            self.asked_for_state = None;
+        }
         if self.followed == Some(token) {
             self.followed = None;
             event!(Event::GatewayLost, replica = link.address);
         }
     }
 }
+
+fn addresses(links: &[SocketAddr]) -> Vec<String> {
+    links.iter().map(ToString::to_string).collect()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod refusal;
 mod relay;
 pub mod relays;
+pub mod replicas;
 mod sending;
 mod server;
 mod settings;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -145,7 +145,10 @@
                 self.send_head(table, is_fed) && self.send_whole(table)
             }
             ToReplica::Report(_) => self.send_head(table, is_fed),
-            ToReplica::Peer(_) | ToReplica::Relay { .. } | ToReplica::FetchState => false,
+            ToReplica::Peer(_)
+            | ToReplica::Relay { .. }
+            | ToReplica::ReplicaReport(_)
+            | ToReplica::FetchState => false,
         }
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,7 +19,7 @@
 use crate::budget::{BudgetBound, Budgets};
 use crate::clients::{Client, Clients};
 use crate::flight::{FlightId, Flights};
-use crate::follow::{Directory, Update};
+use crate::follow::{Directory, HeldState, Update};
 use crate::headers::HeaderNames;
 use crate::load::LoadCounts;
 use crate::relay::Relay;
@@ -147,12 +147,7 @@
         Ok(Self {
             settings_path: path.to_owned(),
             settings_changed: changed_at(path),
-            directory: Directory::new(
-                &settings.node,
-                &settings.seed_links(),
-                settings.bind_ip,
-                &settings.relay_name(),
-            ),
+            directory: Directory::new(&settings),
             settings,
             names,
             poll,
@@ -319,6 +314,8 @@
             .map(|heard| now.saturating_sub(heard));
         let age = age.map_or(-1, |age| age.as_millis() as i64);
         metrics.leader_age_ms.set(age);
+        let links = self.directory.link_count();
+        metrics.directory_links.set(links as i64);
     }
 
     pub(crate) fn request_limits(&self) -> RequestLimits {
@@ -420,12 +417,15 @@
         if now < self.next_house {
             return;
         }
-        let is_configured = self.table.is_configured();
-        self.next_house = now + Directory::tick_pause(is_configured);
+        let held = HeldState {
+            applied: self.table.applied(),
+            is_configured: self.table.is_configured(),
+        };
+        self.next_house = now + Directory::tick_pause(held.is_configured);
         let registry = self.poll.registry();
         let load = &mut self.load;
         self.directory
-            .tick(now, registry, &mut self.next_token, load, is_configured);
+            .tick(now, registry, &mut self.next_token, load, held);
         self.close_spent_connections(now);
         self.close_resting_clients(now);
         if let Some(relay) = &mut self.relay {
--- a/crates/gateway/tests/first_state.rs
+++ b/crates/gateway/tests/first_state.rs
@@ -1,23 +1,30 @@
 //! Whose state a gateway takes while no leader speaks.
 
-use grebepin_directory::link::Head;
+use grebepin_directory::link::{Head, ReplicaAddress};
 use grebepin_gateway::first_state::newest_of_majority;
 
+fn voter(address: &str) -> ReplicaAddress {
+    ReplicaAddress {
+        address: address.to_owned(),
+        zone: "z".to_owned(),
+        votes: true,
+    }
+}
+
 fn head(votes: bool, applied: u64, replicas: &[&str]) -> Head {
     Head {
         votes,
         applied,
-        replicas: replicas.iter().map(ToString::to_string).collect(),
+        replicas: replicas.iter().map(|address| voter(address)).collect(),
         ..Head::default()
     }
 }
 
+/// The replica that holds the newest state of a majority.
 fn chosen(heads: &[(&'static str, Head)]) -> Option<&'static str> {
-    newest_of_majority(
-        heads
-            .iter()
-            .map(|(address, head)| (*address, *address, head)),
-    )
+    let index = newest_of_majority(heads.iter().map(|(address, head)| (*address, head)))?;
+    let holder = heads.iter().find(|(_, head)| head.applied == index);
+    holder.map(|(address, _)| *address)
 }
 
 const ALL: [&str; 3] = ["a", "b", "c"];
@@ -52,3 +59,23 @@
     ];
     assert_eq!(chosen(&heads), Some("d"));
 }
+
+/// Learners outnumbered the voters of a large group, so that no majority was ever found.
+#[test]
+fn learners_do_not_count_towards_the_majority() {
+    let learner = |address: &str| ReplicaAddress {
+        votes: false,
+        ..voter(address)
+    };
+    let with_learners = |applied| Head {
+        replicas: ALL
+            .iter()
+            .map(|address| voter(address))
+            .chain(["d", "e", "f", "g"].map(learner))
+            .collect(),
+        ..head(true, applied, &[])
+    };
+    let heads = [("a", with_learners(7)), ("c", with_learners(9))];
+    assert_eq!(chosen(&heads), Some("c"));
+    assert_eq!(chosen(&heads[..1]), None);
+}
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -24,5 +24,5 @@
 
 pub use beat::{Beat, FreedRow, Grant, HeldRow};
 pub use coordinator::{BeatOutcome, Coordinator};
-pub use load::{LoadSample, ServerSample};
+pub use load::{LoadSample, LoadSum, ServerSample};
 pub use timing::Timing;
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -50,6 +50,78 @@
     pub servers: Vec<ServerSample>,
 }
 
+impl LoadSample {
+    /// Whether it tells nothing.
+    pub fn is_empty(&self) -> bool {
+        self.shards.is_empty() && self.servers.is_empty()
+    }
+}
+
+/// The sum of several samples.
+#[derive(Debug, Default)]
+pub struct LoadSum {
+    shards: BTreeMap<String, BTreeMap<u16, u16>>,
+    servers: BTreeMap<InstanceId, (u32, f32)>,
+}
+
+impl LoadSum {
+    /// Adds a sample.
+    pub fn add(&mut self, sample: &LoadSample) {
+        for (service, counts) in &sample.shards {
+            let sums = self.shards.entry(service.clone()).or_default();
+            for (shard, count) in counts {
+                let sum = sums.entry(*shard).or_default();
+                *sum = sum.saturating_add(*count);
+            }
+        }
+        for server in &sample.servers {
+            self.add_answers(&server.id, server.answers, server.seconds);
+        }
+    }
+
+    /// Adds a request for a shard.
+    pub fn add_request(&mut self, service: &str, shard: u16) {
+        if !self.shards.contains_key(service) {
+            self.shards.insert(service.to_owned(), BTreeMap::new());
+        }
+        if let Some(counts) = self.shards.get_mut(service) {
+            let count = counts.entry(shard).or_default();
+            *count = count.saturating_add(1);
+        }
+    }
+
+    /// Adds answers of a server that took so many seconds together.
+    pub fn add_answers(&mut self, server: &InstanceId, answers: u32, seconds: f32) {
+        let (all_answers, all_seconds) = self.servers.entry(server.clone()).or_default();
+        *all_answers = all_answers.saturating_add(answers);
+        *all_seconds += seconds;
+    }
+
+    /// Whether nothing was added that tells anything.
+    pub fn is_empty(&self) -> bool {
+        self.shards.is_empty() && self.servers.is_empty()
+    }
+
+    /// Takes the sum; it begins anew.
+    pub fn take(&mut self) -> LoadSample {
+        let taken = std::mem::take(self);
+        let shards = taken.shards.into_iter();
+        let servers = taken.servers.into_iter();
+        LoadSample {
+            shards: shards
+                .map(|(service, counts)| (service, counts.into_iter().collect()))
+                .collect(),
+            servers: servers
+                .map(|(id, (answers, seconds))| ServerSample {
+                    id,
+                    answers,
+                    seconds,
+                })
+                .collect(),
+        }
+    }
+}
+
 /// One server's answers.
 #[derive(Clone, Copy, Debug)]
 struct ServerLoad {
--- a/crates/telemetry/src/metrics/directory.rs
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -23,6 +23,8 @@
     pub unapplied_entries: IntGauge,
     /// Gateways that follow this replica.
     pub followers: IntGauge,
+    /// 1 while what this replica gives on to gateways is fresh, else 0.
+    pub is_fed: IntGauge,
     /// Servers known that have not ended.
     pub instances: IntGauge,
     /// Members of the group, voters and learners.
@@ -59,6 +61,10 @@
                 "Entries in the log that are not applied",
             )?,
             followers: metrics.gauge("directory_followers", "Gateways that follow")?,
+            is_fed: metrics.gauge(
+                "directory_is_fed",
+                "1 while what this replica gives on to gateways is fresh",
+            )?,
             instances: metrics.gauge("directory_instances", "Servers that have not ended")?,
             members: metrics.gauge("directory_members", "Members of the group")?,
             voters: metrics.gauge("directory_voters", "Voters of the group")?,
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -24,6 +24,8 @@
     pub applied_index: IntGauge,
     /// Age in milliseconds of the last word of the directory's leader.
     pub leader_age_ms: IntGauge,
+    /// Links to replicas of the directory and to relays.
+    pub directory_links: IntGauge,
     /// Answers that belonged to another request.
     pub foreign_answers: IntCounter,
 }
@@ -73,6 +75,10 @@
                 "gateway_leader_age_milliseconds",
                 "Time since the directory's leader last spoke; -1 before the first time",
             )?,
+            directory_links: metrics.gauge(
+                "gateway_directory_links",
+                "Links to replicas of the directory and to relays",
+            )?,
             foreign_answers: metrics.counter(
                 "gateway_foreign_answers_total",
                 "Answers that belonged to another request",
