An untried server counts as 0.6 of its service's mean, so that gateways don't try every server of every zone

Ruled out: the service's mean itself (servers that join would never be tried while fast ones have room). Test: gateway/tests/policies.rs, untried_servers_are_tried_in_the_own_zone_and_not_across_zones.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -15,9 +15,17 @@
 /// Weight of a new answer in the mean of answer times.
 const MEAN_WEIGHT: f64 = 0.2;
 
-/// Answer time assumed of a server that never answered, in seconds.
+/// Answer time assumed of a server that never answered while no other of its service did, in seconds.
 const ASSUMED_SECONDS: f64 = 0.1;
 
+/// Answer time assumed of a server that never answered, as a part of what the others of its service take: below
+/// one, so that servers that join are tried, and above one over [`OTHER_ZONE_FACTOR`], so that a gateway of a large
+/// fleet does not try every server of every other zone once.
+const UNTRIED_PART: f64 = 0.6;
+
+/// Weight of a new answer in the mean of a whole service.
+const SERVICE_MEAN_WEIGHT: f64 = 0.05;
+
 /// Cost of another zone, as a factor.
 const OTHER_ZONE_FACTOR: f64 = 2.0;
 
@@ -35,7 +43,8 @@
 #[derive(Clone, Debug)]
 struct Endpoint {
     connections: u32,
-    mean_seconds: f64,
+    /// Mean time of answers; `None` before the first.
+    mean_seconds: Option<f64>,
     failures: u32,
     aside_until: Duration,
     limit: ConcurrencyLimit,
@@ -45,7 +54,7 @@
     fn new(limit: f64) -> Self {
         Self {
             connections: 0,
-            mean_seconds: ASSUMED_SECONDS,
+            mean_seconds: None,
             failures: 0,
             aside_until: Duration::ZERO,
             limit: ConcurrencyLimit::new(limit),
@@ -54,15 +63,23 @@
 
     /// Takes an answer's time into the mean.
     fn note_time(&mut self, took: Duration) {
-        self.mean_seconds += MEAN_WEIGHT * (took.as_secs_f64() - self.mean_seconds);
+        self.mean_seconds = Some(moved(self.mean_seconds, took, MEAN_WEIGHT));
     }
 }
 
+/// A mean after one more answer; the first answer is the mean.
+fn moved(mean: Option<f64>, took: Duration, weight: f64) -> f64 {
+    let took = took.as_secs_f64();
+    mean.map_or(took, |mean| mean + weight * (took - mean))
+}
+
 /// All servers as this gateway knows them.
 #[derive(Debug)]
 pub struct Balance {
     gateways: u32,
     endpoints: HashMap<InstanceId, Endpoint>,
+    /// Mean time of the answers of each service.
+    service_means: HashMap<String, f64>,
 }
 
 impl Default for Balance {
@@ -70,6 +87,7 @@
         Self {
             gateways: 1,
             endpoints: HashMap::new(),
+            service_means: HashMap::new(),
         }
     }
 }
@@ -88,7 +106,8 @@
     /// A request no longer is at a server.
     pub fn end(&mut self, id: &InstanceId, now: Duration) {
         let endpoint = self.endpoint(id);
-        let expected = Duration::from_secs_f64(endpoint.mean_seconds);
+        let seconds = endpoint.mean_seconds.unwrap_or(ASSUMED_SECONDS);
+        let expected = Duration::from_secs_f64(seconds);
         endpoint.limit.end(now, expected);
     }
 
@@ -209,7 +228,8 @@
     fn cost(&self, instance: &Instance, zone: &str, random: f64) -> f64 {
         let endpoint = self.endpoints.get(&instance.id);
         let running = endpoint.map_or(0, |one| one.limit.running());
-        let mean_seconds = endpoint.map_or(ASSUMED_SECONDS, |one| one.mean_seconds);
+        let mean_seconds = endpoint.and_then(|one| one.mean_seconds);
+        let mean_seconds = mean_seconds.unwrap_or_else(|| self.assumed_seconds(&instance.service));
         let slots = f64::from(instance.slots.max(1));
         let queued = 1.0 + f64::from(running) / slots * 2.0;
         let distance = match instance.zone == zone {
@@ -219,6 +239,22 @@
         mean_seconds * queued * distance * (1.0 + JITTER * random)
     }
 
+    /// Answer time assumed of a server of a service that never answered.
+    fn assumed_seconds(&self, service: &str) -> f64 {
+        let mean = self.service_means.get(service);
+        mean.map_or(ASSUMED_SECONDS, |mean| mean * UNTRIED_PART)
+    }
+
+    /// Takes the time of an answer into the mean of its service.
+    pub fn note_service_time(&mut self, service: &str, took: Duration) {
+        let mean = self.service_means.get(service).copied();
+        let mean = moved(mean, took, SERVICE_MEAN_WEIGHT);
+        match self.service_means.get_mut(service) {
+            Some(known) => *known = mean,
+            None => _ = self.service_means.insert(service.to_owned(), mean),
+        }
+    }
+
     fn endpoint(&mut self, id: &InstanceId) -> &mut Endpoint {
         if !self.endpoints.contains_key(id) {
             let first = first_limit(1, self.gateways);
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -260,6 +260,7 @@
             Verdict::NotRun => self.balance.overloaded(&server, now),
             _ => {
                 let took = now.saturating_sub(since);
+                self.balance.note_service_time(&flight.service, took);
                 if self.balance.answered(&server, now, took, wanted) {
                     event!(Event::ServerTrusted, instance = server.0);
                 }
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -286,3 +286,32 @@
     );
     assert!(counts.take().shards.is_empty());
 }
+
+/// With hundreds of servers a gateway would spend its requests on trying each of them once.
+#[test]
+fn untried_servers_are_tried_in_the_own_zone_and_not_across_zones() {
+    let tried = instance("tried", "here");
+    let untried = instance("untried", "here");
+    let remote = instance("remote", "there");
+    let mut balance = Balance::default();
+    for number in 0..20 {
+        balance.answered(&tried.id, ms(number), ms(400), ms(900));
+        balance.note_service_time("s", ms(400));
+    }
+    let both = [tried.clone(), remote.clone()];
+    assert_eq!(chosen(&balance, &both, ms(30)).as_deref(), Some("tried"));
+    let joined = [tried.clone(), untried];
+    assert_eq!(
+        chosen(&balance, &joined, ms(30)).as_deref(),
+        Some("untried"),
+        "a server that joined is tried"
+    );
+    for _ in 0..2 {
+        balance.begin(&tried.id);
+    }
+    assert_eq!(
+        chosen(&balance, &both, ms(30)).as_deref(),
+        Some("remote"),
+        "a busy zone lends from others"
+    );
+}
