--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod membership;
 mod messages;
 mod replication;
+mod voters;
 mod waiting;
 
 use std::collections::VecDeque;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,10 +1,10 @@
 //! Links to two of the directory's replicas; one that is fed by the leader, or leads itself, feeds this gateway.
 //! While none does, other gateways do.
 
+mod feed;
 mod link;
 
-use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -16,7 +16,6 @@
 use link::{Link, LinkEnd};
 use mio::{Registry, Token};
 
-use crate::first_state::newest_of_majority;
 use crate::load::LoadCounts;
 use crate::relays::Relays;
 use crate::replicas::Replicas;
@@ -28,18 +27,6 @@
 /// Time without a word after which a link is made anew.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_600);
 
-/// Time without a word after which another fed replica is followed; replicas speak each 500 ms.
-const FEED_SILENCE_LIMIT: Duration = Duration::from_millis(900);
-
-/// Time for which a replica that is not fed is left alone.
-const UNFED_PAUSE: Duration = Duration::from_millis(1_000);
-
-/// Links at a time, to replicas that are wanted and others that are on their way out.
-const LINK_LIMIT: usize = 8;
-
-/// The same for a gateway that asks voters for a first state.
-const FIRST_LINK_LIMIT: usize = 20;
-
 /// Time after the first count of all gateways for which it may still be too low: a new leader hears from all
 /// replicas within 0.5 s.
 const COUNT_SETTLES_AFTER: Duration = Duration::from_millis(1_500);
@@ -188,78 +175,6 @@
         }
     }
 
-    /// Drops links that are not wanted any more, once a wanted one is followed.
-    fn drop_surplus(&mut self, now: Duration) {
-        let Some(followed) = self.followed.filter(|token| self.is_fed_link(now, *token)) else {
-            return;
-        };
-        let wanted = self.replicas.wanted(now, true);
-        if !wanted.contains(&self.links[&followed].address) {
-            return;
-        }
-        self.links
-            .retain(|_, link| link.end == LinkEnd::Relay || wanted.contains(&link.address));
-    }
-
-    /// Whether a link leads to a replica that is fed and has spoken lately.
-    fn is_fed_link(&self, now: Duration, token: Token) -> bool {
-        self.links.get(&token).is_some_and(|link| {
-            let is_fed = link.head.as_ref().is_some_and(|head| head.is_fed);
-            let speaks = now <= link.heard + FEED_SILENCE_LIMIT;
-            link.end == LinkEnd::Replica && link.connected && is_fed && speaks
-        })
-    }
-
-    /// Follows the best fed replica; the present one as long as it is fed and wanted.
-    fn choose_feed(&mut self, now: Duration, applied: u64) {
-        let has_feed = self
-            .followed
-            .is_some_and(|token| self.is_fed_link(now, token));
-        let best = self.links.keys().copied();
-        let best = best.filter(|token| self.is_fed_link(now, *token));
-        let best = best.min_by(|one, other| {
-            let (one, other) = (&self.links[one].address, &self.links[other].address);
-            match self.replicas.is_better(one, other) {
-                true => Ordering::Less,
-                false => Ordering::Greater,
-            }
-        });
-        let Some(best) = best else {
-            return;
-        };
-        if self.followed == Some(best) {
-            return;
-        }
-        if has_feed {
-            let wanted = self.replicas.wanted(now, true);
-            let present = self.followed.and_then(|token| self.links.get(&token));
-            if present.is_some_and(|link| wanted.contains(&link.address)) {
-                return;
-            }
-        }
-        self.follow(now, best, applied);
-    }
-
-    /// Follows a replica, and ends the link to the one before: what that one fed would come twice.
-    fn follow(&mut self, now: Duration, token: Token, applied: u64) {
-        if let Some(before) = self.followed.replace(token) {
-            self.links.remove(&before);
-        }
-        let link = &self.links[&token];
-        let head = link.head.as_ref();
-        event!(
-            Event::GatewayFollows,
-            replica = link.address,
-            zone = self.replicas.zone_of(&link.address),
-            leads = head.is_some_and(|head| head.leads),
-            term = head.map_or(0, |head| head.term),
-            applied = applied,
-            behind = head.is_some_and(|head| head.applied > applied)
-        );
-        self.leader_heard = Some(now);
-        self.ask(token, applied);
-    }
-
     /// Follows relays while no leader speaks, and leaves them once one does.
     fn keep_relays(&mut self, now: Duration, registry: &Registry, next_token: &mut usize) {
         let links = self.links.iter();
@@ -309,28 +224,6 @@
         self.followed.is_some() && !self.relays.are_needed(now, self.leader_heard)
     }
 
-    /// Addresses that should be linked and are not.
-    fn missing(&self, now: Duration, applied: u64) -> Vec<String> {
-        let has_feed = self
-            .followed
-            .is_some_and(|token| self.is_fed_link(now, token));
-        let mut wanted = self.replicas.wanted(now, has_feed);
-        let mut limit = LINK_LIMIT;
-        if applied == 0 {
-            wanted.extend(self.replicas.witnesses(now));
-            limit = FIRST_LINK_LIMIT;
-        }
-        let linked: BTreeSet<&String> = self.links.values().map(|link| &link.address).collect();
-        let mut missing: Vec<String> = Vec::new();
-        for address in wanted {
-            if !linked.contains(&address) && !missing.contains(&address) {
-                missing.push(address);
-            }
-        }
-        missing.truncate(limit.saturating_sub(self.links.len()));
-        missing
-    }
-
     /// Tells every linked replica that this gateway is there, and the followed one what was counted.
     fn report(&mut self, now: Duration, load: &mut LoadCounts) {
         let pause_of_followed = match load.is_crowded() {
@@ -464,53 +357,6 @@
         }
     }
 
-    /// A replica is not fed: others are tried in its place. A gateway without a state asks it for its own.
-    fn leave_unfed(&mut self, now: Duration, token: Token, applied: u64) {
-        if applied == 0 {
-            return self.ask_for_first_state();
-        }
-        let Some(link) = self.links.get(&token) else {
-            return;
-        };
-        self.replicas.avoid(now, &link.address, UNFED_PAUSE);
-        // A few such links stay while nobody is fed: they tell at once when a leader speaks.
-        if self.followed != Some(token) && self.links.len() >= LINK_LIMIT {
-            self.links.remove(&token);
-        }
-    }
-
-    /// Asks for the state that a majority of the voters holds, until a leader speaks.
-    fn ask_for_first_state(&mut self) {
-        if self.followed.is_some() || self.asked_for_state.is_some() {
-            return;
-        }
-        let heads = || {
-            self.links.iter().filter_map(|(token, link)| {
-                let head = link.head.as_ref()?;
-                Some((*token, link.address.as_str(), head))
-            })
-        };
-        let told = heads().map(|(_, address, head)| (address, head));
-        let Some(index) = newest_of_majority(told) else {
-            return;
-        };
-        let holders = heads().filter(|(_, _, head)| head.applied >= index);
-        let nearest = holders.min_by(|(_, one, _), (_, other, _)| {
-            match self.replicas.is_better(one, other) {
-                true => Ordering::Less,
-                false => Ordering::Greater,
-            }
-        });
-        let Some((token, address, _)) = nearest else {
-            return;
-        };
-        event!(Event::StateFetched, replica = address, index = index);
-        self.asked_for_state = Some(token);
-        if let Some(link) = self.links.get_mut(&token) {
-            link.send(&ToReplica::FetchState);
-        }
-    }
-
     fn ask(&mut self, token: Token, applied: u64) {
         let Some(link) = self.links.get_mut(&token) else {
             return;
