A large change goes to two learners at a time

The entry goes to 17 members over one link and through 0.15 cores at once, and the leader's rounds wait behind it for longer than an election timeout of 250 ms. Change: more than 64 KiB of entries are under way to two learners at a time (Bulk), others wait 10 ms and look again.

--- a/crates/consensus/src/limits.rs
+++ b/crates/consensus/src/limits.rs
@@ -1,5 +1,7 @@
 //! Bounds on what one replica holds or sends at once.
 
+use std::time::Duration;
+
 /// Largest command in bytes; an append request with one such entry fits in an internal frame.
 pub const MAXIMUM_COMMAND_BYTES: usize = 8 << 20;
 
@@ -16,6 +18,20 @@
 /// commits some in the time that an answer takes. A quarter of what is kept for followers slightly behind.
 pub(crate) const CAUGHT_UP_WITHIN_ENTRIES: u64 = 64;
 
+/// Bytes of entries from which a message to a learner counts as bulk: some milliseconds of a link of 100 megabits a
+/// second.
+pub(crate) const BULK_BYTES: usize = 64 << 10;
+
+/// Learners to which bulk is under way at a time: a configuration of a thousand routes to 13 learners at once would
+/// hold up the leader's rounds on its link for longer than an election timeout.
+pub(crate) const BULK_AT_ONCE: usize = 2;
+
+/// Time after which bulk that was not acknowledged no longer keeps others waiting.
+pub(crate) const BULK_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Time after which a learner that waits for others' bulk is looked at again.
+pub(crate) const BULK_LOOK_EVERY: Duration = Duration::from_millis(10);
+
 /// Most entries of a leader that wait for a majority; further proposals are refused.
 pub(crate) const UNCOMMITTED_ENTRIES: usize = 8192;
 
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -155,6 +155,21 @@
         batch
     }
 
+    /// Whether the entries from `from` on hold at least so many bytes.
+    pub fn holds_bytes_from(&self, from: LogIndex, bytes: usize) -> bool {
+        let Some(position) = from.0.checked_sub(self.base_index.0 + 1) else {
+            return false;
+        };
+        let mut left = bytes;
+        for entry in self.entries.iter().skip(position as usize) {
+            left = left.saturating_sub(size_of(entry));
+            if left == 0 {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Appends an entry of a leader's own and tells its index.
     pub fn append(&mut self, term: Term, payload: EntryPayload) -> LogIndex {
         let index = LogIndex(self.last_index().0 + 1);
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -9,7 +9,7 @@
 
 use grebepin_schema::LogIndex;
 
-use crate::limits::IN_FLIGHT_BATCHES;
+use crate::limits::{BULK_BYTES, BULK_PATIENCE, IN_FLIGHT_BATCHES};
 use crate::log::{Log, Snapshot};
 
 /// How a leader sends to a member.
@@ -50,10 +50,20 @@
     pub round_due: bool,
     /// When news were last sent.
     pub news_sent: Duration,
+    /// Bulk that was last sent to a learner.
+    pub bulk: Option<Bulk>,
     /// Set when the member was removed: it is still told so.
     pub leaving: Option<Leaving>,
 }
 
+/// Many bytes of entries on their way to a learner.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bulk {
+    /// Index of the last entry sent.
+    pub last: LogIndex,
+    pub sent: Duration,
+}
+
 /// A removed member that should learn of its removal.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Leaving {
@@ -74,6 +84,7 @@
             commit_sent: LogIndex(0),
             round_due: true,
             news_sent: Duration::ZERO,
+            bulk: None,
             leaving: None,
         }
     }
@@ -145,6 +156,18 @@
         (follows && has_news && now < due).then_some(due)
     }
 
+    /// Whether bulk is on its way to this learner.
+    pub fn has_bulk_under_way(&self, now: Duration) -> bool {
+        self.bulk
+            .is_some_and(|bulk| self.matched < bulk.last && now < bulk.sent + BULK_PATIENCE)
+    }
+
+    /// Whether bulk is to be sent to this learner next.
+    pub fn has_bulk_due(&self, log: &Log) -> bool {
+        let follows = matches!(self.sending, Sending::Replicate { .. });
+        follows && log.holds_bytes_from(self.next, BULK_BYTES)
+    }
+
     /// Whether another batch may be sent without an answer.
     pub fn may_send_batch(&self) -> bool {
         match &self.sending {
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -9,9 +9,9 @@
 };
 
 use crate::core::{Consensus, State};
-use crate::limits::{BATCH_BYTES, BATCH_ENTRIES};
+use crate::limits::{BATCH_BYTES, BATCH_ENTRIES, BULK_AT_ONCE, BULK_LOOK_EVERY};
 use crate::log::Log;
-use crate::progress::{Progress, Sending, SnapshotSending};
+use crate::progress::{Bulk, Progress, Sending, SnapshotSending};
 use crate::snapshot::next_chunk;
 
 impl Consensus {
@@ -52,23 +52,34 @@
         let progress = &mut leadership.progress;
         progress.retain(|_, progress| !progress.has_left(now));
         let mut bodies = Vec::new();
-        let mut news_wait_until: Option<Duration> = None;
+        let mut wait_until: Option<Duration> = None;
+        let bulk_under_way = progress.values().filter(|one| one.has_bulk_under_way(now));
+        let mut bulk_under_way = bulk_under_way.count();
         for (replica, progress) in progress.iter_mut() {
-            let pause = match counted.contains(replica) {
-                true => Duration::ZERO,
-                false => pause,
+            let is_paced = pause > Duration::ZERO && !counted.contains(replica);
+            let is_bulk = is_paced && progress.has_bulk_due(&self.log);
+            let waits = match (is_paced, is_bulk && bulk_under_way >= BULK_AT_ONCE) {
+                (_, true) => Some(now + BULK_LOOK_EVERY),
+                (true, false) if !progress.round_due => {
+                    progress.news_wait_until(&self.log, now, pause)
+                }
+                _ => None,
             };
-            let waits = progress.news_wait_until(&self.log, now, pause);
-            if let Some(until) = waits.filter(|_| !progress.round_due) {
-                news_wait_until = Some(news_wait_until.map_or(until, |first| first.min(until)));
+            if let Some(until) = waits {
+                wait_until = Some(wait_until.map_or(until, |first| first.min(until)));
                 continue;
             }
             for body in bodies_due(&self.log, progress, round) {
                 progress.news_sent = now;
                 bodies.push((*replica, body));
             }
+            if is_bulk {
+                let last = LogIndex(progress.next.0 - 1);
+                progress.bulk = Some(Bulk { last, sent: now });
+                bulk_under_way += 1;
+            }
         }
-        leadership.news_wait_until = news_wait_until;
+        leadership.news_wait_until = wait_until;
         for (replica, body) in bodies {
             self.send(replica, self.term, body);
         }
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -12,7 +12,9 @@
     CallId, FaultTolerance, Node, NodeConfig, NodeInput, NodeOutput, NodeTiming,
 };
 use grebepin_grants::Timing;
-use grebepin_schema::{Member, MemberRole, Membership, ReplicaId};
+use grebepin_schema::{
+    EntryPayload, Member, MemberRole, Membership, PeerBody, PeerFrame, ReplicaId,
+};
 use grebepin_storage::SimulatedDisk;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -52,6 +54,8 @@
     network: Vec<Sent>,
     /// Frames that each replica sent to each other one.
     sent: BTreeMap<(usize, usize), u32>,
+    /// When frames with more than 64 KiB of entries were sent, and to whom.
+    pub bulk_sent: Vec<(Duration, usize)>,
     next_call: u64,
     /// Calls under way: the version of a change, or for a read the version acknowledged when it began.
     calls: BTreeMap<CallId, Pending>,
@@ -113,6 +117,7 @@
             replicas: Vec::new(),
             network: Vec::new(),
             sent: BTreeMap::new(),
+            bulk_sent: Vec::new(),
             next_call: 0,
             calls: BTreeMap::new(),
             acknowledged: Vec::new(),
@@ -272,6 +277,18 @@
         self.call(to, change, Pending::Change(version));
     }
 
+    /// Sends a change whose document has so many bytes to a replica.
+    pub fn change_of_bytes(&mut self, to: usize, version: u64, bytes: usize) {
+        let change = Call::ChangeItems(ItemChange {
+            upserts: vec![Item {
+                document: "x".repeat(bytes),
+                ..limits(version)
+            }],
+            removals: Vec::new(),
+        });
+        self.call(to, change, Pending::Change(version));
+    }
+
     /// Sends a change again and again, to other replicas, as an operator does.
     pub fn change_until_acknowledged(&mut self, version: u64) {
         for _ in 0..40 {
@@ -411,6 +428,9 @@
             return;
         }
         *self.sent.entry((from, to)).or_default() += 1;
+        if entry_bytes(&input) > 64 << 10 {
+            self.bulk_sent.push((self.now, to));
+        }
         let delay = Duration::from_millis(self.random.random_range(1..12));
         let at = self.now + delay;
         self.network.push(Sent {
@@ -461,3 +481,18 @@
     let limits = items.get(grebepin_catalog::ItemKind::Limits, "");
     limits.map_or(0, |item| item.version.0)
 }
+
+/// Bytes of the entries in a frame.
+fn entry_bytes(input: &NodeInput) -> usize {
+    let NodeInput::Peer(PeerFrame::Message(message)) = input else {
+        return 0;
+    };
+    let PeerBody::AppendRequest(request) = &message.body else {
+        return 0;
+    };
+    let commands = request.entries.iter().map(|entry| match &entry.payload {
+        EntryPayload::Command(bytes) => bytes.0.len(),
+        EntryPayload::Membership(_) | EntryPayload::Noop => 0,
+    });
+    commands.sum()
+}
--- a/crates/directory/tests/replication.rs
+++ b/crates/directory/tests/replication.rs
@@ -188,3 +188,22 @@
     cluster.run(Duration::from_millis(200));
     assert!((0..6).all(|number| cluster.has_applied(number, 201)));
 }
+
+/// A configuration of a thousand routes went out to every learner at once: the leader's rounds waited behind it on
+/// its link, and it lost its lead.
+#[test]
+fn a_large_change_goes_to_two_learners_at_a_time() {
+    let mut cluster = Cluster::new(5, 10);
+    cluster.run(seconds(6.0));
+    let leader = cluster.leader().expect("a leader");
+    cluster.change_of_bytes(leader, 1, 300 << 10);
+    // Messages take at least 1 ms, so no learner has answered within one step.
+    cluster.run(Duration::from_millis(5));
+    let at_first = cluster.bulk_sent.iter().map(|(_, to)| *to);
+    let learners = at_first.filter(|to| !cluster.is_voter(*to)).count();
+    assert!(learners <= 2, "{:?}", cluster.bulk_sent);
+    cluster.run(seconds(1.0));
+    assert_eq!(cluster.acknowledged, vec![1]);
+    assert!((0..10).all(|number| cluster.has_applied(number, 1)));
+    assert_eq!(cluster.leader(), Some(leader));
+}
