--- a/crates/gateway/src/replicas.rs
+++ b/crates/gateway/src/replicas.rs
@@ -92,7 +92,7 @@
         self.known.get(address).map_or("", |known| &known.zone)
     }
 
-    /// Whether no other replica is to be linked to before this one: lower is better.
+    /// Order of preference: the lowest is linked to first.
     fn rank(&self, address: &str) -> (bool, u64) {
         let is_remote = self.zone_of(address) != self.zone;
         let text = format!("{} {address}", self.node);
