--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -133,19 +133,18 @@
         self.entries.iter()
     }
 
+    /// Entries from `from` on; none when the log no longer holds that one.
+    fn entries_from(&self, from: LogIndex) -> impl Iterator<Item = &Entry> {
+        let position = from.0.checked_sub(self.base_index.0 + 1);
+        let entries = position.map(|position| self.entries.iter().skip(position as usize));
+        entries.into_iter().flatten()
+    }
+
     /// Entries from `from` on, at most as many as both limits allow, but one if there is any.
     pub fn batch(&self, from: LogIndex, most_entries: usize, most_bytes: usize) -> Vec<Entry> {
-        let Some(position) = from.0.checked_sub(self.base_index.0 + 1) else {
-            return Vec::new();
-        };
         let mut bytes = 0;
         let mut batch = Vec::new();
-        for entry in self
-            .entries
-            .iter()
-            .skip(position as usize)
-            .take(most_entries)
-        {
+        for entry in self.entries_from(from).take(most_entries) {
             bytes += size_of(entry);
             if bytes > most_bytes && !batch.is_empty() {
                 break;
@@ -157,11 +156,8 @@
 
     /// Whether the entries from `from` on hold at least so many bytes.
     pub fn holds_bytes_from(&self, from: LogIndex, bytes: usize) -> bool {
-        let Some(position) = from.0.checked_sub(self.base_index.0 + 1) else {
-            return false;
-        };
         let mut left = bytes;
-        for entry in self.entries.iter().skip(position as usize) {
+        for entry in self.entries_from(from) {
             left = left.saturating_sub(size_of(entry));
             if left == 0 {
                 return true;
--- a/crates/directory/src/daemon/house.rs
+++ b/crates/directory/src/daemon/house.rs
@@ -11,7 +11,7 @@
 use super::opening::changed_at;
 use super::server::Server;
 use crate::call::{Reply, UnavailableReason};
-use crate::fleet::{FleetSummary, ReplicaReport};
+use crate::fleet::{named_in_turn, FleetSummary, ReplicaReport};
 use crate::link::{FromReplica, Head, ToReplica};
 use crate::node::NodeInput;
 use crate::settings::DirectorySettings;
@@ -19,9 +19,6 @@
 /// Time between two words to the gateways about this replica.
 const HEAD_EVERY: Duration = Duration::from_millis(500);
 
-/// Gateways here that one report to the leader names.
-const RELAYS_TOLD: usize = 3;
-
 /// Time between two looks at the settings file.
 pub(super) const SETTINGS_LOOK_EVERY: Duration = Duration::from_secs(1);
 
@@ -125,12 +122,7 @@
     fn own_relays(&self, now: Duration) -> Vec<String> {
         let relays = self.inbound.values().map(|link| &link.relay);
         let relays: Vec<&String> = relays.filter(|relay| !relay.is_empty()).collect();
-        let start = rounds_until(now) as usize * RELAYS_TOLD % relays.len().max(1);
-        let from_start = relays.iter().cycle().skip(start);
-        from_start
-            .take(RELAYS_TOLD.min(relays.len()))
-            .map(ToString::to_string)
-            .collect()
+        named_in_turn(&relays, rounds_until(now))
     }
 
     /// What the passing of time asks for.
--- a/crates/directory/src/fleet.rs
+++ b/crates/directory/src/fleet.rs
@@ -120,9 +120,17 @@
 
     /// Some of the gateways that give the state on; `round` numbers the words, so that each names others.
     pub fn some_relays(&self, round: u64) -> Vec<String> {
-        let known = self.relays.len();
-        let start = round as usize * RELAYS_TOLD % known.max(1);
-        let from_start = self.relays.keys().cycle().skip(start);
-        from_start.take(RELAYS_TOLD.min(known)).cloned().collect()
+        let relays: Vec<&String> = self.relays.keys().collect();
+        named_in_turn(&relays, round)
     }
 }
+
+/// Some of the relays, others each round.
+pub(crate) fn named_in_turn(relays: &[&String], round: u64) -> Vec<String> {
+    let start = round as usize * RELAYS_TOLD % relays.len().max(1);
+    let from_start = relays.iter().cycle().skip(start);
+    from_start
+        .take(RELAYS_TOLD.min(relays.len()))
+        .map(ToString::to_string)
+        .collect()
+}
--- a/crates/directory/src/node/voters.rs
+++ b/crates/directory/src/node/voters.rs
@@ -34,7 +34,7 @@
     /// Without a voter that is one too many.
     pub(super) fn without_surplus_voter(&self, now: Duration) -> Option<Membership> {
         let membership = self.consensus.membership();
-        if self.voter_count() <= self.config.fault_tolerance.wanted_voters() {
+        if self.voter_count() <= self.wanted_voters() {
             return None;
         }
         let silent = self.silent_voter(now);
@@ -61,7 +61,7 @@
         let membership = self.consensus.membership();
         let learners = members::caught_up_learners(&self.consensus);
         let learner = members::best_spread(membership, learners)?;
-        let wanted = self.config.fault_tolerance.wanted_voters();
+        let wanted = self.wanted_voters();
         let is_short = self.voter_count() < wanted;
         let spreads = || self.are_zones_known() && members::would_spread(membership, learner);
         let may_spread = self.voter_count() == wanted && self.silent_voter(now).is_none();
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -1,6 +1,5 @@
 //! Which of the links is followed, which are missing or too many, and whose state is asked for first.
 
-use std::cmp::Ordering;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -34,30 +33,25 @@
         })
     }
 
+    /// The followed link as long as its replica is fed.
+    fn fed_link(&self, now: Duration) -> Option<Token> {
+        self.followed.filter(|token| self.is_fed_link(now, *token))
+    }
+
     /// Follows the best fed replica; the present one as long as it is fed and wanted.
     pub(super) fn choose_feed(&mut self, now: Duration, applied: u64) {
-        let has_feed = self
-            .followed
-            .is_some_and(|token| self.is_fed_link(now, token));
         let best = self.links.keys().copied();
         let best = best.filter(|token| self.is_fed_link(now, *token));
-        let best = best.min_by(|one, other| {
-            let (one, other) = (&self.links[one].address, &self.links[other].address);
-            match self.replicas.is_better(one, other) {
-                true => Ordering::Less,
-                false => Ordering::Greater,
-            }
-        });
+        let best = best.min_by_key(|token| self.replicas.rank(&self.links[token].address));
         let Some(best) = best else {
             return;
         };
         if self.followed == Some(best) {
             return;
         }
-        if has_feed {
+        if let Some(present) = self.fed_link(now) {
             let wanted = self.replicas.wanted(now, true);
-            let present = self.followed.and_then(|token| self.links.get(&token));
-            if present.is_some_and(|link| wanted.contains(&link.address)) {
+            if wanted.contains(&self.links[&present].address) {
                 return;
             }
         }
@@ -86,7 +80,7 @@
 
     /// Drops links that are not wanted any more, once a wanted one is followed.
     pub(super) fn drop_surplus(&mut self, now: Duration) {
-        let Some(followed) = self.followed.filter(|token| self.is_fed_link(now, *token)) else {
+        let Some(followed) = self.fed_link(now) else {
             return;
         };
         let wanted = self.replicas.wanted(now, true);
@@ -99,10 +93,7 @@
 
     /// Addresses that should be linked and are not.
     pub(super) fn missing(&self, now: Duration, applied: u64) -> Vec<String> {
-        let has_feed = self
-            .followed
-            .is_some_and(|token| self.is_fed_link(now, token));
-        let mut wanted = self.replicas.wanted(now, has_feed);
+        let mut wanted = self.replicas.wanted(now, self.fed_link(now).is_some());
         let mut limit = LINK_LIMIT;
         if applied == 0 {
             wanted.extend(self.replicas.witnesses(now));
@@ -150,12 +141,7 @@
             return;
         };
         let holders = heads().filter(|(_, _, head)| head.applied >= index);
-        let nearest = holders.min_by(|(_, one, _), (_, other, _)| {
-            match self.replicas.is_better(one, other) {
-                true => Ordering::Less,
-                false => Ordering::Greater,
-            }
-        });
+        let nearest = holders.min_by_key(|(_, address, _)| self.replicas.rank(address));
         let Some((token, address, _)) = nearest else {
             return;
         };
--- a/crates/gateway/src/replicas.rs
+++ b/crates/gateway/src/replicas.rs
@@ -93,7 +93,7 @@
     }
 
     /// Order of preference: the lowest is linked to first.
-    fn rank(&self, address: &str) -> (bool, u64) {
+    pub fn rank(&self, address: &str) -> (bool, u64) {
         let is_remote = self.zone_of(address) != self.zone;
         let text = format!("{} {address}", self.node);
         (is_remote, xxh3_64(text.as_bytes()))
@@ -121,11 +121,6 @@
         usable.filter(is_witness).collect()
     }
 
-    /// The better of two replicas to follow.
-    pub fn is_better(&self, one: &str, other: &str) -> bool {
-        self.rank(one) < self.rank(other)
-    }
-
     fn usable(&self, now: Duration) -> Vec<String> {
         let unknown_seeds = self
             .seeds
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -68,10 +68,9 @@
     /// Adds a sample.
     pub fn add(&mut self, sample: &LoadSample) {
         for (service, counts) in &sample.shards {
-            let sums = self.shards.entry(service.clone()).or_default();
+            let sums = self.shards_of(service);
             for (shard, count) in counts {
-                let sum = sums.entry(*shard).or_default();
-                *sum = sum.saturating_add(*count);
+                add_count(sums, *shard, *count);
             }
         }
         for server in &sample.servers {
@@ -81,13 +80,14 @@
 
     /// Adds a request for a shard.
     pub fn add_request(&mut self, service: &str, shard: u16) {
+        add_count(self.shards_of(service), shard, 1);
+    }
+
+    fn shards_of(&mut self, service: &str) -> &mut BTreeMap<u16, u16> {
         if !self.shards.contains_key(service) {
             self.shards.insert(service.to_owned(), BTreeMap::new());
         }
-        if let Some(counts) = self.shards.get_mut(service) {
-            let count = counts.entry(shard).or_default();
-            *count = count.saturating_add(1);
-        }
+        self.shards.get_mut(service).expect("just inserted")
     }
 
     /// Adds answers of a server that took so many seconds together.
@@ -122,6 +122,11 @@
     }
 }
 
+fn add_count(counts: &mut BTreeMap<u16, u16>, shard: u16, more: u16) {
+    let count = counts.entry(shard).or_default();
+    *count = count.saturating_add(more);
+}
+
 /// One server's answers.
 #[derive(Clone, Copy, Debug)]
 struct ServerLoad {
