A server's identity holds its start: lives under one name are told apart

Cause: heartbeats of a server that started again under its name were dropped until its count passed its earlier life's, and what the earlier life held was still believed; a late heartbeat of it counted for the living one. The start was read nowhere. Change: InstanceId is a name and a start, decoded once in the adapter; the replicated state ends earlier lives and takes none of them in later; assignments go to known, living servers; a heartbeat of an ended life is granted nothing, also when it ended while its commands were under way. A leave may state the start. Tests changed: constructors of identities only, same assertions; the model's servers state their starts.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -84,6 +84,18 @@
         self.instances.get(id)
     }
 
+    /// The latest life of a server of which any is known.
+    pub fn latest_life(&self, id: &InstanceId) -> Option<&Instance> {
+        let lives = self.instances.range(id.all_lives());
+        lives.last().map(|(_, instance)| instance)
+    }
+
+    /// Whether a later life of the same server is known, so that this one has ended.
+    pub fn is_superseded(&self, id: &InstanceId) -> bool {
+        let latest = self.latest_life(id);
+        latest.is_some_and(|latest| id.is_earlier_life_of(&latest.id))
+    }
+
     /// Zones whose servers get no requests and own no shards.
     pub fn evacuated_zones(&self) -> &BTreeSet<String> {
         &self.evacuated_zones
@@ -139,11 +151,7 @@
                 Ok(keys) => effects.items = keys,
                 Err(error) => effects.refused = Some(error),
             },
-            Command::Register(instance) => {
-                if self.register(instance) {
-                    effects.instances.push(instance.id.clone());
-                }
-            }
+            Command::Register(instance) => effects.instances = self.register(instance),
             Command::SetState { id, state } => {
                 if self.set_state(id, *state) {
                     effects.instances.push(id.clone());
@@ -169,6 +177,9 @@
                 id,
                 shards,
             } => {
+                if !self.may_own(id) {
+                    return effects;
+                }
                 let ownership = self.ownership.entry(service.clone()).or_default();
                 let given = ownership.assign(id, shards);
                 effects.shards.push(ShardChange {
@@ -216,21 +227,45 @@
         }
     }
 
-    /// Takes in a server; whether anything changed. Its state never goes back.
-    fn register(&mut self, instance: &Instance) -> bool {
+    /// Takes in a server and ends its earlier lives; those that changed. Its state never goes back, and nothing
+    /// is heard of a life that another followed.
+    fn register(&mut self, instance: &Instance) -> Vec<InstanceId> {
         let known = self.instances.get(&instance.id);
-        if known.is_some_and(|known| known.state == InstanceState::Gone) {
-            return false;
+        let is_gone = known.is_some_and(|known| known.state == InstanceState::Gone);
+        if is_gone || self.is_superseded(&instance.id) {
+            return Vec::new();
         }
         let mut next = instance.clone();
         if let Some(known) = known {
             next.state = next.state.max(known.state);
         }
         if known == Some(&next) {
-            return false;
+            return Vec::new();
         }
+        let mut changed = match known {
+            Some(_) => Vec::new(),
+            None => self.end_earlier_lives(&instance.id),
+        };
+        changed.push(next.id.clone());
         self.instances.insert(next.id.clone(), next);
-        true
+        changed
+    }
+
+    /// Ends the lives of a server before `id`; those that had not ended.
+    fn end_earlier_lives(&mut self, id: &InstanceId) -> Vec<InstanceId> {
+        let lives = self.instances.range(id.all_lives());
+        let earlier = lives.filter(|(life, _)| life.is_earlier_life_of(id));
+        let earlier: Vec<InstanceId> = earlier.map(|(life, _)| life.clone()).collect();
+        let ended = earlier.into_iter();
+        ended
+            .filter(|life| self.set_state(life, InstanceState::Gone))
+            .collect()
+    }
+
+    /// Whether a server may get shards: it is known and has not ended.
+    fn may_own(&self, id: &InstanceId) -> bool {
+        let instance = self.instances.get(id);
+        instance.is_some_and(|instance| instance.state != InstanceState::Gone)
     }
 
     fn set_state(&mut self, id: &InstanceId, state: InstanceState) -> bool {
--- a/crates/catalog/tests/evacuations.rs
+++ b/crates/catalog/tests/evacuations.rs
@@ -23,7 +23,7 @@
 
 fn server(name: &str, zone: &str) -> Command {
     Command::Register(Instance {
-        id: InstanceId(name.to_owned()),
+        id: InstanceId::new(name),
         service: "s".to_owned(),
         address: "10.0.0.1:80".to_owned(),
         zone: zone.to_owned(),
@@ -54,12 +54,12 @@
 
 fn usable(catalog: &Catalog) -> Vec<&str> {
     let usable = catalog.instances().filter(|one| catalog.is_usable(one));
-    usable.map(|one| one.id.0.as_str()).collect()
+    usable.map(|one| one.id.name()).collect()
 }
 
 fn cold(catalog: &Catalog) -> Vec<&str> {
     let cold = catalog.instances().filter(|one| one.is_cold);
-    cold.map(|one| one.id.0.as_str()).collect()
+    cold.map(|one| one.id.name()).collect()
 }
 
 #[test]
--- a/crates/catalog/tests/ownership.rs
+++ b/crates/catalog/tests/ownership.rs
@@ -5,7 +5,7 @@
 };
 
 fn id(name: &str) -> InstanceId {
-    InstanceId(name.to_owned())
+    InstanceId::new(name)
 }
 
 fn freed(shard: u16, fence: u64) -> FreedShard {
@@ -86,3 +86,73 @@
         Some(InstanceState::Gone)
     );
 }
+
+fn life(started_ms: u64, state: InstanceState) -> Instance {
+    Instance {
+        id: InstanceId::started_at("a", started_ms),
+        ..instance("a", state)
+    }
+}
+
+#[test]
+fn a_later_life_ends_the_earlier_ones_and_none_of_them_comes_back() {
+    let mut catalog = Catalog::default();
+    let (first, second) = (life(1, InstanceState::Ready), life(2, InstanceState::Ready));
+    let register = |instance: &Instance| Command::Register(instance.clone());
+    catalog.apply(&register(&first));
+    let effects = catalog.apply(&register(&second));
+    assert_eq!(effects.instances, [first.id.clone(), second.id.clone()]);
+    assert!(catalog.is_superseded(&first.id) && !catalog.is_superseded(&second.id));
+    assert_eq!(catalog.apply(&register(&first)).instances, []);
+    let gone = catalog.instance(&first.id).map(|one| one.state);
+    assert_eq!(gone, Some(InstanceState::Gone));
+    assert_eq!(
+        catalog.latest_life(&first.id).map(|one| &one.id),
+        Some(&second.id)
+    );
+}
+
+#[test]
+fn a_life_that_was_never_heard_before_a_later_one_is_not_taken_in() {
+    let mut catalog = Catalog::default();
+    catalog.apply(&Command::Register(life(2, InstanceState::Ready)));
+    let before = catalog.clone();
+    let effects = catalog.apply(&Command::Register(life(1, InstanceState::Ready)));
+    assert_eq!(effects.instances, []);
+    assert_eq!(catalog, before);
+}
+
+#[test]
+fn shards_go_to_known_servers_only() {
+    let mut catalog = Catalog::default();
+    let assign = |name| Command::AssignShards {
+        service: "s".to_owned(),
+        id: id(name),
+        shards: vec![3],
+    };
+    catalog.apply(&assign("unknown"));
+    catalog.apply(&Command::Register(instance("ended", InstanceState::Ready)));
+    catalog.apply(&Command::SetState {
+        id: id("ended"),
+        state: InstanceState::Gone,
+    });
+    catalog.apply(&assign("ended"));
+    assert!(catalog.ownership("s").is_none());
+}
+
+/// Logs and messages of versions that knew no starts hold a name alone.
+#[test]
+fn an_identity_without_a_start_is_stored_as_its_name() {
+    let plain = rmp_serde::to_vec(&id("i-1")).expect("encodes");
+    assert_eq!(plain, rmp_serde::to_vec("i-1").expect("encodes"));
+    for id in [id("i-1"), InstanceId::started_at("i-1", 1_779_050_669_125)] {
+        let stored = rmp_serde::to_vec(&id).expect("encodes");
+        let read: InstanceId = rmp_serde::from_slice(&stored).expect("reads");
+        assert_eq!(read, id);
+    }
+    let shown = InstanceId::started_at("i-1", 12).to_string();
+    assert_eq!(
+        (id("i-1").to_string(), shown),
+        ("i-1".to_owned(), "i-1@12".to_owned())
+    );
+}
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -87,7 +87,7 @@
 /// Lines for servers and shards: the leader decided on them.
 fn log_servers(index: u64, effects: &Effects) {
     for id in &effects.instances {
-        event!(Event::InstanceChanged, index = index, instance = id.0);
+        event!(Event::InstanceChanged, index = index, instance = id);
     }
     for change in effects
         .shards
@@ -98,7 +98,7 @@
             Event::ShardsMoved,
             index = index,
             service = change.service,
-            instance = change.id.0,
+            instance = change.id,
             assigned = change.assigned,
             shards = change.shards.len(),
             ranges = ranges(&change.shards),
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 //! Invariant: the thread waits for nobody but its own disk; what a peer does not take is bounded
 //! and then dropped.
 
+mod bad_calls;
 mod calls;
 mod event_log;
 mod feed;
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -10,6 +10,7 @@
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 
+use super::bad_calls::BadCalls;
 use super::calls::{Calls, Origin};
 use super::event_log::log_notice;
 use super::feed::Feeder;
@@ -76,6 +77,7 @@
     pub(super) gathered: Gathered,
     /// Whether gateways were last told that what they get from here is fresh.
     pub(super) announced_fed: bool,
+    pub(super) bad_calls: BadCalls,
     pub(super) calls: Calls,
     pub(super) inputs: Vec<NodeInput>,
     pub(super) next_head: Duration,
@@ -135,6 +137,7 @@
             fleet: Fleet::default(),
             gathered: Gathered::default(),
             announced_fed: false,
+            bad_calls: BadCalls::default(),
             calls: Calls::default(),
             inputs: Vec::new(),
             next_head: Duration::ZERO,
@@ -269,28 +272,31 @@
             return;
         };
         let content_type = self.dialect.content_type();
-        let parsed = match http.next_call() {
+        let request = match http.next_call() {
             Ok(None) => return,
-            Ok(Some(request)) => self.dialect.parse(HttpCall {
-                method: &request.method,
-                target: &request.target,
-                body: &request.body,
-            }),
+            Ok(Some(request)) => request,
             Err(error) => {
-                let reply = self
-                    .dialect
-                    .render_bad_call(&BadCall::Malformed(error.to_string()));
+                let error = BadCall::Malformed(error.to_string());
+                self.bad_calls.note(now, "", &error, &self.metrics);
+                let reply = self.dialect.render_bad_call(&error);
                 http.refuse(&reply, content_type);
                 self.https.remove(&token);
                 return;
             }
         };
+        let parsed = self.dialect.parse(HttpCall {
+            method: &request.method,
+            target: &request.target,
+            body: &request.body,
+        });
         match parsed {
             Ok(call) => {
                 let id = self.calls.begin(now, Origin::Http(token));
                 self.inputs.push(NodeInput::Call { id, call });
             }
             Err(error) => {
+                let target = &request.target;
+                self.bad_calls.note(now, target, &error, &self.metrics);
                 let reply = self.dialect.render_bad_call(&error);
                 if !http.answer(&reply, content_type) {
                     self.https.remove(&token);
--- a/crates/directory/src/dialect.rs
+++ b/crates/directory/src/dialect.rs
@@ -33,6 +33,16 @@
     Malformed(String),
 }
 
+impl BadCall {
+    /// Short name of the cause, for metrics and logs.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Self::Unknown => "unknown call",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
 /// Names and bodies of the interface. It translates and decides nothing.
 pub trait Dialect {
     /// Reads a call.
--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -163,6 +163,7 @@
     }
 
     fn take_in_leave(&mut self, now: Duration, id: CallId, server: InstanceId) {
+        let server = self.life_that_leaves(server);
         let known = self.catalog.instance(&server);
         if known.is_none_or(|known| known.state != InstanceState::Ready) && self.leads_surely(now) {
             return self.reply(id, Reply::Left);
@@ -174,6 +175,15 @@
         self.propose_for(now, vec![command], EntryWaiter::Leave(id));
     }
 
+    /// The life that a server means by its leave: the latest one known when it does not state its start.
+    fn life_that_leaves(&self, server: InstanceId) -> InstanceId {
+        if server.states_start() {
+            return server;
+        }
+        let latest = self.catalog.latest_life(&server);
+        latest.map_or(server, |latest| latest.id.clone())
+    }
+
     fn take_in_change(&mut self, now: Duration, id: CallId, change: ItemChange) {
         if !self.leads_surely(now) {
             return self.reply(id, Reply::Unavailable(UnavailableReason::LeaseOver));
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use grebepin_catalog::{Item, ItemChange, ItemContent, Limits, Version};
+use grebepin_catalog::{Instance, InstanceId, Item, ItemChange, ItemContent, Limits, Version};
 use grebepin_directory::call::{Call, Reply};
 use grebepin_directory::node::{
     CallId, FaultTolerance, Node, NodeConfig, NodeInput, NodeOutput, NodeTiming,
@@ -73,8 +73,12 @@
 
 enum Pending {
     Change(u64),
-    Read { at_least: u64 },
+    Read {
+        at_least: u64,
+    },
     Evacuation,
+    /// A call of a server, of which a test looks at what it did to the state.
+    OfServer,
 }
 
 fn address(number: usize) -> SocketAddr {
@@ -351,6 +355,20 @@
         node.catalog().evacuated_zones().contains(zone)
     }
 
+    /// A server's call, to the leader, after which the group has time to commit what follows from it.
+    pub fn call_of_server(&mut self, call: Call) {
+        let leader = self.leader().expect("a leader");
+        self.call(leader, call, Pending::OfServer);
+        self.run(Duration::from_millis(300));
+    }
+
+    /// What the leader holds of a server.
+    pub fn instance(&self, id: &InstanceId) -> Option<Instance> {
+        let leader = self.leader().expect("a leader");
+        let node = self.replicas[leader].node.as_ref().expect("runs");
+        node.catalog().instance(id).cloned()
+    }
+
     /// Reads at every replica.
     pub fn read(&mut self) {
         for number in 0..self.replicas.len() {
--- a/crates/directory/tests/fleet.rs
+++ b/crates/directory/tests/fleet.rs
@@ -23,7 +23,7 @@
     LoadSample {
         shards: vec![("s".to_owned(), vec![(shard, count)])],
         servers: vec![ServerSample {
-            id: InstanceId("i".to_owned()),
+            id: InstanceId::new("i"),
             answers,
             seconds: 0.5,
         }],
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -59,7 +59,7 @@
         event!(
             Event::RequestRetried,
             id = flight.request_id,
-            instance = server.0,
+            instance = server,
             verdict = format!("{verdict:?}"),
             sendings = flight.sendings
         );
@@ -149,7 +149,10 @@
             route = flight.route_name,
             status = response.status,
             sendings = flight.sendings,
-            instance = flight.tried.last().map_or("", |one| one.0.as_str()),
+            instance = flight
+                .tried
+                .last()
+                .map_or_else(String::new, ToString::to_string),
             ms = self.now().saturating_sub(flight.began).as_millis()
         );
         let took = self.now().saturating_sub(flight.began);
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -78,7 +78,7 @@
 
     /// Ids of the servers that it was sent to, for logs.
     pub fn servers_tried(&self) -> String {
-        let ids: Vec<&str> = self.tried.iter().map(|id| id.0.as_str()).collect();
+        let ids: Vec<String> = self.tried.iter().map(ToString::to_string).collect();
         ids.join(",")
     }
 }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -279,7 +279,7 @@
             Some(owner) if flight.unreached > 0 => {
                 event!(
                     Event::ServerSuspected,
-                    instance = owner.id.0,
+                    instance = owner.id,
                     reason = "owner out of reach"
                 );
                 self.await_owner(id, fence);
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -125,7 +125,7 @@
         };
         let left = flight.expires.saturating_sub(now);
         let out = upstream.connection.outbound();
-        write_request(out, &flight.request, &names, left, &upstream.server.0);
+        write_request(out, &flight.request, &names, left, upstream.server.name());
         let wanted = upstream.connection.unsent();
         if upstream.connection.flush().is_ok() {
             return;
@@ -154,7 +154,7 @@
         self.metrics.note_suspected("no connection");
         event!(
             Event::ServerSuspected,
-            instance = server.0,
+            instance = server,
             reason = "no connection",
             pause_ms = pause.as_millis()
         );
@@ -238,7 +238,7 @@
                     event!(
                         Event::AnswerForeign,
                         id = flight.request_id,
-                        instance = upstream.server.0
+                        instance = upstream.server
                     );
                 }
                 (Ok(None), Ok(ReadOutcome::Full)) => {
@@ -275,7 +275,7 @@
                 let took = now.saturating_sub(since);
                 self.balance.note_service_time(&flight.service, took);
                 if self.balance.answered(&server, now, took, wanted) {
-                    event!(Event::ServerTrusted, instance = server.0);
+                    event!(Event::ServerTrusted, instance = server);
                 }
             }
         }
@@ -306,7 +306,7 @@
         self.metrics.note_suspected("broke off");
         event!(
             Event::ServerSuspected,
-            instance = upstream.server.0,
+            instance = upstream.server,
             reason = reason,
             pause_ms = pause.as_millis()
         );
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -117,7 +117,7 @@
     fn place(&self, id: &InstanceId) -> f64 {
         let mut hasher = DefaultHasher::new();
         self.gateway.hash(&mut hasher);
-        id.0.hash(&mut hasher);
+        id.hash(&mut hasher);
         (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
     }
 }
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -18,7 +18,7 @@
 
 fn instance(name: &str, zone: &str) -> Instance {
     Instance {
-        id: InstanceId(name.to_owned()),
+        id: InstanceId::new(name),
         service: "s".to_owned(),
         address: "10.0.0.1:80".to_owned(),
         zone: zone.to_owned(),
@@ -30,7 +30,7 @@
 
 fn chosen(balance: &Balance, servers: &[Instance], now: Duration) -> Option<String> {
     let server = balance.choose(servers.iter(), "here", now, &mut || 0.5);
-    server.map(|server| server.id.0.clone())
+    server.map(|server| server.id.name().to_owned())
 }
 
 #[test]
--- a/crates/gateway/tests/zones_and_warmup.rs
+++ b/crates/gateway/tests/zones_and_warmup.rs
@@ -18,7 +18,7 @@
 /// Times at which gateways send to one cold server when each always has a request for it. `gateways` tells how many
 /// there are at a time.
 fn sent(server: &str, gateways: impl Fn(u64) -> u32, until_ms: u64) -> Vec<u64> {
-    let id = InstanceId(server.to_owned());
+    let id = InstanceId::new(server);
     let mut all: Vec<WarmupTurns> = (0..200)
         .map(|number| {
             let mut turns = WarmupTurns::new(&format!("gateway-{number}"));
@@ -88,7 +88,7 @@
 
 #[test]
 fn a_gateway_that_does_not_know_how_many_there_are_sends_nothing_to_a_cold_server() {
-    let (cold, warm) = (InstanceId("c".to_owned()), InstanceId("w".to_owned()));
+    let (cold, warm) = (InstanceId::new("c"), InstanceId::new("w"));
     let mut turns = WarmupTurns::new("gateway");
     turns.update(ms(0), [&cold].into_iter());
     for at in (0..10_000).step_by(10) {
--- a/crates/grants/examples/assignment_cost.rs
+++ b/crates/grants/examples/assignment_cost.rs
@@ -15,7 +15,7 @@
 
 fn beat(number: u32, sequence: u64) -> Beat {
     Beat {
-        id: InstanceId(format!("i-{number:05}")),
+        id: InstanceId::new(&format!("i-{number:05}")),
         service: SERVICE.to_owned(),
         address: format!("10.0.0.1:{number}"),
         zone: "z".to_owned(),
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -7,12 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use grebepin_catalog::{Catalog, Command, FreedShard, InstanceId, InstanceState};
+use grebepin_catalog::{Catalog, Command, FreedShard, InstanceId};
 
 use crate::beat::{Beat, Grant};
 use crate::division::Division;
 use crate::load::{LoadBook, LoadSample};
-use crate::registration::{freed, is_leaving, must_release, registration};
+use crate::registration::{freed, has_ended, is_leaving, must_release, registration};
 use crate::rows::{granted_rows, withhold_surplus};
 use crate::servers::Servers;
 use crate::timing::Timing;
@@ -66,8 +66,7 @@
 
     /// Takes in a heartbeat.
     pub fn on_beat(&mut self, now: Duration, catalog: &Catalog, beat: &Beat) -> BeatOutcome {
-        let known = catalog.instance(&beat.id);
-        if known.is_some_and(|known| known.state == InstanceState::Gone) {
+        if has_ended(catalog, &beat.id) {
             return BeatOutcome::Stale;
         }
         if !self.servers.note_beat(now, beat) {
@@ -91,7 +90,8 @@
     /// for a server of a service that is not sharded. Call it only inside the leader's own lease,
     /// and send the answer at once.
     pub fn grant(&mut self, now: Duration, catalog: &Catalog, beat: &Beat) -> Option<Grant> {
-        if !catalog.is_sharded(&beat.service) {
+        // It may have ended while the commands of its heartbeat were on their way.
+        if !catalog.is_sharded(&beat.service) || has_ended(catalog, &beat.id) {
             return None;
         }
         let server = self.servers.get_mut(&beat.id)?;
--- a/crates/grants/src/servers.rs
+++ b/crates/grants/src/servers.rs
@@ -62,7 +62,7 @@
         since: Duration,
     ) -> impl Iterator<Item = (&InstanceId, Duration)> {
         let heard = self.heard.get(service).into_iter();
-        let start = (since, InstanceId(String::new()));
+        let start = (since, InstanceId::new(""));
         let later = heard.flat_map(move |heard| heard.range(start.clone()..));
         later.map(|(at, id)| (id, *at))
     }
--- a/crates/grants/src/servers/tests.rs
+++ b/crates/grants/src/servers/tests.rs
@@ -16,7 +16,7 @@
 
 fn beat(number: u64, sequence: u64) -> Beat {
     Beat {
-        id: InstanceId(format!("i-{number:05}")),
+        id: InstanceId::new(&format!("i-{number:05}")),
         service: SERVICE.to_owned(),
         address: format!("10.0.0.1:{number}"),
         zone: "z".to_owned(),
@@ -46,7 +46,7 @@
     assert!(!servers.note_beat(ms(2), &beat(1, 5)));
     assert!(!servers.note_beat(ms(3), &beat(1, 4)));
     let order: Vec<_> = servers.heard_since(SERVICE, ms(0)).collect();
-    assert_eq!(order, [(&InstanceId("i-00001".to_owned()), ms(1))]);
+    assert_eq!(order, [(&InstanceId::new("i-00001"), ms(1))]);
 }
 
 #[test]
@@ -74,7 +74,7 @@
 fn a_server_that_ended_is_looked_at_no_more() {
     let mut servers = heard(3, ms(10_000));
     assert_eq!(servers.silent_since(ms(60_000)).count(), 3);
-    let ended = InstanceId("i-00001".to_owned());
+    let ended = InstanceId::new("i-00001");
     servers.drop_from_order(&ended);
     assert!(servers.silent_since(ms(60_000)).all(|id| *id != ended));
     assert_eq!(servers.silent_since(ms(60_000)).count(), 2);
--- a/crates/grants/tests/exclusive.rs
+++ b/crates/grants/tests/exclusive.rs
@@ -49,6 +49,31 @@
     }
 }
 
+/// What one life of a server holds is never granted to the next, or to others, before its lease is over.
+#[test]
+fn restarts_under_the_same_name_leave_no_shard_with_two_holders() {
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed, Settings::restarts());
+        fleet.run(DAY);
+        assert_eq!(fleet.overlaps, Vec::new(), "seed {seed}");
+        assert!(fleet.granted > 0, "seed {seed}: nothing was ever held");
+    }
+}
+
+/// A restart costs the shards of one server of twelve for a lease of 4.1 s and, at most, the 1.3 s to another's
+/// heartbeat: with one each 3 s in the mean that is 0.15 of the time.
+#[test]
+fn a_restart_costs_no_more_than_the_lease_of_the_life_before() {
+    let mut held = 0.0;
+    for seed in SEEDS {
+        let mut fleet = Fleet::new(seed, Settings::calm_with_restarts());
+        fleet.run(DAY);
+        assert_eq!(fleet.overlaps, Vec::new(), "seed {seed}");
+        held += fleet.held_part() / (SEEDS.end - SEEDS.start) as f64;
+    }
+    assert!(held > 1.0 - 0.15, "{held}");
+}
+
 /// A moved shard has no holder from when it is let go to its receiver's next heartbeat.
 #[test]
 fn planned_moves_leave_shards_without_a_holder_only_briefly() {
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -32,6 +32,8 @@
     leader_every: Duration,
     /// Mean time between two ends of a server.
     crash_every: Duration,
+    /// Mean time between two restarts of a server under the name that it had; zero for none.
+    restart_every: Duration,
     /// Whether servers end only as planned.
     only_drains: bool,
     /// Load that the gateways tell of.
@@ -50,6 +52,7 @@
             slow_clock: 0.02,
             leader_every: Duration::from_secs(7),
             crash_every: Duration::from_secs(4),
+            restart_every: Duration::ZERO,
             only_drains: false,
             skewed_load: false,
             bounds_earlier_leases: true,
@@ -84,6 +87,22 @@
         }
     }
 
+    /// Servers crash and are back at once under their names, besides everything else.
+    pub fn restarts() -> Self {
+        Self {
+            restart_every: Duration::from_millis(700),
+            skewed_load: true,
+            ..Self::default()
+        }
+    }
+
+    pub fn calm_with_restarts() -> Self {
+        Self {
+            restart_every: Duration::from_secs(3),
+            ..Self::calm()
+        }
+    }
+
     pub fn moving_load() -> Self {
         Self {
             skewed_load: true,
@@ -254,6 +273,11 @@
     }
 
     fn change_servers(&mut self) {
+        if self.happens(self.settings.restart_every) {
+            let number = self.random.random_range(0..self.servers.len());
+            let restarted = self.servers[number].restarted(self.now);
+            self.servers[number] = restarted;
+        }
         if self.happens(self.settings.crash_every) {
             let number = self.random.random_range(0..self.servers.len());
             match self.random.random_range(0..3) {
--- a/crates/grants/tests/model/server.rs
+++ b/crates/grants/tests/model/server.rs
@@ -26,6 +26,8 @@
 pub struct ModelServer {
     pub id: InstanceId,
     number: u64,
+    /// How often it started.
+    starts: u64,
     /// Rate of its clock, 1 at most.
     rate: f64,
     sequence: u64,
@@ -45,9 +47,19 @@
 
 impl ModelServer {
     pub fn new(number: u64, rate: f64, now: Duration) -> Self {
+        Self::in_life(1, number, rate, now)
+    }
+
+    /// The server after a crash: it goes by the same name and holds and remembers nothing.
+    pub fn restarted(&self, now: Duration) -> Self {
+        Self::in_life(self.starts + 1, self.number, self.rate, now)
+    }
+
+    fn in_life(starts: u64, number: u64, rate: f64, now: Duration) -> Self {
         Self {
-            id: InstanceId(format!("i-{number}")),
+            id: InstanceId::started_at(&format!("i-{number}"), starts),
             number,
+            starts,
             rate,
             sequence: 0,
             sent: BTreeMap::new(),
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -45,7 +45,7 @@
 }
 
 fn id(number: usize) -> InstanceId {
-    InstanceId(format!("i-{number}"))
+    InstanceId::new(&format!("i-{number}"))
 }
 
 fn beat(number: usize, sequence: u64) -> Beat {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -72,6 +72,7 @@
     DirectoryMembershipRefused = 137, Warn, "a change of membership was refused";
     DirectoryFrameFailed = 138, Error, "what gateways are to be fed can't be encoded";
     EvacuationSet = 139, Info, "the evacuation of a zone began or ended";
+    CallUnreadable = 140, Warn, "calls that can't be read were refused";
     // Routers.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
--- a/crates/telemetry/src/metrics/directory.rs
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Debug)]
 pub struct DirectoryMetrics {
     calls: IntCounterVec,
+    bad_calls: IntCounterVec,
     /// Time from a call's arrival to its answer.
     pub call_seconds: Histogram,
     shards_moved: IntCounterVec,
@@ -45,6 +46,11 @@
     pub fn register(metrics: &Metrics) -> Result<Self, MetricsError> {
         Ok(Self {
             calls: metrics.counters("directory_calls_total", "Calls by outcome", &["outcome"])?,
+            bad_calls: metrics.counters(
+                "directory_bad_calls_total",
+                "Calls that could not be read, by cause",
+                &["cause"],
+            )?,
             call_seconds: metrics.histogram(
                 "directory_call_seconds",
                 "Time from a call's arrival to its answer",
@@ -85,6 +91,11 @@
         self.call_seconds.observe(took.as_secs_f64());
     }
 
+    /// A call could not be read.
+    pub fn note_bad_call(&self, cause: &str) {
+        self.bad_calls.with_label_values(&[cause]).inc();
+    }
+
     /// Shards were assigned or freed.
     pub fn note_shards(&self, service: &str, assigned: bool, count: usize) {
         let change = match assigned {
