A key's owner that turned a request away is asked once more after a short pause, and callers learn a time that is true

A key has one owner, so the gateway refused at once and named a third of what the client had left, 0.66 s of 2 s: whoever came back was late for the target of 0.5 s. Ruled out: sending such a request to another server (it holds no key); asking again at once (a full queue has no place yet). Change: the pause after which a server likely has a place is its answer time over its slots, doubled with each shedding in a row; the owner is asked once more after it where the retry budget allows and the pause is within the longest wait; otherwise the client is told that time. A request that is not repeatable is asked again only after the server's word that it did not run.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -9,7 +9,7 @@
 
 use crate::answers::{write_own, write_response, OwnAnswer};
 use crate::flight::{FlightId, Place};
-use crate::forwarding::LEAST_TIME;
+use crate::forwarding::{LEAST_TIME, WAIT_PART};
 use crate::refusal::Refusal;
 use crate::server::{Due, Server};
 use crate::verdict::{may_repeat, Verdict};
@@ -30,27 +30,40 @@
         let Some(flight) = self.flights.get(id) else {
             return;
         };
-        let allowed = may_repeat(verdict, flight.kind())
+        let place_after = self.place_after(server);
+        let pause = match (verdict, flight.shard) {
+            (Verdict::NotRun, Some(_)) => place_after,
+            _ => Duration::ZERO,
+        };
+        let longest = flight.route.target_latency.mul_f64(WAIT_PART);
+        let wanted = may_repeat(verdict, flight.kind())
             && flight.sendings < flight.route.maximum_attempts
-            && now + LEAST_TIME < flight.expires;
-        let has_place = verdict != Verdict::NotRun || flight.shard.is_none();
-        let wanted = allowed && has_place;
+            && pause <= longest
+            && now + pause + LEAST_TIME < flight.expires;
         // How many gateways share the budget is known from a leader only.
         let shares_budget = self.directory.knows_gateways(now);
         if wanted && shares_budget && self.budgets.take(&flight.service, now) {
-            return self.send_again(id, verdict, server);
+            return self.send_again(id, verdict, server, pause);
         }
         match (verdict, response) {
             (Verdict::Failed, Some(response)) => self.pass_on(id, &response),
             (Verdict::NotRun | Verdict::NotOwner, _) if wanted => {
-                self.refuse(id, Refusal::BudgetSpent);
+                self.refuse(id, Refusal::BudgetSpent { place_after });
+            }
+            (Verdict::NotRun | Verdict::NotOwner, _) => {
+                self.refuse(id, Refusal::NotRun { place_after });
             }
-            (Verdict::NotRun | Verdict::NotOwner, _) => self.refuse(id, Refusal::NotRun),
             _ => self.fail(id, 502, "server broke off"),
         }
     }
 
-    fn send_again(&mut self, id: FlightId, verdict: Verdict, server: &InstanceId) {
+    /// Time after which a server that turned a request away is likely to take one; zero when it is not known.
+    fn place_after(&self, server: &InstanceId) -> Duration {
+        let instance = self.table.instance(server);
+        instance.map_or(Duration::ZERO, |one| self.balance.place_after(one))
+    }
+
+    fn send_again(&mut self, id: FlightId, verdict: Verdict, server: &InstanceId, pause: Duration) {
         let Some(flight) = self.flights.get(id) else {
             return;
         };
@@ -65,10 +78,33 @@
         );
         match (verdict, flight.shard) {
             (Verdict::NotOwner, Some(shard)) => self.ask_owner_again(id, shard, server),
+            (Verdict::NotRun, Some(_)) => self.await_place(id, pause),
             _ => self.dispatch(id),
         }
     }
 
+    /// Waits until the owner of a key is likely to have a place for the request that it turned away.
+    fn await_place(&mut self, id: FlightId, pause: Duration) {
+        let now = self.now();
+        let Some(flight) = self.flights.get_mut(id) else {
+            return;
+        };
+        flight.place = Place::AwaitingPlace;
+        let due = Due::PlaceWait(id, flight.sendings);
+        self.deadlines.add(now + pause, due);
+    }
+
+    /// The wait for a place at the owner is over.
+    pub(crate) fn end_place_wait(&mut self, id: FlightId, sendings: u32) {
+        let Some(flight) = self.flights.get_mut(id) else {
+            return;
+        };
+        if flight.place == Place::AwaitingPlace && flight.sendings == sendings {
+            flight.place = Place::Here;
+            self.dispatch(id);
+        }
+    }
+
     /// The server that was believed to own a key does not: another may by now, or it may shortly.
     pub(crate) fn ask_owner_again(&mut self, id: FlightId, shard: usize, server: &InstanceId) {
         let now = self.now();
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -10,6 +10,7 @@
 
 use grebepin_catalog::{Instance, InstanceId};
 
+use crate::backoff::ShedBackoff;
 use crate::limit::{first_limit, ConcurrencyLimit};
 use crate::server_index::{LOCAL_FIRST, REMOTE_FIRST};
 
@@ -53,6 +54,7 @@
     /// Mean time of answers; `None` before the first.
     mean_seconds: Option<f64>,
     failures: u32,
+    backoff: ShedBackoff,
     aside_until: Duration,
     limit: ConcurrencyLimit,
 }
@@ -63,6 +65,7 @@
             connections: 0,
             mean_seconds: None,
             failures: 0,
+            backoff: ShedBackoff::default(),
             aside_until: Duration::ZERO,
             limit: ConcurrencyLimit::new(limit),
         }
@@ -129,9 +132,21 @@
         self.endpoints.get(id)?.limit.opens_at(now)
     }
 
-    /// A server shed a request or left it without an answer.
+    /// A server turned a request away.
     pub fn overloaded(&mut self, id: &InstanceId, now: Duration) {
-        self.endpoint(id).limit.overloaded(now);
+        let endpoint = self.endpoint(id);
+        endpoint.limit.overloaded(now);
+        endpoint.backoff.shed();
+    }
+
+    /// Time after which a server that turned a request away is likely to take one.
+    pub fn place_after(&self, server: &Instance) -> Duration {
+        let endpoint = self.endpoints.get(&server.id);
+        let mean_seconds = endpoint.and_then(|one| one.mean_seconds);
+        let mean_seconds = mean_seconds.unwrap_or_else(|| self.mean_of_service(&server.service));
+        let per_slot = Duration::from_secs_f64(mean_seconds) / server.slots.max(1);
+        let backoff = endpoint.map_or_else(ShedBackoff::default, |one| one.backoff);
+        backoff.pause(per_slot)
     }
 
     /// A connection to a server was begun.
@@ -170,6 +185,7 @@
             endpoint.limit.late_answer(now);
         }
         endpoint.aside_until = Duration::ZERO;
+        endpoint.backoff.answered();
         std::mem::take(&mut endpoint.failures) > 0
     }
 
@@ -276,6 +292,12 @@
         mean.map_or(ASSUMED_SECONDS, |mean| mean * UNTRIED_PART)
     }
 
+    /// Mean answer time of a service's servers.
+    fn mean_of_service(&self, service: &str) -> f64 {
+        let mean = self.service_means.get(service);
+        mean.copied().unwrap_or(ASSUMED_SECONDS)
+    }
+
     /// Takes the time of an answer into the mean of its service.
     pub fn note_service_time(&mut self, service: &str, took: Duration) {
         let mean = self.service_means.get(service).copied();
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -22,6 +22,8 @@
         /// Fence that is known to be of no use; 0 for none.
         fence: u64,
     },
+    /// Waits a moment before its key's owner, which turned it away, is asked once more.
+    AwaitingPlace,
     /// Waits for room at its key's owner, or at any server of its service.
     AwaitingRoom,
     /// On a connection to a server.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod answering;
 pub mod answers;
+pub mod backoff;
 pub mod balance;
 pub mod budget;
 mod clients;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -40,10 +40,17 @@
     NoConnection,
     /// Servers could not be reached.
     OutOfReach,
-    /// The server says that it did not run it, and it can't be sent again.
-    NotRun,
-    /// The server says that it did not run it, and the retry budget is spent.
-    BudgetSpent,
+    /// The server says that it did not run it, and it can't be sent again. Some server is likely to take it after a
+    /// time.
+    NotRun {
+        /// That time.
+        place_after: Duration,
+    },
+    /// The same, and it could be sent again if the retry budget were not spent.
+    BudgetSpent {
+        /// The same time.
+        place_after: Duration,
+    },
     /// Its time was up before it was sent.
     NoTime,
 }
@@ -61,8 +68,8 @@
             Self::NoServer => "no server",
             Self::NoConnection => "no connection",
             Self::OutOfReach => "servers out of reach",
-            Self::NotRun => "server did not run it",
-            Self::BudgetSpent => "server did not run it, retry budget spent",
+            Self::NotRun { .. } => "server did not run it",
+            Self::BudgetSpent { .. } => "server did not run it, retry budget spent",
             Self::NoTime => "no time left",
         }
     }
@@ -72,6 +79,9 @@
         match (self, left) {
             (Self::Stopping, _) => STOPPING_PAUSE,
             (Self::LinkFull, Some(left)) => LINK_PAUSE.min(left.mul_f64(RETRY_PART)),
+            (Self::NotRun { place_after } | Self::BudgetSpent { place_after }, Some(left)) => {
+                place_after.min(left.mul_f64(RETRY_PART))
+            }
             (_, Some(left)) => left.mul_f64(RETRY_PART),
             (_, None) => DEFAULT_PAUSE,
         }
