Gateways together use the whole of their part of the retry budget, however many they are

Cause: each of 984 gateways may send 2.3 requests a second time in 10 s and used 2; with a part below one it used none. Ways weighed: a lease of shares by the zone's replica (a message and an age for two sendings in 10 s); a part drawn by lot at each request (does not keep the bound in a window); fractions rounded by a threshold of each gateway, fixed and spread evenly. Change: the last. Figures (test): part of the bound that 30, 300, 984, 2,000 gateways use, where 0.6 is meant: 0.54 to 0.66 for 13, 2 and no requests a gateway; rounding down used 0.54 at 13, none without requests.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -3,10 +3,16 @@
 //! Invariant: within any window, the second sendings of all gateways together stay below the
 //! deployment's bound, since each takes an equal part of the fixed allowance and its own
 //! requests' part of the proportional one.
+//!
+//! Of many gateways each has a part of few sendings and a fraction. Fractions are rounded by a fixed threshold of each
+//! gateway, spread evenly over all of them, so that together they use what they may: rounding down everywhere leaves
+//! a fifth unused where a part is 2.3, and all of it where it is below one.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 /// Part of the deployment's bound that is used; the rest covers counts that differ at the edges
 /// of windows.
 const USED_PART: f64 = 0.6;
@@ -34,15 +40,18 @@
 pub struct Budgets {
     bound: BudgetBound,
     gateways: u32,
+    /// Fraction of a sending, from 0 to 1, from which on this gateway rounds its part up.
+    rounds_up_from: f64,
     accounts: HashMap<String, Account>,
 }
 
 impl Budgets {
-    /// Budgets under a bound; one gateway until more are known.
-    pub fn new(bound: BudgetBound) -> Self {
+    /// Budgets of the gateway on machine `node` under a bound; one gateway until more are known.
+    pub fn new(bound: BudgetBound, node: &str) -> Self {
         Self {
             bound,
             gateways: 1,
+            rounds_up_from: unit_interval(xxh3_64(node.as_bytes())),
             accounts: HashMap::new(),
         }
     }
@@ -67,8 +76,10 @@
     pub fn take(&mut self, service: &str, now: Duration) -> bool {
         let (ratio, slack) = (self.bound.ratio, self.bound.slack);
         let gateways = f64::from(self.gateways);
+        let rounds_up_from = self.rounds_up_from;
         let account = self.account(service, now);
-        let allowed = USED_PART * (ratio * account.requests.len() as f64 + slack / gateways);
+        let part = USED_PART * (ratio * account.requests.len() as f64 + slack / gateways);
+        let allowed = part.floor() + f64::from(u8::from(part.fract() > rounds_up_from));
         if (account.repeats.len() as f64) + 1.0 > allowed {
             return false;
         }
@@ -90,3 +101,8 @@
         account
     }
 }
+
+/// A hash as a number from 0 to 1.
+fn unit_interval(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -157,6 +157,7 @@
         };
         let zone_exits = Evacuations::new(settings.evacuation_bound());
         let warmup = WarmupTurns::new(&settings.node);
+        let budgets = Budgets::new(bound, &settings.node);
         let link_queue = LinkQueue::new(settings.link_mbps);
         let table = Table::new(&settings.node, &settings.zone);
         Ok(Self {
@@ -182,7 +183,7 @@
             table,
             splitter: Splitter::default(),
             balance: Balance::default(),
-            budgets: Budgets::new(bound),
+            budgets,
             zone_exits,
             warmup,
             load: LoadCounts::default(),
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -43,8 +43,8 @@
     };
     let gateways = 8;
     let mut all = 0;
-    for _ in 0..gateways {
-        let mut budgets = Budgets::new(bound);
+    for number in 0..gateways {
+        let mut budgets = Budgets::new(bound, &format!("g-{number}"));
         budgets.set_gateways(gateways);
         for number in 0..100_u64 {
             budgets.note_request("s", ms(number * 100));
@@ -62,7 +62,7 @@
         window: ms(1_000),
         slack: 2.0,
     };
-    let mut budgets = Budgets::new(bound);
+    let mut budgets = Budgets::new(bound, "g");
     assert!(budgets.take("s", ms(0)));
     assert!(!budgets.take("s", ms(500)));
     assert!(budgets.take("s", ms(1_001)));
@@ -367,3 +367,39 @@
         "one that is set aside is better than none"
     );
 }
+
+/// What gateways with some requests each may send a second time together, and the deployment's bound.
+fn budget_used(gateways: u32, requests: u64, ratio: f64, slack: f64) -> (f64, f64) {
+    let bound = BudgetBound {
+        ratio,
+        window: ms(10_000),
+        slack,
+    };
+    let mut used = 0;
+    for number in 0..gateways {
+        let mut budgets = Budgets::new(bound, &format!("edge-{number}"));
+        budgets.set_gateways(gateways);
+        for request in 0..requests {
+            budgets.note_request("s", ms(request));
+        }
+        used += (0..100).filter(|_| budgets.take("s", ms(9_000))).count();
+    }
+    let allowed = ratio * requests as f64 * f64::from(gateways) + slack;
+    (used as f64, allowed)
+}
+
+/// Each of 984 gateways has 2.3 second sendings of 13 requests, or 0.6 without any: together they use the same part of
+/// the bound as few gateways do, where each for itself would round down to 2 and to none.
+#[test]
+fn many_gateways_use_as_large_a_part_of_the_budget_as_few() {
+    for (requests, slack) in [(13, 1_040.0), (0, 1_040.0), (2, 500.0)] {
+        for gateways in [30, 300, 984, 2_000] {
+            let (used, allowed) = budget_used(gateways, requests, 0.2, slack);
+            let part = used / allowed;
+            assert!(
+                (0.54..0.66).contains(&part),
+                "{gateways}, {requests}: {part}"
+            );
+        }
+    }
+}
