A repeat to a key's owner waits only where an answer in time is likely; what can't be is refused at once

Cause: a request whose owner does not hold its key yet waited 120 ms to ask it again, and was then refused unasked on routes with a target below 600 ms, since the wait had passed its bound; and the bound on the new wait for a place left out slow owners. Ruled out: shorter pauses for an owner that waits for its next heartbeat. Change: both waits are one. A request waits when pause and expected answer end within its target, otherwise it is refused at once; at the end of the wait it is sent.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -8,8 +8,8 @@
 use mio::Token;
 
 use crate::answers::{write_own, write_response, OwnAnswer};
-use crate::flight::{FlightId, Place};
-use crate::forwarding::{LEAST_TIME, WAIT_PART};
+use crate::flight::{Flight, FlightId, Place};
+use crate::forwarding::LEAST_TIME;
 use crate::refusal::Refusal;
 use crate::server::{Due, Server};
 use crate::verdict::{may_repeat, Verdict};
@@ -30,16 +30,15 @@
         let Some(flight) = self.flights.get(id) else {
             return;
         };
-        let place_after = self.place_after(server);
-        let pause = match (verdict, flight.shard) {
-            (Verdict::NotRun, Some(_)) => place_after,
-            _ => Duration::ZERO,
-        };
-        let longest = flight.route.target_latency.mul_f64(WAIT_PART);
+        let pause = self.pause_before_repeat(verdict, flight, server);
         let wanted = may_repeat(verdict, flight.kind())
             && flight.sendings < flight.route.maximum_attempts
-            && pause <= longest
-            && now + pause + LEAST_TIME < flight.expires;
+            && now + pause + LEAST_TIME < flight.expires
+            && (pause.is_zero() || self.is_answered_in_time(flight, server, now + pause));
+        let place_after = match verdict {
+            Verdict::NotRun => self.place_after(server),
+            _ => None,
+        };
         // How many gateways share the budget is known from a leader only.
         let shares_budget = self.directory.knows_gateways(now);
         if wanted && shares_budget && self.budgets.take(&flight.service, now) {
@@ -57,10 +56,42 @@
         }
     }
 
-    /// Time after which a server that turned a request away is likely to take one; zero when it is not known.
-    fn place_after(&self, server: &InstanceId) -> Duration {
+    /// Time for which a request waits before it is sent again: none but for a key's only owner, see
+    /// [`crate::backoff`].
+    fn pause_before_repeat(
+        &self,
+        verdict: Verdict,
+        flight: &Flight,
+        server: &InstanceId,
+    ) -> Duration {
+        let Some(shard) = flight.shard else {
+            return Duration::ZERO;
+        };
+        match verdict {
+            Verdict::NotRun => self.place_after(server).unwrap_or_default(),
+            Verdict::NotOwner if self.owns(server, &flight.service, shard) => SAME_OWNER_PAUSE,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Whether a request that goes to a server at a time is likely to be answered within its target: to keep it any
+    /// longer would take from its client the time for another try.
+    fn is_answered_in_time(&self, flight: &Flight, server: &InstanceId, at: Duration) -> bool {
         let instance = self.table.instance(server);
-        instance.map_or(Duration::ZERO, |one| self.balance.place_after(one))
+        let expected = instance.map_or(Duration::ZERO, |one| self.balance.expected_time(one));
+        at + expected <= flight.began + flight.route.target_latency
+    }
+
+    /// Time after which a server that turned a request away is likely to take one; `None` for one that is not known.
+    fn place_after(&self, server: &InstanceId) -> Option<Duration> {
+        let instance = self.table.instance(server)?;
+        Some(self.balance.place_after(instance))
+    }
+
+    /// Whether a server is believed to own a shard.
+    fn owns(&self, server: &InstanceId, service: &str, shard: usize) -> bool {
+        let held = self.table.shard(service, shard);
+        held.is_some_and(|shard| shard.owner.as_ref() == Some(server))
     }
 
     fn send_again(&mut self, id: FlightId, verdict: Verdict, server: &InstanceId, pause: Duration) {
@@ -76,52 +107,45 @@
             verdict = format!("{verdict:?}"),
             sendings = flight.sendings
         );
-        match (verdict, flight.shard) {
-            (Verdict::NotOwner, Some(shard)) => self.ask_owner_again(id, shard, server),
-            (Verdict::NotRun, Some(_)) => self.await_place(id, pause),
+        match flight.shard {
+            Some(shard) if !pause.is_zero() => self.await_repeat(id, verdict, shard, pause),
             _ => self.dispatch(id),
         }
     }
 
-    /// Waits until the owner of a key is likely to have a place for the request that it turned away.
-    fn await_place(&mut self, id: FlightId, pause: Duration) {
+    /// Waits before the owner of a key is asked once more: until it is likely to have a place for the request, or to
+    /// hold the key. If another becomes the owner meanwhile, that one is asked.
+    fn await_repeat(&mut self, id: FlightId, verdict: Verdict, shard: usize, pause: Duration) {
         let now = self.now();
         let Some(flight) = self.flights.get_mut(id) else {
             return;
         };
-        flight.place = Place::AwaitingPlace;
-        let due = Due::PlaceWait(id, flight.sendings);
+        let held = self.table.shard(&flight.service, shard);
+        flight.place = match verdict {
+            Verdict::NotOwner => Place::AwaitingOwner {
+                fence: held.map_or(0, |shard| shard.fence),
+            },
+            _ => Place::AwaitingPlace,
+        };
+        let due = Due::RepeatWait(id, flight.sendings);
         self.deadlines.add(now + pause, due);
     }
 
-    /// The wait for a place at the owner is over.
-    pub(crate) fn end_place_wait(&mut self, id: FlightId, sendings: u32) {
+    /// The wait before a request is sent once more is over.
+    pub(crate) fn end_repeat_wait(&mut self, id: FlightId, sendings: u32) {
         let Some(flight) = self.flights.get_mut(id) else {
             return;
         };
-        if flight.place == Place::AwaitingPlace && flight.sendings == sendings {
+        let waits = matches!(
+            flight.place,
+            Place::AwaitingPlace | Place::AwaitingOwner { .. }
+        );
+        if waits && flight.sendings == sendings {
             flight.place = Place::Here;
             self.dispatch(id);
         }
     }
 
-    /// The server that was believed to own a key does not: another may by now, or it may shortly.
-    pub(crate) fn ask_owner_again(&mut self, id: FlightId, shard: usize, server: &InstanceId) {
-        let now = self.now();
-        let Some(flight) = self.flights.get_mut(id) else {
-            return;
-        };
-        let held = self.table.shard(&flight.service, shard);
-        let is_same = held.is_some_and(|shard| shard.owner.as_ref() == Some(server));
-        if !is_same {
-            return self.dispatch(id);
-        }
-        let fence = held.map_or(0, |shard| shard.fence);
-        flight.place = Place::AwaitingOwner { fence };
-        let due = Due::OwnerWait(id, flight.sendings);
-        self.deadlines.add(now + SAME_OWNER_PAUSE, due);
-    }
-
     /// The time of a request is up.
     pub(crate) fn expire(&mut self, id: FlightId) {
         let now = self.now();
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -142,13 +142,20 @@
     /// Time after which a server that turned a request away is likely to take one.
     pub fn place_after(&self, server: &Instance) -> Duration {
         let endpoint = self.endpoints.get(&server.id);
-        let mean_seconds = endpoint.and_then(|one| one.mean_seconds);
-        let mean_seconds = mean_seconds.unwrap_or_else(|| self.mean_of_service(&server.service));
-        let per_slot = Duration::from_secs_f64(mean_seconds) / server.slots.max(1);
+        let per_slot = self.expected_time(server) / server.slots.max(1);
         let backoff = endpoint.map_or_else(ShedBackoff::default, |one| one.backoff);
         backoff.pause(per_slot)
     }
 
+    /// Time that a server is expected to take for a request: what its answers took lately, or those of its service
+    /// when it gave none.
+    pub fn expected_time(&self, server: &Instance) -> Duration {
+        let endpoint = self.endpoints.get(&server.id);
+        let mean_seconds = endpoint.and_then(|one| one.mean_seconds);
+        let mean_seconds = mean_seconds.unwrap_or_else(|| self.mean_of_service(&server.service));
+        Duration::from_secs_f64(mean_seconds)
+    }
+
     /// A connection to a server was begun.
     pub fn connection_opened(&mut self, server: &Instance) {
         let first = first_limit(server.slots, self.gateways);
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -20,7 +20,7 @@
 
 /// Longest wait for a key's owner or for room at a server, as a part of the target latency: a client
 /// that is refused by then can still be served in time.
-pub(crate) const WAIT_PART: f64 = 0.2;
+const WAIT_PART: f64 = 0.2;
 
 /// Time that is left at least, so that sending a request makes sense.
 pub(crate) const LEAST_TIME: Duration = Duration::from_millis(5);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -40,16 +40,15 @@
     NoConnection,
     /// Servers could not be reached.
     OutOfReach,
-    /// The server says that it did not run it, and it can't be sent again. Some server is likely to take it after a
-    /// time.
+    /// The server says that it did not run it, and it can't be sent again.
     NotRun {
-        /// That time.
-        place_after: Duration,
+        /// Time after which the server is likely to take it, where that is known.
+        place_after: Option<Duration>,
     },
     /// The same, and it could be sent again if the retry budget were not spent.
     BudgetSpent {
         /// The same time.
-        place_after: Duration,
+        place_after: Option<Duration>,
     },
     /// Its time was up before it was sent.
     NoTime,
@@ -79,9 +78,15 @@
         match (self, left) {
             (Self::Stopping, _) => STOPPING_PAUSE,
             (Self::LinkFull, Some(left)) => LINK_PAUSE.min(left.mul_f64(RETRY_PART)),
-            (Self::NotRun { place_after } | Self::BudgetSpent { place_after }, Some(left)) => {
-                place_after.min(left.mul_f64(RETRY_PART))
-            }
+            (
+                Self::NotRun {
+                    place_after: Some(after),
+                }
+                | Self::BudgetSpent {
+                    place_after: Some(after),
+                },
+                Some(left),
+            ) => after.min(left.mul_f64(RETRY_PART)),
             (_, Some(left)) => left.mul_f64(RETRY_PART),
             (_, None) => DEFAULT_PAUSE,
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -68,8 +68,8 @@
     Expiry(FlightId),
     /// A request has waited long enough for its key's owner.
     OwnerWait(FlightId, u32),
-    /// A request's owner is asked once more after it turned the request away.
-    PlaceWait(FlightId, u32),
+    /// A request is sent to the owner of its key once more.
+    RepeatWait(FlightId, u32),
     /// A request has waited long enough for room at a server.
     RoomWait(FlightId, u32),
     /// A connection to a server is not up yet.
@@ -447,7 +447,7 @@
             match due {
                 Due::Expiry(flight) => self.expire(flight),
                 Due::OwnerWait(flight, sendings) => self.end_owner_wait(flight, sendings),
-                Due::PlaceWait(flight, sendings) => self.end_place_wait(flight, sendings),
+                Due::RepeatWait(flight, sendings) => self.end_repeat_wait(flight, sendings),
                 Due::RoomWait(flight, sendings) => self.end_room_wait(flight, sendings),
                 Due::Connect(token) => self.give_up_connecting(Token(token)),
             }
--- a/crates/gateway/tests/shedding.rs
+++ b/crates/gateway/tests/shedding.rs
@@ -145,7 +145,8 @@
     pause: Duration,
     allowance: &mut f64,
 ) -> Option<(Duration, Attempt)> {
-    let may_wait = pause <= TARGET.mul_f64(0.2) && attempt.sendings + 1 < SENDINGS;
+    let is_in_time = now + pause + WORK <= attempt.began + TARGET;
+    let may_wait = is_in_time && attempt.sendings + 1 < SENDINGS;
     if way == Way::Backoff && may_wait && *allowance >= 1.0 {
         *allowance -= 1.0;
         let sendings = attempt.sendings + 1;
@@ -163,7 +164,9 @@
     }
     let refusal = match way {
         Way::ThirdOfTheTime => Refusal::NoRoom,
-        Way::Backoff => Refusal::NotRun { place_after: pause },
+        Way::Backoff => Refusal::NotRun {
+            place_after: Some(pause),
+        },
     };
     let back = now + refusal.retry_after(Some(left)) + WAY * 2;
     let again = Attempt {
@@ -236,7 +239,7 @@
 
 #[test]
 fn a_caller_is_told_no_longer_than_it_can_use() {
-    let place_after = ms(900);
+    let place_after = Some(ms(900));
     for refusal in [
         Refusal::NotRun { place_after },
         Refusal::BudgetSpent { place_after },
@@ -244,4 +247,6 @@
         assert_eq!(refusal.retry_after(Some(ms(900))), ms(297));
         assert_eq!(refusal.retry_after(Some(ms(6_000))), ms(900));
     }
+    let unknown = Refusal::NotRun { place_after: None };
+    assert_eq!(unknown.retry_after(Some(ms(1_500))), ms(495));
 }
