A reused connection that failed a request takes the others that rest at its server with it

Cause, by reading: connections may fall silent for good without an end. Each kept connection to a server then costs one request its whole time, one after the other, although new ones work. Links between machines are made anew after 0.9 to 5 s without a word, and bytes that nobody acknowledges for 1 to 1.5 s end any connection; only resting ones to servers stayed. Ruled out: keep-alive probes by the system, which cost packets on each of thousands of resting connections; dropping them all for any late answer, which would make a slow server slower. Change: when a request breaks off or is given up on a connection that had carried one before, the others at rest there close. Test: which connections are named.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -152,16 +152,19 @@
         let Some(flight) = self.flights.get(id) else {
             return;
         };
-        let was_sent = match &flight.place {
+        let (was_sent, reused) = match &flight.place {
             Place::At { connection, .. } => {
                 let upstream = self.upstreams.get(*connection);
-                upstream.is_some_and(|upstream| upstream.connected)
+                upstream.map_or((false, false), |one| (one.connected, one.reused))
             }
-            _ => false,
+            _ => (false, false),
         };
         let place = flight.place.clone();
         if let (Place::At { server, since, .. }, true) = (place, was_sent) {
             self.balance.silent(&server, now, now.saturating_sub(since));
+            if reused {
+                self.drop_resting(&server);
+            }
         }
         self.recall(id);
         match was_sent {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebepin_catalog::Instance;
+use grebepin_catalog::{Instance, InstanceId};
 use grebepin_reactor::http::{Response, ResponseReader};
 use grebepin_reactor::{Connection, ReadOutcome};
 use grebepin_telemetry::{event, Event};
@@ -95,6 +95,7 @@
             connection,
             server: server.id.clone(),
             connected: false,
+            reused: false,
             flight: None,
             reader: ResponseReader::default(),
             rested_since: now,
@@ -302,6 +303,9 @@
         let Some(id) = upstream.flight else {
             return;
         };
+        if upstream.reused {
+            self.drop_resting(&upstream.server);
+        }
         let pause = self.balance.failed(&upstream.server, now);
         self.metrics.note_suspected("broke off");
         event!(
@@ -315,6 +319,13 @@
         }
     }
 
+    /// Closes the connections to a server that rest, since one of its connections failed a request.
+    pub(crate) fn drop_resting(&mut self, server: &InstanceId) {
+        for token in self.upstreams.resting_at(server) {
+            self.drop_upstream(token);
+        }
+    }
+
     /// Closes a connection to a server.
     pub(crate) fn drop_upstream(&mut self, token: Token) -> Option<Upstream> {
         let upstream = self.upstreams.remove(token)?;
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -28,6 +28,8 @@
     pub server: InstanceId,
     /// Whether it is up.
     pub connected: bool,
+    /// Whether it carried a request before the present one.
+    pub reused: bool,
     /// Request on it.
     pub flight: Option<FlightId>,
     /// Reads its answers.
@@ -87,6 +89,7 @@
     pub fn rest(&mut self, token: Token, now: Duration, fields: &Fields) {
         if let Some(upstream) = self.connections.get_mut(&token) {
             upstream.flight = None;
+            upstream.reused = true;
             upstream.rested_since = now;
             upstream.rest_limit = rest_limit(fields);
             upstream.connection.trim();
@@ -95,6 +98,12 @@
         }
     }
 
+    /// Connections to a server that rest. After one fell silent without an end, others that were open then may have as
+    /// well, and each would cost a request its whole time to find out.
+    pub fn resting_at(&self, server: &InstanceId) -> Vec<Token> {
+        self.resting.get(server).cloned().unwrap_or_default()
+    }
+
     /// Closes a connection.
     pub fn remove(&mut self, token: Token) -> Option<Upstream> {
         let upstream = self.connections.remove(&token)?;
@@ -132,3 +141,6 @@
         None => DEFAULT_REST,
     }
 }
+
+#[cfg(test)]
+mod tests;
