The gateway's housekeeping in a file of its own

What the passing of time asks for moves out; behaviour stays. A place's name that repeated its type's is renamed.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -125,7 +125,7 @@
             Verdict::NotOwner => Place::AwaitingOwner {
                 fence: held.map_or(0, |shard| shard.fence),
             },
-            _ => Place::AwaitingPlace,
+            _ => Place::AwaitingRepeat,
         };
         let due = Due::RepeatWait(id, flight.sendings);
         self.deadlines.add(now + pause, due);
@@ -138,7 +138,7 @@
         };
         let waits = matches!(
             flight.place,
-            Place::AwaitingPlace | Place::AwaitingOwner { .. }
+            Place::AwaitingRepeat | Place::AwaitingOwner { .. }
         );
         if waits && flight.sendings == sendings {
             flight.place = Place::Here;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -23,7 +23,7 @@
         fence: u64,
     },
     /// Waits a moment before its key's owner, which turned it away, is asked once more.
-    AwaitingPlace,
+    AwaitingRepeat,
     /// Waits for room at its key's owner, or at any server of its service.
     AwaitingRoom,
     /// On a connection to a server.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Everything is served from one thread. `table`, `balance`, `budget`, `verdict` decide and are pure;
 //! `clients`, `upstreams` and `follow` move bytes; `forwarding`, `sending` and `answering` are the phases of
-//! a request, and `server` is the event loop that joins them.
+//! a request, `housekeeping` is what time asks for, and `server` is the event loop that joins them.
 //!
 //! Invariants: a request that is not repeatable is sent a second time only after proof that the first
 //! sending did not run; an answer reaches the client only whole, and only if it carries the id of
@@ -20,6 +20,7 @@
 mod follow;
 mod forwarding;
 mod headers;
+mod housekeeping;
 pub mod limit;
 pub mod link_queue;
 pub mod load;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -20,8 +20,9 @@
 use crate::clients::{Client, Clients};
 use crate::evacuations::Evacuations;
 use crate::flight::{FlightId, Flights};
-use crate::follow::{Directory, HeldState, Update};
+use crate::follow::{Directory, Update};
 use crate::headers::HeaderNames;
+use crate::housekeeping::{changed_at, SETTINGS_LOOK_EVERY};
 use crate::link_queue::LinkQueue;
 use crate::load::LoadCounts;
 use crate::patience::LongestPatience;
@@ -45,16 +46,9 @@
 /// Longest sleep, so that signals are noticed.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
 
-/// Time between two looks at the settings file.
-const SETTINGS_LOOK_EVERY: Duration = Duration::from_secs(1);
-
 /// Descriptors kept free for files and listeners.
 const RESERVED_DESCRIPTORS: usize = 250;
 
-/// Bounds on clients until the configuration tells them.
-const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(3);
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// Largest body held in memory, whatever the configuration allows.
 const MAXIMUM_BODY_BYTES: u64 = 32 << 20;
 
@@ -78,19 +72,19 @@
 
 /// The process.
 pub struct Server {
-    settings_path: PathBuf,
-    settings_changed: Option<SystemTime>,
+    pub(crate) settings_path: PathBuf,
+    pub(crate) settings_changed: Option<SystemTime>,
     pub(crate) settings: GatewaySettings,
     pub(crate) names: HeaderNames,
     pub(crate) poll: Poll,
     front: TcpListener,
-    ready: TextServer,
-    metrics_server: Option<TextServer>,
-    relay: Option<Relay>,
+    pub(crate) ready: TextServer,
+    pub(crate) metrics_server: Option<TextServer>,
+    pub(crate) relay: Option<Relay>,
     registered: Metrics,
     pub(crate) metrics: GatewayMetrics,
     started: Instant,
-    next_token: usize,
+    pub(crate) next_token: usize,
     pub(crate) clients: Clients,
     pub(crate) upstreams: Upstreams,
     pub(crate) flights: Flights,
@@ -111,10 +105,10 @@
     pub(crate) directory: Directory,
     pub(crate) stopping: Option<Stopping>,
     announced_ready: bool,
-    next_housekeeping: Duration,
-    next_settings_look: Duration,
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
+    pub(crate) next_housekeeping: Duration,
+    pub(crate) next_settings_look: Duration,
+    pub(crate) stop: Arc<AtomicBool>,
+    pub(crate) reload: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -429,7 +423,7 @@
         change
     }
 
-    fn tell_readiness(&mut self) {
+    pub(crate) fn tell_readiness(&mut self) {
         let ready = self.is_ready();
         if ready != self.announced_ready {
             self.announced_ready = ready;
@@ -453,87 +447,4 @@
             }
         }
     }
-
-    /// What the passing of time asks for.
-    fn do_housekeeping(&mut self) {
-        let now = self.now();
-        if self.stop.load(Ordering::Relaxed) && self.stopping.is_none() {
-            self.stopping = Some(Stopping::new(now, self.settings.grace()));
-            event!(Event::StopRequested, flights = self.flights.len());
-            self.tell_readiness();
-        }
-        if now < self.next_housekeeping {
-            return;
-        }
-        let held = HeldState {
-            applied: self.table.applied(),
-            is_configured: self.table.is_configured(),
-        };
-        self.next_housekeeping = now + Directory::tick_pause(held.is_configured);
-        let registry = self.poll.registry();
-        let load = &mut self.load;
-        self.directory
-            .tick(now, registry, &mut self.next_token, load, held);
-        self.close_expired_connections(now);
-        self.close_resting_clients(now);
-        if let Some(relay) = &mut self.relay {
-            relay.close_resting(now);
-        }
-        if now >= self.next_settings_look || self.reload.swap(false, Ordering::Relaxed) {
-            self.next_settings_look = now + SETTINGS_LOOK_EVERY;
-            self.look_at_settings();
-        }
-    }
-
-    fn close_expired_connections(&mut self, now: Duration) {
-        let table = &self.table;
-        let expired = self.upstreams.expired(now, |id| table.is_live(id));
-        self.balance.retain(|id| table.is_live(id));
-        for token in expired {
-            self.drop_upstream(token);
-        }
-    }
-
-    fn close_resting_clients(&mut self, now: Duration) {
-        let limits = self.table.limits();
-        let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
-        let header = limits.map_or(DEFAULT_HEADER_TIMEOUT, |limits| limits.header_timeout);
-        let ends_idle = self
-            .stopping
-            .is_some_and(|stopping| stopping.closes_idle(now));
-        self.clients.retain(|_, client| {
-            let rested = client.is_idle() && (ends_idle || now > client.rested_since + idle);
-            let stalled = client.flight.is_none()
-                && client
-                    .request_began
-                    .is_some_and(|began| now > began + header * 4);
-            !rested && !stalled
-        });
-        self.ready.close_resting(now);
-        if let Some(metrics) = &mut self.metrics_server {
-            metrics.close_resting(now);
-        }
-    }
-
-    fn look_at_settings(&mut self) {
-        let changed = changed_at(&self.settings_path);
-        if changed == self.settings_changed {
-            return;
-        }
-        self.settings_changed = changed;
-        match GatewaySettings::load(&self.settings_path) {
-            Ok(settings) => {
-                self.directory.set_seeds(&settings.seed_links());
-                event!(Event::SettingsReloaded, seeds = settings.seeds.len());
-                self.settings = settings;
-            }
-            Err(error) => event!(Event::SettingsRefused, error = error),
-        }
-    }
-}
-
-fn changed_at(path: &Path) -> Option<SystemTime> {
-    std::fs::metadata(path)
-        .and_then(|data| data.modified())
-        .ok()
 }
