--- a/crates/grants/tests/exclusive.rs
+++ b/crates/grants/tests/exclusive.rs
@@ -2,6 +2,8 @@
 //! answers and changes of leader, on a virtual clock with fixed seeds.
 
 mod model;
+#[allow(dead_code, reason = "each test file uses a part")]
+mod support;
 
 use std::time::Duration;
 
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -6,18 +6,17 @@
 
 use std::time::Duration;
 
-use grebepin_catalog::{
-    Catalog, Command, InstanceId, Item, ItemChange, ItemContent, Service, Version, SHARDS,
-};
+use grebepin_catalog::{Catalog, Command, InstanceId, SHARDS};
 use grebepin_grants::{Beat, BeatOutcome, Coordinator, Grant, LoadSample, ServerSample, Timing};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use server::ModelServer;
 
+use crate::support::{sharded_service, SERVICE};
+
 const STEP: Duration = Duration::from_millis(20);
 const TICK: Duration = Duration::from_millis(100);
 const SERVERS: usize = 12;
-const SERVICE: &str = "ledger";
 
 /// What the model does to the fleet.
 #[derive(Clone, Copy, Debug)]
@@ -180,7 +179,7 @@
             settings,
             random: SmallRng::seed_from_u64(seed),
             now: Duration::ZERO,
-            catalog: sharded_service(),
+            catalog: sharded_service(None),
             leader: Coordinator::new(timing(), Duration::ZERO),
             earlier_leader: None,
             servers: Vec::new(),
@@ -392,23 +391,3 @@
     });
     rows.sum()
 }
-
-fn sharded_service() -> Catalog {
-    let mut catalog = Catalog::default();
-    let service = Service {
-        maximum_connections: 100,
-        sharded: true,
-        warmup_rate: None,
-    };
-    let item = Item {
-        name: SERVICE.to_owned(),
-        version: Version(1),
-        content: ItemContent::Service(service),
-        document: String::new(),
-    };
-    catalog.apply(&Command::ChangeItems(ItemChange {
-        upserts: vec![item],
-        removals: Vec::new(),
-    }));
-    catalog
-}
--- a/crates/grants/tests/model/server.rs
+++ b/crates/grants/tests/model/server.rs
@@ -7,7 +7,8 @@
 use grebepin_catalog::{InstanceId, KEYS_PER_SHARD};
 use grebepin_grants::{Beat, FreedRow, Grant, HeldRow};
 
-use super::{timing, SERVICE};
+use super::timing;
+use crate::support;
 
 /// How long work on a shard that is released goes on.
 const WORK: Duration = Duration::from_millis(250);
@@ -133,16 +134,10 @@
             .iter()
             .map(|(shard, (fence, _))| (*shard, *fence));
         Some(Beat {
-            id: self.id.clone(),
-            service: SERVICE.to_owned(),
-            address: format!("10.0.0.{}:80", self.number),
-            zone: "z".to_owned(),
-            slots: 2,
             draining: self.draining,
-            warmup_left: Duration::ZERO,
-            sequence: self.sequence,
             holds: held.chain(releasing).map(held_row).collect(),
             freed: self.freed.iter().map(|shard| freed_row(*shard)).collect(),
+            ..support::beat(&self.id, self.number, self.sequence)
         })
     }
 
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -1,15 +1,13 @@
 //! Who gets which shards: equal parts at first, by what servers can take later, nobody's twice.
 
+mod support;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use grebepin_catalog::{
-    Catalog, Command, Instance, InstanceId, InstanceState, Item, ItemChange, ItemContent, Service,
-    Version, SHARDS,
-};
+use grebepin_catalog::{Catalog, Command, Instance, InstanceId, InstanceState, SHARDS};
 use grebepin_grants::{Beat, BeatOutcome, Coordinator, LoadSample, ServerSample, Timing};
-
-const SERVICE: &str = "s";
+use support::{sharded_service, SERVICE};
 
 fn ms(number: u64) -> Duration {
     Duration::from_millis(number)
@@ -26,22 +24,7 @@
 }
 
 fn catalog() -> Catalog {
-    let mut catalog = Catalog::default();
-    let item = Item {
-        name: SERVICE.to_owned(),
-        version: Version(1),
-        content: ItemContent::Service(Service {
-            maximum_connections: 100,
-            sharded: true,
-            warmup_rate: Some(6.7),
-        }),
-        document: String::new(),
-    };
-    catalog.apply(&Command::ChangeItems(ItemChange {
-        upserts: vec![item],
-        removals: Vec::new(),
-    }));
-    catalog
+    sharded_service(Some(6.7))
 }
 
 fn id(number: usize) -> InstanceId {
@@ -49,18 +32,7 @@
 }
 
 fn beat(number: usize, sequence: u64) -> Beat {
-    Beat {
-        id: id(number),
-        service: SERVICE.to_owned(),
-        address: format!("10.0.0.{number}:80"),
-        zone: "z".to_owned(),
-        slots: 2,
-        draining: false,
-        warmup_left: Duration::ZERO,
-        sequence,
-        holds: Vec::new(),
-        freed: Vec::new(),
-    }
+    support::beat(&id(number), number as u64, sequence)
 }
 
 fn commands(outcome: BeatOutcome) -> Vec<Command> {
--- a/crates/grants/tests/restarts.rs
+++ b/crates/grants/tests/restarts.rs
@@ -1,15 +1,15 @@
 //! A server that starts again under its name: each life is heard at once, and an earlier one changes nothing
 //! any more, in whatever order its messages come.
 
+mod support;
+
 use std::time::Duration;
 
-use grebepin_catalog::{
-    Catalog, Command, InstanceId, InstanceState, Item, ItemChange, ItemContent, Service, Version,
-};
+use grebepin_catalog::{Catalog, Command, InstanceId, InstanceState};
 use grebepin_grants::{Beat, BeatOutcome, Coordinator, Grant, Timing};
 use proptest::prelude::*;
+use support::{sharded_service, SERVICE};
 
-const SERVICE: &str = "ledger";
 const NAME: &str = "i-1";
 
 fn timing() -> Timing {
@@ -31,18 +31,7 @@
 }
 
 fn beat(id: &InstanceId, sequence: u64) -> Beat {
-    Beat {
-        id: id.clone(),
-        service: SERVICE.to_owned(),
-        address: "10.0.0.1:80".to_owned(),
-        zone: "z".to_owned(),
-        slots: 2,
-        draining: false,
-        warmup_left: Duration::ZERO,
-        sequence,
-        holds: Vec::new(),
-        freed: Vec::new(),
-    }
+    support::beat(id, 1, sequence)
 }
 
 /// A leader with the state that it replicates; a command counts as committed once it is applied.
@@ -53,24 +42,8 @@
 
 impl Leader {
     fn new() -> Self {
-        let service = Service {
-            maximum_connections: 100,
-            sharded: true,
-            warmup_rate: None,
-        };
-        let item = Item {
-            name: SERVICE.to_owned(),
-            version: Version(1),
-            content: ItemContent::Service(service),
-            document: String::new(),
-        };
-        let mut catalog = Catalog::default();
-        catalog.apply(&Command::ChangeItems(ItemChange {
-            upserts: vec![item],
-            removals: Vec::new(),
-        }));
         Self {
-            catalog,
+            catalog: sharded_service(None),
             coordinator: Coordinator::new(timing(), Duration::ZERO),
         }
     }
--- /dev/null
+++ b/crates/grants/tests/support/mod.rs
@@ -0,0 +1,47 @@
+//! What the tests of leases and placement begin with: a service divided by key, and heartbeats of its servers.
+
+use std::time::Duration;
+
+use grebepin_catalog::{
+    Catalog, Command, InstanceId, Item, ItemChange, ItemContent, Service, Version,
+};
+use grebepin_grants::Beat;
+
+/// Name of the service.
+pub const SERVICE: &str = "ledger";
+
+/// A state that holds the service and no server; `warmup_rate` is what its servers bear while they warm up.
+pub fn sharded_service(warmup_rate: Option<f64>) -> Catalog {
+    let item = Item {
+        name: SERVICE.to_owned(),
+        version: Version(1),
+        content: ItemContent::Service(Service {
+            maximum_connections: 100,
+            sharded: true,
+            warmup_rate,
+        }),
+        document: String::new(),
+    };
+    let mut catalog = Catalog::default();
+    catalog.apply(&Command::ChangeItems(ItemChange {
+        upserts: vec![item],
+        removals: Vec::new(),
+    }));
+    catalog
+}
+
+/// A heartbeat of a server with two slots that holds nothing; `host` makes its address its own.
+pub fn beat(id: &InstanceId, host: u64, sequence: u64) -> Beat {
+    Beat {
+        id: id.clone(),
+        service: SERVICE.to_owned(),
+        address: format!("10.0.0.{host}:80"),
+        zone: "z".to_owned(),
+        slots: 2,
+        draining: false,
+        warmup_left: Duration::ZERO,
+        sequence,
+        holds: Vec::new(),
+        freed: Vec::new(),
+    }
+}
