--- /dev/null
+++ b/crates/directory/tests/cluster/calls.rs
@@ -0,0 +1,114 @@
+//! Calls of operators and servers, and waiting for what they lead to.
+
+use std::time::Duration;
+
+use grebepin_catalog::{Instance, InstanceId, Item, ItemChange};
+use grebepin_directory::call::Call;
+
+use rand::Rng;
+
+use super::{limits, Cluster, Pending, STEP};
+
+impl Cluster {
+    /// Sends a change to a replica drawn by lot.
+    pub fn change(&mut self, version: u64) {
+        let to = self.random.random_range(0..self.replicas.len());
+        let change = Call::ChangeItems(ItemChange {
+            upserts: vec![limits(version)],
+            removals: Vec::new(),
+        });
+        self.call(to, change, Pending::Change(version));
+    }
+
+    /// Sends a change whose document has so many bytes to a replica.
+    pub fn change_of_bytes(&mut self, to: usize, version: u64, bytes: usize) {
+        let change = Call::ChangeItems(ItemChange {
+            upserts: vec![Item {
+                document: "x".repeat(bytes),
+                ..limits(version)
+            }],
+            removals: Vec::new(),
+        });
+        self.call(to, change, Pending::Change(version));
+    }
+
+    /// Sends a change again and again, to other replicas, as an operator does.
+    pub fn change_until_acknowledged(&mut self, version: u64) {
+        for _ in 0..40 {
+            self.change(version);
+            self.run(Duration::from_millis(300));
+            if self.acknowledged.contains(&version) {
+                return;
+            }
+        }
+        panic!("version {version} was never acknowledged");
+    }
+
+    /// Sends a change again and again without a pause, until the first moment at which it is acknowledged.
+    pub fn change_as_early_as_possible(&mut self, version: u64) {
+        for _ in 0..1_000 {
+            self.change(version);
+            self.run(STEP * 2);
+            if self.acknowledged.contains(&version) {
+                return;
+            }
+        }
+        panic!("version {version} was never acknowledged");
+    }
+
+    /// Sends the beginning or end of an evacuation to a replica drawn by lot.
+    pub fn evacuate(&mut self, zone: &str, evacuated: bool) {
+        let to = self.random.random_range(0..self.replicas.len());
+        let call = Call::SetEvacuation {
+            zone: zone.to_owned(),
+            evacuated,
+        };
+        self.call(to, call, Pending::Evacuation);
+    }
+
+    /// Sends it again and again, to other replicas, as an operator does; how long that took.
+    pub fn evacuate_until_acknowledged(&mut self, zone: &str, evacuated: bool) -> Duration {
+        let (before, began) = (self.evacuations_acknowledged, self.now);
+        for _ in 0..100 {
+            self.evacuate(zone, evacuated);
+            self.run(Duration::from_millis(100));
+            if self.evacuations_acknowledged > before {
+                return self.now - began;
+            }
+        }
+        panic!("the evacuation was never acknowledged");
+    }
+
+    /// Whether the leader holds a zone as evacuated.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        let leader = self.leader().expect("a leader");
+        let node = self.replicas[leader].node.as_ref().expect("runs");
+        node.catalog().evacuated_zones().contains(zone)
+    }
+
+    /// A server's call, to the leader, after which the group has time to commit what follows from it.
+    pub fn call_of_server(&mut self, call: Call) {
+        let leader = self.leader().expect("a leader");
+        self.call(leader, call, Pending::OfServer);
+        self.run(Duration::from_millis(300));
+    }
+
+    /// What the leader holds of a server.
+    pub fn instance(&self, id: &InstanceId) -> Option<Instance> {
+        let leader = self.leader().expect("a leader");
+        let node = self.replicas[leader].node.as_ref().expect("runs");
+        node.catalog().instance(id).cloned()
+    }
+
+    /// Reads at every replica.
+    pub fn read(&mut self) {
+        for number in 0..self.replicas.len() {
+            self.read_at(number);
+        }
+    }
+
+    pub fn read_at(&mut self, number: usize) {
+        let at_least = self.acknowledged.iter().copied().max().unwrap_or(0);
+        self.call(number, Call::ReadItems, Pending::Read { at_least });
+    }
+}
