Half of a gateway's retry budget is left to requests that came back

Cause: where owners shed, the budget went to first tries, whose clients have another try of their own; those who came back were refused for good. What the link's queue knew of returned clients is now known to the whole way of a request.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -41,7 +41,7 @@
         };
         // How many gateways share the budget is known from a leader only.
         let shares_budget = self.directory.knows_gateways(now);
-        if wanted && shares_budget && self.budgets.take(&flight.service, now) {
+        if wanted && shares_budget && self.budgets.take(&flight.service, now, flight.came_back) {
             return self.send_again(id, verdict, server, pause);
         }
         match (verdict, response) {
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -17,6 +17,12 @@
 /// of windows.
 const USED_PART: f64 = 0.6;
 
+/// Part of a gateway's budget that requests may use whose clients have another try left. The rest is for those that
+/// came back: a request that is refused again has no further chance, while one that is refused for the first time has
+/// the client's own. Where owners shed 0.55 of the requests and the budget covers a fifth of them, 0.79 of the callers
+/// are served in place of 0.76 (arithmetic of two tries each).
+const FIRST_TRY_PART: f64 = 0.5;
+
 /// The deployment's bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetBound {
@@ -72,13 +78,18 @@
         account.requests.push_back(now);
     }
 
-    /// Whether a request of a service may be sent once more; counts the sending if so.
-    pub fn take(&mut self, service: &str, now: Duration) -> bool {
+    /// Whether a request of a service may be sent once more; counts the sending if so. `came_back` tells whether its
+    /// client was refused before.
+    pub fn take(&mut self, service: &str, now: Duration, came_back: bool) -> bool {
         let (ratio, slack) = (self.bound.ratio, self.bound.slack);
         let gateways = f64::from(self.gateways);
         let rounds_up_from = self.rounds_up_from;
         let account = self.account(service, now);
-        let part = USED_PART * (ratio * account.requests.len() as f64 + slack / gateways);
+        let usable = match came_back {
+            true => 1.0,
+            false => FIRST_TRY_PART,
+        };
+        let part = usable * USED_PART * (ratio * account.requests.len() as f64 + slack / gateways);
         let allowed = part.floor() + f64::from(u8::from(part.fract() > rounds_up_from));
         if (account.repeats.len() as f64) + 1.0 > allowed {
             return false;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -56,6 +56,8 @@
     pub key: Option<u16>,
     /// Shard of its key, for a sharded service.
     pub shard: Option<usize>,
+    /// Whether its client was most likely refused before.
+    pub came_back: bool,
     /// When its first byte came.
     pub began: Duration,
     /// When its client gives up.
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -133,8 +133,10 @@
         let name = name.to_owned();
         let target = self.splitter.next(&name, &route);
         let service = route.targets[target].service.clone();
-        match self.admit(&arrival, &name, &route, &service, now) {
-            Ok(()) => self.take_in(arrival, name, route, service, now),
+        let stated = arrival.stated;
+        let came_back = stated.is_some_and(|stated| self.patience.is_returned(now, &name, stated));
+        match self.admit(&arrival, &route, &service, came_back, now) {
+            Ok(()) => self.take_in(arrival, name, route, service, came_back),
             Err(refusal) => self.turn_away(&arrival, refusal),
         }
     }
@@ -151,13 +153,14 @@
         self.answer_client(arrival.token, OwnAnswer::status(404), &arrival.request_id);
     }
 
-    /// Whether a request can be finished here: before this gateway stops, and over its own link.
+    /// Whether a request can be finished here: before this gateway stops, and over its own link. There one that came
+    /// back counts a rank more than others of its route, so that clients who waited as they were told come first.
     fn admit(
         &mut self,
         arrival: &Arrival,
-        name: &str,
         route: &Route,
         service: &str,
+        came_back: bool,
         now: Duration,
     ) -> Result<(), Refusal> {
         let expires = arrival.expires(route);
@@ -165,7 +168,7 @@
         if !self.stopping.is_none_or(can_finish) {
             return Err(Refusal::Stopping);
         }
-        let ranks = self.ranks_above_least(name, route, arrival.stated, now);
+        let ranks = self.table.ranks_above_least(route) + u32::from(came_back);
         let bytes = arrival.request.body.len();
         match self.link_queue.take(now, service, bytes, ranks) {
             true => Ok(()),
@@ -184,8 +187,9 @@
         name: String,
         route: Arc<Route>,
         service: String,
-        now: Duration,
+        came_back: bool,
     ) {
+        let now = self.now();
         let key = arrival.key(&self.names);
         let is_sharded = self.table.is_sharded(&service);
         let shard = is_sharded.then(|| shard_of_key(key.unwrap_or_default()));
@@ -205,6 +209,7 @@
             service,
             key,
             shard,
+            came_back,
             began: arrival.began,
             expires,
             sendings: 0,
@@ -219,19 +224,6 @@
         self.dispatch(flight);
     }
 
-    /// How many ranks a request is more urgent than the least urgent ones; one that came back counts one more, so that
-    /// clients who waited as they were told are served before others.
-    fn ranks_above_least(
-        &mut self,
-        name: &str,
-        route: &Route,
-        stated: Option<Duration>,
-        now: Duration,
-    ) -> u32 {
-        let is_returned = stated.is_some_and(|stated| self.patience.is_returned(now, name, stated));
-        self.table.ranks_above_least(route) + u32::from(is_returned)
-    }
-
     /// Refuses a request that was not taken in.
     fn turn_away(&mut self, arrival: &Arrival, refusal: Refusal) {
         event!(
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -49,7 +49,9 @@
         for number in 0..100_u64 {
             budgets.note_request("s", ms(number * 100));
         }
-        all += (0..1_000).filter(|_| budgets.take("s", ms(9_999))).count();
+        all += (0..1_000)
+            .filter(|_| budgets.take("s", ms(9_999), true))
+            .count();
     }
     let allowed = 0.2 * 100.0 * f64::from(gateways) + 56.0;
     assert!(all > 0 && (all as f64) < allowed, "{all} of {allowed}");
@@ -63,9 +65,9 @@
         slack: 2.0,
     };
     let mut budgets = Budgets::new(bound, "g");
-    assert!(budgets.take("s", ms(0)));
-    assert!(!budgets.take("s", ms(500)));
-    assert!(budgets.take("s", ms(1_001)));
+    assert!(budgets.take("s", ms(0), true));
+    assert!(!budgets.take("s", ms(500), true));
+    assert!(budgets.take("s", ms(1_001), true));
 }
 
 #[test]
@@ -382,7 +384,9 @@
         for request in 0..requests {
             budgets.note_request("s", ms(request));
         }
-        used += (0..100).filter(|_| budgets.take("s", ms(9_000))).count();
+        used += (0..100)
+            .filter(|_| budgets.take("s", ms(9_000), true))
+            .count();
     }
     let allowed = ratio * requests as f64 * f64::from(gateways) + slack;
     (used as f64, allowed)
@@ -403,3 +407,23 @@
         }
     }
 }
+
+#[test]
+fn half_of_the_budget_is_left_to_requests_that_came_back() {
+    let bound = BudgetBound {
+        ratio: 0.2,
+        window: ms(10_000),
+        slack: 0.0,
+    };
+    let mut budgets = Budgets::new(bound, "g");
+    for request in 0..500 {
+        budgets.note_request("s", ms(request));
+    }
+    let mut taken = |came_back| {
+        let tries = 0..500;
+        tries
+            .filter(|_| budgets.take("s", ms(9_000), came_back))
+            .count()
+    };
+    assert_eq!((taken(false), taken(true), taken(false)), (30, 30, 0));
+}
--- a/crates/gateway/tests/shedding.rs
+++ b/crates/gateway/tests/shedding.rs
@@ -36,6 +36,39 @@
     ThirdOfTheTime,
     /// As shipped: asked once more after a short pause where the budget allows, else refused with that pause.
     Backoff,
+    /// The same without a part of the budget that is left to those who came back.
+    BackoffForAll,
+}
+
+/// Second sendings that are allowed now.
+#[derive(Default)]
+struct Allowance {
+    anybody: f64,
+    came_back: f64,
+}
+
+impl Allowance {
+    /// Grows by a request's part.
+    fn grow(&mut self, way: Way) {
+        match way {
+            Way::Backoff => {
+                self.anybody += BUDGET / 2.0;
+                self.came_back += BUDGET / 2.0;
+            }
+            _ => self.anybody += BUDGET,
+        }
+    }
+
+    /// Whether a request may be sent once more; counts it if so.
+    fn take(&mut self, came_back: bool) -> bool {
+        let part = match came_back && self.came_back >= 1.0 {
+            true => &mut self.came_back,
+            false => &mut self.anybody,
+        };
+        let may = *part >= 1.0;
+        *part -= f64::from(u8::from(may));
+        may
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -102,7 +135,7 @@
         asked: steps.len() as u32,
         ..Got::default()
     };
-    let mut allowance = 0.0;
+    let mut allowance = Allowance::default();
     while let Some(Reverse((now, step))) = steps.pop() {
         match step {
             Step::Ends(attempt) => {
@@ -117,7 +150,7 @@
                 }
             }
             Step::Arrives(attempt) => {
-                allowance += BUDGET;
+                allowance.grow(way);
                 let is_shed = random.random::<f64>() < owner.sheds || owner.waiting.len() >= QUEUE;
                 if !is_shed && owner.running < SLOTS {
                     owner.running += 1;
@@ -143,12 +176,12 @@
     now: Duration,
     attempt: Attempt,
     pause: Duration,
-    allowance: &mut f64,
+    allowance: &mut Allowance,
 ) -> Option<(Duration, Attempt)> {
     let is_in_time = now + pause + WORK <= attempt.began + TARGET;
     let may_wait = is_in_time && attempt.sendings + 1 < SENDINGS;
-    if way == Way::Backoff && may_wait && *allowance >= 1.0 {
-        *allowance -= 1.0;
+    let may_repeat = way != Way::ThirdOfTheTime && may_wait;
+    if may_repeat && allowance.take(attempt.tries > 1) {
         let sendings = attempt.sendings + 1;
         return Some((
             now + pause + WAY,
@@ -164,7 +197,7 @@
     }
     let refusal = match way {
         Way::ThirdOfTheTime => Refusal::NoRoom,
-        Way::Backoff => Refusal::NotRun {
+        Way::Backoff | Way::BackoffForAll => Refusal::NotRun {
             place_after: Some(pause),
         },
     };
@@ -181,21 +214,23 @@
     WORK.mul_f64(-random.random::<f64>().max(1e-9).ln())
 }
 
+fn sum(way: Way, sheds: f64, rate: f64) -> Got {
+    (0..20).fold(Got::default(), |mut sum, seed| {
+        let got = play(way, sheds, rate, seed);
+        sum.asked += got.asked;
+        sum.in_time += got.in_time;
+        sum.served += got.served;
+        sum
+    })
+}
+
 fn both(sheds: f64, rate: f64) -> (Got, Got) {
-    let sum = |way| {
-        (0..5).fold(Got::default(), |mut sum, seed| {
-            let got = play(way, sheds, rate, seed);
-            sum.asked += got.asked;
-            sum.in_time += got.in_time;
-            sum.served += got.served;
-            sum
-        })
-    };
-    (sum(Way::ThirdOfTheTime), sum(Way::Backoff))
+    let before = sum(Way::ThirdOfTheTime, sheds, rate);
+    (before, sum(Way::Backoff, sheds, rate))
 }
 
-/// Measured: 0.40 of the callers served in time with a third of their time as the pause, 0.65 with the back-off; 0.70
-/// and 0.74 served at all.
+/// Measured: 0.42 of the callers served in time with a third of their time as the pause, 0.67 with the back-off; 0.69
+/// and 0.75 served at all.
 #[test]
 fn callers_of_an_owner_that_sheds_at_random_are_served_in_time_more_often() {
     let (before, after) = both(0.55, 2.0);
@@ -250,3 +285,17 @@
     let unknown = Refusal::NotRun { place_after: None };
     assert_eq!(unknown.retry_after(Some(ms(1_500))), ms(495));
 }
+
+/// A request that is shed for the first time still has its client's other try. Measured over three rates: 3,057 of
+/// 4,056 callers served without the split and 3,079 with it.
+#[test]
+fn more_callers_are_served_when_part_of_the_budget_is_left_to_those_who_came_back() {
+    let mut gains = Vec::new();
+    for rate in [1.0, 2.0, 4.0] {
+        let for_all = sum(Way::BackoffForAll, 0.55, rate);
+        let split = sum(Way::Backoff, 0.55, rate);
+        println!("{rate}: {for_all:?} {split:?}");
+        gains.push(split.served_part() - for_all.served_part());
+    }
+    assert!(gains.iter().sum::<f64>() > 0.0, "{gains:?}");
+}
