A gateway without a state asks a replica that it prefers and waits for what that one sends

Ruled out: asking several replicas at once (a link of 10 Mbit/s carries one state in 0.2 s). Change: a gateway without a state waits at most 60 ms for a replica that it prefers among all that are named, and keeps to the one it asked until the state has come, 1 s has passed or the link is lost. The choice is a type of its own.

--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -49,6 +49,9 @@
         if self.followed == Some(best) {
             return;
         }
+        if applied == 0 && !self.may_ask_for_state(now, best) {
+            return;
+        }
         if let Some(present) = self.fed_link(now) {
             let wanted = self.replicas.wanted(now, true);
             if wanted.contains(&self.links[&present].address) {
@@ -75,9 +78,24 @@
             behind = head.is_some_and(|head| head.applied > applied)
         );
         self.leader_heard = Some(now);
+        if applied == 0 {
+            self.note_asked(now, token);
+        }
         self.ask(token, applied);
     }
 
+    /// Whether a first state should be taken from a link's replica now.
+    fn may_ask_for_state(&self, now: Duration, token: Token) -> bool {
+        let wanted = self.replicas.wanted(now, false);
+        let is_preferred = wanted.contains(&self.links[&token].address);
+        self.first_source.may_ask(now, is_preferred)
+    }
+
+    fn note_asked(&mut self, now: Duration, token: Token) {
+        self.asked_for_state = Some(token);
+        self.first_source.asked(now);
+    }
+
     /// Drops links that are not wanted any more, once a wanted one is followed.
     pub(super) fn drop_surplus(&mut self, now: Duration) {
         let Some(followed) = self.fed_link(now) else {
@@ -113,7 +131,7 @@
     /// A replica is not fed: others are tried in its place. A gateway without a state asks it for its own.
     pub(super) fn leave_unfed(&mut self, now: Duration, token: Token, applied: u64) {
         if applied == 0 {
-            return self.ask_for_first_state();
+            return self.ask_for_first_state(now);
         }
         let Some(link) = self.links.get(&token) else {
             return;
@@ -126,8 +144,8 @@
     }
 
     /// Asks for the state that a majority of the voters holds, until a leader speaks.
-    fn ask_for_first_state(&mut self) {
-        if self.followed.is_some() || self.asked_for_state.is_some() {
+    pub(super) fn ask_for_first_state(&mut self, now: Duration) {
+        if self.followed.is_some() || self.first_source.is_under_way(now) {
             return;
         }
         let heads = || {
@@ -145,8 +163,11 @@
         let Some((token, address, _)) = nearest else {
             return;
         };
+        if !self.may_ask_for_state(now, token) {
+            return;
+        }
         event!(Event::StateFetched, replica = address, index = index);
-        self.asked_for_state = Some(token);
+        self.note_asked(now, token);
         if let Some(link) = self.links.get_mut(&token) {
             link.send(&ToReplica::FetchState);
         }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -16,6 +16,7 @@
 use link::{Link, LinkEnd};
 use mio::{Registry, Token};
 
+use crate::first_source::FirstSource;
 use crate::load::LoadCounts;
 use crate::relays::Relays;
 use crate::replicas::Replicas;
@@ -83,8 +84,9 @@
     retry_pause: Duration,
     followed: Option<Token>,
     relays: Relays,
-    /// The link whose replica was asked for its state before any leader spoke.
+    /// The link whose replica was asked for a first state.
     asked_for_state: Option<Token>,
+    first_source: FirstSource,
     /// When a replica first told how many gateways there are.
     counted_since: Option<Duration>,
     /// When the followed replica last spoke and was fed.
@@ -104,6 +106,7 @@
             followed: None,
             relays: Relays::new(&settings.relay_name()),
             asked_for_state: None,
+            first_source: FirstSource::default(),
             counted_since: None,
             leader_heard: None,
         }
@@ -155,6 +158,9 @@
         self.drop_useless(now);
         self.replicas.tick(now);
         self.choose_feed(now, held.applied);
+        if held.applied == 0 {
+            self.ask_for_first_state(now);
+        }
         for address in self.missing(now, held.applied) {
             self.begin(now, registry, next_token, LinkEnd::Replica, address);
         }
@@ -339,6 +345,7 @@
             return;
         }
         self.replicas.note(now, &head.replicas);
+        self.first_source.heard(now);
         let is_fed = head.is_fed;
         if is_fed && head.gateways > 0 {
             self.counted_since.get_or_insert(now);
@@ -379,6 +386,7 @@
         self.replicas.avoid(now, &link.address, self.retry_pause);
         if self.asked_for_state == Some(token) {
             self.asked_for_state = None;
+            self.first_source.lost();
         }
         if self.followed == Some(token) {
             self.followed = None;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod budget;
 mod clients;
 pub mod evacuations;
+pub mod first_source;
 pub mod first_state;
 mod flight;
 mod follow;
