The replica that a gateway prefers is the first of all that are named, not one of the seeds that all know

Change: a gateway waits for the one replica that it ranks first once names are known. Test: 984 gateways ask 25 replicas, none more than twice the mean; none is preferred while only seeds are known.

--- a/crates/gateway/src/first_source.rs
+++ b/crates/gateway/src/first_source.rs
@@ -3,12 +3,12 @@
 //! After a loss of everything a thousand gateways start at once and know three seeds. If each took its state from the
 //! first replica that speaks, a few replicas would send hundreds; if each turned to a better one while its state is on
 //! the way, the bytes sent so far would be lost, on links that carry a state in a fifth of a second. So a gateway
-//! waits a moment for the replicas that it prefers, which differ from gateway to gateway, and then keeps to the one
+//! waits a moment for the replica that it prefers, which differs from gateway to gateway, and then keeps to the one
 //! it asked.
 
 use std::time::Duration;
 
-/// Time from the first word of any replica for which a gateway waits for one that it prefers: names come with that
+/// Time from the first word of any replica for which a gateway waits for the one that it prefers: names come with that
 /// word, links are begun within 20 ms, and are up and spoken over some milliseconds later.
 const CHOICE_WAIT: Duration = Duration::from_millis(60);
 
@@ -44,8 +44,8 @@
         self.asked.is_some_and(|asked| now < asked + PATIENCE)
     }
 
-    /// Whether a replica should be asked now; `is_preferred` tells whether it is one of those that this gateway would
-    /// link to of all that are named.
+    /// Whether a replica should be asked now; `is_preferred` tells whether this gateway would choose it among all that
+    /// are named.
     pub fn may_ask(&self, now: Duration, is_preferred: bool) -> bool {
         let waited = |first: Duration| now >= first + CHOICE_WAIT;
         !self.is_under_way(now) && (is_preferred || self.first_word.is_some_and(waited))
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -86,8 +86,8 @@
 
     /// Whether a first state should be taken from a link's replica now.
     fn may_ask_for_state(&self, now: Duration, token: Token) -> bool {
-        let wanted = self.replicas.wanted(now, false);
-        let is_preferred = wanted.contains(&self.links[&token].address);
+        let preferred = self.replicas.preferred(now);
+        let is_preferred = preferred.as_ref() == Some(&self.links[&token].address);
         self.first_source.may_ask(now, is_preferred)
     }
 
--- a/crates/gateway/src/replicas.rs
+++ b/crates/gateway/src/replicas.rs
@@ -111,6 +111,16 @@
         usable
     }
 
+    /// The replica that this gateway would choose among all that are named; `None` while only seeds are known, which
+    /// every gateway knows.
+    pub fn preferred(&self, now: Duration) -> Option<String> {
+        if self.known.is_empty() {
+            return None;
+        }
+        let usable = self.usable(now).into_iter();
+        usable.min_by_key(|address| self.rank(address))
+    }
+
     /// The replicas to ask for a first state, while no leader speaks: the seeds and all voters.
     pub fn witnesses(&self, now: Duration) -> Vec<String> {
         let is_witness = |address: &String| {
--- a/crates/gateway/tests/first_source.rs
+++ b/crates/gateway/tests/first_source.rs
@@ -50,9 +50,10 @@
     for number in 0..984 {
         let (node, zone) = (format!("edge-{number}"), format!("z{}", number % 5));
         let mut replicas = Replicas::new(&node, &zone, seeds.clone());
+        assert_eq!(replicas.preferred(ms(0)), None, "only seeds are known");
         replicas.note(ms(0), &named);
-        let preferred = replicas.wanted(ms(1), false);
-        *asked.entry(preferred[0].clone()).or_default() += 1;
+        let preferred = replicas.preferred(ms(1)).expect("named");
+        *asked.entry(preferred).or_default() += 1;
     }
     let most = asked.values().max().copied().unwrap_or_default();
     assert_eq!(asked.len(), 25);
