--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -125,7 +125,8 @@
     fn begin(&mut self, token: Token, request: Request, began: Duration, now: Duration) {
         let arrival = Arrival::new(token, request, began, &self.names);
         if !self.table.is_configured() {
-            return self.turn_away(&arrival, Refusal::Unconfigured);
+            let running_for = self.now();
+            return self.turn_away(&arrival, Refusal::Unconfigured { running_for });
         }
         let Some((name, route)) = self.table.route(arrival.host(), arrival.path()) else {
             return self.answer_without_route(&arrival);
