Revert "Clients of a gateway that has just started are told when it will likely be ready"

Clients whose connections failed come back by their own pause, which the model did not play; a second refusal is final. The third of their time stands. What the model says holds for its callers only.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -125,8 +125,7 @@
     fn begin(&mut self, token: Token, request: Request, began: Duration, now: Duration) {
         let arrival = Arrival::new(token, request, began, &self.names);
         if !self.table.is_configured() {
-            let running_for = self.now();
-            return self.turn_away(&arrival, Refusal::Unconfigured { running_for });
+            return self.turn_away(&arrival, Refusal::Unconfigured);
         }
         let Some((name, route)) = self.table.route(arrival.host(), arrival.path()) else {
             return self.answer_without_route(&arrival);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -16,19 +16,6 @@
 /// where they have not, those in front will have got their answers by then.
 const LINK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time from a gateway's start by which nearly all have a state, after a loss of everything too: 0.36 to 0.85 s with
-/// 10,000 servers over links of 10 Mbit/s. Clients that come back then are served as often as a third of their time
-/// later, and 0.53 in place of 0.33 of them in time; at 0.65 s 0.60 would be, but a fifth would be refused for good
-/// (`tests/starting.rs` plays it).
-const USUAL_START: Duration = Duration::from_millis(850);
-
-/// Least pause before a client turns to another gateway, since this one still starts: others that started with it
-/// may have their state by then.
-const LEAST_START_PAUSE: Duration = Duration::from_millis(150);
-
-/// Time from the start after which the directory is out of reach rather than slow, and nobody knows when it is back.
-const LONG_START: Duration = Duration::from_millis(1_300);
-
 /// When a client may come back that did not say how long it waits.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -36,10 +23,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
     /// No configuration is known yet.
-    Unconfigured {
-        /// Time since this gateway started.
-        running_for: Duration,
-    },
+    Unconfigured,
     /// The gateway ends before the request might.
     Stopping,
     /// Its key's shard has no owner.
@@ -74,7 +58,7 @@
     /// The reason as logs and metrics tell it.
     pub fn reason(self) -> &'static str {
         match self {
-            Self::Unconfigured { .. } => "no configuration",
+            Self::Unconfigured => "no configuration",
             Self::Stopping => "stopping",
             Self::NoOwner => "no owner",
             Self::NoRoom => "no room",
@@ -93,11 +77,6 @@
     pub fn retry_after(self, left: Option<Duration>) -> Duration {
         match (self, left) {
             (Self::Stopping, _) => STOPPING_PAUSE,
-            (Self::Unconfigured { running_for }, Some(left)) if running_for < LONG_START => {
-                let until_ready = USUAL_START.saturating_sub(running_for);
-                let pause = until_ready.max(LEAST_START_PAUSE);
-                pause.min(left.mul_f64(RETRY_PART))
-            }
             (Self::LinkFull, Some(left)) => LINK_PAUSE.min(left.mul_f64(RETRY_PART)),
             (
                 Self::NotRun {
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -176,11 +176,8 @@
 fn a_refusal_names_a_time_that_leaves_the_client_most_of_its_own() {
     let left = Some(ms(1_500));
     assert_eq!(Refusal::NoOwner.retry_after(left), ms(495));
-    let unconfigured = Refusal::Unconfigured {
-        running_for: ms(5_000),
-    };
-    assert_eq!(unconfigured.retry_after(left), ms(495));
-    assert_eq!(unconfigured.retry_after(None), ms(200));
+    assert_eq!(Refusal::Unconfigured.retry_after(left), ms(495));
+    assert_eq!(Refusal::Unconfigured.retry_after(None), ms(200));
     assert!(
         Refusal::Stopping.retry_after(left) < ms(50),
         "another gateway can serve it"
