Gateways keep to the rate that a server states, together

What callers and servers saw: servers in need that stated 3.6 and 4.8 requests a second got 10 to 13 from gateways that had passed the statement on.

Cause: the statement was not read, and nothing in a gateway could have kept to it: limits on requests under way and back-off are learnt by each gateway alone, while a stated rate is for all of them together.

Ruled out: each gateway keeping to the rate by itself (no gateway alone kept it), one kind of sending that passes by (owner and pooled server got as much).

A turn is reckoned from the one before, not from the time since the beginning, so that a rate or a number of gateways that changes gives no turn twice. A server whose turn is closed gets nothing: its keys' requests are refused at once with the mean time between two places, a pooled service's go to others. No second sending to an owner that states a rate.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -35,7 +35,10 @@
             _ => None,
         };
         let pause = self.pause_before_repeat(verdict, flight, server, place_after);
+        // A second sending to the only server of a key would use the rate that it states for another caller.
+        let spares_owner = flight.shard.is_some() && self.stated_rates.rate(server).is_some();
         let wanted = may_repeat(verdict, flight.kind())
+            && !spares_owner
             && flight.sendings < flight.route.maximum_attempts
             && now + pause + LEAST_TIME < flight.expires
             && (pause.is_zero() || self.is_answered_in_time(flight, server, now + pause));
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -282,6 +282,10 @@
             Some(owner) if !is_turn(&self.table, &self.warmup, &owner, gateways, now) => {
                 self.refuse(id, Refusal::WarmingUp);
             }
+            Some(owner) if !self.stated_rates.is_open(&owner.id, now, gateways) => {
+                let place_after = self.stated_rates.place_after(&owner.id);
+                self.refuse(id, Refusal::RateSpent { place_after });
+            }
             Some(owner) if !self.balance.has_room(&owner.id, now) => {
                 self.load.note_crowd();
                 self.await_room(id, self.balance.opens_at(&owner.id, now));
@@ -397,12 +401,13 @@
         let now = self.now();
         let gateways = self.known_gateways();
         let flight = self.flights.get(id)?;
-        let (table, warmup) = (&self.table, &self.warmup);
+        let (table, warmup, rates) = (&self.table, &self.warmup, &self.stated_rates);
         let servers = table.usable_servers(&flight.service);
         let untried = servers.filter(|server| !flight.tried.contains(&server.id));
         let able = untried
             .clone()
-            .filter(|server| is_turn(table, warmup, server, gateways, now));
+            .filter(|server| is_turn(table, warmup, server, gateways, now))
+            .filter(|server| rates.is_open(&server.id, now, gateways));
         let zone = self.settings.zone.as_str();
         let random = &mut self.random;
         let mut random = || random.random::<f64>();
@@ -413,7 +418,14 @@
             return Some(Placement::Refused(Refusal::NoServer));
         }
         if able.clone().next().is_none() {
-            return Some(Placement::Refused(Refusal::WarmingUp));
+            let place_after = untried.filter_map(|server| rates.place_after(&server.id));
+            let refusal = match place_after.min() {
+                Some(after) => Refusal::RateSpent {
+                    place_after: Some(after),
+                },
+                None => Refusal::WarmingUp,
+            };
+            return Some(Placement::Refused(refusal));
         }
         let opens_at = able.filter_map(|server| self.balance.opens_at(&server.id, now));
         Some(Placement::Waits {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod link_queue;
 pub mod load;
 pub mod patience;
+pub mod rate_turns;
 pub mod refusal;
 mod relay;
 pub mod relays;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -32,6 +32,11 @@
     NoRoom,
     /// The server that could run it warms up and has had its share of requests.
     WarmingUp,
+    /// The server that could run it states a rate, and this gateway has had its share of that.
+    RateSpent {
+        /// Mean time between two requests that the server takes, where that is known.
+        place_after: Option<Duration>,
+    },
     /// Bytes wait too long for the gateway's own link.
     LinkFull,
     /// No server is left that was not tried.
@@ -63,6 +68,7 @@
             Self::NoOwner => "no owner",
             Self::NoRoom => "no room",
             Self::WarmingUp => "server warms up",
+            Self::RateSpent { .. } => "server's rate spent",
             Self::LinkFull => "link full",
             Self::NoServer => "no server",
             Self::NoConnection => "no connection",
@@ -79,7 +85,10 @@
             (Self::Stopping, _) => STOPPING_PAUSE,
             (Self::LinkFull, Some(left)) => LINK_PAUSE.min(left.mul_f64(RETRY_PART)),
             (
-                Self::NotRun {
+                Self::RateSpent {
+                    place_after: Some(after),
+                }
+                | Self::NotRun {
                     place_after: Some(after),
                 }
                 | Self::BudgetSpent {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -63,7 +63,8 @@
         if server.is_cold {
             self.use_turn(server, now);
         }
-        if self.stated_rates.rate(&server.id).is_some() {
+        let gateways = self.budgets.gateways();
+        if self.stated_rates.note_sent(&server.id, now, gateways) {
             self.metrics.sent_at_stated_rates.inc();
         }
         let Some(upstream) = self.upstreams.get_mut(token) else {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -153,6 +153,7 @@
         };
         let zone_exits = Evacuations::new(settings.evacuation_bound());
         let warmup = WarmupTurns::new(&settings.node);
+        let stated_rates = StatedRates::new(&settings.node);
         let budgets = Budgets::new(bound, &settings.node);
         let link_queue = LinkQueue::new(settings.link_mbps);
         let table = Table::new(&settings.node, &settings.zone);
@@ -182,7 +183,7 @@
             budgets,
             zone_exits,
             warmup,
-            stated_rates: StatedRates::default(),
+            stated_rates,
             load: LoadCounts::default(),
             link_queue,
             patience: LongestPatience::default(),
--- a/crates/gateway/src/stated_rate.rs
+++ b/crates/gateway/src/stated_rate.rs
@@ -1,4 +1,6 @@
 //! Rates that servers in need state in their answers: requests a second that one takes from all gateways together.
+//!
+//! No gateway may use a stated rate alone: those that were told take turns at the server, see [`crate::rate_turns`].
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -7,6 +9,25 @@
 use grebepin_reactor::http::Response;
 
 use crate::headers::HeaderNames;
+use crate::rate_turns::{RateTurns, TurnLength};
+
+/// Part of a stated rate that is used; the rest is for gateways that were not told yet.
+const USED_PART: f64 = 0.9;
+
+/// Least rate that is reckoned with, in requests a second: a server that states none at all is asked now and then
+/// whether it still does.
+const LEAST_RATE: f64 = 0.1;
+
+/// Over which time what a server gets must keep to its rate, and how far it may pass it.
+const WINDOW: Duration = Duration::from_secs(4);
+const WINDOW_FACTOR: f64 = 1.5;
+const WINDOW_SLACK: f64 = 5.0;
+
+/// Standard deviations that the requests of a window may lie above their mean: places of turns are random.
+const DEVIATIONS: f64 = 3.0;
+
+/// Least time for which a turn is open, so that a gateway with several requests a second meets it.
+const LEAST_OPEN: Duration = Duration::from_millis(250);
 
 /// What an answer says of the rate that its server takes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,13 +71,22 @@
     stated: Duration,
 }
 
-/// The rates that servers state at present.
-#[derive(Debug, Default)]
+/// The rates that servers state at present, and this gateway's turns at them.
+#[derive(Debug)]
 pub struct StatedRates {
     rates: HashMap<InstanceId, StatedRate>,
+    turns: RateTurns,
 }
 
 impl StatedRates {
+    /// No rates yet, at a gateway of this name.
+    pub fn new(gateway: &str) -> Self {
+        Self {
+            rates: HashMap::new(),
+            turns: RateTurns::new(gateway),
+        }
+    }
+
     /// Takes in what an answer says, whose request was sent at `sent`; what changed, if anything did.
     pub fn note(
         &mut self,
@@ -74,12 +104,14 @@
                     stated: now,
                 };
                 self.rates.insert(id.clone(), stated);
+                self.turns.begin(id, now);
                 let rate = Some(per_second);
                 (before != rate).then_some(RateChange { before, rate })
             }
             // An answer to an older request may have left the server before it stated the rate.
             (RateStatement::Unbounded, Some(known)) if sent >= known.stated => {
                 self.rates.remove(id);
+                self.forget_turns();
                 Some(RateChange { before, rate: None })
             }
             _ => None,
@@ -91,6 +123,30 @@
         self.rates.get(id).map(|known| known.per_second)
     }
 
+    /// Whether a server may get a request from here now, as far as the rate it states bounds that. `gateways` is `None`
+    /// while it is not known how many share the rate: then none is sent.
+    pub fn is_open(&self, id: &InstanceId, now: Duration, gateways: Option<u32>) -> bool {
+        let Some(rate) = self.rate(id) else {
+            return true;
+        };
+        gateways.is_some_and(|gateways| self.turns.is_open(id, now, turn_length(rate, gateways)))
+    }
+
+    /// Notes that a request goes to a server, which uses up the present turn if it states a rate; whether it does.
+    pub fn note_sent(&mut self, id: &InstanceId, now: Duration, gateways: u32) -> bool {
+        let Some(rate) = self.rate(id) else {
+            return false;
+        };
+        self.turns.use_up(id, now, turn_length(rate, gateways));
+        true
+    }
+
+    /// Mean time between two requests that a server takes, where it states a rate: a place for another caller.
+    pub fn place_after(&self, id: &InstanceId) -> Option<Duration> {
+        let rate = self.rate(id)?;
+        Some(Duration::from_secs_f64(1.0 / rate.max(LEAST_RATE)))
+    }
+
     /// How many servers state a rate.
     pub fn len(&self) -> usize {
         self.rates.len()
@@ -104,5 +160,35 @@
     /// Forgets servers that have ended.
     pub fn retain(&mut self, is_live: impl Fn(&InstanceId) -> bool) {
         self.rates.retain(|id, _| is_live(id));
+        self.forget_turns();
     }
+
+    fn forget_turns(&mut self) {
+        let rates = &self.rates;
+        self.turns.retain(|id| rates.contains_key(id));
+    }
+}
+
+/// Turns of one of `gateways` that share a stated rate. They are open for as long as a sudden crowd at every gateway
+/// stays within what may come in a window.
+fn turn_length(rate: f64, gateways: u32) -> TurnLength {
+    let used = rate.max(LEAST_RATE) * USED_PART;
+    let allowed = rate * WINDOW_FACTOR * WINDOW.as_secs_f64() + WINDOW_SLACK;
+    let seconds = open_of_few(used, allowed, gateways).max(open_of_many(used, allowed));
+    let open = Duration::try_from_secs_f64(seconds).unwrap_or_default();
+    TurnLength::shared(used, gateways, open.max(LEAST_OPEN))
+}
+
+/// Seconds for which turns may be open so that, wherever they fall, no window holds more than its part of each gateway's.
+fn open_of_few(used: f64, allowed: f64, gateways: u32) -> f64 {
+    let gateways = f64::from(gateways.max(1));
+    let turns_of_each = (allowed / gateways).floor();
+    turns_of_each * gateways / used - WINDOW.as_secs_f64()
+}
+
+/// The same for many gateways, whose turns fall at random: those that begin in a window and those that were open
+/// before are seldom more than their mean and some deviations.
+fn open_of_many(used: f64, allowed: f64) -> f64 {
+    let root_of_mean = ((DEVIATIONS.powi(2) + 4.0 * allowed).sqrt() - DEVIATIONS) / 2.0;
+    root_of_mean.powi(2) / used - WINDOW.as_secs_f64()
 }
--- a/crates/gateway/tests/stated_rate.rs
+++ b/crates/gateway/tests/stated_rate.rs
@@ -1,9 +1,12 @@
 //! What is known of the rates that servers state in their answers.
 
+mod rate_sharing;
+
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
 use grebepin_gateway::stated_rate::{RateChange, RateStatement, StatedRates};
+use rate_sharing::{Load, Turns};
 
 fn at(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -15,7 +18,7 @@
 
 #[test]
 fn a_rate_is_learnt_changed_and_ended_by_what_answers_state() {
-    let mut rates = StatedRates::default();
+    let mut rates = StatedRates::new("gateway");
     let id = InstanceId::new("i-1");
     let stated = RateStatement::PerSecond;
     let steps = [
@@ -40,7 +43,7 @@
 /// Answers of several connections cross: one to an older request says nothing about a rate stated since.
 #[test]
 fn an_answer_to_an_older_request_does_not_end_a_rate() {
-    let mut rates = StatedRates::default();
+    let mut rates = StatedRates::new("gateway");
     let id = InstanceId::new("i-1");
     rates.note(&id, at(300), at(100), RateStatement::PerSecond(4.0));
     assert_eq!(
@@ -52,10 +55,91 @@
 
 #[test]
 fn another_life_of_a_server_and_one_that_ended_have_no_rate() {
-    let mut rates = StatedRates::default();
+    let mut rates = StatedRates::new("gateway");
     let id = InstanceId::started_at("i-1", 1_000);
     rates.note(&id, at(300), at(100), RateStatement::PerSecond(4.0));
     assert_eq!(rates.rate(&InstanceId::started_at("i-1", 2_000)), None);
     rates.retain(|_| false);
     assert!(rates.is_empty());
 }
+
+/// Gateways that each keep to a rate, or a part of it, may still send too much together: what counts is their sum.
+#[test]
+fn gateways_of_every_fleet_size_keep_to_a_rate_together() {
+    let asked = [(1.5, None), (3.0, None), (30.0, None), (0.5, Some(30.0))];
+    for gateways in [1, 3, 11, 80, 300, 984] {
+        for rate in [0.5, 3.7, 20.0] {
+            for (asked, crowd) in asked {
+                let load = Load {
+                    gateways,
+                    rate,
+                    asked,
+                    crowd: crowd.map(|crowd| (at(20_000), crowd)),
+                    lasts: at(40_000),
+                };
+                for seed in 0..5 {
+                    let server = format!("i-{seed}");
+                    let got = load.play(seed, |number| Turns::new(number, gateways, &server, rate));
+                    assert!(
+                        got.worst as f64 <= got.allowed,
+                        "seed {seed}, {load:?}: {got:?}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+/// What callers ask for beyond a rate is not lost to places that nobody uses.
+#[test]
+fn few_gateways_use_most_of_a_rate() {
+    for gateways in [1, 3, 11] {
+        let load = Load {
+            gateways,
+            rate: 3.7,
+            asked: 3.0,
+            crowd: None,
+            lasts: at(60_000),
+        };
+        let seeds = 0..10_u64;
+        let used = seeds.map(|seed| {
+            let server = format!("i-{seed}");
+            let got = load.play(seed, |number| Turns::new(number, gateways, &server, 3.7));
+            got.used
+        });
+        let mean = used.sum::<f64>() / 10.0;
+        assert!(mean > 0.75, "{gateways} gateways used {mean:.2}");
+    }
+}
+
+#[test]
+fn a_gateway_that_does_not_know_how_many_share_a_rate_sends_nothing_by_it() {
+    let mut rates = StatedRates::new("gateway");
+    let id = InstanceId::new("i-1");
+    assert!(rates.is_open(&id, at(0), None), "no rate is stated");
+    rates.note(&id, at(0), at(0), RateStatement::PerSecond(4.0));
+    assert!((0..10_000).all(|now| !rates.is_open(&id, at(now), None)));
+}
+
+/// A rate that rises and falls with each answer must not give a gateway a new turn each time.
+#[test]
+fn a_rate_that_changes_with_each_answer_gives_no_extra_turns() {
+    let mut rates = StatedRates::new("gateway");
+    let id = InstanceId::new("i-1");
+    let mut sent = 0;
+    for now in 0..60_000 {
+        let rate = 3.0 + f64::from(now % 7_u32) / 5.0;
+        rates.note(
+            &id,
+            at(now.into()),
+            at(now.into()),
+            RateStatement::PerSecond(rate),
+        );
+        if rates.is_open(&id, at(now.into()), Some(11)) {
+            rates.note_sent(&id, at(now.into()), 11);
+            sent += 1;
+        }
+    }
+    let most = (4.2 * 60.0 / 11.0) as u32 + 1;
+    assert!(sent > 0 && sent <= most, "{sent} requests, {most} allowed");
+}
