A server that states a rate keeps only the shards that it can serve

Cause: the leader estimates a server's capacity from its answers; a server in need answers as fast as before.

Change: gateways tell the rate with the load that they report (one field of a server's sample, only where it is stated), and the capacity that the division of shards goes by is the rate at most. It counts for four answers' time at that rate, 4 to 30 s, after a gateway last told it. Refusals for a spent rate make a gateway report early, as those for no room do.

Ways weighed: moving everything away at once (a server in need still serves its rate, and every move costs); only refusing (see above).

--- a/crates/directory/tests/fleet.rs
+++ b/crates/directory/tests/fleet.rs
@@ -26,6 +26,7 @@
             id: InstanceId::new("i"),
             answers,
             seconds: 0.5,
+            stated_rate: None,
         }],
     }
 }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -283,6 +283,7 @@
                 self.refuse(id, Refusal::WarmingUp);
             }
             Some(owner) if !self.stated_rates.is_open(&owner.id, now, gateways) => {
+                self.load.note_crowd();
                 let place_after = self.stated_rates.place_after(&owner.id);
                 self.refuse(id, Refusal::RateSpent { place_after });
             }
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -23,6 +23,11 @@
         self.sum.add_answers(server, 1, took.as_secs_f32());
     }
 
+    /// A server states how many requests a second it takes.
+    pub fn note_stated_rate(&mut self, server: &InstanceId, per_second: f64) {
+        self.sum.add_stated_rate(server, per_second as f32);
+    }
+
     /// A request found no room at its shard's owner.
     pub fn note_crowd(&mut self) {
         self.is_crowded = true;
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -304,6 +304,9 @@
     fn note_stated_rate(&mut self, server: &InstanceId, sent: Duration, response: &Response) {
         let now = self.now();
         let statement = RateStatement::of(response, &self.names);
+        if let RateStatement::PerSecond(per_second) = statement {
+            self.load.note_stated_rate(server, per_second);
+        }
         let Some(change) = self.stated_rates.note(server, now, sent, statement) else {
             return;
         };
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -27,6 +27,12 @@
 /// Part of a service's load by which one shard must change to count as suddenly changed.
 const LEAST_CHANGE_PART: f64 = 0.05;
 
+/// Time for which a stated rate counts that no gateway tells of again: as long as so many answers take at that rate,
+/// within bounds. A gateway reports each second, and asks only in its turn.
+const STATED_ANSWERS: f64 = 4.0;
+const LEAST_STATED_MEMORY: Duration = Duration::from_secs(4);
+const LONGEST_STATED_MEMORY: Duration = Duration::from_secs(30);
+
 /// Load that each shard has whether it is asked for or not, as a part of the mean load of a shard.
 const BASE_PART: f64 = 0.25;
 
@@ -39,6 +45,9 @@
     pub answers: u32,
     /// Time that they took together, in seconds.
     pub seconds: f32,
+    /// Requests a second that the server states to take from all gateways together, where it states that.
+    #[serde(default)]
+    pub stated_rate: Option<f32>,
 }
 
 /// What one gateway saw in a while.
@@ -61,7 +70,15 @@
 #[derive(Debug, Default)]
 pub struct LoadSum {
     shards: BTreeMap<String, BTreeMap<u16, u16>>,
-    servers: BTreeMap<InstanceId, (u32, f32)>,
+    servers: BTreeMap<InstanceId, ServerSum>,
+}
+
+/// What several gateways saw of a server.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServerSum {
+    answers: u32,
+    seconds: f32,
+    stated_rate: Option<f32>,
 }
 
 impl LoadSum {
@@ -75,6 +92,9 @@
         }
         for server in &sample.servers {
             self.add_answers(&server.id, server.answers, server.seconds);
+            if let Some(rate) = server.stated_rate {
+                self.add_stated_rate(&server.id, rate);
+            }
         }
     }
 
@@ -92,9 +112,15 @@
 
     /// Adds answers of a server that took so many seconds together.
     pub fn add_answers(&mut self, server: &InstanceId, answers: u32, seconds: f32) {
-        let (all_answers, all_seconds) = self.servers.entry(server.clone()).or_default();
-        *all_answers = all_answers.saturating_add(answers);
-        *all_seconds += seconds;
+        let sum = self.servers.entry(server.clone()).or_default();
+        sum.answers = sum.answers.saturating_add(answers);
+        sum.seconds += seconds;
+    }
+
+    /// Notes the rate that a server states; the last one noted counts.
+    pub fn add_stated_rate(&mut self, server: &InstanceId, per_second: f32) {
+        let sum = self.servers.entry(server.clone()).or_default();
+        sum.stated_rate = Some(per_second);
     }
 
     /// Whether nothing was added that tells anything.
@@ -112,10 +138,11 @@
                 .map(|(service, counts)| (service, counts.into_iter().collect()))
                 .collect(),
             servers: servers
-                .map(|(id, (answers, seconds))| ServerSample {
+                .map(|(id, sum)| ServerSample {
                     id,
-                    answers,
-                    seconds,
+                    answers: sum.answers,
+                    seconds: sum.seconds,
+                    stated_rate: sum.stated_rate,
                 })
                 .collect(),
         }
@@ -139,6 +166,24 @@
     estimated_from: f64,
     /// Answers since the last estimate.
     fresh_answers: f64,
+    stated: Option<StatedRate>,
+}
+
+/// A rate that a server stated.
+#[derive(Clone, Copy, Debug)]
+struct StatedRate {
+    per_second: f64,
+    /// When a gateway last told of it.
+    told: Duration,
+}
+
+impl StatedRate {
+    /// Whether the server would have been asked since, had it stopped stating the rate.
+    fn is_over(&self, now: Duration) -> bool {
+        let mean_pause = Duration::try_from_secs_f64(STATED_ANSWERS / self.per_second);
+        let memory = mean_pause.unwrap_or(LONGEST_STATED_MEMORY);
+        now > self.told + memory.clamp(LEAST_STATED_MEMORY, LONGEST_STATED_MEMORY)
+    }
 }
 
 /// The load of all services, as the leader knows it.
@@ -176,6 +221,12 @@
             load.seconds.add(now, f64::from(server.seconds));
             load.slots = f64::from(slots.max(1));
             load.fresh_answers += f64::from(server.answers);
+            if let Some(per_second) = server.stated_rate.map(f64::from) {
+                load.stated = Some(StatedRate {
+                    per_second,
+                    told: now,
+                });
+            }
         }
     }
 
@@ -205,11 +256,16 @@
         rates.into_iter().map(|rate| rate + base).collect()
     }
 
-    /// Answers a second that a server can give; `None` while nothing is known.
-    pub(crate) fn capacity(&self, id: &InstanceId) -> Option<f64> {
+    /// Answers a second that a server can give, and no more than it states to take; `None` while nothing is known.
+    pub(crate) fn capacity(&self, now: Duration, id: &InstanceId) -> Option<f64> {
         let load = self.servers.get(id)?;
         let is_known = load.estimated_from >= KNOWN_AFTER_ANSWERS;
-        load.capacity.filter(|_| is_known)
+        let estimated = load.capacity.filter(|_| is_known);
+        let stated = load.stated.filter(|stated| !stated.is_over(now));
+        match (estimated, stated) {
+            (Some(estimated), Some(stated)) => Some(estimated.min(stated.per_second)),
+            (estimated, stated) => estimated.or(stated.map(|stated| stated.per_second)),
+        }
     }
 }
 
@@ -222,6 +278,7 @@
             capacity: None,
             estimated_from: 0.0,
             fresh_answers: 0.0,
+            stated: None,
         }
     }
 }
--- a/crates/grants/src/shares.rs
+++ b/crates/grants/src/shares.rs
@@ -51,12 +51,15 @@
         servers: &[&InstanceId],
     ) -> Self {
         let weights = book.weights(now, service);
-        let known: Vec<f64> = servers.iter().filter_map(|id| book.capacity(id)).collect();
+        let known: Vec<f64> = servers
+            .iter()
+            .filter_map(|id| book.capacity(now, id))
+            .collect();
         let mean = match known.is_empty() {
             true => 1.0,
             false => known.iter().sum::<f64>() / known.len() as f64,
         };
-        let capacity = |id: &InstanceId| book.capacity(id).unwrap_or(mean);
+        let capacity = |id: &InstanceId| book.capacity(now, id).unwrap_or(mean);
         let capacities: BTreeMap<InstanceId, f64> = servers
             .iter()
             .map(|id| ((*id).clone(), capacity(id)))
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -221,6 +221,7 @@
                     id: server.id.clone(),
                     answers: 20,
                     seconds: 1.0 + number as f32,
+                    stated_rate: None,
                 })
                 .collect(),
         };
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -168,6 +168,7 @@
         id: id(number),
         answers: 40,
         seconds: if number == 0 { 0.3 } else { 3.6 },
+        stated_rate: None,
     });
     let sample = LoadSample {
         shards: vec![(SERVICE.to_owned(), shards)],
@@ -176,6 +177,54 @@
     coordinator.on_load(now, catalog, &sample);
 }
 
+/// Shards apart of which each gets a request a second: about ten for each of four servers, which run them with ease.
+const ASKED_EVERY: usize = SHARDS / 40;
+
+/// Requests a second that one of them states to take.
+const STATED: f32 = 2.5;
+
+/// A server in need states what it takes: what nobody else may run meanwhile goes to others that may.
+#[test]
+fn a_server_that_states_a_rate_keeps_only_the_shards_that_it_can_serve() {
+    let (mut coordinator, mut catalog) = divided(4);
+    let before = owned(&catalog, 4);
+    let mut second = |range: std::ops::Range<u64>, stated_rate: Option<f32>| {
+        for sequence in range {
+            let now = ms(sequence * 1_000);
+            let shards = (0..SHARDS as u16)
+                .step_by(ASKED_EVERY)
+                .map(|shard| (shard, 1));
+            let servers = (0..4_usize).map(|number| ServerSample {
+                id: id(number),
+                answers: 10,
+                seconds: 0.5,
+                stated_rate: stated_rate.filter(|_| number == 1),
+            });
+            let sample = LoadSample {
+                shards: vec![(SERVICE.to_owned(), shards.collect())],
+                servers: servers.collect(),
+            };
+            coordinator.on_load(now, &catalog, &sample);
+            round(&mut coordinator, &mut catalog, now, 4, sequence, false);
+        }
+        let asked = owned_shards(&catalog, 1).into_iter();
+        let asked = asked.filter(|shard| usize::from(*shard).is_multiple_of(ASKED_EVERY));
+        (asked.count(), owned(&catalog, 4))
+    };
+    let (asked, calm) = second(8..20, None);
+    assert!(
+        asked as f32 > STATED * 3.0 && calm == before,
+        "{asked}, {before:?} became {calm:?}"
+    );
+    let (asked, in_need) = second(20..40, Some(STATED));
+    assert!(
+        asked as f32 <= STATED,
+        "{asked} requests a second are for it"
+    );
+    let (_, after) = second(40..60, None);
+    assert_eq!(after, in_need, "nothing moves back while nobody is busy");
+}
+
 /// Half of all requests are for one shard of a slow server: it goes to the fast one.
 #[test]
 fn a_shard_that_keeps_a_slow_server_busy_goes_to_a_faster_one() {
