Requests that crash their servers are quarantined by all gateways

What callers saw (stand-ins, real programs): one request, sent again and again, took server after server out of service: 44 crashes in 14 s with three pooled servers, 878 of 1,906 other requests refused.

Cause: nothing remembers a request by what it is. Each try has another id, and each gateway forgets a broken sending once it is answered.

Change: a fingerprint over method, host, target, key and body; a crash is evidence where the server ended the connection before any byte of an answer and refuses a new one; gateways tell their crashes again with each report for two minutes, the leader quarantines a request for three lives of servers at three times by an entry of the replicated state, and every gateway refuses it at once with 503 and no time to come back. A request that a server runs to its end clears its crashes.

Left: a list for operators and a release by hand; the platform's calls have no place for them.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -9,6 +9,7 @@
 use crate::item::{ItemKey, Service};
 use crate::items::{InvalidChange, Items};
 use crate::ownership::ShardOwnership;
+use crate::quarantine::{Quarantine, QuarantineChange};
 
 /// Servers that ended and are still remembered, so that a late heartbeat can't bring one back.
 const REMEMBERED_GONE: usize = 4_096;
@@ -26,6 +27,8 @@
     pub refused: Option<InvalidChange>,
     /// A zone whose evacuation began or ended.
     pub evacuation: Option<EvacuationChange>,
+    /// Requests that are quarantined from now on, or no longer.
+    pub quarantine: Vec<QuarantineChange>,
 }
 
 /// A zone whose evacuation began or ended.
@@ -61,6 +64,8 @@
     ownership: BTreeMap<String, ShardOwnership>,
     #[serde(default)]
     evacuated_zones: BTreeSet<String>,
+    #[serde(default)]
+    quarantine: Quarantine,
 }
 
 impl Catalog {
@@ -108,6 +113,11 @@
         known.is_some_and(|known| known.state == InstanceState::Gone) || self.is_superseded(id)
     }
 
+    /// Requests that crash the servers which run them.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Zones whose servers get no requests and own no shards.
     pub fn evacuated_zones(&self) -> &BTreeSet<String> {
         &self.evacuated_zones
@@ -210,6 +220,10 @@
                     });
                 }
             }
+            Command::SetQuarantine {
+                fingerprint,
+                quarantined,
+            } => effects.quarantine = self.quarantine.set(*fingerprint, *quarantined),
         }
         effects
     }
--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -4,6 +4,7 @@
 
 use crate::instance::{Instance, InstanceId, InstanceState};
 use crate::item::ItemChange;
+use crate::quarantine::Fingerprint;
 
 /// A shard that its owner no longer holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +56,13 @@
         /// Whether it is evacuated from now on.
         evacuated: bool,
     },
+    /// Keeps a request that crashes its servers from all of them, or no longer.
+    SetQuarantine {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Whether it is quarantined from now on.
+        quarantined: bool,
+    },
 }
 
 /// What one log entry holds: commands that are applied together, in order.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -10,6 +10,7 @@
 mod item;
 mod items;
 mod ownership;
+mod quarantine;
 mod routes;
 
 pub use catalog::{Catalog, Effects, EvacuationChange, ShardChange};
@@ -21,4 +22,5 @@
 };
 pub use items::{Held, InvalidChange, Items};
 pub use ownership::{shard_of_key, KeyRow, Shard, ShardOwnership, KEYS, KEYS_PER_SHARD, SHARDS};
+pub use quarantine::{Fingerprint, Quarantine, QuarantineChange};
 pub use routes::RouteIndex;
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -42,6 +42,7 @@
         } => {
             log_items(*index, effects);
             log_evacuation(*index, effects);
+            log_quarantine(*index, effects);
             note_shards(effects, metrics);
             if *is_leader {
                 log_servers(*index, effects);
@@ -78,6 +79,17 @@
     }
 }
 
+fn log_quarantine(index: u64, effects: &Effects) {
+    for change in &effects.quarantine {
+        event!(
+            Event::QuarantineSet,
+            index = index,
+            fingerprint = change.fingerprint,
+            quarantined = change.quarantined
+        );
+    }
+}
+
 fn note_shards(effects: &Effects, metrics: &DirectoryMetrics) {
     for change in &effects.shards {
         metrics.note_shards(&change.service, change.assigned, change.shards.len());
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -106,6 +106,10 @@
             if !load.is_empty() {
                 self.inputs.push(NodeInput::Load(load));
             }
+            let crashes = self.gathered_crashes.take();
+            if !crashes.is_empty() {
+                self.inputs.push(NodeInput::Crashes(crashes));
+            }
             return;
         }
         let Some(leader) = self.node.other_leader() else {
@@ -116,6 +120,7 @@
             gateways: self.followers(),
             relays: self.own_relays(now),
             load: self.gathered.take(now),
+            crashes: self.gathered_crashes.take(),
         };
         self.send_peer(&leader, &ToReplica::ReplicaReport(report));
     }
--- a/crates/directory/src/daemon/relaying.rs
+++ b/crates/directory/src/daemon/relaying.rs
@@ -52,6 +52,9 @@
         if !report.load.is_empty() {
             self.inputs.push(NodeInput::Load(report.load));
         }
+        if !report.crashes.is_empty() {
+            self.inputs.push(NodeInput::Crashes(report.crashes));
+        }
         let summary = self.fleet_summary(now);
         if let Some(link) = self.inbound.get_mut(&token) {
             link.queue(&FromReplica::Fleet(summary));
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -22,6 +22,7 @@
 use super::signals::Signals;
 use super::DirectoryError;
 use crate::call::Reply;
+use crate::crashes::GatheredCrashes;
 use crate::dialect::{BadCall, Dialect, HttpCall};
 use crate::fleet::{Fleet, Gathered};
 use crate::link::{FromReplica, ToReplica};
@@ -75,6 +76,7 @@
     pub(super) feeder: Feeder,
     pub(super) fleet: Fleet,
     pub(super) gathered: Gathered,
+    pub(super) gathered_crashes: GatheredCrashes,
     /// Whether gateways were last told that what they get from here is fresh.
     pub(super) announced_fed: bool,
     pub(super) bad_calls: BadCalls,
@@ -136,6 +138,7 @@
             unsent_links: BTreeSet::new(),
             fleet: Fleet::default(),
             gathered: Gathered::default(),
+            gathered_crashes: GatheredCrashes::default(),
             announced_fed: false,
             bad_calls: BadCalls::default(),
             calls: Calls::default(),
@@ -355,6 +358,7 @@
             ToReplica::Report(report) => {
                 self.note_gateway(token, report.node, report.relay);
                 self.gathered.add(&report.load);
+                self.gathered_crashes.add(&report.crashes);
             }
             ToReplica::ReplicaReport(report) => self.on_replica_report(token, report),
         }
--- a/crates/directory/src/fleet.rs
+++ b/crates/directory/src/fleet.rs
@@ -10,6 +10,8 @@
 use grebepin_grants::{LoadSample, LoadSum};
 use serde::{Deserialize, Serialize};
 
+use crate::crashes::CrashReport;
+
 /// Time between two words of a replica to the leader while its gateways report load. Adds half of itself to
 /// the age of a report; a fleet of 18 replicas costs the leader 120 frames a second.
 const LOAD_EVERY: Duration = Duration::from_millis(150);
@@ -37,6 +39,9 @@
     pub relays: Vec<String>,
     /// What they saw of load since the last word.
     pub load: LoadSample,
+    /// Crashes that they told of since.
+    #[serde(default)]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// What the leader answers.
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -6,6 +6,7 @@
 //! names and bodies are the deployment's own.
 
 pub mod call;
+pub mod crashes;
 mod daemon;
 pub mod dialect;
 pub mod fleet;
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Call, Reply};
+use crate::crashes::CrashReport;
 use crate::fleet::{FleetSummary, ReplicaReport};
 
 /// Frame that the side which opened a connection sends.
@@ -50,6 +51,9 @@
     pub relay: String,
     /// What it saw of load since its last report.
     pub load: LoadSample,
+    /// Crashes of late, told again with each report.
+    #[serde(default)]
+    pub crashes: Vec<CrashReport>,
 }
 
 /// Frame that a replica, or a gateway that gives the state on, sends back on a connection opened by the
--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -14,11 +14,13 @@
 use super::waiting::EntryWaiter;
 use super::Node;
 use crate::call::{Call, GrantedKeys, GrantedRow, ItemDocument, Reply, UnavailableReason};
+use crate::crashes::CrashBook;
 
 /// One unbroken time as the leader.
 pub(super) struct Leadership {
     pub(super) term: Term,
     pub(super) coordinator: Coordinator,
+    pub(super) crashes: CrashBook,
     pub(super) next_tick: Duration,
     pub(super) began: Duration,
     /// Replicas that asked to be taken in, or told another zone than the membership has.
@@ -53,6 +55,7 @@
         self.leadership = Some(Leadership {
             term,
             coordinator,
+            crashes: CrashBook::default(),
             next_tick: now,
             began: now,
             newcomers: BTreeMap::new(),
@@ -81,7 +84,8 @@
             return;
         }
         leadership.next_tick = now + self.config.timing.tick;
-        let commands = leadership.coordinator.tick(now, &self.catalog);
+        let mut commands = leadership.coordinator.tick(now, &self.catalog);
+        commands.extend(leadership.crashes.due(now, &self.catalog));
         if !commands.is_empty() {
             // Commands that can't be proposed now come up again at a later tick.
             let _ = self.propose(now, commands);
--- a/crates/directory/src/node/messages.rs
+++ b/crates/directory/src/node/messages.rs
@@ -6,6 +6,7 @@
 use grebepin_schema::PeerFrame;
 
 use crate::call::{Call, Reply};
+use crate::crashes::CrashReport;
 
 /// Names a call until it is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -18,6 +19,8 @@
     Peer(PeerFrame),
     /// What a gateway saw of load.
     Load(LoadSample),
+    /// Crashes that gateways told of.
+    Crashes(Vec<CrashReport>),
     /// A call, of a client here or relayed by another replica.
     Call {
         /// Names the call.
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -153,6 +153,12 @@
         match input {
             NodeInput::Peer(frame) => self.take_in_peer(now, frame),
             NodeInput::Call { id, call } => self.take_in_call(now, id, call),
+            NodeInput::Crashes(reports) => {
+                if let Some(leadership) = &mut self.leadership {
+                    let book = &mut leadership.crashes;
+                    reports.iter().for_each(|report| book.note(now, report));
+                }
+            }
             NodeInput::Load(sample) => {
                 if let Some(leadership) = &mut self.leadership {
                     leadership.coordinator.on_load(now, &self.catalog, &sample);
--- a/crates/directory/tests/fleet.rs
+++ b/crates/directory/tests/fleet.rs
@@ -16,6 +16,7 @@
         gateways,
         relays: relays.iter().map(ToString::to_string).collect(),
         load: LoadSample::default(),
+        crashes: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/gateway/examples/fingerprint_cost.rs
@@ -0,0 +1,44 @@
+//! What the fingerprint of a request costs.
+//!
+//! `cargo run --release -p grebepin-gateway --example fingerprint_cost`
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use grebepin_gateway::crash_memory::fingerprint;
+use grebepin_gateway::HeaderNames;
+use grebepin_reactor::http::{Fields, Request};
+
+const NAMES: HeaderNames = HeaderNames {
+    request_id: "X-Id",
+    deadline_ms: "X-Deadline",
+    signature: "X-Signature",
+    expected_instance: "X-Expected",
+    not_executed: "X-Not-Run",
+    stated_rate: "X-Rate",
+    shard_key: "X-Key",
+};
+
+const ROUNDS: u32 = 1_000_000;
+const BODY_BYTES: usize = 4 << 10;
+
+fn main() {
+    let mut fields = Fields::default();
+    fields.push("Host", b"shop.example");
+    fields.push("X-Key", b"12345");
+    let request = Request {
+        method: "POST".to_owned(),
+        target: "/orders/1234".to_owned(),
+        fields,
+        body: vec![7; BODY_BYTES],
+        keeps_alive: true,
+    };
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        black_box(fingerprint(black_box(&request), &NAMES));
+    }
+    println!(
+        "{:?} a request of {BODY_BYTES} bytes",
+        started.elapsed() / ROUNDS
+    );
+}
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -8,6 +8,7 @@
 use mio::Token;
 
 use crate::answers::{write_own, write_response, OwnAnswer};
+use crate::crash_memory::fingerprint;
 use crate::flight::{Flight, FlightId, Place};
 use crate::forwarding::LEAST_TIME;
 use crate::refusal::Refusal;
@@ -39,6 +40,7 @@
         let spares_owner = flight.shard.is_some() && self.stated_rates.rate(server).is_some();
         let wanted = may_repeat(verdict, flight.kind())
             && !spares_owner
+            && !self.is_suspect(flight)
             && flight.sendings < flight.route.maximum_attempts
             && now + pause + LEAST_TIME < flight.expires
             && (pause.is_zero() || self.is_answered_in_time(flight, server, now + pause));
@@ -59,6 +61,14 @@
         }
     }
 
+    /// Whether a server crashed while it ran this request: a second one is not put at risk for one try.
+    fn is_suspect(&self, flight: &Flight) -> bool {
+        !self.crashes.is_empty()
+            && self
+                .crashes
+                .is_suspect(fingerprint(&flight.request, &self.names))
+    }
+
     /// Time for which a request waits before it is sent again: none but for a key's only owner, which is likely to have
     /// a place after a time, see [`crate::backoff`], or to hold the key shortly.
     fn pause_before_repeat(
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -19,11 +19,11 @@
 }
 
 impl OwnAnswer {
-    /// The request did not run and never will; its client may come back after a time.
-    pub fn not_run(retry_after: Duration) -> Self {
+    /// The request did not run and never will; its client may come back after a time, where there is one.
+    pub fn not_run(retry_after: Option<Duration>) -> Self {
         Self {
             status: 503,
-            retry_after: Some(retry_after),
+            retry_after,
             closes: false,
         }
     }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Catalog, Entry};
+use grebepin_directory::crashes::CrashReport;
 use grebepin_directory::link::{Follow, FromReplica, GatewayReport, Head, ToReplica};
 use grebepin_grants::LoadSample;
 use grebepin_reactor::{decode_frame, Connection};
@@ -16,6 +17,7 @@
 use link::{Link, LinkEnd};
 use mio::{Registry, Token};
 
+use crate::crash_memory::CrashMemory;
 use crate::first_source::FirstSource;
 use crate::load::LoadCounts;
 use crate::relays::Relays;
@@ -47,8 +49,8 @@
 /// Time between two words to each replica.
 const REPORT_EVERY: Duration = Duration::from_millis(1_000);
 
-/// The same for the followed replica while requests find no room.
-const CROWDED_REPORT_EVERY: Duration = Duration::from_millis(300);
+/// The same for the followed replica while requests find no room, or after a crash of a server.
+const URGENT_REPORT_EVERY: Duration = Duration::from_millis(300);
 
 /// Bytes before the value of an encoded state.
 const STATE_PREFIX_BYTES: usize = 4;
@@ -73,6 +75,21 @@
     pub is_configured: bool,
 }
 
+/// What this gateway has to tell.
+pub struct News<'a> {
+    /// What it saw of load.
+    pub load: &'a mut LoadCounts,
+    /// Servers that crashed.
+    pub crashes: &'a mut CrashMemory,
+}
+
+impl News<'_> {
+    /// Whether the directory should hear soon.
+    fn is_urgent(&self) -> bool {
+        self.load.is_crowded() || self.crashes.has_news()
+    }
+}
+
 /// All links.
 #[derive(Debug)]
 pub struct Directory {
@@ -148,7 +165,7 @@
         now: Duration,
         registry: &Registry,
         next_token: &mut usize,
-        load: &mut LoadCounts,
+        news: News<'_>,
         held: HeldState,
     ) {
         self.retry_pause = match held.is_configured {
@@ -166,7 +183,7 @@
         }
         self.drop_surplus(now);
         self.keep_relays(now, registry, next_token);
-        self.report(now, load);
+        self.report(now, news);
     }
 
     /// Drops links that don't come up or are silent.
@@ -231,9 +248,9 @@
     }
 
     /// Tells every linked replica that this gateway is there, and the followed one what was counted.
-    fn report(&mut self, now: Duration, load: &mut LoadCounts) {
-        let pause_of_followed = match load.is_crowded() {
-            true => CROWDED_REPORT_EVERY,
+    fn report(&mut self, now: Duration, news: News<'_>) {
+        let pause_of_followed = match news.is_urgent() {
+            true => URGENT_REPORT_EVERY,
             false => REPORT_EVERY,
         };
         let links = self.links.iter();
@@ -246,15 +263,21 @@
         });
         let due: Vec<Token> = due.map(|(token, _)| *token).collect();
         for token in due {
-            let load = match self.followed == Some(token) {
-                true => load.take(),
-                false => LoadSample::default(),
+            let (load, crashes) = match self.followed == Some(token) {
+                true => (news.load.take(), news.crashes.reports(now)),
+                false => (LoadSample::default(), Vec::new()),
             };
-            self.send_report(now, token, load);
+            self.send_report(now, token, load, crashes);
         }
     }
 
-    fn send_report(&mut self, now: Duration, token: Token, load: LoadSample) {
+    fn send_report(
+        &mut self,
+        now: Duration,
+        token: Token,
+        load: LoadSample,
+        crashes: Vec<CrashReport>,
+    ) {
         let Some(link) = self.links.get_mut(&token) else {
             return;
         };
@@ -263,6 +286,7 @@
             node: self.node.clone(),
             relay: self.relays.own().to_owned(),
             load,
+            crashes,
         });
         link.send(&frame);
     }
@@ -277,7 +301,7 @@
         }
         if !was_connected && self.links.get(&token).is_some_and(|link| link.connected) {
             // A replica tells whether it leads once it knows who asks.
-            self.send_report(now, token, LoadSample::default());
+            self.send_report(now, token, LoadSample::default(), Vec::new());
             self.ask_relay(token, applied);
         }
         let mut updates = Vec::new();
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::answers::OwnAnswer;
+use crate::crash_memory::fingerprint;
 use crate::flight::{Flight, FlightId, Place};
 use crate::headers::HeaderNames;
 use crate::refusal::Refusal;
@@ -130,6 +131,9 @@
         let Some((name, route)) = self.table.route(arrival.host(), arrival.path()) else {
             return self.answer_without_route(&arrival);
         };
+        if self.is_quarantined(&arrival.request) {
+            return self.turn_away(&arrival, Refusal::Quarantined);
+        }
         let name = name.to_owned();
         let target = self.splitter.next(&name, &route);
         let service = route.targets[target].service.clone();
@@ -141,6 +145,12 @@
         }
     }
 
+    /// Whether a request crashed the servers that ran it. No request is hashed while none is quarantined.
+    fn is_quarantined(&self, request: &Request) -> bool {
+        let quarantine = self.table.quarantine();
+        !quarantine.is_empty() && quarantine.contains(fingerprint(request, &self.names))
+    }
+
     fn answer_without_route(&mut self, arrival: &Arrival) {
         event!(
             Event::RequestRefused,
--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -7,7 +7,7 @@
 
 use grebepin_telemetry::{event, Event};
 
-use crate::follow::{Directory, HeldState};
+use crate::follow::{Directory, HeldState, News};
 use crate::server::Server;
 use crate::settings::GatewaySettings;
 use crate::stopping::Stopping;
@@ -37,9 +37,12 @@
         };
         self.next_housekeeping = now + Directory::tick_pause(held.is_configured);
         let registry = self.poll.registry();
-        let load = &mut self.load;
+        let news = News {
+            load: &mut self.load,
+            crashes: &mut self.crashes,
+        };
         self.directory
-            .tick(now, registry, &mut self.next_token, load, held);
+            .tick(now, registry, &mut self.next_token, news, held);
         self.close_expired_connections(now);
         self.close_resting_clients(now);
         if let Some(relay) = &mut self.relay {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -37,6 +37,8 @@
         /// Mean time between two requests that the server takes, where that is known.
         place_after: Option<Duration>,
     },
+    /// It crashed the servers that ran it, and is kept from the others.
+    Quarantined,
     /// Bytes wait too long for the gateway's own link.
     LinkFull,
     /// No server is left that was not tried.
@@ -69,6 +71,7 @@
             Self::NoRoom => "no room",
             Self::WarmingUp => "server warms up",
             Self::RateSpent { .. } => "server's rate spent",
+            Self::Quarantined => "crashes its servers",
             Self::LinkFull => "link full",
             Self::NoServer => "no server",
             Self::NoConnection => "no connection",
@@ -79,8 +82,16 @@
         }
     }
 
-    /// After which time a client may come back that waits for `left` more; `None` when it did not say.
-    pub fn retry_after(self, left: Option<Duration>) -> Duration {
+    /// After which time a client may come back that waits for `left` more, where it said so; `None` for a request that
+    /// has no better chance then.
+    pub fn retry_after(self, left: Option<Duration>) -> Option<Duration> {
+        if self == Self::Quarantined {
+            return None;
+        }
+        Some(self.pause(left))
+    }
+
+    fn pause(self, left: Option<Duration>) -> Duration {
         match (self, left) {
             (Self::Stopping, _) => STOPPING_PAUSE,
             (Self::LinkFull, Some(left)) => LINK_PAUSE.min(left.mul_f64(RETRY_PART)),
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -9,6 +9,7 @@
 use mio::Token;
 
 use crate::answers::write_request;
+use crate::crash_memory::fingerprint;
 use crate::flight::{FlightId, Place};
 use crate::refusal::Refusal;
 use crate::server::{Due, Server};
@@ -102,6 +103,7 @@
             connected: false,
             reused: false,
             flight: None,
+            shows_crash_by: None,
             reader: ResponseReader::default(),
             rested_since: now,
             rest_limit: CONNECT_LIMIT,
@@ -184,16 +186,23 @@
 
     /// Something came from a server, or can be sent to it.
     pub(crate) fn on_upstream(&mut self, token: Token) {
+        let now = self.now();
         let Some(upstream) = self.upstreams.get_mut(token) else {
             return;
         };
         if !upstream.connected {
             match upstream.connection.check_connected() {
                 Ok(false) => return,
-                Err(_) => return self.fail_to_connect(token),
+                Err(_) => {
+                    self.note_refused_connection(token);
+                    return self.fail_to_connect(token);
+                }
                 Ok(true) => {
                     upstream.connected = true;
-                    self.write_request(token);
+                    match upstream.shows_crash_by.take() {
+                        Some(_) => self.upstreams.rest_unused(token, now),
+                        None => self.write_request(token),
+                    }
                 }
             }
         }
@@ -275,6 +284,9 @@
         let wanted = flight.route.target_latency;
         self.link_queue
             .note_answer(&flight.service, response.body.len());
+        if !self.crashes.is_empty() && response.fields.get(names.signature).is_some() {
+            self.crashes.clear(fingerprint(&flight.request, &names));
+        }
         let verdict = judge(&response, &names);
         match verdict {
             Verdict::NotRun => self.balance.overloaded(&server, now),
@@ -331,6 +343,10 @@
         if upstream.reused {
             self.drop_resting(&upstream.server);
         }
+        let began_answer = upstream.reader.is_within() || !upstream.connection.inbound.is_empty();
+        if !began_answer {
+            self.look_for_crash(id, &upstream.server);
+        }
         let pause = self.balance.failed(&upstream.server, now);
         self.metrics.note_suspected("broke off");
         event!(
@@ -344,6 +360,42 @@
         }
     }
 
+    /// A server ended a connection before any byte of an answer: looks whether it is still there. Only one that refuses a
+    /// new connection counts as crashed by what it ran, since others drop connections when they are short of room.
+    fn look_for_crash(&mut self, id: FlightId, server: &InstanceId) {
+        let now = self.now();
+        let Some(flight) = self.flights.get(id) else {
+            return;
+        };
+        let fingerprint = fingerprint(&flight.request, &self.names);
+        let Some(instance) = self.table.instance(server).cloned() else {
+            return;
+        };
+        let Some(token) = self.connect(&instance, now) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(token) {
+            upstream.shows_crash_by = Some(fingerprint);
+        }
+    }
+
+    /// A server refused a connection: if that was to show whether it is still there, it crashed.
+    fn note_refused_connection(&mut self, token: Token) {
+        let now = self.now();
+        let Some(upstream) = self.upstreams.get(token) else {
+            return;
+        };
+        let Some(fingerprint) = upstream.shows_crash_by else {
+            return;
+        };
+        event!(
+            Event::ServerCrashed,
+            instance = upstream.server,
+            fingerprint = fingerprint
+        );
+        self.crashes.note_crash(now, fingerprint, &upstream.server);
+    }
+
     /// Closes the connections to a server that rest, since one of its connections failed a request.
     pub(crate) fn drop_resting(&mut self, server: &InstanceId) {
         for token in self.upstreams.resting_at(server) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,6 +18,7 @@
 use crate::balance::Balance;
 use crate::budget::{BudgetBound, Budgets};
 use crate::clients::{Client, Clients};
+use crate::crash_memory::CrashMemory;
 use crate::evacuations::Evacuations;
 use crate::flight::{FlightId, Flights};
 use crate::follow::{Directory, Update};
@@ -100,6 +101,7 @@
     pub(crate) warmup: WarmupTurns,
     pub(crate) stated_rates: StatedRates,
     pub(crate) load: LoadCounts,
+    pub(crate) crashes: CrashMemory,
     /// Bytes that wait for this machine's link.
     pub(crate) link_queue: LinkQueue,
     pub(crate) patience: LongestPatience,
@@ -185,6 +187,7 @@
             warmup,
             stated_rates,
             load: LoadCounts::default(),
+            crashes: CrashMemory::default(),
             link_queue,
             patience: LongestPatience::default(),
             random: SmallRng::from_os_rng(),
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use grebepin_catalog::{
-    Catalog, Entry, Instance, InstanceId, ItemContent, ItemKind, Limits, Route, RouteIndex, Shard,
+    Catalog, Entry, Instance, InstanceId, ItemContent, ItemKind, Limits, Quarantine, Route,
+    RouteIndex, Shard,
 };
 use grebepin_reactor::{encode_frame, FrameError};
 
@@ -156,6 +157,11 @@
         self.catalog.evacuated_zones()
     }
 
+    /// Requests that crash the servers which run them.
+    pub fn quarantine(&self) -> &Quarantine {
+        self.catalog.quarantine()
+    }
+
     /// Requests a second that a server of a service bears while it warms up, from all gateways together.
     pub fn warmup_rate(&self, service: &str) -> Option<f64> {
         self.catalog.warmup_rate(service)
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use grebepin_catalog::InstanceId;
+use grebepin_catalog::{Fingerprint, InstanceId};
 use grebepin_reactor::http::{Fields, ResponseReader};
 use grebepin_reactor::Connection;
 use mio::Token;
@@ -32,6 +32,8 @@
     pub reused: bool,
     /// Request on it.
     pub flight: Option<FlightId>,
+    /// The request that broke off another connection, for one that only shows whether its server is still there.
+    pub shows_crash_by: Option<Fingerprint>,
     /// Reads its answers.
     pub reader: ResponseReader,
     /// When it came to rest.
@@ -98,6 +100,16 @@
         }
     }
 
+    /// Lays a connection to rest that came up and carried nothing yet.
+    pub fn rest_unused(&mut self, token: Token, now: Duration) {
+        if let Some(upstream) = self.connections.get_mut(&token) {
+            upstream.rested_since = now;
+            upstream.rest_limit = DEFAULT_REST;
+            let resting = self.resting.entry(upstream.server.clone()).or_default();
+            resting.push(token);
+        }
+    }
+
     /// Connections to a server that rest. After one fell silent without an end, others that were open then may have as
     /// well, and each would cost a request its whole time to find out.
     pub fn resting_at(&self, server: &InstanceId) -> Vec<Token> {
--- a/crates/gateway/src/upstreams/tests.rs
+++ b/crates/gateway/src/upstreams/tests.rs
@@ -13,6 +13,7 @@
         connected: true,
         reused: false,
         flight: None,
+        shows_crash_by: None,
         reader: ResponseReader::default(),
         rested_since: Duration::ZERO,
         rest_limit: DEFAULT_REST,
--- /dev/null
+++ b/crates/gateway/tests/crash_memory.rs
@@ -0,0 +1,92 @@
+//! What a gateway remembers of servers that crashed while they ran a request.
+
+use std::time::Duration;
+
+use grebepin_catalog::InstanceId;
+use grebepin_gateway::crash_memory::{fingerprint, CrashMemory};
+use grebepin_gateway::HeaderNames;
+use grebepin_reactor::http::{Fields, Request};
+
+const NAMES: HeaderNames = HeaderNames {
+    request_id: "X-Id",
+    deadline_ms: "X-Deadline",
+    signature: "X-Signature",
+    expected_instance: "X-Expected",
+    not_executed: "X-Not-Run",
+    stated_rate: "X-Rate",
+    shard_key: "X-Key",
+};
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn request(method: &str, target: &str, fields: &[(&str, &str)], body: &str) -> Request {
+    let mut list = Fields::default();
+    for (name, value) in fields {
+        list.push(name, value.as_bytes());
+    }
+    Request {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        fields: list,
+        body: body.as_bytes().to_vec(),
+        keeps_alive: true,
+    }
+}
+
+#[test]
+fn two_tries_of_a_request_are_one_and_other_requests_are_not() {
+    let of = |target, fields: &[(&str, &str)], body| {
+        fingerprint(&request("POST", target, fields, body), &NAMES)
+    };
+    let first = of(
+        "/a/1",
+        &[("Host", "h"), ("X-Id", "1"), ("X-Deadline", "900")],
+        "pay",
+    );
+    let again = of(
+        "/a/1",
+        &[("Host", "h"), ("X-Id", "2"), ("X-Deadline", "300")],
+        "pay",
+    );
+    assert_eq!(first, again);
+    let others = [
+        of("/a/2", &[("Host", "h")], "pay"),
+        of("/a/1", &[("Host", "g")], "pay"),
+        of("/a/1", &[("Host", "h")], "paid"),
+        of("/a/1", &[("Host", "h"), ("X-Key", "7")], "pay"),
+        of("/a/1p", &[("Host", "h")], "ay"),
+        fingerprint(&request("PUT", "/a/1", &[("Host", "h")], "pay"), &NAMES),
+    ];
+    assert!(others.iter().all(|other| *other != first), "{others:?}");
+}
+
+#[test]
+fn a_crash_is_told_until_the_request_turns_out_harmless_or_time_passes() {
+    let mut crashes = CrashMemory::default();
+    let poison = fingerprint(&request("GET", "/p", &[], ""), &NAMES);
+    let server = InstanceId::started_at("i-1", 5);
+    crashes.note_crash(at(10), poison, &server);
+    crashes.note_crash(at(10), poison, &server);
+    assert!(crashes.has_news() && crashes.is_suspect(poison));
+    let told = crashes.reports(at(12));
+    assert_eq!(told.len(), 1, "one life crashes once");
+    assert_eq!((&told[0].server, told[0].age), (&server, at(2)));
+    assert!(!crashes.has_news());
+    assert_eq!(crashes.reports(at(13)).len(), 1, "told again");
+    assert!(crashes.reports(at(200)).is_empty(), "too long ago");
+    crashes.note_crash(at(300), poison, &server);
+    crashes.clear(poison);
+    assert!(crashes.is_empty(), "another server ran it to its end");
+}
+
+#[test]
+fn many_crashes_keep_the_memory_bounded() {
+    let mut crashes = CrashMemory::default();
+    for number in 0..10_000 {
+        let one = fingerprint(&request("GET", &format!("/{number}"), &[], ""), &NAMES);
+        crashes.note_crash(at(1), one, &InstanceId::new("i-1"));
+    }
+    assert!(crashes.reports(at(2)).len() <= 32);
+}
--- a/crates/gateway/tests/link_queue.rs
+++ b/crates/gateway/tests/link_queue.rs
@@ -76,6 +76,8 @@
 #[test]
 fn a_client_that_a_full_link_turned_away_is_told_a_short_time() {
     let pause = Refusal::LinkFull.retry_after(Some(ms(2_000)));
+    let pause = pause.expect("a time to come back");
     assert!(pause <= ms(150), "{pause:?}");
-    assert!(Refusal::LinkFull.retry_after(Some(ms(60))) <= ms(20));
+    let pause = Refusal::LinkFull.retry_after(Some(ms(60)));
+    assert!(pause.is_some_and(|pause| pause <= ms(20)), "{pause:?}");
 }
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -175,15 +175,23 @@
 #[test]
 fn a_refusal_names_a_time_that_leaves_the_client_most_of_its_own() {
     let left = Some(ms(1_500));
-    assert_eq!(Refusal::NoOwner.retry_after(left), ms(495));
-    assert_eq!(Refusal::Unconfigured.retry_after(left), ms(495));
-    assert_eq!(Refusal::Unconfigured.retry_after(None), ms(200));
+    assert_eq!(Refusal::NoOwner.retry_after(left), Some(ms(495)));
+    assert_eq!(Refusal::Unconfigured.retry_after(left), Some(ms(495)));
+    assert_eq!(Refusal::Unconfigured.retry_after(None), Some(ms(200)));
     assert!(
-        Refusal::Stopping.retry_after(left) < ms(50),
+        Refusal::Stopping
+            .retry_after(left)
+            .is_some_and(|pause| pause < ms(50)),
         "another gateway can serve it"
     );
 }
 
+#[test]
+fn nobody_is_asked_back_with_a_request_that_crashes_its_servers() {
+    assert_eq!(Refusal::Quarantined.retry_after(Some(ms(1_500))), None);
+    assert_eq!(Refusal::Quarantined.retry_after(None), None);
+}
+
 #[test]
 fn a_stopping_gateway_serves_on_and_ends_before_it_is_killed() {
     let stopping = Stopping::new(ms(1_000), ms(6_000));
--- a/crates/gateway/tests/shedding.rs
+++ b/crates/gateway/tests/shedding.rs
@@ -201,7 +201,8 @@
             place_after: Some(pause),
         },
     };
-    let back = now + refusal.retry_after(Some(left)) + WAY * 2;
+    let pause = refusal.retry_after(Some(left));
+    let back = now + pause.expect("a time to come back") + WAY * 2;
     let again = Attempt {
         tries: attempt.tries + 1,
         sendings: 0,
@@ -279,11 +280,11 @@
         Refusal::NotRun { place_after },
         Refusal::BudgetSpent { place_after },
     ] {
-        assert_eq!(refusal.retry_after(Some(ms(900))), ms(297));
-        assert_eq!(refusal.retry_after(Some(ms(6_000))), ms(900));
+        assert_eq!(refusal.retry_after(Some(ms(900))), Some(ms(297)));
+        assert_eq!(refusal.retry_after(Some(ms(6_000))), Some(ms(900)));
     }
     let unknown = Refusal::NotRun { place_after: None };
-    assert_eq!(unknown.retry_after(Some(ms(1_500))), ms(495));
+    assert_eq!(unknown.retry_after(Some(ms(1_500))), Some(ms(495)));
 }
 
 /// A request that is shed for the first time still has its client's other try. Measured over three rates: 3,057 of
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -73,6 +73,7 @@
     DirectoryFrameFailed = 138, Error, "what gateways are to be fed can't be encoded";
     EvacuationSet = 139, Info, "the evacuation of a zone began or ended";
     CallUnreadable = 140, Warn, "calls that can't be read were refused";
+    QuarantineSet = 141, Warn, "a request is kept from all servers, or no longer";
     // Routers.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
@@ -100,6 +101,7 @@
     StateUnreadable = 236, Error, "a state of the directory can't be read";
     EvacuationInForce = 237, Info, "requests into a zone stopped, or may go there again";
     ServerRateStated = 238, Info, "a server states another rate of requests that it takes, or none any more";
+    ServerCrashed = 239, Warn, "a server crashed while it ran a request";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
