Both programs judge time by a clock that counts suspensions

What callers would see: a machine may stand still for seconds that its steady clock does not count. A leader that wakes then believes its lease, while another leads: it acknowledges and grants by what has ended.

Cause: both programs took the time from the steady clock. The replica's decisions get the time as a value, so the two event loops are the only places that read a clock; log lines keep the steady one.

Change: one clock over the time since boot (rustix, already among the dependencies), used by both loops. An event loop that stood still for over a second says so (405). Ways weighed: the steady clock with jumps found by comparing it to the other, which leaves a window between the jump and the comparison; the time of day, which may be set.

--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
-use grebepin_reactor::{Connection, TextServer};
+use grebepin_reactor::{Clock, Connection, StandstillWatch, TextServer};
 use grebepin_storage::RealDisk;
 use grebepin_telemetry::{event, DirectoryMetrics, Event, Metrics};
 use mio::net::TcpListener;
@@ -65,7 +65,8 @@
     pub(super) registered: Metrics,
     pub(super) metrics: DirectoryMetrics,
     pub(super) node: Node<RealDisk>,
-    pub(super) started: Instant,
+    pub(super) clock: Clock,
+    pub(super) standstill: StandstillWatch,
     pub(super) next_token: usize,
     pub(super) https: HashMap<Token, HttpConnection>,
     pub(super) waiting_callers: VecDeque<Token>,
@@ -94,7 +95,7 @@
         signals: &Signals,
     ) -> Result<Self, DirectoryError> {
         // Before the folder is read: waits that count from the start of the process begin here.
-        let started = Instant::now();
+        let clock = Clock::start();
         let settings = DirectorySettings::load(path)?;
         let poll = Poll::new()?;
         let mut control = TcpListener::bind(settings.bind_address(settings.control_address))?;
@@ -130,7 +131,8 @@
             registered,
             metrics,
             node,
-            started,
+            clock,
+            standstill: StandstillWatch::default(),
             next_token: FIRST_CONNECTION,
             https: HashMap::new(),
             waiting_callers: VecDeque::new(),
@@ -164,6 +166,9 @@
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
+            if let Some(stood) = self.standstill.look(self.clock.now()) {
+                event!(Event::StoodStill, ms = stood.as_millis());
+            }
             // Replicas and gateways first: a crowd of callers must not cost the leadership.
             for ready in &events {
                 match self.https.contains_key(&ready.token()) {
@@ -195,7 +200,7 @@
     }
 
     pub(super) fn now(&self) -> Duration {
-        self.started.elapsed()
+        self.clock.now()
     }
 
     fn on_event(&mut self, token: Token) {
@@ -388,9 +393,9 @@
     /// Lets the node work on what came in, and carries out what it says.
     fn turn(&mut self) -> Result<(), NodeError> {
         for _ in 0..MAXIMUM_ROUNDS {
-            let started = self.started;
+            let clock = self.clock;
             let inputs = std::mem::take(&mut self.inputs);
-            let outputs = self.node.handle(&mut || started.elapsed(), inputs)?;
+            let outputs = self.node.handle(&mut || clock.now(), inputs)?;
             for output in outputs {
                 self.feeder.is_behind |= matches!(output, NodeOutput::Applied);
                 self.carry_out(output);
--- a/crates/directory/tests/cluster/faults.rs
+++ b/crates/directory/tests/cluster/faults.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use grebepin_catalog::InstanceId;
+use grebepin_directory::call::Call;
 use grebepin_storage::Crash;
 use rand::Rng;
 
-use super::Cluster;
+use super::{Cluster, Pending};
 
 /// What strikes a group.
 #[derive(Clone, Copy, Debug)]
@@ -16,6 +18,10 @@
     WipeLeader,
     CutLeader,
     StallLeader,
+    /// The leader's machine is suspended: nothing runs there until it is woken.
+    SuspendLeader,
+    /// The same, and its clock does not count that time.
+    SuspendLeaderUncounted,
     FillLeaderDisk,
     ReplaceOne,
     /// The leader and another voter lose their disks at once.
@@ -49,6 +55,11 @@
             Fault::StallLeader => {
                 self.replicas[leader].stalled_until = self.now + Duration::from_secs(4);
             }
+            Fault::SuspendLeader => self.replicas[leader].stalled_until = Duration::MAX,
+            Fault::SuspendLeaderUncounted => {
+                self.replicas[leader].stalled_until = Duration::MAX;
+                self.replicas[leader].uncounted = self.now;
+            }
             Fault::FillLeaderDisk => self.replicas[leader].disk.set_capacity(Some(0)),
             Fault::WipeTwoVoters => {
                 for number in self.two_voters(leader) {
@@ -79,6 +90,17 @@
         }
     }
 
+    /// Wakes a suspended machine: a server's leave is the first thing that its replica works on.
+    pub fn wake_with_leave(&mut self, number: usize) {
+        let replica = &mut self.replicas[number];
+        replica.stalled_until = self.now;
+        if !replica.uncounted.is_zero() {
+            replica.uncounted = self.now - replica.uncounted;
+        }
+        let leave = Call::Leave(InstanceId::new("unknown"));
+        self.call(number, leave, Pending::OfServer);
+    }
+
     fn for_all(&mut self, strike: impl Fn(&mut Self, usize)) {
         for number in 0..self.replicas.len() {
             strike(self, number);
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -31,6 +31,8 @@
     node: Option<Node<SimulatedDisk>>,
     restarts_at: Option<Duration>,
     stalled_until: Duration,
+    /// Time that went by while its machine was suspended and that its clock did not count.
+    uncounted: Duration,
     cut_until: Duration,
     bootstrap: bool,
     may_vote: bool,
@@ -68,6 +70,8 @@
     pub stale_reads: u32,
     /// How many evacuations, or ends of one, were acknowledged.
     pub evacuations_acknowledged: u32,
+    /// Leaves of unknown servers that a replica acknowledged by its own lease.
+    pub leaves_acknowledged: u32,
     /// Zones that were refused, in order.
     pub unknown_zones: Vec<String>,
 }
@@ -135,6 +139,7 @@
             reads: Vec::new(),
             stale_reads: 0,
             evacuations_acknowledged: 0,
+            leaves_acknowledged: 0,
             unknown_zones: Vec::new(),
         }
     }
@@ -170,6 +175,7 @@
             node: None,
             restarts_at: Some(self.now + Duration::from_millis(self.random.random_range(0..300))),
             stalled_until: Duration::ZERO,
+            uncounted: Duration::ZERO,
             cut_until: Duration::ZERO,
             bootstrap,
             may_vote: true,
@@ -349,10 +355,11 @@
             self.network.extend(late);
             return;
         }
+        let own_now = now.saturating_sub(replica.uncounted);
         let Some(node) = &mut replica.node else {
             return;
         };
-        match node.handle(&mut || now, inputs) {
+        match node.handle(&mut || own_now, inputs) {
             Ok(outputs) => {
                 for output in outputs {
                     self.carry_out(number, output);
@@ -413,6 +420,7 @@
                 self.stale_reads += u32::from(version < at_least);
                 self.reads.push(version);
             }
+            (Some(Pending::OfServer), Reply::Left) => self.leaves_acknowledged += 1,
             (Some(Pending::Evacuation), Reply::EvacuationSet) => self.evacuations_acknowledged += 1,
             (Some(Pending::Evacuation), Reply::UnknownZone(zone)) => {
                 self.unknown_zones.push(zone.clone());
--- a/crates/directory/tests/replication.rs
+++ b/crates/directory/tests/replication.rs
@@ -207,3 +207,32 @@
     assert!((0..10).all(|number| cluster.has_applied(number, 1)));
     assert_eq!(cluster.leader(), Some(leader));
 }
+
+/// A leader that was suspended while others elected the next: what it acknowledges by its own lease when it wakes.
+fn acknowledged_after_suspension(suspension: Fault, seed: u64) -> u32 {
+    let mut cluster = Cluster::new(seed, 3);
+    cluster.run(seconds(3.0));
+    cluster.change_until_acknowledged(1);
+    let old = cluster.leader().expect("a leader");
+    cluster.strike(suspension);
+    cluster.run(seconds(3.0));
+    cluster.change_until_acknowledged(2);
+    cluster.wake_with_leave(old);
+    cluster.leaves_acknowledged
+}
+
+#[test]
+fn a_leader_whose_clock_counts_its_suspension_acknowledges_nothing_when_it_wakes() {
+    for seed in SEEDS {
+        let acknowledged = acknowledged_after_suspension(Fault::SuspendLeader, seed);
+        assert_eq!(acknowledged, 0, "seed {seed}");
+    }
+}
+
+/// Why the programs' clock counts suspensions: with one that does not, the old leader believes its lease.
+#[test]
+fn a_leader_whose_clock_stood_still_would_believe_its_lease() {
+    let seeds =
+        SEEDS.map(|seed| acknowledged_after_suspension(Fault::SuspendLeaderUncounted, seed));
+    assert!(seeds.sum::<u32>() > 0);
+}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -4,10 +4,10 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use grebepin_reactor::http::RequestLimits;
-use grebepin_reactor::{Connection, Deadlines, TextAnswer, TextServer};
+use grebepin_reactor::{Clock, Connection, Deadlines, StandstillWatch, TextAnswer, TextServer};
 use grebepin_telemetry::{event, Event, GatewayMetrics, Metrics};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
@@ -85,7 +85,8 @@
     pub(crate) relay: Option<Relay>,
     registered: Metrics,
     pub(crate) metrics: GatewayMetrics,
-    started: Instant,
+    clock: Clock,
+    standstill: StandstillWatch,
     pub(crate) next_token: usize,
     pub(crate) clients: Clients,
     pub(crate) upstreams: Upstreams,
@@ -172,7 +173,8 @@
             relay,
             registered,
             metrics,
-            started: Instant::now(),
+            clock: Clock::start(),
+            standstill: StandstillWatch::default(),
             next_token: FIRST_CONNECTION,
             clients: Clients::new(),
             upstreams: Upstreams::default(),
@@ -210,6 +212,9 @@
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
+            if let Some(stood) = self.standstill.look(self.clock.now()) {
+                event!(Event::StoodStill, ms = stood.as_millis());
+            }
             for ready in &events {
                 self.on_event(ready.token());
             }
@@ -231,7 +236,7 @@
     }
 
     pub(crate) fn now(&self) -> Duration {
-        self.started.elapsed()
+        self.clock.now()
     }
 
     fn sleep(&self) -> Duration {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -4,6 +4,7 @@
 //! Invariants: nothing here waits; a message is handed out only once it is whole and unambiguous;
 //! no buffer grows past the limit that the caller states.
 
+mod clock;
 mod connection;
 mod deadlines;
 mod frames;
@@ -11,6 +12,7 @@
 mod packing;
 mod text_server;
 
+pub use clock::{Clock, StandstillWatch};
 pub use connection::{Connection, ReadOutcome};
 pub use deadlines::Deadlines;
 pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAXIMUM_FRAME_BYTES};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -114,4 +114,5 @@
     SettingsReloaded = 402, Info, "settings read anew";
     SettingsRefused = 403, Warn, "new settings refused, the old ones stay";
     LinesDropped = 404, Warn, "log lines dropped, since the writer fell behind";
+    StoodStill = 405, Warn, "nothing ran in this process for a time";
 }
