A busy server is relieved though all others beat right after it

What callers saw: a server that could not serve what came for its keys kept all of them, and every eighth request of the service was refused for as long as it lasted.

Cause: shards are let go shortly before a heartbeat of the server that is to take them. Receivers were looked for among servers expected 110 ms or later after the giver's heartbeat and within one heartbeat; where all others beat within 110 ms after it, none ever is. Servers keep their phase, so the next look finds the same. Seen by a service whose servers had started together; a service of two servers may meet it at any time.

Change: where nobody is in the window, those that beat about now are taken for a heartbeat later. Their shards wait without an owner for that long, once: a server that lets go beats again within 100 ms and so leaves its phase. Ruled out: shorter windows (what runs at the giver must end first).

Test: 1,036 shards stayed 1,036 before, below 777 after twelve heartbeats; grants' model and leases green.

--- a/crates/grants/src/coordinator/giving.rs
+++ b/crates/grants/src/coordinator/giving.rs
@@ -72,11 +72,21 @@
         let Some(ownership) = catalog.ownership(&beat.service) else {
             return Vec::new();
         };
-        let since = (now + NEAREST).saturating_sub(self.timing.heartbeat);
-        let heard = self.servers.heard_since(&beat.service, since);
-        let expected = heard.map(|(id, at)| (id, at + self.timing.heartbeat));
-        let others = expected.filter(|(id, _)| **id != beat.id && can_take(catalog, id));
-        let receivers = soonest(now, others).into_iter();
+        let heartbeat = self.timing.heartbeat;
+        let others_after = |silence: Duration, next: Duration| {
+            let heard = self
+                .servers
+                .heard_since(&beat.service, now.saturating_sub(silence));
+            let others = heard.filter(|(id, _)| **id != beat.id && can_take(catalog, id));
+            soonest(now, others.map(|(id, at)| (id, at + next)))
+        };
+        let mut receivers = others_after(heartbeat.saturating_sub(NEAREST), heartbeat);
+        if receivers.is_empty() {
+            // All others beat about when this one does, too soon to take over what it lets go now: they do so a heartbeat
+            // later, since they keep their phase and the next look would find the same.
+            receivers = others_after(heartbeat + NEAREST, heartbeat * 2);
+        }
+        let receivers = receivers.into_iter();
         receivers
             .map(|(id, expected)| division.receiver(ownership, id, expected))
             .collect()
