A test of lost disks while observers lose power as well

Three voters and two observers, a change that is as early as can be, then the leader's or another disk is lost and all lose power: 40 runs, what was acknowledged is read back in each. Green at first: a change is acknowledged by what a majority of voters has synced; no guard was taken out to see it fail.

--- a/crates/directory/tests/tolerance.rs
+++ b/crates/directory/tests/tolerance.rs
@@ -136,3 +136,25 @@
     assert_eq!(cluster.voters(), WANTED_VOTERS);
     assert_eq!(cluster.voters_of_fullest_zone(), 1);
 }
+
+/// Disks are lost at the moment at which all other machines lose power, also those whose losses nothing bounds: what
+/// was acknowledged may not rest on a machine that has not synced it.
+#[test]
+fn what_was_acknowledged_survives_a_lost_disk_while_observers_lose_power_as_well() {
+    for seed in 0..20 {
+        for fault in [Fault::WipeLeader, Fault::WipeOneWhileOthersLosePower] {
+            let mut cluster = Cluster::new(seed, 3);
+            cluster.add_observer();
+            cluster.add_observer();
+            cluster.run(seconds(6.0));
+            cluster.change_as_early_as_possible(1);
+            cluster.strike(fault);
+            cluster.strike(Fault::PowerOffAll);
+            cluster.run(seconds(9.0));
+            cluster.read();
+            cluster.run(seconds(3.0));
+            assert_eq!(cluster.reads.last(), Some(&1), "{fault:?}, seed {seed}");
+            assert_eq!(cluster.stale_reads, 0, "{fault:?}, seed {seed}");
+        }
+    }
+}
