The leader gives permits for requests to owners that state a rate

What callers would see: with many gateways an equal part of a stated rate is less than a request in a window.

Change: a gateway that was told of a rate asks the leader, by way of the replica that it follows, before it sends to the owner of a key. The leader keeps a bucket a server (0.9 of the rate, a burst of two and half a second's), begins each leadership with empty ones, and names with a refusal the time after which that gateway may ask again, by how many wait. The wait for the answer is a fifth of the target and 100 ms at most; without an answer the gateway goes by its turns.

Metrics directory_permits_total, directory_quarantined_requests.

--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -64,6 +64,8 @@
         let instances = self.node.catalog().instances();
         let live = instances.filter(|instance| instance.state != InstanceState::Gone);
         metrics.instances.set(live.count() as i64);
+        let quarantined = self.node.catalog().quarantine().requests().count();
+        metrics.quarantined.set(quarantined as i64);
         let evacuated = self.node.catalog().evacuated_zones().len();
         metrics.evacuated_zones.set(evacuated as i64);
     }
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod link_side;
 mod opening;
 mod peers;
+mod permitting;
 mod relaying;
 mod server;
 mod signals;
--- a/crates/directory/src/daemon/relaying.rs
+++ b/crates/directory/src/daemon/relaying.rs
@@ -20,6 +20,7 @@
                 let now = self.now();
                 self.fleet.note_summary(now, &summary);
             }
+            FromReplica::Permit { id, permit } => self.on_permit(id, permit),
             // What gateways are told; a replica learns it from the log.
             FromReplica::Head(_)
             | FromReplica::Whole { .. }
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -19,6 +19,7 @@
 use super::link_side::LinkConnection;
 use super::opening::{changed_at, open_node};
 use super::peers::Peers;
+use super::permitting::PermitDesk;
 use super::signals::Signals;
 use super::DirectoryError;
 use crate::call::Reply;
@@ -80,6 +81,7 @@
     pub(super) gathered_crashes: GatheredCrashes,
     /// Whether gateways were last told that what they get from here is fresh.
     pub(super) announced_fed: bool,
+    pub(super) permit_desk: PermitDesk,
     pub(super) bad_calls: BadCalls,
     pub(super) calls: Calls,
     pub(super) inputs: Vec<NodeInput>,
@@ -142,6 +144,7 @@
             gathered: Gathered::default(),
             gathered_crashes: GatheredCrashes::default(),
             announced_fed: false,
+            permit_desk: PermitDesk::default(),
             bad_calls: BadCalls::default(),
             calls: Calls::default(),
             inputs: Vec::new(),
@@ -366,6 +369,7 @@
                 self.gathered_crashes.add(&report.crashes);
             }
             ToReplica::ReplicaReport(report) => self.on_replica_report(token, report),
+            ToReplica::TakePermit(request) => self.on_permit_request(token, request),
         }
     }
 
@@ -429,7 +433,10 @@
                     link.fed = link.fed.map(|_| 0);
                 }
             }
-            NodeOutput::LeadershipChanged => self.next_head = Duration::ZERO,
+            NodeOutput::LeadershipChanged => {
+                self.next_head = Duration::ZERO;
+                self.permit_desk.begin_anew();
+            }
             NodeOutput::Notice(notice) => log_notice(&notice, &self.metrics),
         }
     }
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -1,7 +1,7 @@
 //! Frames between directory replicas, and between them and the gateways, over one internal port.
 
-use grebepin_catalog::Entry;
-use grebepin_grants::LoadSample;
+use grebepin_catalog::{Entry, InstanceId};
+use grebepin_grants::{LoadSample, Permit};
 use grebepin_reactor::{encode_frame, pack, take_frame, unpack, FrameError};
 use grebepin_schema::PeerFrame;
 use serde::{Deserialize, Serialize};
@@ -31,6 +31,19 @@
     /// A gateway that has no state yet, and hears no leader, asks for the whole state as it is applied here,
     /// once.
     FetchState,
+    /// A gateway asks to send a request to a server that states a rate; a replica passes it on to the leader.
+    TakePermit(PermitRequest),
+}
+
+/// A gateway's wish to send one request to a server that states how many it takes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Names the wish on this connection.
+    pub id: u64,
+    /// The server.
+    pub server: InstanceId,
+    /// Requests a second that the server stated last, as the gateway knows it.
+    pub stated_rate: f64,
 }
 
 /// A gateway's wish to follow.
@@ -79,6 +92,13 @@
         #[serde(with = "serde_bytes")]
         state: Vec<u8>,
     },
+    /// The answer to a wish for a permit.
+    Permit {
+        /// Names the wish on this connection.
+        id: u64,
+        /// The leader's answer; `None` when none can be reached.
+        permit: Option<Permit>,
+    },
     /// Entries in the order of the log, without a gap.
     Entries(Vec<(u64, Entry)>),
     /// Another frame of this kind with its length, compressed.
--- a/crates/gateway/examples/stated_rate_policies.rs
+++ b/crates/gateway/examples/stated_rate_policies.rs
@@ -6,9 +6,12 @@
 #[path = "../tests/rate_sharing/mod.rs"]
 mod rate_sharing;
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
-use rate_sharing::{Got, Load, Sharing, Turns};
+use grebepin_grants::Permits;
+use rate_sharing::{Got, Load, Permitted, Sharing, Turns};
 
 const SEEDS: u64 = 20;
 const SIZES: [u32; 5] = [3, 11, 80, 300, 984];
@@ -40,7 +43,7 @@
 }
 
 fn main() {
-    println!("gateways, rate, asked: used by each alone | a bucket | turns; worst window by each, allowed");
+    println!("gateways, rate, asked: used by each alone | a bucket | turns | permits; worst window by each, allowed");
     for gateways in SIZES {
         for rate in RATES {
             for (asked, crowd) in [(1.5, None), (3.0, None), (0.5, Some(30.0))] {
@@ -67,12 +70,18 @@
                     load.play(seed, |number| Turns::new(number, gateways, &server, rate))
                 };
                 let turns: Vec<Got> = (0..SEEDS).map(turns).collect();
+                let permitted = |seed: u64| {
+                    let leader = Rc::new(RefCell::new(Permits::default()));
+                    load.play(seed, |_| Permitted::new(&leader, rate))
+                };
+                let permits: Vec<Got> = (0..SEEDS).map(permitted).collect();
                 let allowed = turns[0].allowed;
-                let [alone, parts, turns] = [alone, parts, turns].map(|all| sum(&all));
+                let [alone, parts, turns, permits] =
+                    [alone, parts, turns, permits].map(|all| sum(&all));
                 println!(
-                    "{gateways:4} {rate:5} {asked}{}: {:.2} | {:.2} | {:.2}; {:4} | {:4} | {:4} of {allowed:.1}",
+                    "{gateways:4} {rate:5} {asked}{}: {:.2} | {:.2} | {:.2} | {:.2}; {:4} | {:4} | {:4} | {:4} of {allowed:.1}",
                     if crowd.is_some() { " then 30" } else { "" },
-                    alone.1, parts.1, turns.1, alone.0, parts.0, turns.0
+                    alone.1, parts.1, turns.1, permits.1, alone.0, parts.0, turns.0, permits.0
                 );
             }
         }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -24,6 +24,11 @@
     },
     /// Waits a moment before its key's owner, which turned it away, is asked once more.
     AwaitingRepeat,
+    /// Waits for the leader's permit to go to its key's owner, which states a rate.
+    AwaitingPermit {
+        /// The owner.
+        server: InstanceId,
+    },
     /// Waits for room at its key's owner, or at any server of its service.
     AwaitingRoom,
     /// On a connection to a server.
@@ -70,6 +75,8 @@
     pub unreached: u32,
     /// Servers that it was sent to.
     pub tried: Vec<InstanceId>,
+    /// The server that it may go to by the leader's permit.
+    pub permitted: Option<InstanceId>,
     /// Where it is.
     pub place: Place,
 }
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -34,7 +34,7 @@
     }
 
     /// The followed link as long as its replica is fed.
-    fn fed_link(&self, now: Duration) -> Option<Token> {
+    pub(super) fn fed_link(&self, now: Duration) -> Option<Token> {
         self.followed.filter(|token| self.is_fed_link(now, *token))
     }
 
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -10,8 +10,10 @@
 
 use grebepin_catalog::{Catalog, Entry};
 use grebepin_directory::crashes::CrashReport;
-use grebepin_directory::link::{Follow, FromReplica, GatewayReport, Head, ToReplica};
-use grebepin_grants::LoadSample;
+use grebepin_directory::link::{
+    Follow, FromReplica, GatewayReport, Head, PermitRequest, ToReplica,
+};
+use grebepin_grants::{LoadSample, Permit};
 use grebepin_reactor::{decode_frame, Connection};
 use grebepin_telemetry::{event, Event};
 use link::{Link, LinkEnd};
@@ -64,6 +66,13 @@
     Entries(Vec<(u64, Entry)>),
     /// How many gateways there are, as the leader counts them.
     Gateways(u32),
+    /// The answer to a wish for a permit.
+    Permit {
+        /// Name of the wish.
+        id: u64,
+        /// The leader's answer; `None` when none can be reached.
+        permit: Option<Permit>,
+    },
 }
 
 /// The state in force here, as far as links depend on it.
@@ -291,6 +300,17 @@
         link.send(&frame);
     }
 
+    /// Asks the leader, by way of the followed replica, for a permit; whether there is one to ask.
+    pub fn ask_permit(&mut self, now: Duration, request: PermitRequest) -> bool {
+        let followed = self.fed_link(now);
+        let link = followed.and_then(|token| self.links.get_mut(&token));
+        let Some(link) = link else {
+            return false;
+        };
+        link.send(&ToReplica::TakePermit(request));
+        true
+    }
+
     /// Handles what happened on a link. `applied` is the log index in force here.
     pub fn on_event(&mut self, now: Duration, token: Token, applied: u64) -> Vec<Update> {
         let mut frames = Vec::new();
@@ -318,6 +338,7 @@
                         }
                     }
                 }
+                FromReplica::Permit { id, permit } => updates.push(Update::Permit { id, permit }),
                 FromReplica::Relayed { .. } | FromReplica::Packed(_) | FromReplica::Fleet(_) => {}
             }
         }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -21,7 +21,7 @@
 
 /// Longest wait for a key's owner or for room at a server, as a part of the target latency: a client
 /// that is refused by then can still be served in time.
-const WAIT_PART: f64 = 0.2;
+pub(crate) const WAIT_PART: f64 = 0.2;
 
 /// Time that is left at least, so that sending a request makes sense.
 pub(crate) const LEAST_TIME: Duration = Duration::from_millis(5);
@@ -225,6 +225,7 @@
             sendings: 0,
             unreached: 0,
             tried: Vec::new(),
+            permitted: None,
             place: Place::Here,
         });
         if let Some(client) = self.clients.get_mut(&token) {
@@ -292,15 +293,11 @@
             Some(owner) if !is_turn(&self.table, &self.warmup, &owner, gateways, now) => {
                 self.refuse(id, Refusal::WarmingUp);
             }
-            Some(owner) if !self.stated_rates.is_open(&owner.id, now, gateways) => {
-                self.load.note_crowd();
-                let place_after = self.stated_rates.place_after(&owner.id);
-                self.refuse(id, Refusal::RateSpent { place_after });
-            }
             Some(owner) if !self.balance.has_room(&owner.id, now) => {
                 self.load.note_crowd();
                 self.await_room(id, self.balance.opens_at(&owner.id, now));
             }
+            Some(owner) if self.lacks_permit(id, &owner.id) => self.ask_permit(id, &owner),
             Some(owner) => self.send(id, &owner),
             None => self.await_owner(id, fence),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod link_queue;
 pub mod load;
 pub mod patience;
+mod permits;
 pub mod rate_turns;
 pub mod refusal;
 mod relay;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -148,6 +148,7 @@
             ToReplica::Peer(_)
             | ToReplica::Relay { .. }
             | ToReplica::ReplicaReport(_)
+            | ToReplica::TakePermit(_)
             | ToReplica::FetchState => false,
         }
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -68,6 +68,8 @@
     RepeatWait(FlightId, u32),
     /// A request has waited long enough for room at a server.
     RoomWait(FlightId, u32),
+    /// A request has waited long enough for the leader's permit.
+    PermitWait(FlightId, u32),
     /// A connection to a server is not up yet.
     Connect(usize),
 }
@@ -381,12 +383,17 @@
         let now = self.now();
         let updates = self.directory.on_event(now, token, self.table.applied());
         let mut change = TableChange::default();
+        let mut permits = Vec::new();
         let mut follows_log = true;
         for update in updates {
             follows_log &= !matches!(update, Update::Whole(..));
             let one = match update {
                 Update::Whole(index, catalog) => self.table.replace(index, *catalog),
                 Update::Entries(entries) => self.take_entries(&entries),
+                Update::Permit { id, permit } => {
+                    permits.push((FlightId(id), permit));
+                    TableChange::default()
+                }
                 Update::Gateways(count) => {
                     self.budgets.set_gateways(count);
                     self.balance.set_gateways(self.budgets.gateways());
@@ -403,6 +410,9 @@
         if change.owners {
             self.retry_awaiting_owner();
         }
+        for (flight, permit) in permits {
+            self.on_permit(flight, permit);
+        }
         self.tell_readiness();
     }
 
@@ -457,6 +467,7 @@
                 Due::OwnerWait(flight, sendings) => self.end_owner_wait(flight, sendings),
                 Due::RepeatWait(flight, sendings) => self.end_repeat_wait(flight, sendings),
                 Due::RoomWait(flight, sendings) => self.end_room_wait(flight, sendings),
+                Due::PermitWait(flight, sendings) => self.end_permit_wait(flight, sendings),
                 Due::Connect(token) => self.give_up_connecting(Token(token)),
             }
         }
--- a/crates/gateway/src/stated_rate.rs
+++ b/crates/gateway/src/stated_rate.rs
@@ -69,6 +69,8 @@
     per_second: f64,
     /// When it was last stated.
     stated: Duration,
+    /// Until when the leader gives no permit.
+    refused_until: Duration,
 }
 
 /// The rates that servers state at present, and this gateway's turns at them.
@@ -102,6 +104,7 @@
                 let stated = StatedRate {
                     per_second,
                     stated: now,
+                    refused_until: known.map_or(Duration::ZERO, |known| known.refused_until),
                 };
                 self.rates.insert(id.clone(), stated);
                 self.turns.begin(id, now);
@@ -141,6 +144,19 @@
         true
     }
 
+    /// Notes that the leader gives no permit for a server before a time.
+    pub fn note_refused(&mut self, id: &InstanceId, until: Duration) {
+        if let Some(known) = self.rates.get_mut(id) {
+            known.refused_until = until;
+        }
+    }
+
+    /// For how long the leader gives no permit for a server, where that was told.
+    pub fn refused_for(&self, id: &InstanceId, now: Duration) -> Option<Duration> {
+        let until = self.rates.get(id)?.refused_until;
+        (now < until).then(|| until - now)
+    }
+
     /// Mean time between two requests that a server takes, where it states a rate: a place for another caller.
     pub fn place_after(&self, id: &InstanceId) -> Option<Duration> {
         let rate = self.rate(id)?;
--- a/crates/gateway/tests/rate_sharing/mod.rs
+++ b/crates/gateway/tests/rate_sharing/mod.rs
@@ -1,9 +1,12 @@
 //! A server that states a rate, and gateways that share it, on virtual time.
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
 use grebepin_gateway::stated_rate::{RateStatement, StatedRates};
+use grebepin_grants::{Permit, Permits};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -48,6 +51,40 @@
     }
 }
 
+/// Gateways that ask one leader for a permit for each request; the way there takes no time.
+pub struct Permitted {
+    id: InstanceId,
+    rate: f64,
+    leader: Rc<RefCell<Permits>>,
+    refused_until: Duration,
+}
+
+impl Permitted {
+    pub fn new(leader: &Rc<RefCell<Permits>>, rate: f64) -> Self {
+        Self {
+            id: InstanceId::new("i-1"),
+            rate,
+            leader: Rc::clone(leader),
+            refused_until: Duration::ZERO,
+        }
+    }
+}
+
+impl Sharing for Permitted {
+    fn may_send(&mut self, now: Duration) -> bool {
+        if now < self.refused_until {
+            return false;
+        }
+        match self.leader.borrow_mut().take(now, &self.id, self.rate) {
+            Permit::Given => true,
+            Permit::Refused { after } => {
+                self.refused_until = now + after;
+                false
+            }
+        }
+    }
+}
+
 /// What comes to one server.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
--- a/crates/gateway/tests/stated_rate.rs
+++ b/crates/gateway/tests/stated_rate.rs
@@ -2,11 +2,14 @@
 
 mod rate_sharing;
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
 use grebepin_gateway::stated_rate::{RateChange, RateStatement, StatedRates};
-use rate_sharing::{Load, Turns};
+use grebepin_grants::Permits;
+use rate_sharing::{Load, Permitted, Turns};
 
 fn at(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -79,6 +82,12 @@
                 };
                 for seed in 0..5 {
                     let server = format!("i-{seed}");
+                    let leader = Rc::new(RefCell::new(Permits::default()));
+                    let permitted = load.play(seed, |_| Permitted::new(&leader, rate));
+                    assert!(
+                        permitted.worst as f64 <= permitted.allowed,
+                        "permits, seed {seed}, {load:?}: {permitted:?}"
+                    );
                     let got = load.play(seed, |number| Turns::new(number, gateways, &server, rate));
                     assert!(
                         got.worst as f64 <= got.allowed,
@@ -112,6 +121,28 @@
     }
 }
 
+/// Nobody else serves the keys of a server that states a rate: no place is left unused for the size of the fleet.
+#[test]
+fn fleets_of_every_size_use_most_of_a_rate_by_permits() {
+    for gateways in [1, 3, 11, 80, 300, 984] {
+        for (rate, asked) in [(0.5, 3.0), (3.7, 1.5), (3.7, 3.0), (20.0, 3.0)] {
+            let load = Load {
+                gateways,
+                rate,
+                asked,
+                crowd: None,
+                lasts: at(63_000),
+            };
+            let used = (0..10_u64).map(|seed| {
+                let leader = Rc::new(RefCell::new(Permits::default()));
+                load.play(seed, |_| Permitted::new(&leader, rate)).used
+            });
+            let mean = used.sum::<f64>() / 10.0;
+            assert!(mean > 0.8 && mean <= 0.95, "{load:?}: {mean:.2} used");
+        }
+    }
+}
+
 #[test]
 fn a_gateway_that_does_not_know_how_many_share_a_rate_sends_nothing_by_it() {
     let mut rates = StatedRates::new("gateway");
--- a/crates/telemetry/src/metrics/directory.rs
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -11,6 +11,9 @@
 pub struct DirectoryMetrics {
     calls: IntCounterVec,
     bad_calls: IntCounterVec,
+    permits: IntCounterVec,
+    /// Requests that are quarantined.
+    pub quarantined: IntGauge,
     /// Time from a call's arrival to its answer.
     pub call_seconds: Histogram,
     shards_moved: IntCounterVec,
@@ -51,6 +54,15 @@
                 "Calls that could not be read, by cause",
                 &["cause"],
             )?,
+            permits: metrics.counters(
+                "directory_permits_total",
+                "Wishes to send a request to a server that states a rate, by answer",
+                &["answer"],
+            )?,
+            quarantined: metrics.gauge(
+                "directory_quarantined_requests",
+                "Requests that are kept from all servers since they crash them",
+            )?,
             call_seconds: metrics.histogram(
                 "directory_call_seconds",
                 "Time from a call's arrival to its answer",
@@ -96,6 +108,11 @@
         self.bad_calls.with_label_values(&[cause]).inc();
     }
 
+    /// A gateway's wish for a permit was answered: `given`, `refused` or, by a replica that reaches no leader, `unknown`.
+    pub fn note_permit(&self, answer: &str) {
+        self.permits.with_label_values(&[answer]).inc();
+    }
+
     /// Shards were assigned or freed.
     pub fn note_shards(&self, service: &str, assigned: bool, count: usize) {
         let change = match assigned {
