--- a/crates/directory/src/crashes.rs
+++ b/crates/directory/src/crashes.rs
@@ -4,7 +4,7 @@
 //! them within a report, and one that turns out harmless is forgotten as soon as its gateway no longer tells it.
 //!
 //! Invariant: a request is quarantined only for crashes of different lives of servers at different times, so that many
-//! servers that fail at one moment, with whatever they were running, convict nobody.
+//! servers that fail at one moment quarantine nothing of what they were running.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Crashes for which a request is quarantined.
-const CONVICTING_CRASHES: usize = 3;
+const QUARANTINE_AFTER: usize = 3;
 
 /// Least time between two crashes that both count.
 const APART: Duration = Duration::from_millis(250);
@@ -97,7 +97,7 @@
         self.crashes
             .retain(|_, crash| now < crash.told + TOLD_LIFETIME);
         let mut commands: Vec<Command> = self
-            .convicted()
+            .repeated()
             .into_iter()
             .filter(|fingerprint| !catalog.quarantine().contains(*fingerprint))
             .map(|fingerprint| Command::SetQuarantine {
@@ -110,15 +110,15 @@
     }
 
     /// Requests with enough crashes.
-    fn convicted(&self) -> Vec<Fingerprint> {
+    fn repeated(&self) -> Vec<Fingerprint> {
         let mut times: BTreeMap<Fingerprint, Vec<i64>> = BTreeMap::new();
         for ((fingerprint, _), crash) in &self.crashes {
             times.entry(*fingerprint).or_default().push(crash.at_ms);
         }
-        let convicted = times
+        let repeated = times
             .into_iter()
-            .filter(|(_, times)| count_apart(times) >= CONVICTING_CRASHES);
-        convicted.map(|(fingerprint, _)| fingerprint).collect()
+            .filter(|(_, times)| count_apart(times) >= QUARANTINE_AFTER);
+        repeated.map(|(fingerprint, _)| fingerprint).collect()
     }
 
     /// Ends of quarantines whose time is over.
--- a/crates/directory/src/daemon/permitting.rs
+++ b/crates/directory/src/daemon/permitting.rs
@@ -9,46 +9,46 @@
 use super::server::Server;
 use crate::link::{FromReplica, PermitRequest, ToReplica};
 
-/// Time after which a wish that was passed on is forgotten: its gateway has decided without by then.
-const WISH_LIFETIME: Duration = Duration::from_secs(1);
+/// Time after which a request that was relayed is forgotten: its gateway has decided without by then.
+const PENDING_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Wishes under way at most.
-const MOST_WISHES: usize = 4_096;
+/// Requests under way to the leader at most.
+const MOST_PENDING: usize = 4_096;
 
-/// A gateway's wish that was passed on to the leader.
+/// A gateway's request that was relayed to the leader.
 #[derive(Clone, Copy, Debug)]
-struct Wish {
+struct Pending {
     gateway: Token,
-    /// Name that the gateway gave it.
+    /// Name that the gateway gave the request.
     id: u64,
     due: Duration,
 }
 
-/// Permits given here, and wishes passed on.
+/// Permits given here while this replica leads, and requests relayed while another does.
 #[derive(Debug, Default)]
-pub(super) struct PermitDesk {
+pub(super) struct PermitRelay {
     permits: Permits,
     next: u64,
-    wishes: HashMap<u64, Wish>,
+    pending: HashMap<u64, Pending>,
 }
 
-impl PermitDesk {
+impl PermitRelay {
     /// Permits of a leader whose time has just begun.
     pub(super) fn begin_anew(&mut self) {
         self.permits = Permits::default();
     }
 
-    /// Notes a wish that is passed on; the name that it gets, unless there are too many.
-    fn pass_on(&mut self, now: Duration, gateway: Token, id: u64) -> Option<u64> {
-        if self.wishes.len() >= MOST_WISHES {
-            self.wishes.retain(|_, wish| now < wish.due);
+    /// Notes a request that is relayed; the name that it gets, unless there are too many.
+    fn relay(&mut self, now: Duration, gateway: Token, id: u64) -> Option<u64> {
+        if self.pending.len() >= MOST_PENDING {
+            self.pending.retain(|_, one| now < one.due);
         }
-        if self.wishes.len() >= MOST_WISHES {
+        if self.pending.len() >= MOST_PENDING {
             return None;
         }
         self.next += 1;
-        let due = now + WISH_LIFETIME;
-        self.wishes.insert(self.next, Wish { gateway, id, due });
+        let due = now + PENDING_LIFETIME;
+        self.pending.insert(self.next, Pending { gateway, id, due });
         Some(self.next)
     }
 }
@@ -63,24 +63,24 @@
             stated_rate,
         } = request;
         if self.node.leads_surely(now) {
-            let permit = self.permit_desk.permits.take(now, &server, stated_rate);
+            let permit = self.permit_relay.permits.take(now, &server, stated_rate);
             self.metrics.note_permit(match permit {
                 Permit::Given => "given",
                 Permit::Refused { .. } => "refused",
             });
             return self.send_permit(token, id, Some(permit));
         }
-        // A wish is passed on once: a replica that was wrong about who leads is told so.
+        // A request is relayed once: a replica that was wrong about who leads is told so.
         let is_gateway = |token| {
             let link = self.inbound.get(&token);
             link.is_some_and(|link| !link.gateway.is_empty())
         };
         let leader = self.node.other_leader().filter(|_| is_gateway(token));
-        let passed_on = leader.and_then(|leader| {
-            let name = self.permit_desk.pass_on(now, token, id)?;
+        let relayed = leader.and_then(|leader| {
+            let name = self.permit_relay.relay(now, token, id)?;
             Some((leader, name))
         });
-        let Some((leader, name)) = passed_on else {
+        let Some((leader, name)) = relayed else {
             self.metrics.note_permit("unknown");
             return self.send_permit(token, id, None);
         };
@@ -92,10 +92,10 @@
         self.send_peer(&leader, &ToReplica::TakePermit(request));
     }
 
-    /// The leader answered a wish that was passed on.
+    /// The leader answered a request that was relayed.
     pub(super) fn on_permit(&mut self, name: u64, permit: Option<Permit>) {
-        if let Some(wish) = self.permit_desk.wishes.remove(&name) {
-            self.send_permit(wish.gateway, wish.id, permit);
+        if let Some(pending) = self.permit_relay.pending.remove(&name) {
+            self.send_permit(pending.gateway, pending.id, permit);
         }
     }
 
--- a/crates/directory/src/daemon/server.rs
+++ b/crates/directory/src/daemon/server.rs
@@ -19,7 +19,7 @@
 use super::link_side::LinkConnection;
 use super::opening::{changed_at, open_node};
 use super::peers::Peers;
-use super::permitting::PermitDesk;
+use super::permitting::PermitRelay;
 use super::signals::Signals;
 use super::DirectoryError;
 use crate::call::Reply;
@@ -81,7 +81,7 @@
     pub(super) gathered_crashes: GatheredCrashes,
     /// Whether gateways were last told that what they get from here is fresh.
     pub(super) announced_fed: bool,
-    pub(super) permit_desk: PermitDesk,
+    pub(super) permit_relay: PermitRelay,
     pub(super) bad_calls: BadCalls,
     pub(super) calls: Calls,
     pub(super) inputs: Vec<NodeInput>,
@@ -144,7 +144,7 @@
             gathered: Gathered::default(),
             gathered_crashes: GatheredCrashes::default(),
             announced_fed: false,
-            permit_desk: PermitDesk::default(),
+            permit_relay: PermitRelay::default(),
             bad_calls: BadCalls::default(),
             calls: Calls::default(),
             inputs: Vec::new(),
@@ -435,7 +435,7 @@
             }
             NodeOutput::LeadershipChanged => {
                 self.next_head = Duration::ZERO;
-                self.permit_desk.begin_anew();
+                self.permit_relay.begin_anew();
             }
             NodeOutput::Notice(notice) => log_notice(&notice, &self.metrics),
         }
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -35,10 +35,10 @@
     TakePermit(PermitRequest),
 }
 
-/// A gateway's wish to send one request to a server that states how many it takes.
+/// A gateway asks to send one request to a server that states how many it takes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
-    /// Names the wish on this connection.
+    /// Names the request on this connection.
     pub id: u64,
     /// The server.
     pub server: InstanceId,
@@ -92,9 +92,9 @@
         #[serde(with = "serde_bytes")]
         state: Vec<u8>,
     },
-    /// The answer to a wish for a permit.
+    /// The answer to a request for a permit.
     Permit {
-        /// Names the wish on this connection.
+        /// Names the request on this connection.
         id: u64,
         /// The leader's answer; `None` when none can be reached.
         permit: Option<Permit>,
--- a/crates/directory/tests/crashes.rs
+++ b/crates/directory/tests/crashes.rs
@@ -52,7 +52,7 @@
 
 /// A rack that fails takes many servers at one moment, with whatever they were running.
 #[test]
-fn servers_that_fail_together_convict_nobody() {
+fn servers_that_fail_together_quarantine_nothing() {
     let (mut book, mut catalog) = (CrashBook::default(), Catalog::default());
     let told: Vec<CrashReport> = (0..50)
         .flat_map(|server| (0..20).map(move |request| crash(request, server, ms(server))))
--- a/crates/gateway/examples/fingerprint_cost.rs
+++ b/crates/gateway/examples/fingerprint_cost.rs
@@ -2,22 +2,15 @@
 //!
 //! `cargo run --release -p grebepin-gateway --example fingerprint_cost`
 
+#[path = "../tests/header_names/mod.rs"]
+mod header_names;
+
 use std::hint::black_box;
 use std::time::Instant;
 
 use grebepin_gateway::crash_memory::fingerprint;
-use grebepin_gateway::HeaderNames;
 use grebepin_reactor::http::{Fields, Request};
-
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "X-Id",
-    deadline_ms: "X-Deadline",
-    signature: "X-Signature",
-    expected_instance: "X-Expected",
-    not_executed: "X-Not-Run",
-    stated_rate: "X-Rate",
-    shard_key: "X-Key",
-};
+use header_names::NAMES;
 
 const ROUNDS: u32 = 1_000_000;
 const BODY_BYTES: usize = 4 << 10;
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -36,8 +36,11 @@
             _ => None,
         };
         let pause = self.pause_before_repeat(verdict, flight, server, place_after);
-        // A second sending to the only server of a key would use the rate that it states for another caller.
-        let spares_owner = flight.shard.is_some() && self.stated_rates.rate(server).is_some();
+        // A second sending to the only server of a key would use a place that it states to have for another caller.
+        let goes_there_again = flight
+            .shard
+            .is_some_and(|shard| self.owns(server, &flight.service, shard));
+        let spares_owner = goes_there_again && self.stated_rates.rate(server).is_some();
         let wanted = may_repeat(verdict, flight.kind())
             && !spares_owner
             && !self.is_suspect(flight)
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -66,9 +66,9 @@
     Entries(Vec<(u64, Entry)>),
     /// How many gateways there are, as the leader counts them.
     Gateways(u32),
-    /// The answer to a wish for a permit.
+    /// The answer to a request for a permit.
     Permit {
-        /// Name of the wish.
+        /// Name of the request for it.
         id: u64,
         /// The leader's answer; `None` when none can be reached.
         permit: Option<Permit>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod balance;
 pub mod budget;
 mod clients;
+mod crash_check;
 pub mod crash_memory;
 pub mod evacuations;
 pub mod first_source;
--- a/crates/gateway/src/stated_rate.rs
+++ b/crates/gateway/src/stated_rate.rs
@@ -1,23 +1,18 @@
 //! Rates that servers in need state in their answers: requests a second that one takes from all gateways together.
 //!
-//! No gateway may use a stated rate alone: those that were told take turns at the server, see [`crate::rate_turns`].
+//! No gateway may use a stated rate alone: the leader gives permits for the owners of keys, see [`crate::permits`]; at
+//! other servers, and without a leader, the gateways that were told take turns, see [`crate::rate_turns`].
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
+use grebepin_grants::{LEAST_STATED_RATE, STATED_RATE_USED};
 use grebepin_reactor::http::Response;
 
 use crate::headers::HeaderNames;
 use crate::rate_turns::{RateTurns, TurnLength};
 
-/// Part of a stated rate that is used; the rest is for gateways that were not told yet.
-const USED_PART: f64 = 0.9;
-
-/// Least rate that is reckoned with, in requests a second: a server that states none at all is asked now and then
-/// whether it still does.
-const LEAST_RATE: f64 = 0.1;
-
 /// Over which time what a server gets must keep to its rate, and how far it may pass it.
 const WINDOW: Duration = Duration::from_secs(4);
 const WINDOW_FACTOR: f64 = 1.5;
@@ -160,7 +155,7 @@
     /// Mean time between two requests that a server takes, where it states a rate: a place for another caller.
     pub fn place_after(&self, id: &InstanceId) -> Option<Duration> {
         let rate = self.rate(id)?;
-        Some(Duration::from_secs_f64(1.0 / rate.max(LEAST_RATE)))
+        Some(Duration::from_secs_f64(1.0 / rate.max(LEAST_STATED_RATE)))
     }
 
     /// How many servers state a rate.
@@ -188,7 +183,7 @@
 /// Turns of one of `gateways` that share a stated rate. They are open for as long as a sudden crowd at every gateway
 /// stays within what may come in a window.
 fn turn_length(rate: f64, gateways: u32) -> TurnLength {
-    let used = rate.max(LEAST_RATE) * USED_PART;
+    let used = rate.max(LEAST_STATED_RATE) * STATED_RATE_USED;
     let allowed = rate * WINDOW_FACTOR * WINDOW.as_secs_f64() + WINDOW_SLACK;
     let seconds = open_of_few(used, allowed, gateways).max(open_of_many(used, allowed));
     let open = Duration::try_from_secs_f64(seconds).unwrap_or_default();
--- a/crates/gateway/tests/crash_memory.rs
+++ b/crates/gateway/tests/crash_memory.rs
@@ -1,21 +1,13 @@
 //! What a gateway remembers of servers that crashed while they ran a request.
 
+mod header_names;
+
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
 use grebepin_gateway::crash_memory::{fingerprint, CrashMemory};
-use grebepin_gateway::HeaderNames;
 use grebepin_reactor::http::{Fields, Request};
-
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "X-Id",
-    deadline_ms: "X-Deadline",
-    signature: "X-Signature",
-    expected_instance: "X-Expected",
-    not_executed: "X-Not-Run",
-    stated_rate: "X-Rate",
-    shard_key: "X-Key",
-};
+use header_names::NAMES;
 
 fn at(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
--- a/crates/gateway/tests/verdict.rs
+++ b/crates/gateway/tests/verdict.rs
@@ -1,19 +1,11 @@
 //! What each answer of a server proves, and when a request may be sent again.
 
+mod header_names;
+
 use grebepin_catalog::RequestKind;
 use grebepin_gateway::verdict::{belongs, judge, may_repeat, Verdict};
-use grebepin_gateway::HeaderNames;
 use grebepin_reactor::http::{Fields, Response};
-
-const NAMES: HeaderNames = HeaderNames {
-    request_id: "X-Id",
-    deadline_ms: "X-Deadline",
-    signature: "X-Signature",
-    expected_instance: "X-Expected",
-    not_executed: "X-Not-Run",
-    stated_rate: "X-Rate",
-    shard_key: "X-Key",
-};
+use header_names::NAMES;
 
 type FieldList = &'static [(&'static str, &'static str)];
 
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -27,5 +27,5 @@
 pub use beat::{Beat, FreedRow, Grant, HeldRow};
 pub use coordinator::{BeatOutcome, Coordinator};
 pub use load::{LoadSample, LoadSum, ServerSample};
-pub use permits::{Permit, Permits};
+pub use permits::{Permit, Permits, LEAST_STATED_RATE, STATED_RATE_USED};
 pub use timing::Timing;
--- a/crates/telemetry/src/metrics/directory.rs
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -56,7 +56,7 @@
             )?,
             permits: metrics.counters(
                 "directory_permits_total",
-                "Wishes to send a request to a server that states a rate, by answer",
+                "Requests for a permit to send to a server that states a rate, by answer",
                 &["answer"],
             )?,
             quarantined: metrics.gauge(
@@ -108,7 +108,7 @@
         self.bad_calls.with_label_values(&[cause]).inc();
     }
 
-    /// A gateway's wish for a permit was answered: `given`, `refused` or, by a replica that reaches no leader, `unknown`.
+    /// A gateway's request for a permit was answered: `given`, `refused` or, by a replica that reaches no leader, `unknown`.
     pub fn note_permit(&self, answer: &str) {
         self.permits.with_label_values(&[answer]).inc();
     }
