Tests of relief stand in a file of their own

What its tests begin with moves to a module; the two tests of shards that a server can't serve move to relief.rs. 13 tests before, 11 and 2 after, unchanged.

--- /dev/null
+++ b/crates/grants/tests/division/mod.rs
@@ -0,0 +1,102 @@
+//! A service whose shards are divided among servers over rounds of heartbeats.
+
+use std::time::Duration;
+
+use grebepin_catalog::{Catalog, Command, InstanceId};
+use grebepin_grants::{Beat, BeatOutcome, Coordinator, Timing};
+
+use super::support::{self, sharded_service, SERVICE};
+
+pub fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+pub fn timing() -> Timing {
+    Timing {
+        lease: ms(5_000),
+        heartbeat: ms(1_000),
+        drain_window: ms(1_000),
+        evacuation_window: ms(1_500),
+        forget_after: ms(10_000),
+    }
+}
+
+pub fn catalog() -> Catalog {
+    sharded_service(Some(6.7))
+}
+
+pub fn id(number: usize) -> InstanceId {
+    InstanceId::new(&format!("i-{number}"))
+}
+
+pub fn beat(number: usize, sequence: u64) -> Beat {
+    support::beat(&id(number), number as u64, sequence)
+}
+
+pub fn commands(outcome: BeatOutcome) -> Vec<Command> {
+    match outcome {
+        BeatOutcome::Fresh(commands) => commands,
+        BeatOutcome::Stale => Vec::new(),
+    }
+}
+
+/// Lets each server beat once: in turn, over half a heartbeat, or all at one moment when `together`; then
+/// their commands are applied at once, as under load.
+pub fn round(
+    coordinator: &mut Coordinator,
+    catalog: &mut Catalog,
+    now: Duration,
+    count: usize,
+    sequence: u64,
+    together: bool,
+) -> Vec<Command> {
+    let due = coordinator.tick(now, catalog);
+    due.iter().for_each(|command| _ = catalog.apply(command));
+    let mut all = Vec::new();
+    let at = |number: usize| match together {
+        true => now,
+        false => now + timing().heartbeat * number as u32 / (2 * count as u32),
+    };
+    for number in 0..count {
+        let outcome = coordinator.on_beat(at(number), catalog, &beat(number, sequence));
+        let one = commands(outcome);
+        if !together {
+            one.iter().for_each(|command| _ = catalog.apply(command));
+        }
+        all.extend(one);
+    }
+    if together {
+        all.iter().for_each(|command| _ = catalog.apply(command));
+    }
+    for number in 0..count {
+        let grant = coordinator.grant(at(number), catalog, &beat(number, sequence));
+        assert!(
+            grant.is_some(),
+            "a server of a sharded service gets a grant"
+        );
+    }
+    all
+}
+
+/// A service whose shards were divided among so many servers, over seven rounds of heartbeats.
+pub fn divided(count: usize) -> (Coordinator, Catalog) {
+    let (mut coordinator, mut catalog) = (Coordinator::new(timing(), ms(0)), catalog());
+    for sequence in 1..8 {
+        let now = ms(sequence * 1_000);
+        round(&mut coordinator, &mut catalog, now, count, sequence, false);
+    }
+    (coordinator, catalog)
+}
+
+pub fn owned(catalog: &Catalog, count: usize) -> Vec<usize> {
+    let ownership = catalog.ownership(SERVICE).expect("assigned");
+    (0..count)
+        .map(|number| ownership.count_of(&id(number)))
+        .collect()
+}
+
+pub fn owned_shards(catalog: &Catalog, number: usize) -> Vec<u16> {
+    let ownership = catalog.ownership(SERVICE).expect("assigned");
+    let shards = ownership.owned_by(&id(number));
+    shards.map(|shard| shard as u16).collect()
+}
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -1,101 +1,15 @@
 //! Who gets which shards: equal parts at first, by what servers can take later, nobody's twice.
 
+mod division;
 mod support;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use grebepin_catalog::{Catalog, Command, Instance, InstanceId, InstanceState, SHARDS};
-use grebepin_grants::{Beat, BeatOutcome, Coordinator, LoadSample, ServerSample, Timing};
-use support::{sharded_service, SERVICE};
-
-fn ms(number: u64) -> Duration {
-    Duration::from_millis(number)
-}
-
-fn timing() -> Timing {
-    Timing {
-        lease: ms(5_000),
-        heartbeat: ms(1_000),
-        drain_window: ms(1_000),
-        evacuation_window: ms(1_500),
-        forget_after: ms(10_000),
-    }
-}
-
-fn catalog() -> Catalog {
-    sharded_service(Some(6.7))
-}
-
-fn id(number: usize) -> InstanceId {
-    InstanceId::new(&format!("i-{number}"))
-}
-
-fn beat(number: usize, sequence: u64) -> Beat {
-    support::beat(&id(number), number as u64, sequence)
-}
-
-fn commands(outcome: BeatOutcome) -> Vec<Command> {
-    match outcome {
-        BeatOutcome::Fresh(commands) => commands,
-        BeatOutcome::Stale => Vec::new(),
-    }
-}
-
-/// Lets each server beat once: in turn, over half a heartbeat, or all at one moment when `together`; then
-/// their commands are applied at once, as under load.
-fn round(
-    coordinator: &mut Coordinator,
-    catalog: &mut Catalog,
-    now: Duration,
-    count: usize,
-    sequence: u64,
-    together: bool,
-) -> Vec<Command> {
-    let due = coordinator.tick(now, catalog);
-    due.iter().for_each(|command| _ = catalog.apply(command));
-    let mut all = Vec::new();
-    let at = |number: usize| match together {
-        true => now,
-        false => now + timing().heartbeat * number as u32 / (2 * count as u32),
-    };
-    for number in 0..count {
-        let outcome = coordinator.on_beat(at(number), catalog, &beat(number, sequence));
-        let one = commands(outcome);
-        if !together {
-            one.iter().for_each(|command| _ = catalog.apply(command));
-        }
-        all.extend(one);
-    }
-    if together {
-        all.iter().for_each(|command| _ = catalog.apply(command));
-    }
-    for number in 0..count {
-        let grant = coordinator.grant(at(number), catalog, &beat(number, sequence));
-        assert!(
-            grant.is_some(),
-            "a server of a sharded service gets a grant"
-        );
-    }
-    all
-}
-
-/// A service whose shards were divided among so many servers, over seven rounds of heartbeats.
-fn divided(count: usize) -> (Coordinator, Catalog) {
-    let (mut coordinator, mut catalog) = (Coordinator::new(timing(), ms(0)), catalog());
-    for sequence in 1..8 {
-        let now = ms(sequence * 1_000);
-        round(&mut coordinator, &mut catalog, now, count, sequence, false);
-    }
-    (coordinator, catalog)
-}
-
-fn owned(catalog: &Catalog, count: usize) -> Vec<usize> {
-    let ownership = catalog.ownership(SERVICE).expect("assigned");
-    (0..count)
-        .map(|number| ownership.count_of(&id(number)))
-        .collect()
-}
+use division::{beat, catalog, commands, divided, id, ms, owned, owned_shards, round, timing};
+use grebepin_catalog::{Catalog, Command, Instance, InstanceState, SHARDS};
+use grebepin_grants::{Beat, Coordinator, LoadSample, ServerSample};
+use support::SERVICE;
 
 #[test]
 fn servers_that_beat_at_one_moment_are_promised_different_shards() {
@@ -177,54 +91,6 @@
     coordinator.on_load(now, catalog, &sample);
 }
 
-/// Shards apart of which each gets a request a second: about ten for each of four servers, which run them with ease.
-const ASKED_EVERY: usize = SHARDS / 40;
-
-/// Requests a second that one of them states to take.
-const STATED: f32 = 2.5;
-
-/// A server in need states what it takes: what nobody else may run meanwhile goes to others that may.
-#[test]
-fn a_server_that_states_a_rate_keeps_only_the_shards_that_it_can_serve() {
-    let (mut coordinator, mut catalog) = divided(4);
-    let before = owned(&catalog, 4);
-    let mut second = |range: std::ops::Range<u64>, stated_rate: Option<f32>| {
-        for sequence in range {
-            let now = ms(sequence * 1_000);
-            let shards = (0..SHARDS as u16)
-                .step_by(ASKED_EVERY)
-                .map(|shard| (shard, 1));
-            let servers = (0..4_usize).map(|number| ServerSample {
-                id: id(number),
-                answers: 10,
-                seconds: 0.5,
-                stated_rate: stated_rate.filter(|_| number == 1),
-            });
-            let sample = LoadSample {
-                shards: vec![(SERVICE.to_owned(), shards.collect())],
-                servers: servers.collect(),
-            };
-            coordinator.on_load(now, &catalog, &sample);
-            round(&mut coordinator, &mut catalog, now, 4, sequence, false);
-        }
-        let asked = owned_shards(&catalog, 1).into_iter();
-        let asked = asked.filter(|shard| usize::from(*shard).is_multiple_of(ASKED_EVERY));
-        (asked.count(), owned(&catalog, 4))
-    };
-    let (asked, calm) = second(8..20, None);
-    assert!(
-        asked as f32 > STATED * 3.0 && calm == before,
-        "{asked}, {before:?} became {calm:?}"
-    );
-    let (asked, in_need) = second(20..40, Some(STATED));
-    assert!(
-        asked as f32 <= STATED,
-        "{asked} requests a second are for it"
-    );
-    let (_, after) = second(40..60, None);
-    assert_eq!(after, in_need, "nothing moves back while nobody is busy");
-}
-
 /// Half of all requests are for one shard of a slow server: it goes to the fast one.
 #[test]
 fn a_shard_that_keeps_a_slow_server_busy_goes_to_a_faster_one() {
@@ -270,12 +136,6 @@
     assert!(receivers.is_superset(&let_go), "the fast one takes them");
 }
 
-fn owned_shards(catalog: &Catalog, number: usize) -> Vec<u16> {
-    let ownership = catalog.ownership(SERVICE).expect("assigned");
-    let shards = ownership.owned_by(&id(number));
-    shards.map(|shard| shard as u16).collect()
-}
-
 /// Ended servers are remembered in bounded number; one that is forgotten may still own shards.
 #[test]
 fn shards_of_a_server_that_is_no_longer_remembered_are_freed_by_a_new_leader() {
@@ -482,38 +342,3 @@
     fleet.run(ms(0), ms(6_000));
     assert_eq!(fleet.shards(), SHARDS);
 }
-
-/// What was seen: a server that stated a fifth of what came kept all its shards for 13 s, and every fifth request was
-/// refused. All servers had started together; its heartbeat came first, and those of the others so shortly after it that
-/// none of them was ever expected soon enough and late enough to take a shard over.
-#[test]
-fn a_busy_server_is_relieved_though_all_others_beat_right_after_it() {
-    let (mut coordinator, mut catalog) = divided(4);
-    let before = owned_shards(&catalog, 0).len();
-    for sequence in 8..20_u64 {
-        let now = ms(sequence * 1_000);
-        let shards = (0..SHARDS as u16).step_by(25).map(|shard| (shard, 1));
-        let servers = (0..4_usize).map(|number| ServerSample {
-            id: id(number),
-            answers: 40,
-            seconds: if number == 0 { 3.6 } else { 0.3 },
-            stated_rate: None,
-        });
-        let sample = LoadSample {
-            shards: vec![(SERVICE.to_owned(), shards.collect())],
-            servers: servers.collect(),
-        };
-        coordinator.on_load(now, &catalog, &sample);
-        for number in 0..4_usize {
-            let at = now + ms(20) * number as u32;
-            let beat = beat(number, sequence);
-            let all = commands(coordinator.on_beat(at, &catalog, &beat));
-            all.iter().for_each(|command| _ = catalog.apply(command));
-            coordinator.grant(at, &catalog, &beat);
-        }
-    }
-    let after = owned_shards(&catalog, 0).len();
-    assert!(after < before * 3 / 4, "{before} shards became {after}");
-    let all: usize = owned(&catalog, 4).iter().sum();
-    assert!(all > SHARDS * 9 / 10, "{all} shards have an owner");
-}
--- /dev/null
+++ b/crates/grants/tests/relief.rs
@@ -0,0 +1,93 @@
+//! Shards that a server can't serve go to others: one that states a rate, and one that reports before all others.
+
+mod division;
+mod support;
+
+use grebepin_catalog::SHARDS;
+use grebepin_grants::{LoadSample, ServerSample};
+
+use division::{beat, commands, divided, id, ms, owned, owned_shards, round};
+use support::SERVICE;
+
+/// Shards apart of which each gets a request a second: about ten for each of four servers, which run them with ease.
+const ASKED_EVERY: usize = SHARDS / 40;
+
+/// Requests a second that one of them states to take.
+const STATED: f32 = 2.5;
+
+/// A server in need states what it takes: what nobody else may run meanwhile goes to others that may.
+#[test]
+fn a_server_that_states_a_rate_keeps_only_the_shards_that_it_can_serve() {
+    let (mut coordinator, mut catalog) = divided(4);
+    let before = owned(&catalog, 4);
+    let mut second = |range: std::ops::Range<u64>, stated_rate: Option<f32>| {
+        for sequence in range {
+            let now = ms(sequence * 1_000);
+            let shards = (0..SHARDS as u16)
+                .step_by(ASKED_EVERY)
+                .map(|shard| (shard, 1));
+            let servers = (0..4_usize).map(|number| ServerSample {
+                id: id(number),
+                answers: 10,
+                seconds: 0.5,
+                stated_rate: stated_rate.filter(|_| number == 1),
+            });
+            let sample = LoadSample {
+                shards: vec![(SERVICE.to_owned(), shards.collect())],
+                servers: servers.collect(),
+            };
+            coordinator.on_load(now, &catalog, &sample);
+            round(&mut coordinator, &mut catalog, now, 4, sequence, false);
+        }
+        let asked = owned_shards(&catalog, 1).into_iter();
+        let asked = asked.filter(|shard| usize::from(*shard).is_multiple_of(ASKED_EVERY));
+        (asked.count(), owned(&catalog, 4))
+    };
+    let (asked, calm) = second(8..20, None);
+    assert!(
+        asked as f32 > STATED * 3.0 && calm == before,
+        "{asked}, {before:?} became {calm:?}"
+    );
+    let (asked, in_need) = second(20..40, Some(STATED));
+    assert!(
+        asked as f32 <= STATED,
+        "{asked} requests a second are for it"
+    );
+    let (_, after) = second(40..60, None);
+    assert_eq!(after, in_need, "nothing moves back while nobody is busy");
+}
+
+/// What was seen: a server that stated a fifth of what came kept all its shards for 13 s, and every fifth request was
+/// refused. All servers had started together; its heartbeat came first, and those of the others so shortly after it that
+/// none of them was ever expected soon enough and late enough to take a shard over.
+#[test]
+fn a_busy_server_is_relieved_though_all_others_beat_right_after_it() {
+    let (mut coordinator, mut catalog) = divided(4);
+    let before = owned_shards(&catalog, 0).len();
+    for sequence in 8..20_u64 {
+        let now = ms(sequence * 1_000);
+        let shards = (0..SHARDS as u16).step_by(25).map(|shard| (shard, 1));
+        let servers = (0..4_usize).map(|number| ServerSample {
+            id: id(number),
+            answers: 40,
+            seconds: if number == 0 { 3.6 } else { 0.3 },
+            stated_rate: None,
+        });
+        let sample = LoadSample {
+            shards: vec![(SERVICE.to_owned(), shards.collect())],
+            servers: servers.collect(),
+        };
+        coordinator.on_load(now, &catalog, &sample);
+        for number in 0..4_usize {
+            let at = now + ms(20) * number as u32;
+            let beat = beat(number, sequence);
+            let all = commands(coordinator.on_beat(at, &catalog, &beat));
+            all.iter().for_each(|command| _ = catalog.apply(command));
+            coordinator.grant(at, &catalog, &beat);
+        }
+    }
+    let after = owned_shards(&catalog, 0).len();
+    assert!(after < before * 3 / 4, "{before} shards became {after}");
+    let all: usize = owned(&catalog, 4).iter().sum();
+    assert!(all > SHARDS * 9 / 10, "{all} shards have an owner");
+}
