--- a/crates/grants/tests/relief.rs
+++ b/crates/grants/tests/relief.rs
@@ -57,7 +57,7 @@
     assert_eq!(after, in_need, "nothing moves back while nobody is busy");
 }
 
-/// What was seen: a server that stated a fifth of what came kept all its shards for 13 s, and every fifth request was
+/// What was seen: a server that stated a part of what came kept all its shards for 13 s, and every ninth request was
 /// refused. All servers had started together; its heartbeat came first, and those of the others so shortly after it that
 /// none of them was ever expected soon enough and late enough to take a shard over.
 #[test]
