Gateways show which servers ask for no requests for a time

Sight for the incident: neither a log line nor a metric told whether a gateway had seen the Retry-After of a server's 503, nor what it sent there before that time was over, so 'not read' and 'kept on one way of sending only' looked alike.

What an answer states of its server is now read in one place (statement.rs), also from surplus answers: the time, and the rate that was read before. Line 240 at the beginning of each such time, a gauge of such servers, a counter of requests sent to them meanwhile. A field that is given twice or is no number states nothing, is logged once (241) and counted. No decision changes; a rate given twice is no statement any more.

--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -59,6 +59,7 @@
         let expired = self.upstreams.expired(now, |id| table.is_live(id));
         self.balance.retain(|id| table.is_live(id));
         self.stated_rates.retain(|id| table.is_live(id));
+        self.cooldowns.retain(now, |id| table.is_live(id));
         for token in expired {
             self.drop_upstream(token);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! The gateway: takes clients' requests, finds the server that may run each, and answers.
 //!
-//! Everything is served from one thread. `table`, `balance`, `budget`, `stated_rate`, `verdict` decide and are pure;
+//! Everything is served from one thread. `table`, `balance`, `budget`, `cooldowns`, `stated_rate`, `verdict` decide and are pure;
 //! `clients`, `upstreams` and `follow` move bytes; `forwarding`, `sending` and `answering` are the phases of
 //! a request, `housekeeping` is what time asks for, and `server` is the event loop that joins them.
 //!
@@ -14,6 +14,7 @@
 pub mod balance;
 pub mod budget;
 mod clients;
+pub mod cooldowns;
 mod crash_check;
 pub mod crash_memory;
 pub mod evacuations;
@@ -40,6 +41,8 @@
 pub mod server_index;
 mod settings;
 pub mod stated_rate;
+pub mod statement;
+mod statements;
 pub mod stopping;
 pub mod table;
 mod upstreams;
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -13,7 +13,6 @@
 use crate::flight::{FlightId, Place};
 use crate::refusal::Refusal;
 use crate::server::{Due, Server};
-use crate::stated_rate::RateStatement;
 use crate::upstreams::Upstream;
 use crate::verdict::{belongs, judge, Verdict};
 
@@ -32,6 +31,9 @@
 /// Bytes of an answer taken in at once.
 const ANSWER_BUFFER: usize = 1 << 20;
 
+/// When the request of a surplus answer was sent: it is not known, so the answer ends nothing that was stated since.
+const SENT_LONG_AGO: Duration = Duration::ZERO;
+
 /// Part of the connections of a server that all gateways together may use.
 const CONNECTION_PART: f64 = 0.8;
 
@@ -68,6 +70,9 @@
         if self.stated_rates.note_sent(&server.id, now, gateways) {
             self.metrics.sent_at_stated_rates.inc();
         }
+        if self.cooldowns.left(&server.id, now).is_some() {
+            self.metrics.sent_in_cooldowns.inc();
+        }
         let Some(upstream) = self.upstreams.get_mut(token) else {
             return;
         };
@@ -248,13 +253,15 @@
                 (Ok(Some(response)), _) if belongs(&response, &flight.request_id, &names) => {
                     return self.on_answer(token, id, response);
                 }
-                (Ok(Some(_)), _) => {
+                (Ok(Some(response)), _) => {
                     self.metrics.foreign_answers.inc();
                     event!(
                         Event::AnswerForeign,
                         id = flight.request_id,
                         instance = upstream.server
                     );
+                    let server = upstream.server.clone();
+                    self.note_statement(&server, SENT_LONG_AGO, &response);
                 }
                 (Ok(None), Ok(ReadOutcome::Full)) => {
                     // The buffer was drained into the answer: take what else waits.
@@ -277,7 +284,7 @@
         let Some((server, since)) = self.leave_server(id) else {
             return;
         };
-        self.note_stated_rate(&server, since, &response);
+        self.note_statement(&server, since, &response);
         let Some(flight) = self.flights.get(id) else {
             return;
         };
@@ -312,25 +319,6 @@
         }
     }
 
-    /// Takes in what an answer says of the rate that its server takes; its request was sent at `sent`.
-    fn note_stated_rate(&mut self, server: &InstanceId, sent: Duration, response: &Response) {
-        let now = self.now();
-        let statement = RateStatement::of(response, &self.names);
-        if let RateStatement::PerSecond(per_second) = statement {
-            self.load.note_stated_rate(server, per_second);
-        }
-        let Some(change) = self.stated_rates.note(server, now, sent, statement) else {
-            return;
-        };
-        event!(
-            Event::ServerRateStated,
-            instance = server,
-            per_second = change.rate.unwrap_or(-1.0),
-            before = change.before.unwrap_or(-1.0),
-            gateways = self.budgets.gateways()
-        );
-    }
-
     /// A connection with a request on it broke: the request may have run.
     pub(crate) fn break_off(&mut self, token: Token, reason: &str) {
         let now = self.now();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,6 +18,7 @@
 use crate::balance::Balance;
 use crate::budget::{BudgetBound, Budgets};
 use crate::clients::{Client, Clients};
+use crate::cooldowns::Cooldowns;
 use crate::crash_memory::CrashMemory;
 use crate::evacuations::Evacuations;
 use crate::flight::{FlightId, Flights};
@@ -103,6 +104,9 @@
     pub(crate) zone_exits: Evacuations,
     pub(crate) warmup: WarmupTurns,
     pub(crate) stated_rates: StatedRates,
+    pub(crate) cooldowns: Cooldowns,
+    /// Fields of answers that could not be used, each logged once.
+    pub(crate) unusable_fields: BTreeSet<&'static str>,
     pub(crate) load: LoadCounts,
     pub(crate) crashes: CrashMemory,
     /// Bytes that wait for this machine's link.
@@ -190,6 +194,8 @@
             zone_exits,
             warmup,
             stated_rates,
+            cooldowns: Cooldowns::default(),
+            unusable_fields: BTreeSet::new(),
             load: LoadCounts::default(),
             crashes: CrashMemory::default(),
             link_queue,
@@ -346,6 +352,8 @@
         metrics.directory_links.set(links as i64);
         let rated = self.stated_rates.len();
         metrics.servers_stating_rates.set(rated as i64);
+        let cooling_down = self.cooldowns.count(now);
+        metrics.servers_cooling_down.set(cooling_down as i64);
         let link_wait = self.link_queue.wait(now);
         metrics.link_wait_ms.set(link_wait.as_millis() as i64);
     }
--- a/crates/gateway/src/stated_rate.rs
+++ b/crates/gateway/src/stated_rate.rs
@@ -8,10 +8,9 @@
 
 use grebepin_catalog::InstanceId;
 use grebepin_grants::{LEAST_STATED_RATE, STATED_RATE_USED};
-use grebepin_reactor::http::Response;
 
-use crate::headers::HeaderNames;
 use crate::rate_turns::{RateTurns, TurnLength};
+use crate::statement::RateStatement;
 
 /// Over which time what a server gets must keep to its rate, and how far it may pass it.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -24,31 +23,6 @@
 /// Least time for which a turn is open, so that a gateway with several requests a second meets it.
 const LEAST_OPEN: Duration = Duration::from_millis(250);
 
-/// What an answer says of the rate that its server takes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum RateStatement {
-    /// Requests a second, from all gateways together.
-    PerSecond(f64),
-    /// The server ran the request and states no rate.
-    Unbounded,
-    /// Nothing: the server did not run the request, or what it states can't be read.
-    Silent,
-}
-
-impl RateStatement {
-    /// Reads an answer.
-    pub fn of(response: &Response, names: &HeaderNames) -> Self {
-        let stated = response.fields.get(names.stated_rate);
-        let is_signed = response.fields.get(names.signature).is_some();
-        match stated.map(str::parse::<f64>) {
-            Some(Ok(rate)) if rate.is_finite() && rate >= 0.0 => Self::PerSecond(rate),
-            Some(_) => Self::Silent,
-            None if is_signed => Self::Unbounded,
-            None => Self::Silent,
-        }
-    }
-}
-
 /// A change of what is known of a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateChange {
--- a/crates/gateway/tests/rate_sharing/mod.rs
+++ b/crates/gateway/tests/rate_sharing/mod.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
-use grebepin_gateway::stated_rate::{RateStatement, StatedRates};
+use grebepin_gateway::stated_rate::StatedRates;
+use grebepin_gateway::statement::RateStatement;
 use grebepin_grants::{Permit, Permits};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/crates/gateway/tests/stated_rate.rs
+++ b/crates/gateway/tests/stated_rate.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
-use grebepin_gateway::stated_rate::{RateChange, RateStatement, StatedRates};
+use grebepin_gateway::stated_rate::{RateChange, StatedRates};
+use grebepin_gateway::statement::RateStatement;
 use grebepin_grants::Permits;
 use rate_sharing::{Load, Permitted, Turns};
 
--- /dev/null
+++ b/crates/gateway/tests/statement.rs
@@ -0,0 +1,93 @@
+//! What an answer states of its server.
+
+mod header_names;
+
+use std::time::Duration;
+
+use grebepin_gateway::statement::{RateStatement, ServerStatement};
+use grebepin_reactor::http::{Fields, Response};
+use header_names::NAMES;
+
+type FieldList = &'static [(&'static str, &'static str)];
+
+fn statement(status: u16, fields: FieldList) -> ServerStatement {
+    let mut list = Fields::default();
+    for (name, value) in fields {
+        list.push(name, value.as_bytes());
+    }
+    let response = Response {
+        status,
+        fields: list,
+        body: Vec::new(),
+        keeps_alive: true,
+    };
+    ServerStatement::of(&response, &NAMES)
+}
+
+#[test]
+fn a_time_to_wait_is_read_from_answers_that_turn_a_request_away() {
+    let cases: [(u16, FieldList, Option<u64>); 7] = [
+        (
+            503,
+            &[("Retry-After", "3"), ("X-Not-Run", "1")],
+            Some(3_000),
+        ),
+        (503, &[("retry-after", " 0.25 ")], Some(250)),
+        (429, &[("Retry-After", "86400")], Some(86_400_000)),
+        (503, &[("Retry-After", "0")], Some(0)),
+        (503, &[], None),
+        (500, &[("Retry-After", "3")], None),
+        (200, &[("Retry-After", "3"), ("X-Signature", "s")], None),
+    ];
+    for (status, fields, milliseconds) in cases {
+        let statement = statement(status, fields);
+        let expected = milliseconds.map(Duration::from_millis);
+        assert_eq!(statement.retry_after, expected, "{status} {fields:?}");
+        assert_eq!(statement.unusable, Vec::<&str>::new(), "{fields:?}");
+    }
+}
+
+#[test]
+fn a_value_that_cannot_be_used_states_nothing_and_is_named() {
+    let cases: [FieldList; 8] = [
+        &[("Retry-After", "")],
+        &[("Retry-After", "-1")],
+        &[("Retry-After", "inf")],
+        &[("Retry-After", "NaN")],
+        &[("Retry-After", "9999999999")],
+        &[("Retry-After", "3"), ("Retry-After", "4")],
+        &[("Retry-After", "3, 4")],
+        &[("Retry-After", "Thu, 03 Dec 2026 07:28:00 GMT")],
+    ];
+    for fields in cases {
+        let statement = statement(503, fields);
+        assert_eq!(statement.retry_after, None, "{fields:?}");
+        assert_eq!(statement.unusable, ["Retry-After"], "{fields:?}");
+    }
+}
+
+#[test]
+fn a_rate_is_stated_not_stated_or_left_open() {
+    use RateStatement::{PerSecond, Silent, Unbounded};
+    let cases: [(FieldList, RateStatement, usize); 6] = [
+        (
+            &[("X-Rate", "3.5"), ("X-Signature", "s")],
+            PerSecond(3.5),
+            0,
+        ),
+        (&[("X-Rate", "0")], PerSecond(0.0), 0),
+        (&[("X-Signature", "s")], Unbounded, 0),
+        (&[("X-Not-Run", "1")], Silent, 0),
+        (&[("X-Rate", "many"), ("X-Signature", "s")], Silent, 1),
+        (
+            &[("X-Rate", "1"), ("X-Rate", "2"), ("X-Signature", "s")],
+            Silent,
+            1,
+        ),
+    ];
+    for (fields, rate, unusable) in cases {
+        let statement = statement(200, fields);
+        assert_eq!(statement.rate, rate, "{fields:?}");
+        assert_eq!(statement.unusable.len(), unusable, "{fields:?}");
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -102,6 +102,8 @@
     EvacuationInForce = 237, Info, "requests into a zone stopped, or may go there again";
     ServerRateStated = 238, Info, "a server states another rate of requests that it takes, or none any more";
     ServerCrashed = 239, Warn, "a server crashed while it ran a request";
+    ServerCoolsDown = 240, Info, "a server asks for no requests for a time";
+    StatementUnusable = 241, Warn, "a field of a server's answer can't be used";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -34,6 +34,11 @@
     pub servers_stating_rates: IntGauge,
     /// Requests sent to servers that stated a rate.
     pub sent_at_stated_rates: IntCounter,
+    /// Servers that asked for no requests for a time that is not over.
+    pub servers_cooling_down: IntGauge,
+    /// Requests sent to servers within the time for which they asked for none.
+    pub sent_in_cooldowns: IntCounter,
+    unusable_fields: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -101,6 +106,19 @@
                 "gateway_sent_at_stated_rates_total",
                 "Requests sent to servers that stated a rate before",
             )?,
+            servers_cooling_down: metrics.gauge(
+                "gateway_servers_cooling_down",
+                "Servers that asked for no requests for a time that is not over",
+            )?,
+            sent_in_cooldowns: metrics.counter(
+                "gateway_sent_in_cooldowns_total",
+                "Requests sent to servers within the time for which they asked for none",
+            )?,
+            unusable_fields: metrics.counters(
+                "gateway_unusable_fields_total",
+                "Fields of servers' answers that could not be used, by name",
+                &["field"],
+            )?,
         })
     }
 
@@ -134,6 +152,11 @@
         self.retries.with_label_values(&[service, verdict]).inc();
     }
 
+    /// A field of a server's answer could not be used.
+    pub fn note_unusable_field(&self, field: &str) {
+        self.unusable_fields.with_label_values(&[field]).inc();
+    }
+
     /// A server is set aside.
     pub fn note_suspected(&self, reason: &str) {
         self.suspected.with_label_values(&[reason]).inc();
