Gateways send nothing to a server for the time for which it asked for no requests

Cause: the time was not read. A gateway took the answer for one more shed request and reckoned from the server's speed when it would have a place: 20 ms to 1.5 s.

Ruled out: one way of sending only (owner of keys and pooled server got as many), a fault of the directory (a gateway that keeps to the time sends nothing whatever keys the server has).

Change: a gateway remembers until when each life of a server asked it for nothing. Every way of sending asks that first: first and second sendings, what waits for room, for a repeat or for a connection that is not up yet, which is taken back. At a pooled service others serve; the owner's keys, and a service of which all ask so, are refused at once with what is left of the time, or wait where that is shorter than a request may be held anyway. When the time is over one request at a time shows whether the server takes them: its own limit learnt before says nothing about that, so it begins anew at one.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -36,11 +36,14 @@
             _ => None,
         };
         let pause = self.pause_before_repeat(verdict, flight, server, place_after);
-        // A second sending to the only server of a key would use a place that it states to have for another caller.
+        // A second sending to the only server of a key would use a place that it states to have for another caller, or
+        // come while it asks for no requests.
         let goes_there_again = flight
             .shard
             .is_some_and(|shard| self.owns(server, &flight.service, shard));
-        let spares_owner = goes_there_again && self.stated_rates.rate(server).is_some();
+        let cooldown = self.cooldowns.left(server, now);
+        let spares_owner =
+            goes_there_again && (cooldown.is_some() || self.stated_rates.rate(server).is_some());
         let wanted = may_repeat(verdict, flight.kind())
             && !spares_owner
             && !self.is_suspect(flight)
@@ -57,6 +60,10 @@
             (Verdict::NotRun | Verdict::NotOwner, _) if wanted => {
                 self.refuse(id, Refusal::BudgetSpent { place_after });
             }
+            (Verdict::NotRun | Verdict::NotOwner, _) if goes_there_again && cooldown.is_some() => {
+                let left = cooldown.unwrap_or_default();
+                self.refuse(id, Refusal::CoolingDown { left });
+            }
             (Verdict::NotRun | Verdict::NotOwner, _) => {
                 self.refuse(id, Refusal::NotRun { place_after });
             }
@@ -106,7 +113,7 @@
     }
 
     /// Whether a server is believed to own a shard.
-    fn owns(&self, server: &InstanceId, service: &str, shard: usize) -> bool {
+    pub(crate) fn owns(&self, server: &InstanceId, service: &str, shard: usize) -> bool {
         let held = self.table.shard(service, shard);
         held.is_some_and(|shard| shard.owner.as_ref() == Some(server))
     }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -137,6 +137,11 @@
         endpoint.backoff.shed();
     }
 
+    /// A server turned a request away and asked for no more for a time.
+    pub fn cooled_down(&mut self, id: &InstanceId) {
+        self.endpoint(id).limit.restart();
+    }
+
     /// Time after which a server that turned a request away is likely to take one.
     pub fn place_after(&self, server: &Instance) -> Duration {
         let endpoint = self.endpoints.get(&server.id);
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -141,6 +141,15 @@
         waiting.into_iter().map(|(_, _, id)| id).collect()
     }
 
+    /// Those of a service that wait before their key's owner is asked once more, and their shards.
+    pub fn awaiting_repeat(&self, service: &str) -> Vec<(FlightId, usize)> {
+        let waiting = self.flights.iter();
+        waiting
+            .filter(|(_, one)| one.place == Place::AwaitingRepeat && one.service == service)
+            .filter_map(|(id, one)| Some((*id, one.shard?)))
+            .collect()
+    }
+
     /// Those that wait for an owner.
     pub fn awaiting_owner(&self) -> Vec<FlightId> {
         let waiting = self.flights.iter();
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use grebepin_catalog::{shard_of_key, Instance, InstanceState, Route};
+use grebepin_catalog::{shard_of_key, Instance, InstanceId, InstanceState, Route};
 use grebepin_reactor::http::Request;
 use grebepin_telemetry::{event, Event};
 use mio::Token;
@@ -290,6 +290,9 @@
                 );
                 self.await_owner(id, fence);
             }
+            Some(owner) if self.cooldowns.left(&owner.id, now).is_some() => {
+                self.await_cooldown(id, &owner.id);
+            }
             Some(owner) if !is_turn(&self.table, &self.warmup, &owner, gateways, now) => {
                 self.refuse(id, Refusal::WarmingUp);
             }
@@ -319,6 +322,25 @@
         self.deadlines.add(until, due);
     }
 
+    /// Waits for the owner of its key, which asked for no requests, if that is over soon; else it is refused at once.
+    fn await_cooldown(&mut self, id: FlightId, owner: &InstanceId) {
+        let now = self.now();
+        let left = self.cooldowns.left(owner, now).unwrap_or_default();
+        self.load.note_crowd();
+        match self.can_wait(id, left) {
+            true => self.await_room(id, Some(now + left)),
+            false => self.refuse(id, Refusal::CoolingDown { left }),
+        }
+    }
+
+    /// Whether a request may be held for so long.
+    fn can_wait(&self, id: FlightId, time: Duration) -> bool {
+        let flight = self.flights.get(id);
+        flight.is_some_and(|flight| {
+            self.now() + time < flight.began + flight.route.target_latency.mul_f64(WAIT_PART)
+        })
+    }
+
     /// Waits a bounded time for room at a server, and looks again at `opens_at` if that is known.
     fn await_room(&mut self, id: FlightId, opens_at: Option<Duration>) {
         let now = self.now();
@@ -387,7 +409,7 @@
         }
     }
 
-    fn redispatch(&mut self, id: FlightId) {
+    pub(crate) fn redispatch(&mut self, id: FlightId) {
         if let Some(flight) = self.flights.get_mut(id) {
             flight.place = Place::Here;
             flight.unreached = 0;
@@ -410,10 +432,12 @@
         let gateways = self.known_gateways();
         let flight = self.flights.get(id)?;
         let (table, warmup, rates) = (&self.table, &self.warmup, &self.stated_rates);
+        let cooldowns = &self.cooldowns;
         let servers = table.usable_servers(&flight.service);
         let untried = servers.filter(|server| !flight.tried.contains(&server.id));
         let able = untried
             .clone()
+            .filter(|server| cooldowns.left(&server.id, now).is_none())
             .filter(|server| is_turn(table, warmup, server, gateways, now))
             .filter(|server| rates.is_open(&server.id, now, gateways));
         let zone = self.settings.zone.as_str();
@@ -426,20 +450,35 @@
             return Some(Placement::Refused(Refusal::NoServer));
         }
         if able.clone().next().is_none() {
-            let place_after = untried.filter_map(|server| rates.place_after(&server.id));
-            let refusal = match place_after.min() {
-                Some(after) => Refusal::RateSpent {
-                    place_after: Some(after),
-                },
-                None => Refusal::WarmingUp,
-            };
-            return Some(Placement::Refused(refusal));
+            let cooldown = untried
+                .clone()
+                .filter_map(|one| cooldowns.left(&one.id, now));
+            let place_after = untried.filter_map(|one| rates.place_after(&one.id));
+            return Some(self.placement_later(id, cooldown.min(), place_after.min()));
         }
         let opens_at = able.filter_map(|server| self.balance.opens_at(&server.id, now));
         Some(Placement::Waits {
             opens_at: opens_at.min(),
         })
     }
+
+    /// What becomes of a request that no server takes now: the first of them takes requests again after `cooldown`, and one
+    /// that states a rate has a place after `place_after`, where there are such servers.
+    fn placement_later(
+        &self,
+        id: FlightId,
+        cooldown: Option<Duration>,
+        place_after: Option<Duration>,
+    ) -> Placement {
+        match (cooldown, place_after) {
+            (_, Some(_)) => Placement::Refused(Refusal::RateSpent { place_after }),
+            (Some(left), None) if self.can_wait(id, left) => Placement::Waits {
+                opens_at: Some(self.now() + left),
+            },
+            (Some(left), None) => Placement::Refused(Refusal::CoolingDown { left }),
+            (None, None) => Placement::Refused(Refusal::WarmingUp),
+        }
+    }
 }
 
 /// Where a request goes that any server of its service may run.
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -115,6 +115,12 @@
         self.cut(now, OVERLOAD_FACTOR);
     }
 
+    /// The server asked for no requests for a time: after it one request at a time shows whether the server takes them.
+    pub fn restart(&mut self) {
+        self.limit = 1.0;
+        self.pause_until = Duration::ZERO;
+    }
+
     fn cut(&mut self, now: Duration, factor: f64) {
         if self.cut_at.is_some_and(|at| now < at + CUT_PAUSE) {
             return;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -37,6 +37,11 @@
         /// Mean time between two requests that the server takes, where that is known.
         place_after: Option<Duration>,
     },
+    /// The servers that could run it asked for no requests for a time.
+    CoolingDown {
+        /// What is left of that time.
+        left: Duration,
+    },
     /// It crashed the servers that ran it, and is kept from the others.
     Quarantined,
     /// Bytes wait too long for the gateway's own link.
@@ -71,6 +76,7 @@
             Self::NoRoom => "no room",
             Self::WarmingUp => "server warms up",
             Self::RateSpent { .. } => "server's rate spent",
+            Self::CoolingDown { .. } => "server asks for no requests",
             Self::Quarantined => "crashes its servers",
             Self::LinkFull => "link full",
             Self::NoServer => "no server",
@@ -95,6 +101,9 @@
         match (self, left) {
             (Self::Stopping, _) => STOPPING_PAUSE,
             (Self::LinkFull, Some(left)) => LINK_PAUSE.min(left.mul_f64(RETRY_PART)),
+            // A client that can't wait that long may still find the key at another owner.
+            (Self::CoolingDown { left: cooldown }, Some(left)) if cooldown < left => cooldown,
+            (Self::CoolingDown { left: cooldown }, None) => cooldown,
             (
                 Self::RateSpent {
                     place_after: Some(after),
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -296,6 +296,8 @@
         }
         let verdict = judge(&response, &names);
         match verdict {
+            // What it asked for says more than what this gateway would learn from being turned away.
+            Verdict::NotRun if self.cooldowns.left(&server, now).is_some() => {}
             Verdict::NotRun => self.balance.overloaded(&server, now),
             _ => {
                 let took = now.saturating_sub(since);
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -29,13 +29,46 @@
 
     fn note_retry_after(&mut self, server: &InstanceId, retry_after: Duration) {
         let now = self.now();
-        if self.cooldowns.note(server, now, retry_after) {
-            event!(
-                Event::ServerCoolsDown,
-                instance = server,
-                ms = retry_after.as_millis()
-            );
+        if !self.cooldowns.note(server, now, retry_after) {
+            return;
+        }
+        event!(
+            Event::ServerCoolsDown,
+            instance = server,
+            ms = retry_after.as_millis()
+        );
+        self.balance.cooled_down(server);
+        self.take_back_unsent(server);
+        self.look_again_for(server);
+    }
+
+    /// Takes requests back from connections to a server that are not up yet: nothing of them was sent.
+    fn take_back_unsent(&mut self, server: &InstanceId) {
+        for (token, id) in self.upstreams.connecting_to(server) {
+            self.drop_upstream(token);
+            if self.leave_server(id).is_none() {
+                continue;
+            }
+            if let Some(flight) = self.flights.get_mut(id) {
+                flight.sendings -= 1;
+                flight.tried.pop();
+            }
+            self.dispatch(id);
+        }
+    }
+
+    /// Requests that wait for a server find out at once that it takes none.
+    fn look_again_for(&mut self, server: &InstanceId) {
+        let Some(instance) = self.table.instance(server) else {
+            return;
+        };
+        let service = instance.service.clone();
+        for (id, shard) in self.flights.awaiting_repeat(&service) {
+            if self.owns(server, &service, shard) {
+                self.redispatch(id);
+            }
         }
+        self.services_with_room.insert(service);
     }
 
     fn note_stated_rate(&mut self, server: &InstanceId, sent: Duration, statement: RateStatement) {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -110,6 +110,15 @@
         }
     }
 
+    /// Connections to a server that are not up yet, and the requests that wait for them.
+    pub fn connecting_to(&self, server: &InstanceId) -> Vec<(Token, FlightId)> {
+        let connecting = self.connections.iter();
+        connecting
+            .filter(|(_, one)| !one.connected && one.server == *server)
+            .filter_map(|(token, one)| Some((*token, one.flight?)))
+            .collect()
+    }
+
     /// Connections to a server that rest. After one fell silent without an end, others that were open then may have as
     /// well, and each would cost a request its whole time to find out.
     pub fn resting_at(&self, server: &InstanceId) -> Vec<Token> {
