Refusals of a server are not reported as answers of it

Cause: gateways report to the directory how many answers each owner gave and how long they took, and the directory reckons from both what the owner could answer. Everything that ended a request at a server was reported, also a refusal that comes within a millisecond and a connection that did not come up: the owner seemed to have room for all keys there are, and busy owners gave theirs to it.

Ruled out: the share of the load that the keys stand for (it counts requests as they come to gateways, refused or not).

Change: only work is reported: answers of a server that ran the request, and the time until a request that was sent was given up. Refusals (also of a server that does not hold the key), connections that failed and those that broke off are not.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -201,10 +201,21 @@
     /// Takes a request back from the connection it is on, which is closed.
     pub(crate) fn recall(&mut self, id: FlightId) {
         let place = self.flights.get(id).map(|flight| flight.place.clone());
-        if let Some(Place::At { connection, .. }) = place {
-            self.leave_server(id);
-            self.drop_upstream(connection);
+        let Some(Place::At {
+            connection, server, ..
+        }) = place
+        else {
+            return;
+        };
+        let was_sent = self
+            .upstreams
+            .get(connection)
+            .is_some_and(|upstream| upstream.connected);
+        if let (Some((_, since)), true) = (self.leave_server(id), was_sent) {
+            let took = self.now().saturating_sub(since);
+            self.report_work(id, &server, took);
         }
+        self.drop_upstream(connection);
     }
 
     /// Notes that a request is no longer at its server; which that was, and since when.
@@ -218,13 +229,19 @@
         self.services_with_room.insert(flight.service.clone());
         let took = now.saturating_sub(since);
         self.metrics.note_server(&flight.service, took);
-        if flight.shard.is_some() {
-            self.load.note_answer(&server, took);
-        }
         self.balance.end(&server, now);
         Some((server, since))
     }
 
+    /// Reports that the owner of a key worked on its request for a time, to the end or until it was given up. What a server
+    /// did not run is not reported: it ends so fast that the server would seem to have room for all keys there are.
+    pub(crate) fn report_work(&mut self, id: FlightId, server: &InstanceId, took: Duration) {
+        let flight = self.flights.get(id);
+        if flight.is_some_and(|flight| flight.shard.is_some()) {
+            self.load.note_answer(server, took);
+        }
+    }
+
     /// Gives a server's answer to the client.
     pub(crate) fn pass_on(&mut self, id: FlightId, response: &Response) {
         let Some(flight) = self.flights.remove(id) else {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -288,25 +288,13 @@
         let Some(flight) = self.flights.get(id) else {
             return;
         };
-        let wanted = flight.route.target_latency;
         self.link_queue
             .note_answer(&flight.service, response.body.len());
         if !self.crashes.is_empty() && response.fields.get(names.signature).is_some() {
             self.crashes.clear(fingerprint(&flight.request, &names));
         }
         let verdict = judge(&response, &names);
-        match verdict {
-            // What it asked for says more than what this gateway would learn from being turned away.
-            Verdict::NotRun if self.cooldowns.left(&server, now).is_some() => {}
-            Verdict::NotRun => self.balance.overloaded(&server, now),
-            _ => {
-                let took = now.saturating_sub(since);
-                self.balance.note_service_time(&flight.service, took);
-                if self.balance.answered(&server, now, took, wanted) {
-                    event!(Event::ServerTrusted, instance = server);
-                }
-            }
-        }
+        self.learn_from_answer(id, verdict, &server, since);
         let reusable = self
             .upstreams
             .get(token)
@@ -321,6 +309,36 @@
         }
     }
 
+    /// Takes in how a server deals with requests, from an answer to one that was sent at `since`.
+    fn learn_from_answer(
+        &mut self,
+        id: FlightId,
+        verdict: Verdict,
+        server: &InstanceId,
+        since: Duration,
+    ) {
+        let now = self.now();
+        let Some(flight) = self.flights.get(id) else {
+            return;
+        };
+        match verdict {
+            // What it asked for says more than what this gateway would learn from being turned away.
+            Verdict::NotRun if self.cooldowns.left(server, now).is_some() => {}
+            Verdict::NotRun => self.balance.overloaded(server, now),
+            _ => {
+                let took = now.saturating_sub(since);
+                let wanted = flight.route.target_latency;
+                self.balance.note_service_time(&flight.service, took);
+                if self.balance.answered(server, now, took, wanted) {
+                    event!(Event::ServerTrusted, instance = server);
+                }
+            }
+        }
+        if !matches!(verdict, Verdict::NotRun | Verdict::NotOwner) {
+            self.report_work(id, server, now.saturating_sub(since));
+        }
+    }
+
     /// A connection with a request on it broke: the request may have run.
     pub(crate) fn break_off(&mut self, token: Token, reason: &str) {
         let now = self.now();
