Gateways send nothing to a server later than the drain time after its answers said that it leaves

What callers would see: a server that is cut off from the directory leaves, gets requests until its end, and those that it works on then are lost.

Cause: gateways learnt from the directory only that a server leaves; what its answers state was passed on and not read.

Change: the statement is read with the others. A pooled service's other servers are preferred at once; the leaving one, and the owner of keys, may be used for 0.7 of the drain time since this gateway's first answer that said so, the rest is for requests that are held or under way. Then it counts as gone: its keys' requests wait for another owner, its idle connections are closed. A value other than 1, or two of them, states nothing. A new life of the server isn't meant.

--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -29,6 +29,9 @@
 /// Time after which servers of an evacuated zone get no more requests unless the settings say otherwise.
 pub const DEFAULT_EVACUATION_S: f64 = 5.0;
 
+/// Time after which a leaving server gets no more requests unless the settings say otherwise.
+pub const DEFAULT_DRAIN_S: f64 = 2.0;
+
 /// Most voters: with more of them each commit waits for too many disks.
 const MAXIMUM_VOTERS: usize = 15;
 
@@ -189,7 +192,7 @@
 
     /// Time in which a leaving server gives its shards back.
     pub fn drain_window(&self) -> Duration {
-        Duration::from_secs_f64(self.bounds.drain_s.unwrap_or(2.0) * DRAIN_PART)
+        Duration::from_secs_f64(self.bounds.drain_s.unwrap_or(DEFAULT_DRAIN_S) * DRAIN_PART)
     }
 }
 
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -280,6 +280,7 @@
             .and_then(|shard| shard.owner.as_ref())
             .and_then(|owner| self.table.instance(owner))
             .filter(|instance| instance.state == InstanceState::Ready)
+            .filter(|instance| self.leaving.is_usable(&instance.id, now))
             .filter(|instance| self.zone_exits.owner_may_serve(&instance.zone, now));
         match owner.cloned() {
             Some(owner) if flight.unreached > 0 => {
@@ -434,6 +435,8 @@
         let (table, warmup, rates) = (&self.table, &self.warmup, &self.stated_rates);
         let cooldowns = &self.cooldowns;
         let servers = table.usable_servers(&flight.service);
+        let leaving = &self.leaving;
+        let servers = servers.filter(|server| leaving.is_usable(&server.id, now));
         let untried = servers.filter(|server| !flight.tried.contains(&server.id));
         let able = untried
             .clone()
@@ -443,7 +446,13 @@
         let zone = self.settings.zone.as_str();
         let random = &mut self.random;
         let mut random = || random.random::<f64>();
-        if let Some(server) = self.balance.choose(able.clone(), zone, now, &mut random) {
+        let staying = able.clone().filter(|server| !leaving.leaves(&server.id));
+        let chosen = self.balance.choose(staying, zone, now, &mut random);
+        let chosen = chosen.or_else(|| {
+            let able = able.clone();
+            self.balance.choose(able, zone, now, &mut random)
+        });
+        if let Some(server) = chosen {
             return Some(Placement::At(server.clone()));
         }
         if untried.clone().next().is_none() {
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -15,6 +15,8 @@
     pub not_executed: &'static str,
     /// Requests a second that the answering server takes from all gateways together, in an answer of a server in need.
     pub stated_rate: &'static str,
+    /// Set to 1 in every answer of a server that is about to end.
+    pub leaving: &'static str,
     /// Key of a request to a sharded service, 0 to 65,535.
     pub shard_key: &'static str,
 }
--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime};
 
+use grebepin_catalog::InstanceId;
 use grebepin_telemetry::{event, Event};
 
 use crate::follow::{Directory, HeldState, News};
@@ -56,10 +57,13 @@
 
     fn close_expired_connections(&mut self, now: Duration) {
         let table = &self.table;
-        let expired = self.upstreams.expired(now, |id| table.is_live(id));
+        let leaving = &self.leaving;
+        let is_used = |id: &InstanceId| table.is_live(id) && leaving.is_usable(id, now);
+        let expired = self.upstreams.expired(now, is_used);
         self.balance.retain(|id| table.is_live(id));
         self.stated_rates.retain(|id| table.is_live(id));
         self.cooldowns.retain(now, |id| table.is_live(id));
+        self.leaving.retain(|id| table.is_live(id));
         for token in expired {
             self.drop_upstream(token);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod hashing;
 mod headers;
 mod housekeeping;
+pub mod leaving;
 pub mod limit;
 pub mod link_queue;
 pub mod load;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,6 +25,7 @@
 use crate::follow::{Directory, Update};
 use crate::headers::HeaderNames;
 use crate::housekeeping::{changed_at, SETTINGS_LOOK_EVERY};
+use crate::leaving::LeavingServers;
 use crate::link_queue::LinkQueue;
 use crate::load::LoadCounts;
 use crate::patience::LongestPatience;
@@ -105,6 +106,7 @@
     pub(crate) warmup: WarmupTurns,
     pub(crate) stated_rates: StatedRates,
     pub(crate) cooldowns: Cooldowns,
+    pub(crate) leaving: LeavingServers,
     /// Fields of answers that could not be used, each logged once.
     pub(crate) unusable_fields: BTreeSet<&'static str>,
     pub(crate) load: LoadCounts,
@@ -163,6 +165,7 @@
         let zone_exits = Evacuations::new(settings.evacuation_bound());
         let warmup = WarmupTurns::new(&settings.node);
         let stated_rates = StatedRates::new(&settings.node);
+        let leaving = LeavingServers::new(settings.drain());
         let budgets = Budgets::new(bound, &settings.node);
         let link_queue = LinkQueue::new(settings.link_mbps);
         let table = Table::new(&settings.node, &settings.zone);
@@ -195,6 +198,7 @@
             warmup,
             stated_rates,
             cooldowns: Cooldowns::default(),
+            leaving,
             unusable_fields: BTreeSet::new(),
             load: LoadCounts::default(),
             crashes: CrashMemory::default(),
@@ -354,6 +358,7 @@
         metrics.servers_stating_rates.set(rated as i64);
         let cooling_down = self.cooldowns.count(now);
         metrics.servers_cooling_down.set(cooling_down as i64);
+        metrics.servers_leaving.set(self.leaving.len() as i64);
         let link_wait = self.link_queue.wait(now);
         metrics.link_wait_ms.set(link_wait.as_millis() as i64);
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use grebepin_directory::settings::{
-    check_optional, check_positive, link_addresses, load_toml, DEFAULT_EVACUATION_S,
+    check_optional, check_positive, link_addresses, load_toml, DEFAULT_DRAIN_S,
+    DEFAULT_EVACUATION_S,
 };
 use grebepin_directory::SettingsError;
 use serde::Deserialize;
@@ -52,6 +53,8 @@
 pub struct GatewayBounds {
     /// Seconds between a request to stop and the end.
     pub grace_s: f64,
+    /// Seconds after which a server that leaves gets no more requests.
+    pub drain_s: f64,
     /// Part of a service's requests that may be sent a second time.
     pub budget_ratio: f64,
     /// Seconds over which the part is counted.
@@ -66,6 +69,7 @@
     fn default() -> Self {
         Self {
             grace_s: 6.0,
+            drain_s: DEFAULT_DRAIN_S,
             budget_ratio: 0.2,
             budget_window_s: 10.0,
             budget_slack: 50.0,
@@ -91,6 +95,7 @@
 
     fn check(&self) -> Result<(), SettingsError> {
         check_positive("bounds.grace_s", self.bounds.grace_s)?;
+        check_positive("bounds.drain_s", self.bounds.drain_s)?;
         check_positive("bounds.budget_window_s", self.bounds.budget_window_s)?;
         check_optional("link_mbps", self.link_mbps)?;
         check_positive("bounds.evacuation_s", self.bounds.evacuation_s)?;
@@ -132,6 +137,11 @@
         Duration::from_secs_f64(self.bounds.evacuation_s)
     }
 
+    /// Time after which a server that leaves gets no more requests.
+    pub fn drain(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.drain_s)
+    }
+
     /// Time between a request to stop and the end.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.grace_s)
--- a/crates/gateway/src/statement.rs
+++ b/crates/gateway/src/statement.rs
@@ -31,6 +31,8 @@
 pub struct ServerStatement {
     /// Time for which the server takes no more requests of this gateway.
     pub retry_after: Option<Duration>,
+    /// Whether it is about to end.
+    pub is_leaving: bool,
     /// The rate of requests that it takes from all gateways.
     pub rate: RateStatement,
     /// Fields that can't be used.
@@ -56,12 +58,25 @@
         let rate = rate(response, names, &mut unusable);
         Self {
             retry_after,
+            is_leaving: is_leaving(&response.fields, names, &mut unusable),
             rate,
             unusable,
         }
     }
 }
 
+fn is_leaving(fields: &Fields, names: &HeaderNames, unusable: &mut Vec<&'static str>) -> bool {
+    let mut values = fields.all(names.leaving);
+    let Some(value) = values.next() else {
+        return false;
+    };
+    let is_leaving = value.trim_ascii() == b"1" && values.next().is_none();
+    if !is_leaving {
+        unusable.push(names.leaving);
+    }
+    is_leaving
+}
+
 fn rate(
     response: &Response,
     names: &HeaderNames,
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -19,6 +19,9 @@
     ) {
         let statement = ServerStatement::of(response, &self.names);
         self.note_stated_rate(server, sent, statement.rate);
+        if statement.is_leaving && self.leaving.note(server, self.now()) {
+            event!(Event::ServerLeaves, instance = server);
+        }
         if let Some(retry_after) = statement.retry_after {
             self.note_retry_after(server, retry_after);
         }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -137,14 +137,14 @@
         Some(upstream)
     }
 
-    /// Connections that rested too long, or whose server ended.
-    pub fn expired(&self, now: Duration, is_live: impl Fn(&InstanceId) -> bool) -> Vec<Token> {
+    /// Connections that rested too long, or whose server is used no more.
+    pub fn expired(&self, now: Duration, is_used: impl Fn(&InstanceId) -> bool) -> Vec<Token> {
         let resting = self
             .connections
             .iter()
             .filter(|(_, one)| one.flight.is_none());
         resting
-            .filter(|(_, one)| now >= one.rested_since + one.rest_limit || !is_live(&one.server))
+            .filter(|(_, one)| now >= one.rested_since + one.rest_limit || !is_used(&one.server))
             .map(|(token, _)| *token)
             .collect()
     }
--- a/crates/gateway/tests/header_names/mod.rs
+++ b/crates/gateway/tests/header_names/mod.rs
@@ -9,5 +9,6 @@
     expected_instance: "X-Expected",
     not_executed: "X-Not-Run",
     stated_rate: "X-Rate",
+    leaving: "X-Leaving",
     shard_key: "X-Key",
 };
--- a/crates/gateway/tests/statement.rs
+++ b/crates/gateway/tests/statement.rs
@@ -91,3 +91,21 @@
         assert_eq!(statement.unusable.len(), unusable, "{fields:?}");
     }
 }
+
+#[test]
+fn a_server_leaves_by_one_value_only() {
+    let cases: [(FieldList, bool, usize); 5] = [
+        (&[("X-Leaving", "1"), ("X-Signature", "s")], true, 0),
+        (&[("X-Signature", "s")], false, 0),
+        (&[("X-Leaving", "0")], false, 1),
+        (&[("X-Leaving", "")], false, 1),
+        (&[("X-Leaving", "1"), ("X-Leaving", "1")], false, 1),
+    ];
+    for (fields, is_leaving, unusable) in cases {
+        for status in [200, 421, 500, 503] {
+            let statement = statement(status, fields);
+            assert_eq!(statement.is_leaving, is_leaving, "{status} {fields:?}");
+            assert_eq!(statement.unusable.len(), unusable, "{fields:?}");
+        }
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -104,6 +104,7 @@
     ServerCrashed = 239, Warn, "a server crashed while it ran a request";
     ServerCoolsDown = 240, Info, "a server asks for no requests for a time";
     StatementUnusable = 241, Warn, "a field of a server's answer can't be used";
+    ServerLeaves = 242, Info, "a server says in its answers that it is about to end";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -38,6 +38,8 @@
     pub servers_cooling_down: IntGauge,
     /// Requests sent to servers within the time for which they asked for none.
     pub sent_in_cooldowns: IntCounter,
+    /// Servers that said in their answers that they leave.
+    pub servers_leaving: IntGauge,
     unusable_fields: IntCounterVec,
 }
 
@@ -114,6 +116,10 @@
                 "gateway_sent_in_cooldowns_total",
                 "Requests sent to servers within the time for which they asked for none",
             )?,
+            servers_leaving: metrics.gauge(
+                "gateway_servers_leaving",
+                "Servers that said in their answers that they leave and have not ended",
+            )?,
             unusable_fields: metrics.counters(
                 "gateway_unusable_fields_total",
                 "Fields of servers' answers that could not be used, by name",
