The keys of an owner that asks for no requests for long go to others

What callers saw: while six of twenty owners asked for no requests, for nine seconds in a row, their keys' requests were refused, a third of all, though fourteen others had room.

Cause: the directory did not learn of it. What a server states is known to the gateways that it told; only the leader can give its keys to others.

Change: gateways report how long an owner takes no requests, at once. The leader reckons with no capacity of it until then: it is given nothing, and at its next heartbeat it gives away what is asked for, if the time that is left is longer than a heartbeat: a shorter one is over before others would serve. Hardly asked shards stay, so that moves carry load. Nothing moves back while nobody is busy, as before.

Virtual time: grants/tests/relief.rs, 0.9 s moves nothing, longer moves what is asked.

--- a/crates/directory/tests/fleet.rs
+++ b/crates/directory/tests/fleet.rs
@@ -28,6 +28,7 @@
             answers,
             seconds: 0.5,
             stated_rate: None,
+            cooldown: None,
         }],
     }
 }
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -28,6 +28,12 @@
         self.sum.add_stated_rate(server, per_second as f32);
     }
 
+    /// The owner of a key takes no requests for a time.
+    pub fn note_cooldown(&mut self, server: &InstanceId, time: Duration) {
+        self.sum.add_cooldown(server, time.as_secs_f32());
+        self.is_crowded = true;
+    }
+
     /// A request found no room at its shard's owner.
     pub fn note_crowd(&mut self) {
         self.is_crowded = true;
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -41,6 +41,10 @@
             ms = retry_after.as_millis()
         );
         self.balance.cooled_down(server);
+        let instance = self.table.instance(server);
+        if instance.is_some_and(|one| self.table.is_sharded(&one.service)) {
+            self.load.note_cooldown(server, retry_after);
+        }
         self.take_back_unsent(server);
         self.look_again_for(server);
     }
--- a/crates/grants/src/coordinator/giving.rs
+++ b/crates/grants/src/coordinator/giving.rs
@@ -25,12 +25,22 @@
         if now < self.since + LEARNING_TIME || !self.may_give(now, &beat.id) {
             return;
         }
+        let cooldown = self.load.cooldown(now, &beat.id);
+        if cooldown.is_some_and(|left| left <= self.timing.heartbeat) {
+            // It takes requests again before others would serve its shards.
+            return;
+        }
         self.divide(now, catalog, &beat.service);
         let Some(division) = self.divisions.get(&beat.service) else {
             return;
         };
-        let misplaced = division.shares.misplaced(ownership, &beat.id);
-        let excess = division.shares.excess(ownership, &beat.id);
+        let (misplaced, excess) = match cooldown {
+            Some(_) => (None, division.shares.busy_runs(ownership, &beat.id)),
+            None => (
+                division.shares.misplaced(ownership, &beat.id),
+                division.shares.excess(ownership, &beat.id),
+            ),
+        };
         if misplaced.is_none() && excess.is_empty() {
             return;
         }
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -48,6 +48,9 @@
     /// Requests a second that the server states to take from all gateways together, where it states that.
     #[serde(default)]
     pub stated_rate: Option<f32>,
+    /// Seconds for which the server takes no requests, where it asked for none.
+    #[serde(default)]
+    pub cooldown: Option<f32>,
 }
 
 /// What one gateway saw in a while.
@@ -79,6 +82,7 @@
     answers: u32,
     seconds: f32,
     stated_rate: Option<f32>,
+    cooldown: Option<f32>,
 }
 
 impl LoadSum {
@@ -95,6 +99,9 @@
             if let Some(rate) = server.stated_rate {
                 self.add_stated_rate(&server.id, rate);
             }
+            if let Some(seconds) = server.cooldown {
+                self.add_cooldown(&server.id, seconds);
+            }
         }
     }
 
@@ -123,6 +130,12 @@
         sum.stated_rate = Some(per_second);
     }
 
+    /// Notes that a server takes no requests for so many seconds; the longest time noted counts.
+    pub fn add_cooldown(&mut self, server: &InstanceId, seconds: f32) {
+        let sum = self.servers.entry(server.clone()).or_default();
+        sum.cooldown = Some(sum.cooldown.map_or(seconds, |known| known.max(seconds)));
+    }
+
     /// Whether nothing was added that tells anything.
     pub fn is_empty(&self) -> bool {
         self.shards.is_empty() && self.servers.is_empty()
@@ -143,6 +156,7 @@
                     answers: sum.answers,
                     seconds: sum.seconds,
                     stated_rate: sum.stated_rate,
+                    cooldown: sum.cooldown,
                 })
                 .collect(),
         }
@@ -167,6 +181,8 @@
     /// Answers since the last estimate.
     fresh_answers: f64,
     stated: Option<StatedRate>,
+    /// Until when it takes no requests.
+    cools_down_until: Duration,
 }
 
 /// A rate that a server stated.
@@ -227,6 +243,10 @@
                     told: now,
                 });
             }
+            let cooldown = server.cooldown.map(Duration::try_from_secs_f32);
+            if let Some(Ok(cooldown)) = cooldown {
+                load.cools_down_until = load.cools_down_until.max(now + cooldown);
+            }
         }
     }
 
@@ -256,9 +276,18 @@
         rates.into_iter().map(|rate| rate + base).collect()
     }
 
+    /// Time for which a server takes no requests; `None` when it does.
+    pub(crate) fn cooldown(&self, now: Duration, id: &InstanceId) -> Option<Duration> {
+        let until = self.servers.get(id)?.cools_down_until;
+        (now < until).then(|| until - now)
+    }
+
     /// Answers a second that a server can give, and no more than it states to take; `None` while nothing is known.
     pub(crate) fn capacity(&self, now: Duration, id: &InstanceId) -> Option<f64> {
         let load = self.servers.get(id)?;
+        if now < load.cools_down_until {
+            return Some(0.0);
+        }
         let is_known = load.estimated_from >= KNOWN_AFTER_ANSWERS;
         let estimated = load.capacity.filter(|_| is_known);
         let stated = load.stated.filter(|stated| !stated.is_over(now));
@@ -279,6 +308,7 @@
             estimated_from: 0.0,
             fresh_answers: 0.0,
             stated: None,
+            cools_down_until: Duration::ZERO,
         }
     }
 }
--- a/crates/grants/src/shares.rs
+++ b/crates/grants/src/shares.rs
@@ -27,6 +27,10 @@
 /// Part of an excess that is given away at once.
 const GIVEN_PART: f64 = 0.8;
 
+/// Part of a server's load that moves when it takes no requests: the rest is spread over many shards that nobody asks for
+/// meanwhile.
+const ASKED_PART: f64 = 0.95;
+
 /// Most runs of neighbouring shards that a busy server gives away at once.
 const GIVEN_AT_ONCE: usize = 20;
 
@@ -54,6 +58,7 @@
         let known: Vec<f64> = servers
             .iter()
             .filter_map(|id| book.capacity(now, id))
+            .filter(|capacity| *capacity > 0.0)
             .collect();
         let mean = match known.is_empty() {
             true => 1.0,
@@ -110,13 +115,19 @@
             return Vec::new();
         }
         let left = (owned - share) * GIVEN_PART;
-        let runs = self.fitting(left, runs_of(ownership.owned_by(id)));
+        let runs = self.fitting(left, runs_of(ownership.owned_by(id)), GIVEN_AT_ONCE);
         if !runs.is_empty() {
             return runs;
         }
         // Every run is too busy as a whole: its quieter shards go one by one, at the price of more rows.
         let single = ownership.owned_by(id).map(|shard| vec![shard]).collect();
-        self.fitting(left, single)
+        self.fitting(left, single, GIVEN_AT_ONCE)
+    }
+
+    /// Shards that a server which takes no requests for a time should give away: all but those that are hardly asked for.
+    pub(crate) fn busy_runs(&self, ownership: &ShardOwnership, id: &InstanceId) -> Vec<Vec<usize>> {
+        let asked = self.owned(ownership, id) * ASKED_PART;
+        self.fitting(asked, runs_of(ownership.owned_by(id)), usize::MAX)
     }
 
     /// Answers a second that a server can give.
@@ -163,12 +174,12 @@
         run.iter().map(|shard| self.weight(*shard)).sum()
     }
 
-    /// The busiest runs whose load together is at most `left`.
-    fn fitting(&self, mut left: f64, mut runs: Vec<Vec<usize>>) -> Vec<Vec<usize>> {
+    /// The busiest runs whose load together is at most `left`, and no more than `most`.
+    fn fitting(&self, mut left: f64, mut runs: Vec<Vec<usize>>, most: usize) -> Vec<Vec<usize>> {
         runs.sort_by(|one, other| self.weight_of(other).total_cmp(&self.weight_of(one)));
         let mut given = Vec::new();
         for run in runs {
-            if given.len() >= GIVEN_AT_ONCE {
+            if given.len() >= most {
                 break;
             }
             let weight = self.weight_of(&run);
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -222,6 +222,7 @@
                     answers: 20,
                     seconds: 1.0 + number as f32,
                     stated_rate: None,
+                    cooldown: None,
                 })
                 .collect(),
         };
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -83,6 +83,7 @@
         answers: 40,
         seconds: if number == 0 { 0.3 } else { 3.6 },
         stated_rate: None,
+        cooldown: None,
     });
     let sample = LoadSample {
         shards: vec![(SERVICE.to_owned(), shards)],
--- a/crates/grants/tests/relief.rs
+++ b/crates/grants/tests/relief.rs
@@ -31,6 +31,7 @@
                 answers: 10,
                 seconds: 0.5,
                 stated_rate: stated_rate.filter(|_| number == 1),
+                cooldown: None,
             });
             let sample = LoadSample {
                 shards: vec![(SERVICE.to_owned(), shards.collect())],
@@ -57,6 +58,39 @@
     assert_eq!(after, in_need, "nothing moves back while nobody is busy");
 }
 
+/// What was seen: an owner asked for no requests for three seconds, again and again, and kept its shards all the while.
+#[test]
+fn a_server_that_takes_no_requests_for_a_time_gives_away_what_is_asked_for() {
+    for (cooldown, moves) in [(0.9, false), (30.0, true)] {
+        let (mut coordinator, mut catalog) = divided(4);
+        for sequence in 8..20_u64 {
+            let now = ms(sequence * 1_000);
+            let shards = (0..SHARDS as u16)
+                .step_by(ASKED_EVERY)
+                .map(|shard| (shard, 1));
+            let servers = (0..4_usize).map(|number| ServerSample {
+                id: id(number),
+                answers: if number == 1 { 0 } else { 10 },
+                seconds: 0.5,
+                stated_rate: None,
+                cooldown: (number == 1).then_some(cooldown),
+            });
+            let sample = LoadSample {
+                shards: vec![(SERVICE.to_owned(), shards.collect())],
+                servers: servers.collect(),
+            };
+            coordinator.on_load(now, &catalog, &sample);
+            round(&mut coordinator, &mut catalog, now, 4, sequence, false);
+        }
+        let asked = owned_shards(&catalog, 1).into_iter();
+        let asked = asked.filter(|shard| usize::from(*shard).is_multiple_of(ASKED_EVERY));
+        let asked = asked.count();
+        assert_eq!(asked <= 1, moves, "{cooldown} s: {asked} are asked for");
+        let all: usize = owned(&catalog, 4).iter().sum();
+        assert!(all > SHARDS * 9 / 10, "{all} shards have an owner");
+    }
+}
+
 /// What was seen: a server that stated a part of what came kept all its shards for 13 s, and every ninth request was
 /// refused. All servers had started together; its heartbeat came first, and those of the others so shortly after it that
 /// none of them was ever expected soon enough and late enough to take a shard over.
@@ -72,6 +106,7 @@
             answers: 40,
             seconds: if number == 0 { 3.6 } else { 0.3 },
             stated_rate: None,
+            cooldown: None,
         });
         let sample = LoadSample {
             shards: vec![(SERVICE.to_owned(), shards.collect())],
