Callers who are refused for a server's own pause come back spread out; placing has its own file

Test (tests/cooldowns.rs): sizes 1 to 984, no request of a gateway that was told, 0.85 of the callers served.

Which pooled server gets a request moves from forwarding.rs to placing.rs, unchanged.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -41,9 +41,9 @@
         let goes_there_again = flight
             .shard
             .is_some_and(|shard| self.owns(server, &flight.service, shard));
-        let cooldown = self.cooldowns.left(server, now);
+        let cools_down = self.cooldowns.left(server, now).is_some();
         let spares_owner =
-            goes_there_again && (cooldown.is_some() || self.stated_rates.rate(server).is_some());
+            goes_there_again && (cools_down || self.stated_rates.rate(server).is_some());
         let wanted = may_repeat(verdict, flight.kind())
             && !spares_owner
             && !self.is_suspect(flight)
@@ -60,9 +60,9 @@
             (Verdict::NotRun | Verdict::NotOwner, _) if wanted => {
                 self.refuse(id, Refusal::BudgetSpent { place_after });
             }
-            (Verdict::NotRun | Verdict::NotOwner, _) if goes_there_again && cooldown.is_some() => {
-                let left = cooldown.unwrap_or_default();
-                self.refuse(id, Refusal::CoolingDown { left });
+            (Verdict::NotRun | Verdict::NotOwner, _) if goes_there_again && cools_down => {
+                let refusal = self.cooldown_refusal(server);
+                self.refuse(id, refusal);
             }
             (Verdict::NotRun | Verdict::NotOwner, _) => {
                 self.refuse(id, Refusal::NotRun { place_after });
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,21 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use grebepin_catalog::{shard_of_key, Instance, InstanceId, InstanceState, Route};
+use grebepin_catalog::{shard_of_key, InstanceId, InstanceState, Route};
 use grebepin_reactor::http::Request;
 use grebepin_telemetry::{event, Event};
 use mio::Token;
-use rand::Rng;
 
 use crate::answers::OwnAnswer;
 use crate::crash_memory::fingerprint;
 use crate::flight::{Flight, FlightId, Place};
 use crate::headers::HeaderNames;
+use crate::placing::is_turn;
 use crate::refusal::Refusal;
 use crate::server::{Due, Server};
 use crate::stopping::Stopping;
-use crate::table::Table;
-use crate::warmup::WarmupTurns;
 
 /// Longest wait for a key's owner or for room at a server, as a part of the target latency: a client
 /// that is refused by then can still be served in time.
@@ -330,12 +328,15 @@
         self.load.note_crowd();
         match self.can_wait(id, left) {
             true => self.await_room(id, Some(now + left)),
-            false => self.refuse(id, Refusal::CoolingDown { left }),
+            false => {
+                let refusal = self.cooldown_refusal(owner);
+                self.refuse(id, refusal);
+            }
         }
     }
 
     /// Whether a request may be held for so long.
-    fn can_wait(&self, id: FlightId, time: Duration) -> bool {
+    pub(crate) fn can_wait(&self, id: FlightId, time: Duration) -> bool {
         let flight = self.flights.get(id);
         flight.is_some_and(|flight| {
             self.now() + time < flight.began + flight.route.target_latency.mul_f64(WAIT_PART)
@@ -343,7 +344,7 @@
     }
 
     /// Waits a bounded time for room at a server, and looks again at `opens_at` if that is known.
-    fn await_room(&mut self, id: FlightId, opens_at: Option<Duration>) {
+    pub(crate) fn await_room(&mut self, id: FlightId, opens_at: Option<Duration>) {
         let now = self.now();
         let Some(flight) = self.flights.get_mut(id) else {
             return;
@@ -417,100 +418,4 @@
         }
         self.dispatch(id);
     }
-
-    fn dispatch_to_pool(&mut self, id: FlightId) {
-        match self.placement(id) {
-            Some(Placement::At(server)) => self.send(id, &server),
-            Some(Placement::Refused(refusal)) => self.refuse(id, refusal),
-            Some(Placement::Waits { opens_at }) => self.await_room(id, opens_at),
-            None => {}
-        }
-    }
-
-    /// Where a request goes that any server of its service may run; `None` when it has ended.
-    fn placement(&mut self, id: FlightId) -> Option<Placement> {
-        let now = self.now();
-        let gateways = self.known_gateways();
-        let flight = self.flights.get(id)?;
-        let (table, warmup, rates) = (&self.table, &self.warmup, &self.stated_rates);
-        let cooldowns = &self.cooldowns;
-        let servers = table.usable_servers(&flight.service);
-        let leaving = &self.leaving;
-        let servers = servers.filter(|server| leaving.is_usable(&server.id, now));
-        let untried = servers.filter(|server| !flight.tried.contains(&server.id));
-        let able = untried
-            .clone()
-            .filter(|server| cooldowns.left(&server.id, now).is_none())
-            .filter(|server| is_turn(table, warmup, server, gateways, now))
-            .filter(|server| rates.is_open(&server.id, now, gateways));
-        let zone = self.settings.zone.as_str();
-        let random = &mut self.random;
-        let mut random = || random.random::<f64>();
-        let staying = able.clone().filter(|server| !leaving.leaves(&server.id));
-        let chosen = self.balance.choose(staying, zone, now, &mut random);
-        let chosen = chosen.or_else(|| {
-            let able = able.clone();
-            self.balance.choose(able, zone, now, &mut random)
-        });
-        if let Some(server) = chosen {
-            return Some(Placement::At(server.clone()));
-        }
-        if untried.clone().next().is_none() {
-            return Some(Placement::Refused(Refusal::NoServer));
-        }
-        if able.clone().next().is_none() {
-            let cooldown = untried
-                .clone()
-                .filter_map(|one| cooldowns.left(&one.id, now));
-            let place_after = untried.filter_map(|one| rates.place_after(&one.id));
-            return Some(self.placement_later(id, cooldown.min(), place_after.min()));
-        }
-        let opens_at = able.filter_map(|server| self.balance.opens_at(&server.id, now));
-        Some(Placement::Waits {
-            opens_at: opens_at.min(),
-        })
-    }
-
-    /// What becomes of a request that no server takes now: the first of them takes requests again after `cooldown`, and one
-    /// that states a rate has a place after `place_after`, where there are such servers.
-    fn placement_later(
-        &self,
-        id: FlightId,
-        cooldown: Option<Duration>,
-        place_after: Option<Duration>,
-    ) -> Placement {
-        match (cooldown, place_after) {
-            (_, Some(_)) => Placement::Refused(Refusal::RateSpent { place_after }),
-            (Some(left), None) if self.can_wait(id, left) => Placement::Waits {
-                opens_at: Some(self.now() + left),
-            },
-            (Some(left), None) => Placement::Refused(Refusal::CoolingDown { left }),
-            (None, None) => Placement::Refused(Refusal::WarmingUp),
-        }
-    }
-}
-
-/// Where a request goes that any server of its service may run.
-enum Placement {
-    /// To this server.
-    At(Instance),
-    /// Nowhere: it can't be served now.
-    Refused(Refusal),
-    /// It waits for room, which a pause keeps from it until then at least, where that is known.
-    Waits { opens_at: Option<Duration> },
-}
-
-/// Whether a server may get a request of this gateway now, as far as warming up bounds that.
-fn is_turn(
-    table: &Table,
-    warmup: &WarmupTurns,
-    server: &Instance,
-    gateways: Option<u32>,
-    now: Duration,
-) -> bool {
-    if !server.is_cold {
-        return true;
-    }
-    let rate = table.warmup_rate(&server.service);
-    rate.is_none_or(|rate| warmup.is_open(&server.id, now, rate, gateways))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod load;
 pub mod patience;
 mod permits;
+mod placing;
 pub mod rate_turns;
 pub mod refusal;
 mod relay;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -39,8 +39,8 @@
     },
     /// The servers that could run it asked for no requests for a time.
     CoolingDown {
-        /// What is left of that time.
-        left: Duration,
+        /// Time after which the client may come back to the first of them.
+        back_after: Duration,
     },
     /// It crashed the servers that ran it, and is kept from the others.
     Quarantined,
@@ -102,8 +102,8 @@
             (Self::Stopping, _) => STOPPING_PAUSE,
             (Self::LinkFull, Some(left)) => LINK_PAUSE.min(left.mul_f64(RETRY_PART)),
             // A client that can't wait that long may still find the key at another owner.
-            (Self::CoolingDown { left: cooldown }, Some(left)) if cooldown < left => cooldown,
-            (Self::CoolingDown { left: cooldown }, None) => cooldown,
+            (Self::CoolingDown { back_after }, Some(left)) if back_after < left => back_after,
+            (Self::CoolingDown { back_after }, None) => back_after,
             (
                 Self::RateSpent {
                     place_after: Some(after),
--- a/crates/gateway/tests/cooldowns.rs
+++ b/crates/gateway/tests/cooldowns.rs
@@ -1,10 +1,16 @@
 //! Servers that asked a gateway for no requests for a time.
 
+mod cooldown_wave;
+
 use std::time::Duration;
 
+use cooldown_wave::{Scene, Way};
 use grebepin_catalog::InstanceId;
 use grebepin_gateway::cooldowns::Cooldowns;
 
+/// Part of the callers that are served in the end, where the server could run them all.
+const LEAST_SERVED: f64 = 0.85;
+
 fn at(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
@@ -34,3 +40,34 @@
     cooldowns.retain(at(100), |_| false);
     assert_eq!(cooldowns.left(&id, at(100)), None);
 }
+
+/// Callers who can outwait the time come back spread over a while after its end, whichever gateway refused them.
+#[test]
+fn gateways_stay_away_and_callers_come_back_spread_out_at_every_fleet_size() {
+    let way = Way {
+        gateway_spread: 0.0,
+        caller_spread: None,
+        shared_after: None,
+    };
+    for gateways in [1, 3, 11, 80, 300, 984] {
+        for asks_for_rest in [false, true] {
+            let scene = Scene {
+                gateways,
+                asked: 0.5,
+                cooldown: at(3_000),
+                asks_for_rest,
+                patience: at(6_000),
+                obeyed_part: 1.0,
+            };
+            for seed in 0..5 {
+                let seen = scene.play(way, seed);
+                assert_eq!(seen.worst, 0, "{gateways} gateways, seed {seed}: {seen:?}");
+                let served = seen.served_during.min(seen.served_after);
+                assert!(
+                    served >= LEAST_SERVED,
+                    "{gateways} gateways, seed {seed}: {seen:?}"
+                );
+            }
+        }
+    }
+}
