Owners that drain get the requests for their keys until these have moved

Cause: the directory tells at once that a server drains, and gateways took an owner that drains for one that is gone: its keys move over half of the drain time, and nobody was asked for them until they had, though it serves on all the while.

Ruled out: slower moves at the directory (0.3 to 0.5 s without an owner at a time, the rest was the gateways' own doing).

One that did not see it begin can't tell and sends nothing, as before. Pooled servers that drain get nothing at once.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use grebepin_catalog::{shard_of_key, InstanceId, InstanceState, Route};
+use grebepin_catalog::{shard_of_key, Instance, InstanceId, InstanceState, Route};
 use grebepin_reactor::http::Request;
 use grebepin_telemetry::{event, Event};
 use mio::Token;
@@ -277,8 +277,7 @@
         let owner = held
             .and_then(|shard| shard.owner.as_ref())
             .and_then(|owner| self.table.instance(owner))
-            .filter(|instance| instance.state == InstanceState::Ready)
-            .filter(|instance| self.leaving.is_usable(&instance.id, now))
+            .filter(|instance| self.may_own(instance, now))
             .filter(|instance| self.zone_exits.owner_may_serve(&instance.zone, now));
         match owner.cloned() {
             Some(owner) if flight.unreached > 0 => {
@@ -305,6 +304,14 @@
         }
     }
 
+    /// Whether an owner may get requests for its keys. One that leaves goes on until others took them over, within a part of
+    /// the drain time; a gateway that did not see it begin to drain can't tell how much of that is left.
+    fn may_own(&self, owner: &Instance, now: Duration) -> bool {
+        let is_ready = owner.state == InstanceState::Ready;
+        let drains = owner.state == InstanceState::Draining && self.leaving.leaves(&owner.id);
+        (is_ready || drains) && self.leaving.is_usable(&owner.id, now)
+    }
+
     /// Waits a bounded time for the key's shard to get a new owner.
     fn await_owner(&mut self, id: FlightId, fence: u64) {
         let now = self.now();
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -1,4 +1,5 @@
-//! Servers that are about to end, and until when they may still be used.
+//! Servers that are about to end, and until when they may still be used. A gateway learns of it from a server's answers, or
+//! from the directory.
 //!
 //! A pooled service's other servers are preferred at once. The owner of a key goes on for a part of the drain time: nobody else may
 //! serve its keys until they have moved, and what it runs then still ends before it does.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -415,6 +415,10 @@
             };
             change.servers |= one.servers;
             change.owners |= one.owners;
+            change.draining.extend(one.draining);
+        }
+        for id in &change.draining {
+            self.leaving.note(id, now);
         }
         if change.servers {
             self.note_zones(now, follows_log);
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -6,20 +6,22 @@
 use std::sync::Arc;
 
 use grebepin_catalog::{
-    Catalog, Entry, Instance, InstanceId, ItemContent, ItemKind, Limits, Quarantine, Route,
-    RouteIndex, Shard,
+    Catalog, Entry, Instance, InstanceId, InstanceState, ItemContent, ItemKind, Limits, Quarantine,
+    Route, RouteIndex, Shard,
 };
 use grebepin_reactor::{encode_frame, FrameError};
 
 use crate::server_index::ServerIndex;
 
 /// What happened to the state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TableChange {
     /// Whether servers changed, or the zones that they may be used in.
     pub servers: bool,
     /// Whether servers or owners changed.
     pub owners: bool,
+    /// Servers that drain since an entry that was applied now.
+    pub draining: Vec<InstanceId>,
 }
 
 /// The state in force.
@@ -74,6 +76,7 @@
         TableChange {
             servers: true,
             owners: true,
+            draining: Vec::new(),
         }
     }
 
@@ -97,6 +100,10 @@
                 change.owners |= !effects.shards.is_empty();
                 for id in &effects.instances {
                     self.index_server(id);
+                    let instance = self.catalog.instance(id);
+                    if instance.is_some_and(|one| one.state == InstanceState::Draining) {
+                        change.draining.push(id.clone());
+                    }
                 }
             }
         }
