The directory learns from gateways which servers say that they leave

What callers would see: a server that never tells the directory that it drains keeps its keys to its end, and their requests are refused from 0.7 of the drain time on until its lease is over.

Change: gateways report with each such answer that the server leaves, until the state says so. The leader then commits that it drains: its keys move as after its own word, every gateway prefers others, also those that it did not tell, and it is given no more keys.

--- a/crates/directory/tests/fleet.rs
+++ b/crates/directory/tests/fleet.rs
@@ -29,6 +29,7 @@
             seconds: 0.5,
             stated_rate: None,
             cooldown: None,
+            is_leaving: false,
         }],
     }
 }
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -34,6 +34,11 @@
         self.is_crowded = true;
     }
 
+    /// A server says that it leaves.
+    pub fn note_leaving(&mut self, server: &InstanceId) {
+        self.sum.add_leaving(server);
+    }
+
     /// A request found no room at its shard's owner.
     pub fn note_crowd(&mut self) {
         self.is_crowded = true;
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebepin_catalog::InstanceId;
+use grebepin_catalog::{InstanceId, InstanceState};
 use grebepin_reactor::http::Response;
 use grebepin_telemetry::{event, Event};
 
@@ -19,8 +19,8 @@
     ) {
         let statement = ServerStatement::of(response, &self.names);
         self.note_stated_rate(server, sent, statement.rate);
-        if statement.is_leaving && self.leaving.note(server, self.now()) {
-            event!(Event::ServerLeaves, instance = server);
+        if statement.is_leaving {
+            self.note_leaving(server);
         }
         if let Some(retry_after) = statement.retry_after {
             self.note_retry_after(server, retry_after);
@@ -30,6 +30,18 @@
         }
     }
 
+    /// Reports it with each such answer, until the directory says so itself: one report may be lost with its replica.
+    fn note_leaving(&mut self, server: &InstanceId) {
+        if self.leaving.note(server, self.now()) {
+            self.load.note_crowd();
+            event!(Event::ServerLeaves, instance = server);
+        }
+        let instance = self.table.instance(server);
+        if instance.is_some_and(|one| one.state == InstanceState::Ready) {
+            self.load.note_leaving(server);
+        }
+    }
+
     fn note_retry_after(&mut self, server: &InstanceId, retry_after: Duration) {
         let now = self.now();
         if !self.cooldowns.note(server, now, retry_after) {
--- a/crates/grants/src/coordinator/ending.rs
+++ b/crates/grants/src/coordinator/ending.rs
@@ -22,7 +22,7 @@
             }
             false => self.silent(now),
         };
-        let mut commands = Vec::new();
+        let mut commands = self.note_leaving(catalog);
         for id in silent {
             self.end_lease(now, catalog, &id, &mut commands);
             self.end_server(now, catalog, &id, &mut commands);
@@ -30,6 +30,23 @@
         commands
     }
 
+    /// Takes over that servers leave which told gateways so: one that is cut off from the directory, or never says that it
+    /// drains, is otherwise found out by its silence.
+    fn note_leaving(&mut self, catalog: &Catalog) -> Vec<Command> {
+        let is_ready = |id: &InstanceId| {
+            let instance = catalog.instance(id);
+            instance.is_some_and(|one| one.state == InstanceState::Ready)
+        };
+        self.reported_leaving.retain(is_ready);
+        let leaving = self.reported_leaving.iter();
+        leaving
+            .map(|id| Command::SetState {
+                id: id.clone(),
+                state: InstanceState::Draining,
+            })
+            .collect()
+    }
+
     /// Whether every server is looked at now. Those that this leader never heard stand in no order: their leases
     /// end together, at a time that is known from the start, and nothing is found out about them before it.
     fn looks_at_all(&self, now: Duration) -> bool {
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -43,6 +43,8 @@
     /// Since when some shard of a service has had no owner.
     unowned_since: BTreeMap<String, Duration>,
     load: LoadBook,
+    /// Servers that told gateways that they leave, until the state says so.
+    reported_leaving: BTreeSet<InstanceId>,
     next_look: Duration,
     /// When every lease that an earlier leader gave has ended; `None` once servers were looked at after it.
     earlier_leases_end: Option<Duration>,
@@ -63,6 +65,7 @@
             first_beats: BTreeMap::new(),
             unowned_since: BTreeMap::new(),
             load: LoadBook::default(),
+            reported_leaving: BTreeSet::new(),
             next_look: since + LOOK_EVERY,
             earlier_leases_end: Some(timing.lease_end(since)),
             reservations: BTreeMap::new(),
@@ -119,6 +122,9 @@
     pub fn on_load(&mut self, now: Duration, catalog: &Catalog, sample: &LoadSample) {
         let slots = |id: &InstanceId| catalog.instance(id).map(|instance| instance.slots);
         self.load.note(now, sample, slots);
+        let leaving = sample.servers.iter().filter(|server| server.is_leaving);
+        self.reported_leaving
+            .extend(leaving.map(|server| server.id.clone()));
     }
 
     /// Works out how a service's load should be divided, unless that was done lately.
--- a/crates/grants/src/load.rs
+++ b/crates/grants/src/load.rs
@@ -51,6 +51,9 @@
     /// Seconds for which the server takes no requests, where it asked for none.
     #[serde(default)]
     pub cooldown: Option<f32>,
+    /// Whether it says in its answers that it leaves.
+    #[serde(default)]
+    pub is_leaving: bool,
 }
 
 /// What one gateway saw in a while.
@@ -83,6 +86,7 @@
     seconds: f32,
     stated_rate: Option<f32>,
     cooldown: Option<f32>,
+    is_leaving: bool,
 }
 
 impl LoadSum {
@@ -102,6 +106,9 @@
             if let Some(seconds) = server.cooldown {
                 self.add_cooldown(&server.id, seconds);
             }
+            if server.is_leaving {
+                self.add_leaving(&server.id);
+            }
         }
     }
 
@@ -136,6 +143,11 @@
         sum.cooldown = Some(sum.cooldown.map_or(seconds, |known| known.max(seconds)));
     }
 
+    /// Notes that a server says that it leaves.
+    pub fn add_leaving(&mut self, server: &InstanceId) {
+        self.servers.entry(server.clone()).or_default().is_leaving = true;
+    }
+
     /// Whether nothing was added that tells anything.
     pub fn is_empty(&self) -> bool {
         self.shards.is_empty() && self.servers.is_empty()
@@ -157,6 +169,7 @@
                     seconds: sum.seconds,
                     stated_rate: sum.stated_rate,
                     cooldown: sum.cooldown,
+                    is_leaving: sum.is_leaving,
                 })
                 .collect(),
         }
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -223,6 +223,7 @@
                     seconds: 1.0 + number as f32,
                     stated_rate: None,
                     cooldown: None,
+                    is_leaving: false,
                 })
                 .collect(),
         };
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -84,6 +84,7 @@
         seconds: if number == 0 { 0.3 } else { 3.6 },
         stated_rate: None,
         cooldown: None,
+        is_leaving: false,
     });
     let sample = LoadSample {
         shards: vec![(SERVICE.to_owned(), shards)],
--- a/crates/grants/tests/relief.rs
+++ b/crates/grants/tests/relief.rs
@@ -32,6 +32,7 @@
                 seconds: 0.5,
                 stated_rate: stated_rate.filter(|_| number == 1),
                 cooldown: None,
+                is_leaving: false,
             });
             let sample = LoadSample {
                 shards: vec![(SERVICE.to_owned(), shards.collect())],
@@ -76,6 +77,7 @@
             seconds: 1.0,
             stated_rate: (number == 1 && sequence >= 12).then_some(STATED as f32),
             cooldown: None,
+            is_leaving: false,
         });
         let sample = LoadSample {
             shards: vec![(SERVICE.to_owned(), shards.collect())],
@@ -106,6 +108,7 @@
                 seconds: 0.5,
                 stated_rate: None,
                 cooldown: (number == 1).then_some(cooldown),
+                is_leaving: false,
             });
             let sample = LoadSample {
                 shards: vec![(SERVICE.to_owned(), shards.collect())],
@@ -139,6 +142,7 @@
             seconds: if number == 0 { 3.6 } else { 0.3 },
             stated_rate: None,
             cooldown: None,
+            is_leaving: false,
         });
         let sample = LoadSample {
             shards: vec![(SERVICE.to_owned(), shards.collect())],
