A server that fails requests at once is not preferred for it

The class of the refusals that were reported as answers, at a gateway's own choice of servers: whatever ends a request soon makes its server look fast.

Cause: the time of a failure counted like that of work done in the mean by which servers are chosen, and let their limit grow.

Change: a failure of a server's own is taken into its mean only if it took longer, and changes neither limit nor trust.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -199,6 +199,17 @@
         std::mem::take(&mut endpoint.failures) > 0
     }
 
+    /// A server answered with a failure of its own after a time: it is no faster for failing soon, nor fit for more.
+    pub fn answered_with_failure(&mut self, id: &InstanceId, took: Duration) {
+        let endpoint = self.endpoint(id);
+        let is_slower = endpoint
+            .mean_seconds
+            .is_none_or(|mean| took.as_secs_f64() > mean);
+        if is_slower {
+            endpoint.note_time(took);
+        }
+    }
+
     /// A server left a request without an answer until its time was up.
     pub fn silent(&mut self, id: &InstanceId, now: Duration, took: Duration) {
         let endpoint = self.endpoint(id);
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -325,6 +325,9 @@
             // What it asked for says more than what this gateway would learn from being turned away.
             Verdict::NotRun if self.cooldowns.left(server, now).is_some() => {}
             Verdict::NotRun => self.balance.overloaded(server, now),
+            Verdict::Failed => self
+                .balance
+                .answered_with_failure(server, now.saturating_sub(since)),
             _ => {
                 let took = now.saturating_sub(since);
                 let wanted = flight.route.target_latency;
