--- a/crates/grants/tests/relief.rs
+++ b/crates/grants/tests/relief.rs
@@ -3,7 +3,7 @@
 mod division;
 mod support;
 
-use grebepin_catalog::SHARDS;
+use grebepin_catalog::{Catalog, SHARDS};
 use grebepin_grants::{LoadSample, ServerSample};
 
 use division::{beat, commands, divided, id, ms, owned, owned_shards, round};
@@ -15,6 +15,22 @@
 /// Requests a second that one of them states to take.
 const STATED: f32 = 2.5;
 
+/// What gateways saw in a second in which each shard of so many got a request.
+fn sample(asked_every: usize, servers: impl Iterator<Item = ServerSample>) -> LoadSample {
+    let shards = (0..SHARDS as u16).step_by(asked_every);
+    LoadSample {
+        shards: vec![(SERVICE.to_owned(), shards.map(|shard| (shard, 1)).collect())],
+        servers: servers.collect(),
+    }
+}
+
+/// Requests a second for the shards of server 1.
+fn asked_of_one(catalog: &Catalog, asked_every: usize) -> usize {
+    let owned = owned_shards(catalog, 1).into_iter();
+    let asked = owned.filter(|shard| usize::from(*shard).is_multiple_of(asked_every));
+    asked.count()
+}
+
 /// A server in need states what it takes: what nobody else may run meanwhile goes to others that may.
 #[test]
 fn a_server_that_states_a_rate_keeps_only_the_shards_that_it_can_serve() {
@@ -23,9 +39,6 @@
     let mut second = |range: std::ops::Range<u64>, stated_rate: Option<f32>| {
         for sequence in range {
             let now = ms(sequence * 1_000);
-            let shards = (0..SHARDS as u16)
-                .step_by(ASKED_EVERY)
-                .map(|shard| (shard, 1));
             let servers = (0..4_usize).map(|number| ServerSample {
                 id: id(number),
                 answers: 10,
@@ -34,16 +47,10 @@
                 cooldown: None,
                 is_leaving: false,
             });
-            let sample = LoadSample {
-                shards: vec![(SERVICE.to_owned(), shards.collect())],
-                servers: servers.collect(),
-            };
-            coordinator.on_load(now, &catalog, &sample);
+            coordinator.on_load(now, &catalog, &sample(ASKED_EVERY, servers));
             round(&mut coordinator, &mut catalog, now, 4, sequence, false);
         }
-        let asked = owned_shards(&catalog, 1).into_iter();
-        let asked = asked.filter(|shard| usize::from(*shard).is_multiple_of(ASKED_EVERY));
-        (asked.count(), owned(&catalog, 4))
+        (asked_of_one(&catalog, ASKED_EVERY), owned(&catalog, 4))
     };
     let (asked, calm) = second(8..20, None);
     assert!(
@@ -68,9 +75,6 @@
     let (mut coordinator, mut catalog) = divided(4);
     for sequence in 8..15_u64 {
         let now = ms(sequence * 1_000);
-        let shards = (0..SHARDS as u16)
-            .step_by(ASKED_EVERY)
-            .map(|shard| (shard, 1));
         let servers = (0..4_usize).map(|number| ServerSample {
             id: id(number),
             answers: 100,
@@ -79,16 +83,10 @@
             cooldown: None,
             is_leaving: false,
         });
-        let sample = LoadSample {
-            shards: vec![(SERVICE.to_owned(), shards.collect())],
-            servers: servers.collect(),
-        };
-        coordinator.on_load(now, &catalog, &sample);
+        coordinator.on_load(now, &catalog, &sample(ASKED_EVERY, servers));
         round(&mut coordinator, &mut catalog, now, 4, sequence, false);
     }
-    let asked = owned_shards(&catalog, 1).into_iter();
-    let asked = asked.filter(|shard| usize::from(*shard).is_multiple_of(ASKED_EVERY));
-    let asked = asked.count();
+    let asked = asked_of_one(&catalog, ASKED_EVERY);
     assert!(asked <= STATED, "{asked} requests a second are for it");
 }
 
@@ -99,9 +97,6 @@
         let (mut coordinator, mut catalog) = divided(4);
         for sequence in 8..20_u64 {
             let now = ms(sequence * 1_000);
-            let shards = (0..SHARDS as u16)
-                .step_by(ASKED_EVERY)
-                .map(|shard| (shard, 1));
             let servers = (0..4_usize).map(|number| ServerSample {
                 id: id(number),
                 answers: if number == 1 { 0 } else { 10 },
@@ -110,16 +105,10 @@
                 cooldown: (number == 1).then_some(cooldown),
                 is_leaving: false,
             });
-            let sample = LoadSample {
-                shards: vec![(SERVICE.to_owned(), shards.collect())],
-                servers: servers.collect(),
-            };
-            coordinator.on_load(now, &catalog, &sample);
+            coordinator.on_load(now, &catalog, &sample(ASKED_EVERY, servers));
             round(&mut coordinator, &mut catalog, now, 4, sequence, false);
         }
-        let asked = owned_shards(&catalog, 1).into_iter();
-        let asked = asked.filter(|shard| usize::from(*shard).is_multiple_of(ASKED_EVERY));
-        let asked = asked.count();
+        let asked = asked_of_one(&catalog, ASKED_EVERY);
         assert_eq!(asked <= 1, moves, "{cooldown} s: {asked} are asked for");
         let all: usize = owned(&catalog, 4).iter().sum();
         assert!(all > SHARDS * 9 / 10, "{all} shards have an owner");
@@ -135,7 +124,6 @@
     let before = owned_shards(&catalog, 0).len();
     for sequence in 8..20_u64 {
         let now = ms(sequence * 1_000);
-        let shards = (0..SHARDS as u16).step_by(25).map(|shard| (shard, 1));
         let servers = (0..4_usize).map(|number| ServerSample {
             id: id(number),
             answers: 40,
@@ -144,11 +132,7 @@
             cooldown: None,
             is_leaving: false,
         });
-        let sample = LoadSample {
-            shards: vec![(SERVICE.to_owned(), shards.collect())],
-            servers: servers.collect(),
-        };
-        coordinator.on_load(now, &catalog, &sample);
+        coordinator.on_load(now, &catalog, &sample(25, servers));
         for number in 0..4_usize {
             let at = now + ms(20) * number as u32;
             let beat = beat(number, sequence);
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -38,7 +38,7 @@
     pub servers_cooling_down: IntGauge,
     /// Requests sent to servers within the time for which they asked for none.
     pub sent_in_cooldowns: IntCounter,
-    /// Servers that said in their answers that they leave.
+    /// Servers that are known to leave and have not ended.
     pub servers_leaving: IntGauge,
     unusable_fields: IntCounterVec,
 }
@@ -118,7 +118,7 @@
             )?,
             servers_leaving: metrics.gauge(
                 "gateway_servers_leaving",
-                "Servers that said in their answers that they leave and have not ended",
+                "Servers that are known to leave and have not ended",
             )?,
             unusable_fields: metrics.counters(
                 "gateway_unusable_fields_total",
