Log which state a gateway takes, from whom, and when a replica's state counts as current

The record of the incident can't tell its hypotheses apart: no line says which complete state a gateway received and from which kind of source, which heads its choice rested on, when a replica began to hand its state to gateways, by which commit index, and how far its log reached beyond its state at its start. No change of logic.

--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -119,7 +119,8 @@
             node = settings.node,
             control = settings.control_address,
             bootstrap = settings.bootstrap,
-            applied = node.applied()
+            applied = node.applied(),
+            last = node.consensus().last_index().0
         );
         Ok(Self {
             settings_path: path.to_owned(),
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -139,6 +139,9 @@
     pub(super) fn run_periodic_tasks(&mut self) {
         let now = self.now();
         let is_fed = self.node.is_fed(now);
+        if is_fed != self.announced_is_fed {
+            self.log_feed_change(now, is_fed);
+        }
         if now >= self.next_status || is_fed != self.announced_is_fed {
             self.announced_is_fed = is_fed;
             self.next_status = now + STATUS_INTERVAL;
@@ -163,6 +166,22 @@
         }
     }
 
+    fn log_feed_change(&self, now: Duration, is_fed: bool) {
+        let consensus = self.node.consensus();
+        let contact = consensus.leader_contact();
+        let age = contact.map(|(at, _)| now.saturating_sub(at).as_millis() as i64);
+        event!(
+            Event::FeedChanged,
+            feeds = is_fed,
+            leads = self.node.holds_leader_lease(now),
+            term = consensus.term().0,
+            applied = self.node.applied(),
+            committed = contact.map_or(0, |(_, committed)| committed.0),
+            last = consensus.last_index().0,
+            contact_ms = age.unwrap_or(-1)
+        );
+    }
+
     pub(super) fn send_statuses(&mut self, now: Duration) {
         let mut frame = Vec::new();
         let _ = encode_frame(&FromReplica::Head(self.status(now)), &mut frame);
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -148,6 +148,20 @@
         }
     }
 
+    /// The last status of each replica, for logs: address, applied index, role and age of the message.
+    fn describe_heads(&self, now: Duration) -> String {
+        let heads = self.links.values().filter_map(|link| {
+            let head = link.head.as_ref()?;
+            let role = match head.votes {
+                true => "voter",
+                false => "other",
+            };
+            let age = now.saturating_sub(link.last_received).as_millis();
+            Some(format!("{}:{}:{role}:{age}ms", link.address, head.applied))
+        });
+        heads.collect::<Vec<String>>().join(",")
+    }
+
     /// Requests the state that a majority of the voters holds, while no leader is known.
     pub(super) fn request_initial_state(&mut self, now: Duration) {
         if self.followed.is_some() || self.initial_source.is_pending(now) {
@@ -171,7 +185,12 @@
         if !self.may_request_state(now, token) {
             return;
         }
-        event!(Event::StateFetched, replica = address, index = index);
+        event!(
+            Event::StateFetched,
+            replica = address,
+            index = index,
+            heads = self.describe_heads(now)
+        );
         self.note_state_request(now, token);
         if let Some(link) = self.links.get_mut(&token) {
             link.send(&ToReplica::FetchState);
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -334,7 +334,10 @@
                 FromReplica::Whole { index, state } => {
                     let bytes = state.get(STATE_PREFIX_BYTES..).unwrap_or_default();
                     match decode_frame::<Catalog>(bytes) {
-                        Ok(catalog) => updates.push(Update::Snapshot(index, Box::new(catalog))),
+                        Ok(catalog) => {
+                            self.log_state(token, index, applied);
+                            updates.push(Update::Snapshot(index, Box::new(catalog)));
+                        }
                         Err(error) => {
                             event!(Event::StateUnreadable, index = index, error = error);
                         }
@@ -350,6 +353,24 @@
         updates
     }
 
+    fn log_state(&self, token: Token, index: u64, applied: u64) {
+        let Some(link) = self.links.get(&token) else {
+            return;
+        };
+        let source = match (link.peer, self.followed == Some(token)) {
+            (LinkPeer::Relay, _) => "relay",
+            (LinkPeer::Replica, true) => "followed",
+            (LinkPeer::Replica, false) => "voters",
+        };
+        event!(
+            Event::StateTaken,
+            source = source,
+            from = link.address,
+            index = index,
+            before = applied
+        );
+    }
+
     /// Requests all entries after `applied` again from the followed replica and the relays, after a gap.
     pub fn resync(&mut self, applied: u64) {
         if let Some(token) = self.followed {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -74,6 +74,7 @@
     EvacuationSet = 139, Info, "the evacuation of a zone began or ended";
     CallUnreadable = 140, Warn, "calls that can't be read were refused";
     QuarantineSet = 141, Warn, "a request was quarantined or released from quarantine";
+    FeedChanged = 142, Info, "this replica began or ceased to hand its state to gateways as current";
     // Routers and gateways.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
@@ -105,6 +106,7 @@
     ServerCoolsDown = 240, Info, "a server asked to receive no requests for some time";
     StatementUnusable = 241, Warn, "a field of a server's response can't be used";
     ServerLeaves = 242, Info, "a server announced in a response that it is leaving";
+    StateTaken = 243, Info, "a complete state was received";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
