A replica feeds gateways only once its leader knows what is committed

Callers: a gateway that followed such a replica took its state for current and answered by a configuration older than one already acknowledged.

Cause: a replica counts as fed when it has applied what a leader told it to be committed.

Why it works: once the entry at the stated commit index is of the current term, the leader has committed in its term, and every entry that an earlier leader acknowledged lies before it.

--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -46,6 +46,9 @@
     pub(crate) last_leader_contact: Option<Duration>,
     /// Highest commit index received from a leader. This replica may not have the entry yet.
     pub(crate) leader_commit: LogIndex,
+    /// When a leader last stated its commit index. `None` also while it sends a snapshot, whose index may be
+    /// far below its commit index.
+    pub(crate) leader_commit_at: Option<Duration>,
     pub(crate) election_deadline: Duration,
     pub(crate) incoming: Option<IncomingSnapshot>,
     /// Installed snapshot that was not yet returned for storage.
@@ -82,6 +85,7 @@
             leader: None,
             last_leader_contact: None,
             leader_commit: LogIndex(0),
+            leader_commit_at: None,
             election_deadline: now,
             incoming: None,
             snapshot_to_save: None,
--- a/crates/consensus/src/follower.rs
+++ b/crates/consensus/src/follower.rs
@@ -16,6 +16,7 @@
             return;
         }
         self.leader_commit = self.leader_commit.max(request.commit);
+        self.leader_commit_at = Some(self.now);
         if !self.skip_committed(&mut request) {
             return;
         }
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -68,6 +68,7 @@
             return;
         }
         self.leader_commit = self.leader_commit.max(index);
+        self.leader_commit_at = None;
         if self.contains_snapshot(&request.meta) {
             self.log.commit_to(index);
             self.incoming = None;
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -38,11 +38,13 @@
         self.leader
     }
 
-    /// Returns the time of the last message from a leader and the highest commit index received from any
-    /// leader; `None` before the first message.
-    pub fn leader_contact(&self) -> Option<(Duration, LogIndex)> {
-        let at = self.last_leader_contact?;
-        Some((at, self.leader_commit))
+    /// Returns the time of the last message in which a leader stated its commit index, and the highest index
+    /// that was stated. `None` until the leader of the current term is known to have committed an entry of its
+    /// term: before that, it does not know which entries of its log earlier leaders committed.
+    pub fn leader_commit(&self) -> Option<(Duration, LogIndex)> {
+        let at = self.leader_commit_at?;
+        let term = self.log.term_at(self.leader_commit);
+        (term.is_none_or(|term| term == self.term)).then_some((at, self.leader_commit))
     }
 
     /// Returns the current term.
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -168,15 +168,15 @@
 
     fn log_feed_change(&self, now: Duration, is_fed: bool) {
         let consensus = self.node.consensus();
-        let contact = consensus.leader_contact();
-        let age = contact.map(|(at, _)| now.saturating_sub(at).as_millis() as i64);
+        let stated = consensus.leader_commit();
+        let age = stated.map(|(at, _)| now.saturating_sub(at).as_millis() as i64);
         event!(
             Event::FeedChanged,
             feeds = is_fed,
             leads = self.node.holds_leader_lease(now),
             term = consensus.term().0,
             applied = self.node.applied(),
-            committed = contact.map_or(0, |(_, committed)| committed.0),
+            committed = stated.map_or(0, |(_, committed)| committed.0),
             last = consensus.last_index().0,
             contact_ms = age.unwrap_or(-1)
         );
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -128,7 +128,7 @@
     }
 
     fn update_caught_up_at(&mut self) {
-        if let Some((at, committed)) = self.consensus.leader_contact() {
+        if let Some((at, committed)) = self.consensus.leader_commit() {
             if self.applied >= committed {
                 self.caught_up_at = Some(at);
             }
