Gateways without a leader know which acknowledged changes their first state may lack

Callers: after all machines lost power, a gateway answered 404 for an acknowledged route, or sent a request by a route that had been replaced, for as long as there was no leader that fed it.

Cause: the first state is the newest that a majority of the voters has applied. Right after a restart a replica has applied what it knew to be committed when it last wrote its log; the newest acknowledged entries are at the ends of the logs and in no state. Nothing told the gateway, and nothing bounded how long it served so.

Change: a voter that is not fed describes the end of its log in its status. A gateway takes a state together with the commands that come after it, and until a followed replica has decided them refuses (503, with a time to come back) only requests whose route or service they touch, uses no server that they may have stopped, treats as cold or quarantined what may be, and applies the more generous of two limits. A state without contact to a leader is taken only with what it may lack: that of a relay that is not fed, or one older than was asked for, is ignored (event 245). A replica applies its log before its first status.

Why it works: an acknowledged entry is durable at a majority, so it is in the log of at least one of any majority of voters, and it is either at most as high as the state's index or among the commands described.

--- a/crates/catalog/src/routes.rs
+++ b/crates/catalog/src/routes.rs
@@ -35,7 +35,7 @@
     /// Returns the route of a request. `host` may include a port and is matched without regard to case;
     /// `path` must not include the query.
     pub fn find(&self, host: &str, path: &str) -> Option<&NamedRoute> {
-        let name = host.split(':').next().unwrap_or(host);
+        let name = host_name(host);
         let routes = match self.by_host.get(name) {
             Some(routes) => routes,
             None => self.by_host.get(&name.to_ascii_lowercase())?,
@@ -45,3 +45,14 @@
             .find(|(_, route)| path.starts_with(route.prefix.as_str()))
     }
 }
+
+impl Route {
+    /// Returns whether the route's host and prefix match a request, as in [`RouteIndex::find`].
+    pub fn matches(&self, host: &str, path: &str) -> bool {
+        self.host.eq_ignore_ascii_case(host_name(host)) && path.starts_with(self.prefix.as_str())
+    }
+}
+
+fn host_name(host: &str) -> &str {
+    host.split(':').next().unwrap_or(host)
+}
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -137,7 +137,7 @@
     }
 
     /// Iterates over the entries from `from` on; empty if the log no longer contains that entry.
-    fn entries_from(&self, from: LogIndex) -> impl Iterator<Item = &Entry> {
+    pub fn entries_from(&self, from: LogIndex) -> impl Iterator<Item = &Entry> {
         let position = from.0.checked_sub(self.base_index.0 + 1);
         let entries = position.map(|position| self.entries.iter().skip(position as usize));
         entries.into_iter().flatten()
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebepin_schema::{LogIndex, Membership, ReplicaId, Term};
+use grebepin_schema::{Entry, LogIndex, Membership, ReplicaId, Term};
 
 use crate::core::{Consensus, State};
 use crate::limits::MAX_CAUGHT_UP_LAG;
@@ -47,6 +47,12 @@
         (term.is_none_or(|term| term == self.term)).then_some((at, self.leader_commit))
     }
 
+    /// Iterates over the entries after an index, committed or not; empty if the log no longer contains the
+    /// first of them.
+    pub fn entries_after(&self, index: LogIndex) -> impl Iterator<Item = &Entry> {
+        self.log.entries_from(LogIndex(index.0 + 1))
+    }
+
     /// Returns the current term.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -159,6 +159,8 @@
 
     pub(super) fn run(mut self) -> Result<(), DirectoryError> {
         let mut events = Events::with_capacity(EVENT_BATCH);
+        // Applies the committed part of the log before the first status message describes the state.
+        self.process_inputs()?;
         while !self.signals.stop() {
             let now = self.now();
             let max_timeout = match (self.ready_callers.is_empty(), self.feeder.is_behind) {
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -83,6 +83,7 @@
             is_fed: self.node.is_fed(now),
             relays: self.fleet.select_relays(status_round(now)),
             votes: self.node.votes(),
+            open_entries: self.node.open_entries(now),
         }
     }
 
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -1,6 +1,6 @@
 //! Frames exchanged between directory replicas, and between replicas and gateways, over the internal port.
 
-use grebepin_catalog::{Entry, InstanceId};
+use grebepin_catalog::{Command, Entry, InstanceId};
 use grebepin_grants::{LoadSample, Permit};
 use grebepin_reactor::{compress, decompress, encode_frame, take_frame, FrameError};
 use grebepin_schema::PeerFrame;
@@ -163,8 +163,18 @@
     pub votes: bool,
 }
 
+/// Commands in a voter's log after its applied state. They may be acknowledged, although the voter does not
+/// know that they are committed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OpenEntries {
+    /// Commands that gateways must obey, each with the log index of its entry.
+    pub commands: Vec<(u64, Command)>,
+    /// Whether commands are left out, because they are too large or cannot be decoded.
+    pub is_truncated: bool,
+}
+
 /// Current status of a replica, or of a gateway that relays the state.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SourceStatus {
     /// Consensus term.
     pub term: u64,
@@ -183,4 +193,7 @@
     pub relays: Vec<String>,
     /// Whether it is a voter of the group: everything that it ever acknowledged is on its disk.
     pub votes: bool,
+    /// The end of its log, while it is a voter whose state is not fresh.
+    #[serde(default)]
+    pub open_entries: OpenEntries,
 }
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod leading;
 mod membership;
 mod messages;
+mod open_entries;
 mod pending_calls;
 mod replication;
 mod voters;
--- a/crates/gateway/examples/table_memory.rs
+++ b/crates/gateway/examples/table_memory.rs
@@ -10,6 +10,7 @@
     RequestKind, Route, Service, Version, WeightedService, SHARDS,
 };
 use grebepin_gateway::table::Table;
+use grebepin_gateway::undecided::UndecidedChanges;
 use grebepin_reactor::{compress, decode_frame, encode_frame};
 use peak_alloc::PeakAlloc;
 
@@ -102,7 +103,7 @@
         let state: Catalog = decode_frame(&frame[4..]).expect("it decodes");
         let decoded = began.elapsed();
         let mut table = Table::new("g", "boa-vista");
-        table.replace(1, state);
+        table.replace(1, state, UndecidedChanges::default());
         let indexed = began.elapsed() - decoded;
         let held = ALLOCATOR.current_usage() - before;
         let peak = ALLOCATOR.peak_usage() - before;
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -21,7 +21,7 @@
 use crate::cooldowns::Cooldowns;
 use crate::crash_history::CrashHistory;
 use crate::evacuations::Evacuations;
-use crate::follow::{DirectoryClient, Update};
+use crate::follow::DirectoryClient;
 use crate::headers::HeaderNames;
 use crate::housekeeping::{modified_at, SETTINGS_CHECK_INTERVAL};
 use crate::in_flight::{InFlightId, InFlightRequests};
@@ -34,7 +34,7 @@
 use crate::settings::GatewaySettings;
 use crate::stated_rate::StatedRates;
 use crate::stopping::Stopping;
-use crate::table::{Splitter, Table, TableChange};
+use crate::table::{Splitter, Table};
 use crate::upstreams::Upstreams;
 use crate::warmup::WarmupTurns;
 use crate::GatewayError;
@@ -362,6 +362,8 @@
         let cooling_down = self.cooldowns.count(now);
         metrics.servers_cooling_down.set(cooling_down as i64);
         metrics.servers_leaving.set(self.leaving.len() as i64);
+        let undecided = self.table.undecided().len();
+        metrics.undecided_changes.set(undecided as i64);
         let link_wait = self.link_queue.wait(now);
         metrics.link_wait_ms.set(link_wait.as_millis() as i64);
     }
@@ -395,62 +397,6 @@
         }
     }
 
-    fn on_directory(&mut self, token: Token) {
-        let now = self.now();
-        let updates = self.directory.on_event(now, token, self.table.applied());
-        let mut change = TableChange::default();
-        let mut permits = Vec::new();
-        let mut follows_log = true;
-        for update in updates {
-            follows_log &= !matches!(update, Update::Snapshot(..));
-            let one = match update {
-                Update::Snapshot(index, catalog) => self.table.replace(index, *catalog),
-                Update::Entries(entries) => self.apply_entries(&entries),
-                Update::Permit { id, permit } => {
-                    permits.push((InFlightId(id), permit));
-                    TableChange::default()
-                }
-                Update::Gateways(count) => {
-                    self.retry_budgets.set_gateways(count);
-                    self.load_balancer
-                        .set_gateways(self.retry_budgets.gateways());
-                    TableChange::default()
-                }
-            };
-            change.servers |= one.servers;
-            change.owners |= one.owners;
-            change.draining.extend(one.draining);
-        }
-        for id in &change.draining {
-            self.leaving.note(id, now);
-        }
-        if change.servers {
-            self.update_evacuations(now, follows_log);
-            self.warmup.update(now, self.table.cold_servers());
-        }
-        if change.owners {
-            self.dispatch_awaiting_owner();
-        }
-        for (request, permit) in permits {
-            self.on_permit(request, permit);
-        }
-        self.log_readiness();
-    }
-
-    /// Applies the set of evacuated zones. `follows_log` is false when a snapshot was applied, which does not
-    /// show when an evacuation began.
-    fn update_evacuations(&mut self, now: Duration, follows_log: bool) {
-        let zones = self.table.evacuated_zones();
-        for change in self.evacuations.update(now, zones, follows_log) {
-            event!(
-                Event::EvacuationInForce,
-                zone = change.zone,
-                evacuated = change.evacuated,
-                applied = self.table.applied()
-            );
-        }
-    }
-
     /// Number of gateways that share the servers; `None` until a leader has reported it and the count has
     /// settled.
     pub(crate) fn gateway_count(&self) -> Option<u32> {
@@ -458,18 +404,6 @@
         is_known.then(|| self.retry_budgets.gateways())
     }
 
-    fn apply_entries(&mut self, entries: &[(u64, grebepin_catalog::Entry)]) -> TableChange {
-        let change = self.table.apply(entries);
-        if let Some(relay) = &mut self.relay {
-            relay.feed(entries, &self.table);
-        }
-        let newest = entries.last().map_or(0, |(index, _)| *index);
-        if newest > self.table.applied() {
-            self.directory.resync(self.table.applied());
-        }
-        change
-    }
-
     pub(crate) fn log_readiness(&mut self) {
         let ready = self.is_ready();
         if ready != self.logged_ready {
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -9,8 +9,10 @@
 use mio::Token;
 
 use super::link::LinkPeer;
+use super::state::RequestedState;
 use super::DirectoryClient;
 use crate::initial_state::newest_of_majority;
+use crate::undecided::UndecidedChanges;
 
 /// Time without a message after which another replica that receives the leader's log is followed. Replicas
 /// send a message every 500 ms.
@@ -174,9 +176,11 @@
             })
         };
         let told = heads().map(|(_, address, head)| (address, head));
-        let Some(index) = newest_of_majority(told) else {
+        let Some(initial) = newest_of_majority(told) else {
             return;
         };
+        let index = initial.index;
+        let undecided = UndecidedChanges::of(initial.undecided);
         let holders = heads().filter(|(_, _, head)| head.applied >= index);
         let nearest = holders.min_by_key(|(_, address, _)| self.replicas.rank(address));
         let Some((token, address, _)) = nearest else {
@@ -189,8 +193,10 @@
             Event::StateFetched,
             replica = address,
             index = index,
+            undecided = undecided.len(),
             heads = self.describe_heads(now)
         );
+        self.requested_state = Some(RequestedState { index, undecided });
         self.note_state_request(now, token);
         if let Some(link) = self.links.get_mut(&token) {
             link.send(&ToReplica::FetchState);
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -3,6 +3,7 @@
 
 mod feed;
 mod link;
+mod state;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -14,10 +15,11 @@
     Follow, FromReplica, GatewayReport, PermitRequest, SourceStatus, ToReplica,
 };
 use grebepin_grants::{LoadSample, Permit};
-use grebepin_reactor::{decode_frame, Connection};
+use grebepin_reactor::Connection;
 use grebepin_telemetry::{event, Event};
 use link::{Link, LinkPeer};
 use mio::{Registry, Token};
+use state::RequestedState;
 
 use crate::crash_history::CrashHistory;
 use crate::initial_source::InitialSource;
@@ -25,6 +27,7 @@
 use crate::relays::Relays;
 use crate::replicas::Replicas;
 use crate::settings::GatewaySettings;
+use crate::undecided::UndecidedChanges;
 
 /// Timeout for establishing a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -54,14 +57,18 @@
 /// The same for the followed replica while requests wait for capacity, or after a server crashed.
 const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Bytes before the value of an encoded state.
-const STATE_PREFIX_BYTES: usize = 4;
-
 /// An update that was received from the directory or a relay.
 #[derive(Debug)]
 pub enum Update {
-    /// A snapshot of the state at a log index.
-    Snapshot(u64, Box<Catalog>),
+    /// A snapshot of the state.
+    Snapshot {
+        /// Log index of the state.
+        index: u64,
+        /// The state.
+        catalog: Box<Catalog>,
+        /// Changes that may be acknowledged and are not part of it.
+        undecided: UndecidedChanges,
+    },
     /// Entries in log order.
     Entries(Vec<(u64, Entry)>),
     /// Number of gateways, as the leader counts them.
@@ -113,6 +120,8 @@
     /// The link whose replica was asked for the initial state.
     state_requested_from: Option<Token>,
     initial_source: InitialSource,
+    /// The initial state that was last requested from a majority.
+    requested_state: Option<RequestedState>,
     /// When a replica first reported the number of gateways.
     gateways_known_since: Option<Duration>,
     /// When the followed replica last sent a message while it received the leader's log.
@@ -133,6 +142,7 @@
             relays: Relays::new(&settings.relay_name()),
             state_requested_from: None,
             initial_source: InitialSource::default(),
+            requested_state: None,
             gateways_known_since: None,
             last_leader_message: None,
         }
@@ -332,16 +342,7 @@
                 FromReplica::Head(head) => self.on_head(now, token, head, applied, &mut updates),
                 FromReplica::Entries(entries) => updates.push(Update::Entries(entries)),
                 FromReplica::Whole { index, state } => {
-                    let bytes = state.get(STATE_PREFIX_BYTES..).unwrap_or_default();
-                    match decode_frame::<Catalog>(bytes) {
-                        Ok(catalog) => {
-                            self.log_state(token, index, applied);
-                            updates.push(Update::Snapshot(index, Box::new(catalog)));
-                        }
-                        Err(error) => {
-                            event!(Event::StateUnreadable, index = index, error = error);
-                        }
-                    }
+                    updates.extend(self.take_state(token, index, &state, applied));
                 }
                 FromReplica::Permit { id, permit } => updates.push(Update::Permit { id, permit }),
                 FromReplica::Relayed { .. } | FromReplica::Packed(_) | FromReplica::Fleet(_) => {}
@@ -353,24 +354,6 @@
         updates
     }
 
-    fn log_state(&self, token: Token, index: u64, applied: u64) {
-        let Some(link) = self.links.get(&token) else {
-            return;
-        };
-        let source = match (link.peer, self.followed == Some(token)) {
-            (LinkPeer::Relay, _) => "relay",
-            (LinkPeer::Replica, true) => "followed",
-            (LinkPeer::Replica, false) => "voters",
-        };
-        event!(
-            Event::StateTaken,
-            source = source,
-            from = link.address,
-            index = index,
-            before = applied
-        );
-    }
-
     /// Requests all entries after `applied` again from the followed replica and the relays, after a gap.
     pub fn resync(&mut self, applied: u64) {
         if let Some(token) = self.followed {
@@ -407,8 +390,9 @@
         self.relays.note(now, &head.relays);
         let peer = self.links.get(&token).map(|link| link.peer);
         if peer == Some(LinkPeer::Relay) {
-            if !head.is_fed {
-                self.drop_link(now, token);
+            match (head.is_fed, self.links.get_mut(&token)) {
+                (true, Some(link)) => link.head = Some(head),
+                _ => self.drop_link(now, token),
             }
             return;
         }
--- /dev/null
+++ b/crates/gateway/src/follow/state.rs
@@ -0,0 +1,99 @@
+//! Which complete states are taken, and whether they contain every acknowledged change.
+//!
+//! Invariant: a state from a sender without contact to a leader is taken only together with the changes that it
+//! may lack.
+
+use std::time::Duration;
+
+use grebepin_catalog::Catalog;
+use grebepin_reactor::decode_frame;
+use grebepin_telemetry::{event, Event};
+use mio::Token;
+
+use super::link::LinkPeer;
+use super::{DirectoryClient, Update};
+use crate::undecided::UndecidedChanges;
+
+/// Bytes before the value of an encoded state.
+const STATE_PREFIX_BYTES: usize = 4;
+
+/// An initial state that was requested while there was no contact with a leader.
+#[derive(Debug)]
+pub(super) struct RequestedState {
+    /// Log index that the state has at least.
+    pub(super) index: u64,
+    /// Changes that may be acknowledged and come after that index.
+    pub(super) undecided: UndecidedChanges,
+}
+
+impl DirectoryClient {
+    /// Decodes a complete state that was received on a link; returns nothing if it may lack acknowledged changes
+    /// that this gateway does not know of.
+    pub(super) fn take_state(
+        &self,
+        token: Token,
+        index: u64,
+        state: &[u8],
+        applied: u64,
+    ) -> Option<Update> {
+        let Some(undecided) = self.undecided_after(token, index) else {
+            event!(Event::StateIgnored, index = index, before = applied);
+            return None;
+        };
+        match decode_frame::<Catalog>(state.get(STATE_PREFIX_BYTES..).unwrap_or_default()) {
+            Ok(catalog) => {
+                self.log_state(token, index, applied);
+                Some(Update::Snapshot {
+                    index,
+                    catalog: Box::new(catalog),
+                    undecided,
+                })
+            }
+            Err(error) => {
+                event!(Event::StateUnreadable, index = index, error = error);
+                None
+            }
+        }
+    }
+
+    /// The changes that a received state may lack; none are for a sender with contact to a leader. `None` if it
+    /// may lack changes that are not known.
+    fn undecided_after(&self, token: Token, index: u64) -> Option<UndecidedChanges> {
+        let link = self.links.get(&token)?;
+        let is_fed = link.head.as_ref().is_some_and(|head| head.is_fed);
+        match (link.peer, self.followed == Some(token)) {
+            (LinkPeer::Relay, _) => is_fed.then(UndecidedChanges::default),
+            (LinkPeer::Replica, true) => Some(UndecidedChanges::default()),
+            (LinkPeer::Replica, false) => {
+                let requested = self.requested_state.as_ref()?;
+                (index >= requested.index).then(|| requested.undecided.clone())
+            }
+        }
+    }
+
+    /// Whether a state of log index `applied` contains every acknowledged change: the followed replica, which
+    /// receives the leader's log, has not applied more.
+    pub fn is_decided(&self, now: Duration, applied: u64) -> bool {
+        let link = self.fed_link(now).and_then(|token| self.links.get(&token));
+        let head = link.and_then(|link| link.head.as_ref());
+        head.is_some_and(|head| applied >= head.applied)
+    }
+
+    fn log_state(&self, token: Token, index: u64, applied: u64) {
+        let Some(link) = self.links.get(&token) else {
+            return;
+        };
+        let source = match (link.peer, self.followed == Some(token)) {
+            (LinkPeer::Relay, _) => "relay",
+            (LinkPeer::Replica, true) => "followed",
+            (LinkPeer::Replica, false) => "voters",
+        };
+        event!(
+            Event::StateTaken,
+            source = source,
+            from = link.address,
+            index = index,
+            before = applied
+        );
+    }
+}
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -127,7 +127,13 @@
         if !self.table.is_configured() {
             return self.reject(&incoming, Refusal::Unconfigured);
         }
-        let Some((name, route)) = self.table.route(incoming.host(), incoming.path()) else {
+        let (host, path) = (incoming.host(), incoming.path());
+        let found = self.table.route(host, path);
+        let route = found.as_ref().map(|(name, route)| (*name, &**route));
+        if self.table.undecided().touches_request(host, path, route) {
+            return self.reject(&incoming, Refusal::Undecided);
+        }
+        let Some((name, route)) = found else {
             return self.reject_unrouted(&incoming);
         };
         if self.is_quarantined(&incoming.request) {
@@ -148,8 +154,7 @@
     /// Whether the request is quarantined because it crashed the servers that executed it. No request is
     /// hashed while the quarantine is empty.
     fn is_quarantined(&self, request: &Request) -> bool {
-        let quarantine = self.table.quarantine();
-        !quarantine.is_empty() && quarantine.contains(fingerprint(request, &self.names))
+        self.table.has_quarantined() && self.table.is_quarantined(fingerprint(request, &self.names))
     }
 
     fn reject_unrouted(&mut self, incoming: &IncomingRequest) {
@@ -318,7 +323,9 @@
     fn may_receive(&self, owner: &Instance, now: Duration) -> bool {
         let is_ready = owner.state == InstanceState::Ready;
         let drains = owner.state == InstanceState::Draining && self.leaving.is_leaving(&owner.id);
-        (is_ready || drains) && self.leaving.is_usable(&owner.id, now)
+        (is_ready || drains)
+            && self.leaving.is_usable(&owner.id, now)
+            && !self.table.undecided().may_have_stopped(owner)
     }
 
     /// Holds a request until its key's shard has a new owner, for a bounded time.
--- a/crates/gateway/src/initial_state.rs
+++ b/crates/gateway/src/initial_state.rs
@@ -1,22 +1,32 @@
 //! Which state a gateway without any takes while it has no contact with a leader.
 //!
 //! After a restart of all machines the group needs an election before there is a leader, and gateways need
-//! not wait for it: the state that a majority of the voters holds covers every acknowledged change except
-//! those whose commit its members had not yet learnt of. Until there is a leader the state may be outdated by
-//! that much, like that of any gateway that lost its leader.
+//! not wait for it: the newest state of a majority of the voters and the ends of their logs together contain
+//! every acknowledged change. A change at the end of a log may or may not be committed, so whatever it touches
+//! stays undecided, see [`crate::undecided`].
 //!
 //! Invariant: a state is taken only when a majority of the voters was asked, by the membership that each of
-//! them knows, and only if it is the newest among them. A voter that missed changes is not enough alone, nor
-//! together with a replica that lost its disk, since that one is no voter.
+//! them knows, only if it is the newest among them, and only if the ends of their logs are known completely. A
+//! voter that missed changes is not enough alone, nor together with a replica that lost its disk, since that
+//! one is no voter.
 
+use grebepin_catalog::Command;
 use grebepin_directory::link::SourceStatus;
 
-/// Log index of the newest state among the voters in `heads`, which are pairs of a replica's address and the
-/// head that it sent; `None` while these are not a majority. The state may be fetched from any replica that
-/// has applied that index.
+/// The newest state of a majority of the voters.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InitialState<'a> {
+    /// Log index of the state. It may be fetched from any replica that has applied that index.
+    pub index: u64,
+    /// Commands after that index that may be acknowledged, in any order.
+    pub undecided: Vec<&'a Command>,
+}
+
+/// The state to take, given pairs of a replica's address and the head that it sent; `None` while these are not
+/// a majority, or do not describe the ends of the logs completely.
 pub fn newest_of_majority<'a>(
     heads: impl Iterator<Item = (&'a str, &'a SourceStatus)>,
-) -> Option<u64> {
+) -> Option<InitialState<'a>> {
     let voters: Vec<(&str, &SourceStatus)> = heads.filter(|(_, head)| head.votes).collect();
     let is_covered = |head: &SourceStatus| {
         let members = head.replicas.iter().filter(|member| member.votes);
@@ -26,8 +36,20 @@
             .filter(|member| voters.iter().any(|voter| voter.0 == **member));
         asked.count() > members.len() / 2
     };
-    if !voters.iter().all(|(_, head)| is_covered(head)) {
+    let is_complete = |head: &SourceStatus| !head.open_entries.is_truncated;
+    if !voters
+        .iter()
+        .all(|(_, head)| is_covered(head) && is_complete(head))
+    {
         return None;
     }
-    voters.into_iter().map(|(_, head)| head.applied).max()
+    let index = voters.iter().map(|(_, head)| head.applied).max()?;
+    let open = voters
+        .iter()
+        .flat_map(|(_, head)| &head.open_entries.commands);
+    let undecided = open.filter(|(at, _)| *at > index);
+    Some(InitialState {
+        index,
+        undecided: undecided.map(|(_, command)| command).collect(),
+    })
 }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -125,7 +125,7 @@
     gateways: Option<u32>,
     now: Duration,
 ) -> bool {
-    if !server.is_cold {
+    if !table.is_cold(server) {
         return true;
     }
     let rate = table.warmup_rate(&server.service);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -24,6 +24,8 @@
 pub enum Refusal {
     /// The gateway has no configuration yet.
     Unconfigured,
+    /// Its route may have changed, and there is no leader yet that knows.
+    Undecided,
     /// The gateway is stopping and would exit before the request ends.
     Stopping,
     /// The shard of its key has no owner.
@@ -71,6 +73,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             Self::Unconfigured => "no configuration",
+            Self::Undecided => "route undecided",
             Self::Stopping => "stopping",
             Self::NoOwner => "no owner",
             Self::NoRoom => "no room",
--- /dev/null
+++ b/crates/gateway/src/state_updates.rs
@@ -0,0 +1,102 @@
+//! Applies what the directory sends: states, log entries, changes that are undecided without a leader, the number
+//! of gateways and permits.
+
+use std::time::Duration;
+
+use grebepin_telemetry::{event, Event};
+use mio::Token;
+
+use crate::event_loop::EventLoop;
+use crate::follow::Update;
+use crate::in_flight::InFlightId;
+use crate::table::TableChange;
+
+impl EventLoop {
+    pub(crate) fn on_directory(&mut self, token: Token) {
+        let now = self.now();
+        let updates = self.directory.on_event(now, token, self.table.applied());
+        let mut change = TableChange::default();
+        let mut permits = Vec::new();
+        // While changes are undecided, this gateway cannot tell how long ago an evacuation began.
+        let mut follows_log = self.table.undecided().is_empty();
+        for update in updates {
+            follows_log &= !matches!(update, Update::Snapshot { .. });
+            let one = match update {
+                Update::Snapshot {
+                    index,
+                    catalog,
+                    undecided,
+                } => self.table.replace(index, *catalog, undecided),
+                Update::Entries(entries) => self.apply_entries(&entries),
+                Update::Permit { id, permit } => {
+                    permits.push((InFlightId(id), permit));
+                    TableChange::default()
+                }
+                Update::Gateways(count) => {
+                    self.retry_budgets.set_gateways(count);
+                    self.load_balancer
+                        .set_gateways(self.retry_budgets.gateways());
+                    TableChange::default()
+                }
+            };
+            change.servers |= one.servers;
+            change.owners |= one.owners;
+            change.draining.extend(one.draining);
+        }
+        if let Some(one) = self.end_undecided(now) {
+            change.servers |= one.servers;
+            change.owners |= one.owners;
+        }
+        for id in &change.draining {
+            self.leaving.note(id, now);
+        }
+        if change.servers {
+            self.update_evacuations(now, follows_log);
+            self.warmup.update(now, self.table.cold_servers());
+        }
+        if change.owners {
+            self.dispatch_awaiting_owner();
+        }
+        for (request, permit) in permits {
+            self.on_permit(request, permit);
+        }
+        self.log_readiness();
+    }
+
+    /// Ends the undecided changes, if there are any, once the state contains every acknowledged change.
+    fn end_undecided(&mut self, now: Duration) -> Option<TableChange> {
+        let applied = self.table.applied();
+        let touched = self.table.undecided().len();
+        if touched == 0 || !self.directory.is_decided(now, applied) {
+            return None;
+        }
+        event!(Event::StateDecided, applied = applied, undecided = touched);
+        Some(self.table.end_undecided())
+    }
+
+    /// Applies the set of evacuated zones. `follows_log` is false when a snapshot was applied, which does not
+    /// show when an evacuation began.
+    fn update_evacuations(&mut self, now: Duration, follows_log: bool) {
+        let zones = self.table.evacuated_zones();
+        for change in self.evacuations.update(now, zones, follows_log) {
+            event!(
+                Event::EvacuationInForce,
+                zone = change.zone,
+                evacuated = change.evacuated,
+                applied = self.table.applied()
+            );
+        }
+    }
+
+    fn apply_entries(&mut self, entries: &[(u64, grebepin_catalog::Entry)]) -> TableChange {
+        let change = self.table.apply(entries);
+        if let Some(relay) = &mut self.relay {
+            relay.feed(entries, &self.table);
+        }
+        let newest = entries.last().map_or(0, |(index, _)| *index);
+        if newest > self.table.applied() {
+            self.directory.resync(self.table.applied());
+        }
+        change
+    }
+}
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 
 use grebepin_catalog::{
-    Catalog, Entry, Instance, InstanceId, InstanceState, ItemContent, ItemKind, Limits, Quarantine,
-    Route, RouteIndex, Shard,
+    Catalog, Entry, Fingerprint, Instance, InstanceId, InstanceState, ItemContent, ItemKind,
+    Limits, Route, RouteIndex, Shard,
 };
 use grebepin_reactor::{encode_frame, FrameError};
 
 use crate::server_index::ServerIndex;
+use crate::undecided::UndecidedChanges;
 
 /// What an update changed in the state.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -20,7 +21,8 @@
     pub servers: bool,
     /// Whether servers, evacuated zones or owners of shards changed.
     pub owners: bool,
-    /// Servers that the applied entries set to draining. Empty after a snapshot.
+    /// Servers that the applied entries set to draining. Empty after a snapshot, and without those that may
+    /// have been draining before.
     pub draining: Vec<InstanceId>,
 }
 
@@ -33,6 +35,10 @@
     /// Priority number of the route with the lowest priority; 0 is the highest priority.
     lowest_priority: u32,
     servers: ServerIndex,
+    /// Changes that may be acknowledged and are not part of the state.
+    undecided: UndecidedChanges,
+    /// The limits that apply, with those of undecided changes; `None` before they are configured.
+    limits: Option<Limits>,
 }
 
 impl Table {
@@ -54,6 +60,27 @@
         !self.catalog.items().is_empty()
     }
 
+    /// Ends the undecided changes, once the state contains every acknowledged change.
+    pub fn end_undecided(&mut self) -> TableChange {
+        self.set_undecided(UndecidedChanges::default())
+    }
+
+    fn set_undecided(&mut self, undecided: UndecidedChanges) -> TableChange {
+        self.undecided = undecided;
+        self.update_limits();
+        self.index_servers();
+        TableChange {
+            servers: true,
+            owners: true,
+            draining: Vec::new(),
+        }
+    }
+
+    /// Changes that may be acknowledged and are not part of the state.
+    pub fn undecided(&self) -> &UndecidedChanges {
+        &self.undecided
+    }
+
     /// The whole state encoded as a frame, for another gateway.
     ///
     /// # Errors
@@ -64,20 +91,21 @@
         Ok(bytes)
     }
 
-    /// Replaces the state by a snapshot of log index `index`, unless the present state is as new.
-    pub fn replace(&mut self, index: u64, catalog: Catalog) -> TableChange {
+    /// Replaces the state by a snapshot of log index `index`, unless the present state is as new. `undecided` are
+    /// the changes that may be acknowledged and are not part of the snapshot.
+    pub fn replace(
+        &mut self,
+        index: u64,
+        catalog: Catalog,
+        undecided: UndecidedChanges,
+    ) -> TableChange {
         if index <= self.applied {
             return TableChange::default();
         }
         self.catalog = catalog;
         self.applied = index;
         self.index_routes();
-        self.index_servers();
-        TableChange {
-            servers: true,
-            owners: true,
-            draining: Vec::new(),
-        }
+        self.set_undecided(undecided)
     }
 
     /// Applies log entries. Skips those that were applied before, and stops at the first gap in their
@@ -102,7 +130,11 @@
                 for id in &effects.instances {
                     self.index_server(id);
                     let instance = self.catalog.instance(id);
-                    if instance.is_some_and(|one| one.state == InstanceState::Draining) {
+                    let has_begun = |one: &Instance| {
+                        one.state == InstanceState::Draining
+                            && !self.undecided.may_have_stopped(one)
+                    };
+                    if instance.is_some_and(has_begun) {
                         change.draining.push(id.clone());
                     }
                 }
@@ -127,19 +159,33 @@
             _ => None,
         });
         self.lowest_priority = priorities.max().unwrap_or(0);
+        self.update_limits();
+    }
+
+    fn update_limits(&mut self) {
+        let item = self.catalog.items().get(ItemKind::Limits, "");
+        let in_force = item.and_then(|item| match &item.content {
+            ItemContent::Limits(limits) => Some(limits),
+            _ => None,
+        });
+        self.limits = self.undecided.most_generous_limits(in_force);
     }
 
     fn index_servers(&mut self) {
         self.servers.clear();
         for instance in self.catalog.instances() {
-            let is_usable = self.catalog.is_usable(instance);
+            let is_usable = self.is_usable(instance);
             self.servers.add(instance, is_usable);
         }
     }
 
+    fn is_usable(&self, instance: &Instance) -> bool {
+        self.catalog.is_usable(instance) && !self.undecided.may_have_stopped(instance)
+    }
+
     fn index_server(&mut self, id: &InstanceId) {
         if let Some(instance) = self.catalog.instance(id) {
-            let is_usable = self.catalog.is_usable(instance);
+            let is_usable = self.is_usable(instance);
             self.servers.update(instance, is_usable);
         }
     }
@@ -165,9 +211,15 @@
         self.catalog.evacuated_zones()
     }
 
-    /// Fingerprints of requests that crash the servers that run them.
-    pub fn quarantine(&self) -> &Quarantine {
-        self.catalog.quarantine()
+    /// Whether any request is quarantined, or may be.
+    pub fn has_quarantined(&self) -> bool {
+        !self.catalog.quarantine().is_empty() || self.undecided.has_quarantined()
+    }
+
+    /// Whether a request crashes the servers that run it, so that it gets none, or may be found to.
+    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        self.catalog.quarantine().contains(fingerprint)
+            || self.undecided.may_be_quarantined(fingerprint)
     }
 
     /// Rate limit of a server of a service during its warm-up, in requests a second from all gateways
@@ -179,11 +231,17 @@
     /// Servers that are warming up, of services with a warm-up rate.
     pub fn cold_servers(&self) -> impl Iterator<Item = &InstanceId> {
         let cold = self.servers.cold_servers();
+        let cold = cold.chain(self.undecided.cold_servers());
         let cold = cold.filter_map(|id| self.catalog.instance(id));
         cold.filter(|one| self.warmup_rate(&one.service).is_some())
             .map(|one| &one.id)
     }
 
+    /// Whether a server is warming up, or may be.
+    pub fn is_cold(&self, server: &Instance) -> bool {
+        server.is_cold || self.undecided.may_be_cold(&server.id)
+    }
+
     /// Maximum number of connections to one server of a service, from all clients together.
     pub fn maximum_connections(&self, service: &str) -> Option<u32> {
         Some(self.catalog.service(service)?.maximum_connections)
@@ -191,11 +249,7 @@
 
     /// Configured bounds on clients; `None` before they are configured.
     pub fn limits(&self) -> Option<&Limits> {
-        let item = self.catalog.items().get(ItemKind::Limits, "")?;
-        match &item.content {
-            ItemContent::Limits(limits) => Some(limits),
-            _ => None,
-        }
+        self.limits.as_ref()
     }
 
     /// Servers of a service that may get new requests, the most preferred first.
--- a/crates/gateway/tests/initial_state.rs
+++ b/crates/gateway/tests/initial_state.rs
@@ -1,6 +1,7 @@
 //! Which replica's state a gateway takes while it has no contact with a leader.
 
-use grebepin_directory::link::{ReplicaAddress, SourceStatus};
+use grebepin_catalog::Command;
+use grebepin_directory::link::{OpenEntries, ReplicaAddress, SourceStatus};
 use grebepin_gateway::initial_state::newest_of_majority;
 
 fn voter(address: &str) -> ReplicaAddress {
@@ -22,8 +23,8 @@
 
 /// The replica that holds the newest state of a majority.
 fn chosen(heads: &[(&'static str, SourceStatus)]) -> Option<&'static str> {
-    let index = newest_of_majority(heads.iter().map(|(address, head)| (*address, head)))?;
-    let holder = heads.iter().find(|(_, head)| head.applied == index);
+    let state = newest_of_majority(heads.iter().map(|(address, head)| (*address, head)))?;
+    let holder = heads.iter().find(|(_, head)| head.applied == state.index);
     holder.map(|(address, _)| *address)
 }
 
@@ -80,3 +81,43 @@
     assert_eq!(chosen(&heads), Some("c"));
     assert_eq!(chosen(&heads[..1]), None);
 }
+
+fn with_open_entries(head: SourceStatus, indexes: &[u64]) -> SourceStatus {
+    let command = |index: &u64| {
+        let zone = format!("z{index}");
+        let evacuated = true;
+        (*index, Command::SetEvacuation { zone, evacuated })
+    };
+    SourceStatus {
+        open_entries: OpenEntries {
+            commands: indexes.iter().map(command).collect(),
+            is_truncated: false,
+        },
+        ..head
+    }
+}
+
+/// Guards against a state that lacks a change whose commit no voter had learnt of.
+#[test]
+fn changes_at_the_ends_of_the_logs_are_undecided_unless_the_state_contains_them() {
+    let heads = [
+        ("a", with_open_entries(head(true, 7, &ALL), &[8, 9, 10])),
+        ("c", with_open_entries(head(true, 9, &ALL), &[10, 11])),
+    ];
+    let heads = heads.iter().map(|(address, head)| (*address, head));
+    let state = newest_of_majority(heads).expect("a majority");
+    let zones: Vec<String> = state
+        .undecided
+        .iter()
+        .map(|command| format!("{command:?}"))
+        .collect();
+    assert_eq!(state.index, 9);
+    assert_eq!(zones.len(), 3, "two entries 10 and one 11: {zones:?}");
+}
+
+#[test]
+fn no_state_is_taken_while_the_end_of_a_log_is_not_known_completely() {
+    let mut heads = [("a", head(true, 7, &ALL)), ("c", head(true, 9, &ALL))];
+    heads[0].1.open_entries.is_truncated = true;
+    assert_eq!(chosen(&heads), None);
+}
--- a/crates/gateway/tests/table_cost.rs
+++ b/crates/gateway/tests/table_cost.rs
@@ -3,6 +3,7 @@
 use grebepin_catalog::{Catalog, Command, Entry, Instance, InstanceId, InstanceState};
 use grebepin_gateway::server_index::{LOCAL_FIRST, REMOTE_FIRST};
 use grebepin_gateway::table::Table;
+use grebepin_gateway::undecided::UndecidedChanges;
 
 fn instance(number: usize, zone: &str, state: InstanceState) -> Instance {
     Instance {
@@ -25,7 +26,7 @@
         catalog.apply(&Command::Register(ready));
     }
     let mut table = Table::new(node, "a");
-    table.replace(1, catalog);
+    table.replace(1, catalog, UndecidedChanges::default());
     table
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -107,6 +107,8 @@
     StatementUnusable = 241, Warn, "a field of a server's response can't be used";
     ServerLeaves = 242, Info, "a server announced in a response that it is leaving";
     StateTaken = 243, Info, "a complete state was received";
+    StateDecided = 244, Info, "the state contains every acknowledged change; none is undecided any longer";
+    StateIgnored = 245, Info, "a complete state was ignored, since it may lack acknowledged changes";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -40,6 +40,8 @@
     pub sent_in_cooldowns: IntCounter,
     /// Servers known to be leaving that have not ended.
     pub servers_leaving: IntGauge,
+    /// Items, servers, zones and requests touched by changes that are undecided without a leader.
+    pub undecided_changes: IntGauge,
     unusable_fields: IntCounterVec,
 }
 
@@ -121,6 +123,10 @@
                 "gateway_servers_leaving",
                 "Servers that are known to leave and have not ended",
             )?,
+            undecided_changes: metrics.gauge(
+                "gateway_undecided_changes",
+                "Items, servers, zones and requests touched by changes that are undecided without a leader",
+            )?,
             unusable_fields: metrics.counters(
                 "gateway_unusable_fields_total",
                 "Fields of servers' answers that could not be used, by name",
