A drain that gateways report is counted from their report

Callers: requests for the last shards of an owner that only says in its answers that it leaves were refused: gateways use such an owner for 0.7 of the drain time from its announcement, and its shards went later.

Change: the window counts from the first report. Ways weighed: a shorter window for such servers (moves more at once although time is left), shards withheld at the report without a heartbeat (the owner learns of it in answers only).

--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -136,9 +136,12 @@
     pub fn on_load(&mut self, now: Duration, catalog: &Catalog, sample: &LoadSample) {
         let slots = |id: &InstanceId| catalog.instance(id).map(|instance| instance.slots);
         self.load.record(now, sample, slots);
-        let leaving = sample.servers.iter().filter(|server| server.is_leaving);
-        self.reported_leaving
-            .extend(leaving.map(|server| server.id.clone()));
+        for server in sample.servers.iter().filter(|server| server.is_leaving) {
+            if self.reported_leaving.insert(server.id.clone()) {
+                let known = self.servers.get_or_insert(&server.id, now);
+                known.reported_leaving.get_or_insert(now);
+            }
+        }
     }
 
     /// Computes the target distribution of a service's load unless a recent one is cached.
--- a/crates/grants/src/server.rs
+++ b/crates/grants/src/server.rs
@@ -14,6 +14,8 @@
     /// Shards that are withheld from grants, each with the sequence number of the heartbeat whose
     /// response first omitted it.
     pub releasing: BTreeMap<usize, u64>,
+    /// When gateways first reported that the server is leaving; `None` if they did not.
+    pub reported_leaving: Option<Duration>,
     /// When the server began to drain, and how many shards it owned then.
     pub drain: Option<(Duration, usize)>,
     /// When shards were last withheld to move load away from the server.
@@ -27,6 +29,7 @@
             sequence: 0,
             lease_end: Duration::ZERO,
             releasing: BTreeMap::new(),
+            reported_leaving: None,
             drain: None,
             last_rebalance: Duration::ZERO,
         }
@@ -39,7 +42,10 @@
 
     /// Number of shards that should have been withheld from a draining server by `now`.
     pub(crate) fn release_quota(&mut self, now: Duration, owned: usize, window: Duration) -> usize {
-        let (began, total) = *self.drain.get_or_insert((now, owned));
+        // Gateways send a leaving server requests for a part of the drain time only, counted from its
+        // announcement.
+        let begins = self.reported_leaving.unwrap_or(now);
+        let (began, total) = *self.drain.get_or_insert((begins, owned));
         let elapsed = now.saturating_sub(began);
         let window = window.as_millis().max(1);
         let share = elapsed.as_millis().min(window);
--- a/crates/grants/tests/relief.rs
+++ b/crates/grants/tests/relief.rs
@@ -7,7 +7,7 @@
 use grebepin_catalog::{Catalog, SHARDS};
 use grebepin_grants::{LoadSample, ServerSample};
 
-use division::{commands, divided, heartbeat, id, ms, owned, owned_shards, round};
+use division::{commands, divided, heartbeat, id, ms, owned, owned_shards, round, timing};
 use support::SERVICE;
 
 /// Distance of the shards that get a request a second: about ten for each of four servers, well within
@@ -161,3 +161,38 @@
     let all: usize = owned(&catalog, 4).iter().sum();
     assert!(all > SHARDS * 9 / 10, "{all} shards have an owner");
 }
+
+/// Guards against a drain that is counted from the server's next heartbeat: by then gateways had used up a part of
+/// the time in which they still send it requests, and its last shards were refused.
+#[test]
+fn a_drain_that_gateways_report_is_counted_from_their_report() {
+    let (mut coordinator, mut catalog) = divided(4);
+    let reported = ms(8_000);
+    let leaving = ServerSample {
+        id: id(1),
+        answers: 10,
+        seconds: 0.5,
+        stated_rate: None,
+        cooldown: None,
+        is_leaving: true,
+    };
+    coordinator.on_load(
+        reported,
+        &catalog,
+        &sample(REQUEST_STEP, [leaving].into_iter()),
+    );
+    let drains = coordinator.tick(reported + ms(100), &catalog);
+    drains.iter().for_each(|command| _ = catalog.apply(command));
+    let first = reported + ms(900);
+    let after_window = reported + timing().drain_window;
+    let mut granted = Vec::new();
+    for (at, sequence) in [(first, 8), (after_window, 9)] {
+        let heartbeat = heartbeat(1, sequence);
+        let all = commands(coordinator.on_heartbeat(at, &catalog, &heartbeat));
+        all.iter().for_each(|command| _ = catalog.apply(command));
+        granted = coordinator
+            .grant(at, &catalog, &heartbeat)
+            .map_or(Vec::new(), |grant| grant.rows);
+    }
+    assert_eq!(granted.len(), 0, "rows granted after the drain window");
+}
