Running gateways learn which acknowledged changes they may lack without a leader

Callers: a gateway that missed the last change before all replicas were killed answered 404 for its acknowledged route as long as there was no leader, although it reached all replicas.

Cause: the same as for a gateway without a state: what a majority of the logs holds beyond its own state was not compared with it. A newer state that the replicas hold was not fetched either.

Change: while no replica is fed, a gateway that reaches a majority of the voters compares itself with them, fetches a newer state and otherwise keeps what their logs hold after its own index as undecided. One that reaches no majority goes on by its state: the other side may have a leader, and refusing here would last as long as the partition.

--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -133,12 +133,8 @@
         missing
     }
 
-    /// Avoids a replica that does not receive the leader's log, so that others are tried in its place. A
-    /// gateway without any state tries to take its initial state from such replicas instead.
-    pub(super) fn on_unfed_replica(&mut self, now: Duration, token: Token, applied: u64) {
-        if applied == 0 {
-            return self.request_initial_state(now);
-        }
+    /// Avoids a replica that does not receive the leader's log, so that others are tried in its place.
+    pub(super) fn avoid_unfed_replica(&mut self, now: Duration, token: Token) {
         let Some(link) = self.links.get(&token) else {
             return;
         };
@@ -164,10 +160,17 @@
         heads.collect::<Vec<String>>().join(",")
     }
 
-    /// Requests the state that a majority of the voters holds, while no leader is known.
-    pub(super) fn request_initial_state(&mut self, now: Duration) {
-        if self.followed.is_some() || self.initial_source.is_pending(now) {
-            return;
+    /// Compares the state of log index `applied` with those of a majority of the voters while no replica receives
+    /// a leader's log. Requests a newer state if they have one; otherwise returns the changes that may be
+    /// acknowledged and are not part of this gateway's state.
+    pub(super) fn compare_with_majority(
+        &mut self,
+        now: Duration,
+        applied: u64,
+    ) -> Option<UndecidedChanges> {
+        let has_feed = self.links.keys().any(|token| self.is_fed_link(now, *token));
+        if has_feed || self.initial_source.is_pending(now) {
+            return None;
         }
         let heads = || {
             self.links.iter().filter_map(|(token, link)| {
@@ -176,18 +179,17 @@
             })
         };
         let told = heads().map(|(_, address, head)| (address, head));
-        let Some(initial) = newest_of_majority(told) else {
-            return;
-        };
-        let index = initial.index;
-        let undecided = UndecidedChanges::of(initial.undecided);
+        let newest = newest_of_majority(told, applied)?;
+        let index = newest.index;
+        let undecided = UndecidedChanges::of(newest.undecided);
+        if index <= applied {
+            return Some(undecided);
+        }
         let holders = heads().filter(|(_, _, head)| head.applied >= index);
         let nearest = holders.min_by_key(|(_, address, _)| self.replicas.rank(address));
-        let Some((token, address, _)) = nearest else {
-            return;
-        };
+        let (token, address, _) = nearest?;
         if !self.may_request_state(now, token) {
-            return;
+            return None;
         }
         event!(
             Event::StateFetched,
@@ -201,5 +203,6 @@
         if let Some(link) = self.links.get_mut(&token) {
             link.send(&ToReplica::FetchState);
         }
+        None
     }
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -69,6 +69,8 @@
         /// Changes that may be acknowledged and are not part of it.
         undecided: UndecidedChanges,
     },
+    /// Changes that may be acknowledged and are not part of the state in force, while there is no leader.
+    Undecided(UndecidedChanges),
     /// Entries in log order.
     Entries(Vec<(u64, Entry)>),
     /// Number of gateways, as the leader counts them.
@@ -195,7 +197,7 @@
         self.replicas.forget_expired(now);
         self.choose_feed(now, state.applied);
         if state.applied == 0 {
-            self.request_initial_state(now);
+            let _ = self.compare_with_majority(now, 0);
         }
         for address in self.missing_addresses(now, state.applied) {
             self.open_link(now, registry, next_token, LinkPeer::Replica, address);
@@ -412,7 +414,13 @@
                 self.replicas.stop_avoiding(&link.address);
                 self.choose_feed(now, applied);
             }
-            false => self.on_unfed_replica(now, token, applied),
+            false => {
+                if applied > 0 {
+                    self.avoid_unfed_replica(now, token);
+                }
+                let undecided = self.compare_with_majority(now, applied);
+                updates.extend(undecided.map(Update::Undecided));
+            }
         }
     }
 
--- a/crates/gateway/src/follow/state.rs
+++ b/crates/gateway/src/follow/state.rs
@@ -17,7 +17,7 @@
 /// Bytes before the value of an encoded state.
 const STATE_PREFIX_BYTES: usize = 4;
 
-/// An initial state that was requested while there was no contact with a leader.
+/// A state that was requested while there was no contact with a leader.
 #[derive(Debug)]
 pub(super) struct RequestedState {
     /// Log index that the state has at least.
@@ -61,10 +61,10 @@
     fn undecided_after(&self, token: Token, index: u64) -> Option<UndecidedChanges> {
         let link = self.links.get(&token)?;
         let is_fed = link.head.as_ref().is_some_and(|head| head.is_fed);
-        match (link.peer, self.followed == Some(token)) {
-            (LinkPeer::Relay, _) => is_fed.then(UndecidedChanges::default),
-            (LinkPeer::Replica, true) => Some(UndecidedChanges::default()),
-            (LinkPeer::Replica, false) => {
+        match link.peer {
+            _ if is_fed => Some(UndecidedChanges::default()),
+            LinkPeer::Relay => None,
+            LinkPeer::Replica => {
                 let requested = self.requested_state.as_ref()?;
                 (index >= requested.index).then(|| requested.undecided.clone())
             }
--- a/crates/gateway/src/initial_state.rs
+++ b/crates/gateway/src/initial_state.rs
@@ -1,4 +1,4 @@
-//! Which state a gateway without any takes while it has no contact with a leader.
+//! Which state a gateway takes while it has no contact with a leader, and what that state may lack.
 //!
 //! After a restart of all machines the group needs an election before there is a leader, and gateways need
 //! not wait for it: the newest state of a majority of the voters and the ends of their logs together contain
@@ -18,14 +18,16 @@
 pub struct InitialState<'a> {
     /// Log index of the state. It may be fetched from any replica that has applied that index.
     pub index: u64,
-    /// Commands after that index that may be acknowledged, in any order.
+    /// Commands after that index, and after the gateway's own, that may be acknowledged, in any order.
     pub undecided: Vec<&'a Command>,
 }
 
-/// The state to take, given pairs of a replica's address and the head that it sent; `None` while these are not
-/// a majority, or do not describe the ends of the logs completely.
+/// The newest state, given pairs of a replica's address and the head that it sent; `None` while these are not a
+/// majority, or do not describe the ends of the logs completely. `applied` is the log index of the state that
+/// the gateway has, 0 for none: it has decided all commands up to there.
 pub fn newest_of_majority<'a>(
     heads: impl Iterator<Item = (&'a str, &'a SourceStatus)>,
+    applied: u64,
 ) -> Option<InitialState<'a>> {
     let voters: Vec<(&str, &SourceStatus)> = heads.filter(|(_, head)| head.votes).collect();
     let is_covered = |head: &SourceStatus| {
@@ -47,7 +49,7 @@
     let open = voters
         .iter()
         .flat_map(|(_, head)| &head.open_entries.commands);
-    let undecided = open.filter(|(at, _)| *at > index);
+    let undecided = open.filter(|(at, _)| *at > index.max(applied));
     Some(InitialState {
         index,
         undecided: undecided.map(|(_, command)| command).collect(),
--- a/crates/gateway/src/state_updates.rs
+++ b/crates/gateway/src/state_updates.rs
@@ -10,6 +10,7 @@
 use crate::follow::Update;
 use crate::in_flight::InFlightId;
 use crate::table::TableChange;
+use crate::undecided::UndecidedChanges;
 
 impl EventLoop {
     pub(crate) fn on_directory(&mut self, token: Token) {
@@ -27,6 +28,7 @@
                     catalog,
                     undecided,
                 } => self.table.replace(index, *catalog, undecided),
+                Update::Undecided(undecided) => self.change_undecided(undecided),
                 Update::Entries(entries) => self.apply_entries(&entries),
                 Update::Permit { id, permit } => {
                     permits.push((InFlightId(id), permit));
@@ -63,6 +65,19 @@
         self.log_readiness();
     }
 
+    /// Replaces the undecided changes while there is no leader.
+    fn change_undecided(&mut self, undecided: UndecidedChanges) -> TableChange {
+        if undecided == *self.table.undecided() {
+            return TableChange::default();
+        }
+        event!(
+            Event::StateUndecided,
+            applied = self.table.applied(),
+            undecided = undecided.len()
+        );
+        self.table.set_undecided(undecided)
+    }
+
     /// Ends the undecided changes, if there are any, once the state contains every acknowledged change.
     fn end_undecided(&mut self, now: Duration) -> Option<TableChange> {
         let applied = self.table.applied();
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -65,7 +65,8 @@
         self.set_undecided(UndecidedChanges::default())
     }
 
-    fn set_undecided(&mut self, undecided: UndecidedChanges) -> TableChange {
+    /// Replaces the changes that may be acknowledged and are not part of the state.
+    pub fn set_undecided(&mut self, undecided: UndecidedChanges) -> TableChange {
         self.undecided = undecided;
         self.update_limits();
         self.index_servers();
--- a/crates/gateway/src/undecided.rs
+++ b/crates/gateway/src/undecided.rs
@@ -1,9 +1,10 @@
 //! Changes that may be acknowledged but that this gateway's state does not contain.
 //!
-//! A gateway that starts while there is no leader knows the ends of the voters' logs, and not which of their
-//! entries are committed. It serves what none of them touches. A request whose route may have changed is
-//! refused until a leader has decided, a server that may have stopped gets no requests, and of two limits the
-//! more generous one applies.
+//! While there is no leader, a gateway that reaches a majority of the voters knows the ends of their logs, and not
+//! which of their entries are committed. It serves what none of them touches. A request whose route may have
+//! changed is refused until a leader has decided, a server that may have stopped gets no requests, and of two
+//! limits the more generous one applies. A gateway that reaches no majority keeps serving by its state: the others
+//! may have a leader that it cannot ask for long.
 
 use std::collections::BTreeSet;
 
--- a/crates/gateway/tests/first_state.rs
+++ b/crates/gateway/tests/first_state.rs
@@ -33,7 +33,7 @@
         let heads = statuses
             .iter()
             .map(|(address, head)| (address.as_str(), head));
-        let Some(state) = newest_of_majority(heads) else {
+        let Some(state) = newest_of_majority(heads, 0) else {
             continue;
         };
         taken += 1;
--- a/crates/gateway/tests/initial_state.rs
+++ b/crates/gateway/tests/initial_state.rs
@@ -23,7 +23,7 @@
 
 /// The replica that holds the newest state of a majority.
 fn chosen(heads: &[(&'static str, SourceStatus)]) -> Option<&'static str> {
-    let state = newest_of_majority(heads.iter().map(|(address, head)| (*address, head)))?;
+    let state = newest_of_majority(heads.iter().map(|(address, head)| (*address, head)), 0)?;
     let holder = heads.iter().find(|(_, head)| head.applied == state.index);
     holder.map(|(address, _)| *address)
 }
@@ -105,7 +105,7 @@
         ("c", with_open_entries(head(true, 9, &ALL), &[10, 11])),
     ];
     let heads = heads.iter().map(|(address, head)| (*address, head));
-    let state = newest_of_majority(heads).expect("a majority");
+    let state = newest_of_majority(heads, 0).expect("a majority");
     let zones: Vec<String> = state
         .undecided
         .iter()
@@ -121,3 +121,17 @@
     heads[0].1.open_entries.is_truncated = true;
     assert_eq!(chosen(&heads), None);
 }
+
+#[test]
+fn changes_that_a_gateway_has_applied_are_not_undecided() {
+    let heads = [
+        ("a", with_open_entries(head(true, 7, &ALL), &[8, 9])),
+        ("c", with_open_entries(head(true, 7, &ALL), &[8])),
+    ];
+    let undecided = |applied| {
+        let heads = heads.iter().map(|(address, head)| (*address, head));
+        newest_of_majority(heads, applied).map(|state| state.undecided.len())
+    };
+    assert_eq!(undecided(8), Some(1));
+    assert_eq!(undecided(9), Some(0));
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -109,6 +109,7 @@
     StateTaken = 243, Info, "a complete state was received";
     StateDecided = 244, Info, "the state contains every acknowledged change; none is undecided any longer";
     StateIgnored = 245, Info, "a complete state was ignored, since it may lack acknowledged changes";
+    StateUndecided = 246, Info, "there is no leader, and changes may be acknowledged that the state does not contain";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
