--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -43,8 +43,10 @@
     /// term: before that, it does not know which entries of its log earlier leaders committed.
     pub fn leader_commit(&self) -> Option<(Duration, LogIndex)> {
         let at = self.leader_commit_at?;
-        let term = self.log.term_at(self.leader_commit);
-        (term.is_none_or(|term| term == self.term)).then_some((at, self.leader_commit))
+        let committed = self.leader_commit.max(self.log.commit());
+        let is_missing = committed > self.log.last_index();
+        let is_of_this_term = self.log.term_at(committed) == Some(self.term);
+        (is_missing || is_of_this_term).then_some((at, committed))
     }
 
     /// Iterates over the entries after an index, committed or not; empty if the log no longer contains the
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -54,6 +54,8 @@
     now: Duration,
     zones: usize,
     fault_tolerance: FaultTolerance,
+    /// Number of applied entries after which a replica saves a snapshot and drops its log.
+    pub snapshot_every: u64,
     seeds: Vec<SocketAddr>,
     replicas: Vec<Replica>,
     network: Vec<Sent>,
@@ -129,6 +131,7 @@
         Self {
             zones: 1,
             fault_tolerance: FaultTolerance::default(),
+            snapshot_every: timing().snapshot_every,
             random: SmallRng::seed_from_u64(seed),
             now: Duration::ZERO,
             seeds: (0..3).map(address).collect(),
@@ -349,7 +352,10 @@
             bootstrap: replica.bootstrap,
             new_replica_id: identity,
             random_seed,
-            timing: timing(),
+            timing: NodeTiming {
+                snapshot_every: self.snapshot_every,
+                ..timing()
+            },
         };
         let node = Node::open(config, replica.disk.clone(), self.now);
         replica.node = Some(node.expect("the folder opens"));
--- a/crates/directory/tests/current_state.rs
+++ b/crates/directory/tests/current_state.rs
@@ -13,12 +13,16 @@
 const RECOVERY: Duration = Duration::from_secs(4);
 const STEP: Duration = Duration::from_millis(5);
 
+/// Without a snapshot in the time of a test.
+const NEVER: u64 = u64::MAX;
+
 /// Seeds and replicas for which a replica calls itself fed, although its state lacks a change that was
 /// acknowledged right before the fault.
-fn fed_without_acknowledged_change(fault: Fault) -> Vec<(u64, usize)> {
+fn fed_without_acknowledged_change(fault: Fault, snapshot_every: u64) -> Vec<(u64, usize)> {
     let mut found = Vec::new();
     for seed in SEEDS {
         let mut cluster = Cluster::new(seed, 3);
+        cluster.snapshot_every = snapshot_every;
         cluster.run(Duration::from_secs(3));
         cluster.change_until_acknowledged(1);
         cluster.change_as_early_as_possible(2);
@@ -37,7 +41,8 @@
 #[test]
 fn a_restarted_group_feeds_no_state_without_an_acknowledged_change() {
     for fault in [Fault::KillAll, Fault::PowerOffAll] {
-        assert_eq!(fed_without_acknowledged_change(fault), [], "{fault:?}");
+        let found = fed_without_acknowledged_change(fault, NEVER);
+        assert_eq!(found, [], "{fault:?}");
     }
 }
 
@@ -45,5 +50,20 @@
 #[test]
 fn a_replica_that_lost_its_disk_feeds_no_state_before_it_has_caught_up() {
     let fault = Fault::WipeOneWhileOthersLosePower;
-    assert_eq!(fed_without_acknowledged_change(fault), []);
+    assert_eq!(fed_without_acknowledged_change(fault, NEVER), []);
+}
+
+/// The log of a replica may begin after the commit index that a new leader states.
+#[test]
+fn a_replica_with_a_newer_snapshot_than_its_leader_feeds_no_state_without_an_acknowledged_change() {
+    for fault in [Fault::KillAll, Fault::PowerOffAll] {
+        for snapshot_every in 1..4 {
+            let found = fed_without_acknowledged_change(fault, snapshot_every);
+            assert_eq!(
+                found,
+                [],
+                "{fault:?}, a snapshot every {snapshot_every} entries"
+            );
+        }
+    }
 }
