Gateways ignore outdated statuses and relays when they compare themselves with the voters

A silent voter's last status may say that it was fed, and a relay's link has a status now as well, which could have been chosen to fetch a state from. Found by reading. The module is named for what it decides.

--- a/crates/consensus/tests/stated_commit.rs
+++ b/crates/consensus/tests/stated_commit.rs
@@ -1,6 +1,5 @@
 //! When a leader's commit index shows that a follower has every committed entry.
 
-#[allow(dead_code, reason = "each test file uses a part of the harness")]
 mod support;
 
 use std::time::Duration;
--- a/crates/directory/src/node/open_entries.rs
+++ b/crates/directory/src/node/open_entries.rs
@@ -1,4 +1,4 @@
-//! The end of the log that is not applied, for gateways that start while there is no leader.
+//! The end of the log that is not applied, for gateways without contact to a leader.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -4,14 +4,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use grebepin_directory::link::ToReplica;
+use grebepin_directory::link::{SourceStatus, ToReplica};
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
 use super::link::LinkPeer;
 use super::state::RequestedState;
 use super::DirectoryClient;
-use crate::initial_state::newest_of_majority;
+use crate::majority_state::newest_of_majority;
 use crate::undecided::UndecidedChanges;
 
 /// Time without a message after which another replica that receives the leader's log is followed. Replicas
@@ -146,16 +146,24 @@
         }
     }
 
-    /// The last status of each replica, for logs: address, applied index, role and age of the message.
+    /// The status of each linked replica, with its link and address, unless it is outdated.
+    fn current_heads(&self, now: Duration) -> impl Iterator<Item = (Token, &str, &SourceStatus)> {
+        let links = self.links.iter().filter(move |(_, link)| {
+            link.peer == LinkPeer::Replica && now <= link.last_received + FEED_TIMEOUT
+        });
+        links.filter_map(|(token, link)| Some((*token, link.address.as_str(), link.head.as_ref()?)))
+    }
+
+    /// The status of each replica for logs: address, applied index, role and age of its last message.
     fn describe_heads(&self, now: Duration) -> String {
-        let heads = self.links.values().filter_map(|link| {
-            let head = link.head.as_ref()?;
+        let heads = self.current_heads(now).map(|(token, address, head)| {
             let role = match head.votes {
                 true => "voter",
                 false => "other",
             };
-            let age = now.saturating_sub(link.last_received).as_millis();
-            Some(format!("{}:{}:{role}:{age}ms", link.address, head.applied))
+            let received = self.links[&token].last_received;
+            let age = now.saturating_sub(received).as_millis();
+            format!("{address}:{}:{role}:{age}ms", head.applied)
         });
         heads.collect::<Vec<String>>().join(",")
     }
@@ -172,12 +180,7 @@
         if has_feed || self.initial_source.is_pending(now) {
             return None;
         }
-        let heads = || {
-            self.links.iter().filter_map(|(token, link)| {
-                let head = link.head.as_ref()?;
-                Some((*token, link.address.as_str(), head))
-            })
-        };
+        let heads = || self.current_heads(now);
         let told = heads().map(|(_, address, head)| (address, head));
         let newest = newest_of_majority(told, applied)?;
         let index = newest.index;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -122,7 +122,7 @@
     /// The link whose replica was asked for the initial state.
     state_requested_from: Option<Token>,
     initial_source: InitialSource,
-    /// The initial state that was last requested from a majority.
+    /// The state that was last requested from a majority.
     requested_state: Option<RequestedState>,
     /// When a replica first reported the number of gateways.
     gateways_known_since: Option<Duration>,
@@ -197,6 +197,7 @@
         self.replicas.forget_expired(now);
         self.choose_feed(now, state.applied);
         if state.applied == 0 {
+            // Without a state there is nothing that could lack changes: only the request matters.
             let _ = self.compare_with_majority(now, 0);
         }
         for address in self.missing_addresses(now, state.applied) {
--- a/crates/gateway/src/initial_state.rs
+++ b/crates/gateway/src/majority_state.rs
@@ -15,7 +15,7 @@
 
 /// The newest state of a majority of the voters.
 #[derive(Clone, Debug, PartialEq)]
-pub struct InitialState<'a> {
+pub struct MajorityState<'a> {
     /// Log index of the state. It may be fetched from any replica that has applied that index.
     pub index: u64,
     /// Commands after that index, and after the gateway's own, that may be acknowledged, in any order.
@@ -28,7 +28,7 @@
 pub fn newest_of_majority<'a>(
     heads: impl Iterator<Item = (&'a str, &'a SourceStatus)>,
     applied: u64,
-) -> Option<InitialState<'a>> {
+) -> Option<MajorityState<'a>> {
     let voters: Vec<(&str, &SourceStatus)> = heads.filter(|(_, head)| head.votes).collect();
     let is_covered = |head: &SourceStatus| {
         let members = head.replicas.iter().filter(|member| member.votes);
@@ -50,7 +50,7 @@
         .iter()
         .flat_map(|(_, head)| &head.open_entries.commands);
     let undecided = open.filter(|(at, _)| *at > index.max(applied));
-    Some(InitialState {
+    Some(MajorityState {
         index,
         undecided: undecided.map(|(_, command)| command).collect(),
     })
--- a/crates/gateway/tests/first_state.rs
+++ b/crates/gateway/tests/first_state.rs
@@ -8,7 +8,7 @@
 
 use cluster::{Cluster, Fault};
 use grebepin_catalog::Command;
-use grebepin_gateway::initial_state::newest_of_majority;
+use grebepin_gateway::majority_state::newest_of_majority;
 
 const SEEDS: std::ops::Range<u64> = 0..40;
 const STEP: Duration = Duration::from_millis(5);
--- a/crates/gateway/tests/initial_state.rs
+++ b/crates/gateway/tests/majority_state.rs
@@ -2,7 +2,7 @@
 
 use grebepin_catalog::Command;
 use grebepin_directory::link::{OpenEntries, ReplicaAddress, SourceStatus};
-use grebepin_gateway::initial_state::newest_of_majority;
+use grebepin_gateway::majority_state::newest_of_majority;
 
 fn voter(address: &str) -> ReplicaAddress {
     ReplicaAddress {
