--- a/crates/standin/src/caller/plan.rs
+++ b/crates/standin/src/caller/plan.rs
@@ -12,7 +12,7 @@
 /// One planned request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedRequest {
-    /// PlannedRequest start, relative to the start of the run.
+    /// Start time, relative to the start of the run.
     pub at: Duration,
     /// Index of its class in the flags.
     pub class: usize,
