Undecided changes end with the first state of a leader, not with each newer one

A gateway was to reach what the followed replica had last said to have applied, which grows while entries are on their way: one round of feeding more, 0.3 s at 300 gateways, in which requests for a changed route were refused although its state had it. It is enough to reach what the first replica with contact to a leader had applied.

--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -177,7 +177,11 @@
         applied: u64,
     ) -> Option<UndecidedChanges> {
         let has_feed = self.links.keys().any(|token| self.is_fed_link(now, *token));
-        if has_feed || self.initial_source.is_pending(now) {
+        if has_feed {
+            return None;
+        }
+        self.decided_index = None;
+        if self.initial_source.is_pending(now) {
             return None;
         }
         let heads = || self.current_heads(now);
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -122,6 +122,9 @@
     /// The link whose replica was asked for the initial state.
     state_requested_from: Option<Token>,
     initial_source: InitialSource,
+    /// Log index at which a replica with contact to a leader was first heard of since there was none. A state from
+    /// there on contains every change that was acknowledged before.
+    decided_index: Option<u64>,
     /// The state that was last requested from a majority.
     requested_state: Option<RequestedState>,
     /// When a replica first reported the number of gateways.
@@ -144,6 +147,7 @@
             relays: Relays::new(&settings.relay_name()),
             state_requested_from: None,
             initial_source: InitialSource::default(),
+            decided_index: None,
             requested_state: None,
             gateways_known_since: None,
             last_leader_message: None,
@@ -402,6 +406,9 @@
         self.replicas.note(now, &head.replicas);
         self.initial_source.note_replica_message(now);
         let is_fed = head.is_fed;
+        if is_fed {
+            self.decided_index.get_or_insert(head.applied);
+        }
         if is_fed && head.gateways > 0 {
             self.gateways_known_since.get_or_insert(now);
             updates.push(Update::Gateways(head.gateways));
--- a/crates/gateway/src/follow/state.rs
+++ b/crates/gateway/src/follow/state.rs
@@ -71,12 +71,11 @@
         }
     }
 
-    /// Whether a state of log index `applied` contains every acknowledged change: the followed replica, which
-    /// receives the leader's log, has not applied more.
+    /// Whether a state of log index `applied` contains every change that was acknowledged while there was no
+    /// contact with a leader.
     pub fn is_decided(&self, now: Duration, applied: u64) -> bool {
-        let link = self.fed_link(now).and_then(|token| self.links.get(&token));
-        let head = link.and_then(|link| link.head.as_ref());
-        head.is_some_and(|head| applied >= head.applied)
+        let is_reached = self.decided_index.is_some_and(|index| applied >= index);
+        is_reached && self.fed_link(now).is_some()
     }
 
     fn log_state(&self, token: Token, index: u64, applied: u64) {
