--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -21,6 +21,10 @@
 /// Time for which a replica that does not receive the leader's log is avoided.
 const UNFED_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
+/// Silence of the leader after which a gateway fetches a newer state from a replica without a leader. At an election
+/// nearly all gateways lack some entries, and complete states for all of them would delay the next leader's entries.
+const ELECTION_ALLOWANCE: Duration = Duration::from_millis(2_000);
+
 /// Links at a time, counting links to preferred replicas and those about to be closed.
 const MAX_LINKS: usize = 8;
 
@@ -168,6 +172,12 @@
         heads.collect::<Vec<String>>().join(",")
     }
 
+    /// Whether no leader was heard of for longer than an election takes.
+    fn is_without_leader(&self, now: Duration) -> bool {
+        let heard = self.last_leader_message.unwrap_or_default();
+        now > heard + ELECTION_ALLOWANCE
+    }
+
     /// Compares the state of log index `applied` with those of a majority of the voters while no replica receives
     /// a leader's log. Requests a newer state if they have one; otherwise returns the changes that may be
     /// acknowledged and are not part of this gateway's state.
@@ -189,7 +199,7 @@
         let newest = newest_of_majority(told, applied)?;
         let index = newest.index;
         let undecided = UndecidedChanges::of(newest.undecided);
-        if index <= applied {
+        if index <= applied || (applied > 0 && !self.is_without_leader(now)) {
             return Some(undecided);
         }
         let holders = heads().filter(|(_, _, head)| head.applied >= index);
