--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod faults;
+mod statuses;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,7 +11,6 @@
 
 use grebepin_catalog::{Item, ItemContent, Limits, Version};
 use grebepin_directory::call::{Call, Reply};
-use grebepin_directory::link::SourceStatus;
 use grebepin_directory::node::{
     CallId, FaultTolerance, Node, NodeConfig, NodeInput, NodeOutput, NodeTiming,
 };
@@ -287,33 +287,6 @@
         node.is_some_and(|node| node.is_fed(self.now))
     }
 
-    /// Status messages of the running replicas, as far as a gateway's first state depends on them, with the
-    /// replicas' addresses.
-    pub fn statuses(&self) -> Vec<(String, SourceStatus)> {
-        let running = self.replicas.iter().filter_map(|replica| {
-            let node = replica.node.as_ref()?;
-            let status = SourceStatus {
-                applied: node.applied(),
-                replicas: node.replicas(),
-                is_fed: node.is_fed(self.now),
-                votes: node.votes(),
-                open_entries: node.open_entries(self.now),
-                ..SourceStatus::default()
-            };
-            Some((replica.address.to_string(), status))
-        });
-        running.collect()
-    }
-
-    /// Highest version in the state of any replica that has applied a log index.
-    pub fn version_at(&self, applied: u64) -> Option<u64> {
-        let nodes = self.replicas.iter().filter_map(|one| one.node.as_ref());
-        nodes
-            .filter(|node| node.applied() == applied)
-            .map(held_version)
-            .max()
-    }
-
     pub fn has_applied(&self, number: usize, version: u64) -> bool {
         let node = self.replicas[number].node.as_ref();
         node.is_some_and(|node| held_version(node) == version)
