Replicas and gateways know how old their state is

Nothing measured the age of the state that a gateway answers by: each hop noted when a message arrived, and a link with seconds of queue delivers as often as an idle one.

The age stands in metrics (gateway_state_age_milliseconds, directory_state_age_milliseconds) and in each line of a refused or failed request; 247 and 248 tell when it passes 1.5 s, 249 why a link to a replica or relay was given up. A gateway reports to the replica that it follows each 0.5 s in place of each second, so that the age is usually below a second. No decision depends on the age yet.

--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -23,6 +23,7 @@
 use super::signals::Signals;
 use super::DirectoryError;
 use crate::call::Reply;
+use crate::confirmed_state::ConfirmedState;
 use crate::crashes::CrashReportBuffer;
 use crate::dialect::{BadCall, Dialect, HttpCall};
 use crate::fleet::{Fleet, LoadBuffer};
@@ -81,6 +82,7 @@
     pub(super) crash_reports: CrashReportBuffer,
     /// Value of `is_fed` in the last status message to gateways.
     pub(super) announced_is_fed: bool,
+    pub(super) confirmed_state: ConfirmedState,
     pub(super) permit_relay: PermitRelay,
     pub(super) bad_calls: BadCalls,
     pub(super) calls: Calls,
@@ -147,6 +149,7 @@
             load_buffer: LoadBuffer::default(),
             crash_reports: CrashReportBuffer::default(),
             announced_is_fed: false,
+            confirmed_state: ConfirmedState::default(),
             permit_relay: PermitRelay::default(),
             bad_calls: BadCalls::default(),
             calls: Calls::default(),
@@ -372,6 +375,7 @@
                 self.identify_gateway(token, report.node, report.relay);
                 self.load_buffer.add(&report.load);
                 self.crash_reports.add(&report.crashes);
+                self.confirm_state(token, report.sent_at_ms);
             }
             ToReplica::ReplicaReport(report) => self.on_replica_report(token, report),
             ToReplica::TakePermit(request) => self.on_permit_request(token, request),
@@ -413,6 +417,7 @@
                 break;
             }
         }
+        self.update_confirmed_state();
         self.flush_links();
         if self.feeder.is_behind {
             self.feed();
@@ -420,6 +425,14 @@
         Ok(())
     }
 
+    fn update_confirmed_state(&mut self) {
+        let now = self.now();
+        match self.node.holds_leader_lease(now) {
+            true => self.confirmed_state.confirm(now),
+            false => self.confirmed_state.update(self.node.applied()),
+        }
+    }
+
     fn execute(&mut self, output: NodeOutput) {
         match output {
             NodeOutput::Peer { address, frame } => {
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -11,6 +11,7 @@
 use super::http_connection::HttpConnection;
 use super::opening::modified_at;
 use crate::call::{Reply, UnavailableReason};
+use crate::confirmed_state::{report_time, Confirmation};
 use crate::fleet::{rotate_relays, FleetSummary, ReplicaReport};
 use crate::link::{FromReplica, SourceStatus, ToReplica};
 use crate::node::NodeInput;
@@ -58,6 +59,9 @@
         metrics.unapplied_entries.set(unapplied as i64);
         metrics.followers.set(i64::from(self.followers()));
         metrics.is_fed.set(i64::from(self.node.is_fed(now)));
+        let age = self.state_age(now);
+        let age = age.map_or(-1, |age| age.as_millis() as i64);
+        metrics.state_age_ms.set(age);
         metrics
             .members
             .set(consensus.membership().members.len() as i64);
@@ -87,9 +91,39 @@
         }
     }
 
-    /// On the leader: the totals that other replicas receive.
-    pub(super) fn fleet_summary(&self, now: Duration) -> FleetSummary {
+    /// Time since which acknowledged changes may be missing in the applied state; `None` if it is not known.
+    pub(super) fn state_age(&self, now: Duration) -> Option<Duration> {
+        match self.node.holds_leader_lease(now) {
+            true => Some(Duration::ZERO),
+            false => self.confirmed_state.age(now),
+        }
+    }
+
+    /// Answers a gateway's report that was sent at `sent_at_ms` of its clock.
+    pub(super) fn confirm_state(&mut self, token: Token, sent_at_ms: u64) {
+        let now = self.now();
+        let Some(age) = self.state_age(now) else {
+            return;
+        };
+        let confirmation = Confirmation {
+            sent_at_ms,
+            age_ms: age.as_millis() as u64 + 1,
+            applied: self.node.applied(),
+        };
+        if let Some(link) = self.inbound_links.get_mut(&token) {
+            link.queue(&FromReplica::Confirmed(confirmation));
+            self.unsent_links.insert(token);
+        }
+    }
+
+    /// On the leader: the answer to a replica's report that was sent at `sent_at_ms` of its clock.
+    pub(super) fn fleet_summary(&self, now: Duration, sent_at_ms: u64) -> FleetSummary {
         FleetSummary {
+            confirmation: Some(Confirmation {
+                sent_at_ms,
+                age_ms: 0,
+                applied: self.node.applied(),
+            }),
             gateways: self.fleet.gateways(now, true, self.followers()),
             relays: self.fleet.select_relays(status_round(now)),
         }
@@ -126,6 +160,7 @@
             relays: self.connected_relays(now),
             load: self.load_buffer.take(now),
             crashes: self.crash_reports.take(),
+            sent_at_ms: report_time(now),
         };
         self.send_peer(&leader, &ToReplica::ReplicaReport(report));
     }
--- a/crates/directory/src/daemon/relaying.rs
+++ b/crates/directory/src/daemon/relaying.rs
@@ -19,12 +19,17 @@
             FromReplica::Fleet(summary) => {
                 let now = self.now();
                 self.fleet.record_summary(now, &summary);
+                if let Some(confirmation) = summary.confirmation {
+                    let applied = self.node.applied();
+                    self.confirmed_state.record(confirmation, applied);
+                }
             }
             FromReplica::Permit { id, permit } => self.on_permit(id, permit),
             // Addressed to gateways; a replica receives the state through the log.
             FromReplica::Head(_)
             | FromReplica::Whole { .. }
             | FromReplica::Entries(_)
+            | FromReplica::Confirmed(_)
             | FromReplica::Packed(_) => {}
         }
     }
@@ -56,7 +61,7 @@
         if !report.crashes.is_empty() {
             self.inputs.push(NodeInput::Crashes(report.crashes));
         }
-        let summary = self.fleet_summary(now);
+        let summary = self.fleet_summary(now, report.sent_at_ms);
         if let Some(link) = self.inbound_links.get_mut(&token) {
             link.queue(&FromReplica::Fleet(summary));
             self.unsent_links.insert(token);
--- a/crates/directory/src/fleet.rs
+++ b/crates/directory/src/fleet.rs
@@ -11,6 +11,7 @@
 use grebepin_grants::{LoadSample, LoadSum};
 use serde::{Deserialize, Serialize};
 
+use crate::confirmed_state::Confirmation;
 use crate::crashes::CrashReport;
 
 /// Interval of a replica's reports to the leader while its gateways report load. On average it adds half of
@@ -43,6 +44,9 @@
     /// Crashes that its gateways reported since the last report.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
+    /// When the report was sent, in milliseconds of the replica's clock.
+    #[serde(default)]
+    pub sent_at_ms: u64,
 }
 
 /// The leader's answer to a [`ReplicaReport`].
@@ -52,6 +56,9 @@
     pub gateways: u32,
     /// Internal addresses of some gateways that relay the state, `IP:PORT`; the selection rotates.
     pub relays: Vec<String>,
+    /// How old the leader's state is; `None` from a leader that does not state it.
+    #[serde(default)]
+    pub confirmation: Option<Confirmation>,
 }
 
 /// Load that a replica collects from its gateways between two reports to the leader.
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Call, Reply};
+use crate::confirmed_state::Confirmation;
 use crate::crashes::CrashReport;
 use crate::fleet::{FleetSummary, ReplicaReport};
 
@@ -68,6 +69,9 @@
     /// Recent crashes, repeated in each report.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
+    /// When the report was sent, in milliseconds of the gateway's clock.
+    #[serde(default)]
+    pub sent_at_ms: u64,
 }
 
 /// Frame sent by the side that accepted the connection: a replica, or a gateway that relays the state.
@@ -101,6 +105,8 @@
     },
     /// Consecutive log entries with their indices.
     Entries(Vec<(u64, Entry)>),
+    /// Answer to a gateway's report: how old the sender's state is.
+    Confirmed(Confirmation),
     /// Another frame of this type with its length prefix, compressed.
     Packed(#[serde(with = "serde_bytes")] Vec<u8>),
 }
--- a/crates/directory/tests/fleet.rs
+++ b/crates/directory/tests/fleet.rs
@@ -17,6 +17,7 @@
         relays: relays.iter().map(ToString::to_string).collect(),
         load: LoadSample::default(),
         crashes: Vec::new(),
+        ..ReplicaReport::default()
     }
 }
 
@@ -55,6 +56,7 @@
     let summary = FleetSummary {
         gateways: 282,
         relays: Vec::new(),
+        ..FleetSummary::default()
     };
     fleet.record_summary(at(0), &summary);
     assert_eq!(fleet.gateways(at(0), false, 16), 282);
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -331,6 +331,7 @@
             key = request.key.map_or(-1, i64::from),
             servers = request.tried_server_ids(),
             applied = self.table.applied(),
+            state_age_ms = self.state_age_ms(),
             ms = took.as_millis()
         );
         self.metrics
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -29,7 +29,7 @@
 use crate::link_queue::LinkQueue;
 use crate::load::LoadCounts;
 use crate::load_balancer::LoadBalancer;
-use crate::relay::Relay;
+use crate::relay::{Relay, RelayedState};
 use crate::retry_budget::{RetryBudgetBound, RetryBudgets};
 use crate::settings::GatewaySettings;
 use crate::stated_rate::StatedRates;
@@ -121,6 +121,7 @@
     pub(crate) directory: DirectoryClient,
     pub(crate) stopping: Option<Stopping>,
     logged_ready: bool,
+    pub(crate) logged_outdated: bool,
     pub(crate) next_housekeeping: Duration,
     pub(crate) next_settings_check: Duration,
     pub(crate) stop_requested: Arc<AtomicBool>,
@@ -210,6 +211,7 @@
             random: SmallRng::from_os_rng(),
             stopping: None,
             logged_ready: false,
+            logged_outdated: false,
             next_housekeeping: Duration::ZERO,
             next_settings_check: SETTINGS_CHECK_INTERVAL,
             stop_requested,
@@ -355,6 +357,7 @@
             .map(|at| now.saturating_sub(at));
         let age = age.map_or(-1, |age| age.as_millis() as i64);
         metrics.leader_age_ms.set(age);
+        metrics.state_age_ms.set(self.state_age_ms());
         let links = self.directory.link_count();
         metrics.directory_links.set(links as i64);
         let rated = self.stated_rates.len();
@@ -391,9 +394,13 @@
     /// Handles an event on the connection of a gateway that follows this one.
     fn on_follower(&mut self, token: Token) {
         let now = self.now();
-        let is_fed = self.directory.is_fed(now);
+        let state = RelayedState {
+            table: &self.table,
+            is_fed: self.directory.is_fed(now),
+            age: self.directory.state_age(now),
+        };
         if let Some(relay) = &mut self.relay {
-            relay.on_event(now, token, &self.table, is_fed);
+            relay.on_event(now, token, state);
         }
     }
 
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -3,6 +3,7 @@
 
 mod feed;
 mod link;
+mod link_failure;
 mod state;
 
 use std::collections::BTreeMap;
@@ -10,6 +11,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Catalog, Entry};
+use grebepin_directory::confirmed_state::{report_time, ConfirmedState};
 use grebepin_directory::crashes::CrashReport;
 use grebepin_directory::link::{
     Follow, FromReplica, GatewayReport, PermitRequest, SourceStatus, ToReplica,
@@ -18,6 +20,7 @@
 use grebepin_reactor::Connection;
 use grebepin_telemetry::{event, Event};
 use link::{Link, LinkPeer};
+use link_failure::LinkFailure;
 use mio::{Registry, Token};
 use state::RequestedState;
 
@@ -51,10 +54,13 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 const INITIAL_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Interval between two reports to each replica.
+/// Interval between two reports to a replica that is not followed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// The same for the followed replica while requests wait for capacity, or after a server crashed.
+/// The same for the followed replica, whose answers confirm how old the state is.
+const FOLLOWED_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The same while requests wait for capacity, or after a server crashed.
 const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
 /// An update that was received from the directory or a relay.
@@ -129,6 +135,7 @@
     requested_state: Option<RequestedState>,
     /// When a replica first reported the number of gateways.
     gateways_known_since: Option<Duration>,
+    confirmed_state: ConfirmedState,
     /// When the followed replica last sent a message while it received the leader's log.
     pub last_leader_message: Option<Duration>,
 }
@@ -150,6 +157,7 @@
             decided_index: None,
             requested_state: None,
             gateways_known_since: None,
+            confirmed_state: ConfirmedState::default(),
             last_leader_message: None,
         }
     }
@@ -214,13 +222,17 @@
 
     /// Closes links that are not established in time or have been silent for too long.
     fn drop_dead_links(&mut self, now: Duration) {
-        let useless = self.links.iter().filter(|(_, link)| match link.connected {
-            false => now > link.opened_at + CONNECT_TIMEOUT,
-            true => now > link.last_received + LINK_TIMEOUT,
+        let failed = self.links.iter().filter_map(|(token, link)| {
+            let failure = match link.connected {
+                false => {
+                    (now > link.opened_at + CONNECT_TIMEOUT).then_some(LinkFailure::NotEstablished)
+                }
+                true => (now > link.last_received + LINK_TIMEOUT).then_some(LinkFailure::Silent),
+            };
+            Some((*token, failure?))
         });
-        let useless: Vec<Token> = useless.map(|(token, _)| *token).collect();
-        for token in useless {
-            self.drop_link(now, token);
+        for (token, failure) in failed.collect::<Vec<_>>() {
+            self.drop_link(now, token, failure);
         }
     }
 
@@ -273,12 +285,22 @@
         self.followed.is_some() && !self.relays.are_needed(now, self.last_leader_message)
     }
 
+    /// Time since which acknowledged changes may be missing in the state in force; `None` if it is not known.
+    pub fn state_age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed_state.age(now)
+    }
+
+    /// Records that the state in force has reached a log index.
+    pub fn note_applied(&mut self, applied: u64) {
+        self.confirmed_state.update(applied);
+    }
+
     /// Sends reports that are due: to every linked replica that this gateway is alive, and to the followed
     /// one also load and crashes.
     fn report(&mut self, now: Duration, content: ReportContent<'_>) {
         let followed_interval = match content.is_urgent() {
             true => URGENT_REPORT_INTERVAL,
-            false => REPORT_INTERVAL,
+            false => FOLLOWED_REPORT_INTERVAL,
         };
         let links = self.links.iter();
         let due = links.filter(|(token, link)| {
@@ -314,6 +336,7 @@
             relay: self.relays.own().to_owned(),
             load,
             crashes,
+            sent_at_ms: report_time(now),
         });
         link.send(&frame);
     }
@@ -336,7 +359,7 @@
         let was_connected = self.links.get(&token).is_some_and(|link| link.connected);
         let link = self.links.get_mut(&token);
         if link.is_some_and(|link| !link.on_event(now, &mut frames)) {
-            self.drop_link(now, token);
+            self.drop_link(now, token, LinkFailure::Closed);
         }
         if !was_connected && self.links.get(&token).is_some_and(|link| link.connected) {
             // A replica sends its status only after it knows who is connected.
@@ -351,6 +374,9 @@
                 FromReplica::Whole { index, state } => {
                     updates.extend(self.take_state(token, index, &state, applied));
                 }
+                FromReplica::Confirmed(confirmation) => {
+                    self.confirmed_state.record(confirmation, applied);
+                }
                 FromReplica::Permit { id, permit } => updates.push(Update::Permit { id, permit }),
                 FromReplica::Relayed { .. } | FromReplica::Packed(_) | FromReplica::Fleet(_) => {}
             }
@@ -399,7 +425,7 @@
         if peer == Some(LinkPeer::Relay) {
             match (head.is_fed, self.links.get_mut(&token)) {
                 (true, Some(link)) => link.head = Some(head),
-                _ => self.drop_link(now, token),
+                _ => self.drop_link(now, token, LinkFailure::RelayNotFed),
             }
             return;
         }
@@ -443,10 +469,17 @@
         link.send(&frame);
     }
 
-    fn drop_link(&mut self, now: Duration, token: Token) {
+    fn drop_link(&mut self, now: Duration, token: Token, failure: LinkFailure) {
         let Some(link) = self.links.remove(&token) else {
             return;
         };
+        event!(
+            Event::LinkDropped,
+            to = link.address,
+            reason = failure.reason(),
+            opened_ms = now.saturating_sub(link.opened_at).as_millis(),
+            received_ms = now.saturating_sub(link.last_received).as_millis()
+        );
         if link.peer == LinkPeer::Relay {
             self.relays.failed(now, &link.address);
             return;
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -164,7 +164,8 @@
             reason = "no route",
             host = incoming.host(),
             path = incoming.path(),
-            applied = self.table.applied()
+            applied = self.table.applied(),
+            state_age_ms = self.state_age_ms()
         );
         self.respond(
             incoming.token,
@@ -254,7 +255,9 @@
             reason = refusal.reason(),
             host = incoming.host(),
             path = incoming.path(),
-            link_wait_ms = self.link_queue.wait(self.now()).as_millis()
+            link_wait_ms = self.link_queue.wait(self.now()).as_millis(),
+            applied = self.table.applied(),
+            state_age_ms = self.state_age_ms()
         );
         let response = LocalResponse::not_run(refusal.retry_after(incoming.stated_timeout));
         let response = match refusal {
--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -43,6 +43,7 @@
         };
         self.directory
             .tick(now, registry, &mut self.next_token, content, state);
+        self.log_state_age();
         self.close_expired_connections(now);
         self.close_idle_clients(now);
         if let Some(relay) = &mut self.relay {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::Entry;
+use grebepin_directory::confirmed_state::Confirmation;
 use grebepin_directory::link::{FromReplica, SourceStatus, ToReplica};
 use grebepin_reactor::{take_frame, Connection, FrameError, ReadOutcome};
 use grebepin_telemetry::{event, Event};
@@ -37,6 +38,17 @@
     last_received: Duration,
 }
 
+/// The state in force at this gateway.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayedState<'a> {
+    /// The state.
+    pub table: &'a Table,
+    /// Whether this gateway itself receives the leader's log.
+    pub is_fed: bool,
+    /// Time since which acknowledged changes may be missing in the state; `None` if it is not known.
+    pub age: Option<Duration>,
+}
+
 /// Listener and connections of the gateways that follow this one.
 #[derive(Debug)]
 pub struct Relay {
@@ -84,9 +96,8 @@
         }
     }
 
-    /// Handles an event on a follower's connection. `is_fed` is whether this gateway itself receives the
-    /// leader's log.
-    pub fn on_event(&mut self, now: Duration, token: Token, table: &Table, is_fed: bool) {
+    /// Handles an event on a follower's connection.
+    pub fn on_event(&mut self, now: Duration, token: Token, state: RelayedState<'_>) {
         let Some(follower) = self.followers.get_mut(&token) else {
             return;
         };
@@ -94,7 +105,7 @@
         let is_open = match follower.take_frames() {
             Ok(frames) => frames
                 .into_iter()
-                .all(|frame| follower.on_frame(frame, table, is_fed)),
+                .all(|frame| follower.on_frame(frame, state)),
             Err(_) => false,
         };
         if !is_open {
@@ -133,7 +144,8 @@
     }
 
     /// Handles a frame; returns whether the connection is still usable.
-    fn on_frame(&mut self, frame: ToReplica, table: &Table, is_fed: bool) -> bool {
+    fn on_frame(&mut self, frame: ToReplica, state: RelayedState<'_>) -> bool {
+        let RelayedState { table, is_fed, .. } = state;
         match frame {
             ToReplica::Follow(follow) => {
                 event!(
@@ -145,7 +157,9 @@
                 self.sent_index = Some(follow.applied);
                 self.send_head(table, is_fed) && self.send_snapshot(table)
             }
-            ToReplica::Report(_) => self.send_head(table, is_fed),
+            ToReplica::Report(report) => {
+                self.send_head(table, is_fed) && self.confirm_state(state, report.sent_at_ms)
+            }
             ToReplica::Peer(_)
             | ToReplica::Relay { .. }
             | ToReplica::ReplicaReport(_)
@@ -163,6 +177,18 @@
         self.send(&FromReplica::Head(head))
     }
 
+    /// Answers a report that was sent at `sent_at_ms` of the follower's clock.
+    fn confirm_state(&mut self, state: RelayedState<'_>, sent_at_ms: u64) -> bool {
+        let Some(age) = state.age else {
+            return true;
+        };
+        self.send(&FromReplica::Confirmed(Confirmation {
+            sent_at_ms,
+            age_ms: age.as_millis() as u64 + 1,
+            applied: state.table.applied(),
+        }))
+    }
+
     /// Sends a snapshot to a follower that lacks entries; returns whether the connection is still usable.
     fn send_snapshot(&mut self, table: &Table) -> bool {
         if self
--- /dev/null
+++ b/crates/gateway/src/state_age.rs
@@ -0,0 +1,50 @@
+//! Whether the state in force is recent enough to answer that a route does not exist.
+
+use std::time::Duration;
+
+use grebepin_telemetry::{event, Event};
+
+use crate::event_loop::EventLoop;
+
+/// Age from which a state counts as outdated. Acknowledged changes must be in force within 2 s at the gateways
+/// that reach the directory; with a report every 500 ms to the followed replica, states are confirmed at least
+/// each second while messages take up to 300 ms.
+const OUTDATED_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Whether a state of this age may lack changes that must be in force; `None` for a state of unknown age.
+pub fn is_outdated(age: Option<Duration>) -> bool {
+    age.is_none_or(|age| age > OUTDATED_AFTER)
+}
+
+impl EventLoop {
+    /// Whether the state in force may lack changes that must be in force.
+    pub(crate) fn is_outdated(&self) -> bool {
+        is_outdated(self.directory.state_age(self.now()))
+    }
+
+    /// Time in milliseconds since which acknowledged changes may be missing in the state in force; -1 if unknown.
+    pub(crate) fn state_age_ms(&self) -> i64 {
+        let age = self.directory.state_age(self.now());
+        age.map_or(-1, |age| age.as_millis() as i64)
+    }
+
+    /// Logs when the state becomes outdated or recent.
+    pub(crate) fn log_state_age(&mut self) {
+        let is_outdated = self.table.is_configured() && self.is_outdated();
+        if is_outdated == self.logged_outdated {
+            return;
+        }
+        self.logged_outdated = is_outdated;
+        let event = match is_outdated {
+            true => Event::StateOutdated,
+            false => Event::StateConfirmed,
+        };
+        event!(
+            event,
+            state_age_ms = self.state_age_ms(),
+            applied = self.table.applied(),
+            links = self.directory.link_count(),
+            link_wait_ms = self.link_queue.wait(self.now()).as_millis()
+        );
+    }
+}
--- a/crates/gateway/src/state_updates.rs
+++ b/crates/gateway/src/state_updates.rs
@@ -45,6 +45,7 @@
             change.owners |= one.owners;
             change.draining.extend(one.draining);
         }
+        self.directory.note_applied(self.table.applied());
         if let Some(one) = self.end_undecided(now) {
             change.servers |= one.servers;
             change.owners |= one.owners;
@@ -63,6 +64,7 @@
             self.on_permit(request, permit);
         }
         self.log_readiness();
+        self.log_state_age();
     }
 
     /// Replaces the undecided changes while there is no leader.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -110,6 +110,9 @@
     StateDecided = 244, Info, "the state contains every acknowledged change; none is undecided any longer";
     StateIgnored = 245, Info, "a complete state was ignored, since it may lack acknowledged changes";
     StateUndecided = 246, Info, "there is no leader, and changes may be acknowledged that the state does not contain";
+    StateOutdated = 247, Warn, "the state may lack changes that were acknowledged some time ago";
+    StateConfirmed = 248, Info, "the state is confirmed as recent again";
+    LinkDropped = 249, Info, "a connection to a replica or relay was given up";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/telemetry/src/metrics/directory.rs
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -29,6 +29,8 @@
     pub followers: IntGauge,
     /// 1 while the applied state is fresh enough to be sent to gateways, else 0.
     pub is_fed: IntGauge,
+    /// Time in milliseconds since which acknowledged changes may be missing in the applied state; -1 if unknown.
+    pub state_age_ms: IntGauge,
     /// Known servers that have not ended.
     pub instances: IntGauge,
     /// Zones under evacuation.
@@ -85,6 +87,10 @@
                 "directory_is_fed",
                 "1 while what this replica gives on to gateways is fresh",
             )?,
+            state_age_ms: metrics.gauge(
+                "directory_state_age_milliseconds",
+                "Time since which acknowledged changes may be missing here; -1 if unknown",
+            )?,
             instances: metrics.gauge("directory_instances", "Servers that have not ended")?,
             evacuated_zones: metrics
                 .gauge("directory_evacuated_zones", "Zones that are evacuated")?,
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -24,6 +24,8 @@
     pub applied_index: IntGauge,
     /// Time in milliseconds since the last message of the directory's leader; -1 before the first one.
     pub leader_age_ms: IntGauge,
+    /// Time in milliseconds since which acknowledged changes may be missing in the state in force; -1 if unknown.
+    pub state_age_ms: IntGauge,
     /// Connections to directory replicas and relays.
     pub directory_links: IntGauge,
     /// Estimated time in milliseconds that bytes wait for this machine's network link.
@@ -91,6 +93,10 @@
                 "gateway_leader_age_milliseconds",
                 "Time since the directory's leader last spoke; -1 before the first time",
             )?,
+            state_age_ms: metrics.gauge(
+                "gateway_state_age_milliseconds",
+                "Time since which acknowledged changes may be missing in the state; -1 if unknown",
+            )?,
             link_wait_ms: metrics.gauge(
                 "gateway_link_wait_milliseconds",
                 "Time that bytes wait for this machine's link",
