A gateway whose state is outdated denies no route

Cause: a gateway without news cannot tell a route that does not exist from one that it has not heard of, and nothing bounded the age of the state that it denied by.

Routes that the gateway knows are served on, so one that is cut off for good serves as before.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -134,7 +134,10 @@
             return self.reject(&incoming, Refusal::Undecided);
         }
         let Some((name, route)) = found else {
-            return self.reject_unrouted(&incoming);
+            return match self.is_outdated() {
+                true => self.reject(&incoming, Refusal::StateOutdated),
+                false => self.reject_unrouted(&incoming),
+            };
         };
         if self.is_quarantined(&incoming.request) {
             return self.reject(&incoming, Refusal::Quarantined);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,9 +12,10 @@
 /// Delay before a client retries at another gateway because this one is stopping.
 const STOPPING_DELAY: Duration = Duration::from_millis(20);
 
-/// Delay before a client retries at another gateway because this one's link is full. The links of other
-/// gateways most likely have capacity; where they don't, the requests ahead have been answered by then.
-const LINK_DELAY: Duration = Duration::from_millis(100);
+/// Delay before a client retries at another gateway because this one's link is full or its state is outdated. The
+/// links of other gateways most likely have capacity; where they don't, the requests ahead have been answered by
+/// then. Other gateways most likely know the newest state.
+const OTHER_GATEWAY_DELAY: Duration = Duration::from_millis(100);
 
 /// Delay before a client retries that stated no deadline.
 const DEFAULT_DELAY: Duration = Duration::from_millis(200);
@@ -26,6 +27,8 @@
     Unconfigured,
     /// Its route may have changed, and there is no leader yet that knows.
     Undecided,
+    /// It has no route here, and the state may lack routes that were added some time ago.
+    StateOutdated,
     /// The gateway is stopping and would exit before the request ends.
     Stopping,
     /// The shard of its key has no owner.
@@ -74,6 +77,7 @@
         match self {
             Self::Unconfigured => "no configuration",
             Self::Undecided => "route undecided",
+            Self::StateOutdated => "state outdated",
             Self::Stopping => "stopping",
             Self::NoOwner => "no owner",
             Self::NoRoom => "no room",
@@ -103,7 +107,9 @@
     fn delay(self, left: Option<Duration>) -> Duration {
         match (self, left) {
             (Self::Stopping, _) => STOPPING_DELAY,
-            (Self::LinkFull, Some(left)) => LINK_DELAY.min(left.mul_f64(RETRY_FRACTION)),
+            (Self::LinkFull | Self::StateOutdated, Some(left)) => {
+                OTHER_GATEWAY_DELAY.min(left.mul_f64(RETRY_FRACTION))
+            }
             // A client that can't wait that long may retry earlier: the key may have moved to another owner
             // by then.
             (Self::CoolingDown { client_retry_after }, Some(left)) if client_retry_after < left => {
