A gateway in a crowd finds back to a replica

A link that was established was closed again 1.6 s later when its first message had not come yet. Meanwhile the gateway served by its old state.

An attempt that takes over 400 ms now goes on, up to 3 s, while others are begun beside it, at other replicas and at the same one, whose first packet may have been lost; the first that is established ends the others. Silence counts beyond the link's own round-trip time, taken from its handshake, and the system's timeout for unacknowledged bytes no longer ends links that still move.

--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -126,14 +126,15 @@
             wanted.extend(self.replicas.state_candidates(now));
             limit = MAX_INITIAL_LINKS;
         }
-        let linked: BTreeSet<&String> = self.links.values().map(|link| &link.address).collect();
+        let links = self.links.values().filter(|link| !link.is_late);
+        let linked: BTreeSet<&String> = links.map(|link| &link.address).collect();
         let mut missing: Vec<String> = Vec::new();
         for address in wanted {
             if !linked.contains(&address) && !missing.contains(&address) {
                 missing.push(address);
             }
         }
-        missing.truncate(limit.saturating_sub(self.links.len()));
+        missing.truncate(limit.saturating_sub(linked.len()));
         missing
     }
 
@@ -145,7 +146,8 @@
         self.replicas.avoid(now, &link.address, UNFED_RETRY_DELAY);
         // While no replica receives the leader's log, a few such links stay open: they show at once when a
         // leader is back.
-        if self.followed != Some(token) && self.links.len() >= MAX_LINKS {
+        let open = self.links.values().filter(|link| !link.is_late).count();
+        if self.followed != Some(token) && open >= MAX_LINKS {
             self.links.remove(&token);
         }
     }
--- a/crates/gateway/src/follow/link.rs
+++ b/crates/gateway/src/follow/link.rs
@@ -24,6 +24,10 @@
     connection: Connection,
     pub(super) connected: bool,
     pub(super) opened_at: Duration,
+    /// Whether it took so long to be established that others are tried beside it.
+    pub(super) is_late: bool,
+    /// How long it took to be established, about the round-trip time with the queues of that moment.
+    pub(super) handshake_time: Duration,
     pub(super) last_received: Duration,
     /// Last status message of a replica.
     pub(super) head: Option<SourceStatus>,
@@ -44,6 +48,8 @@
             connection,
             connected: false,
             opened_at: now,
+            is_late: false,
+            handshake_time: Duration::ZERO,
             last_received: now,
             head: None,
             last_report: None,
@@ -62,6 +68,8 @@
             match self.connection.check_connected() {
                 Ok(true) => {
                     self.connected = true;
+                    self.is_late = false;
+                    self.handshake_time = now.saturating_sub(self.opened_at);
                     self.last_received = now;
                 }
                 Ok(false) => return true,
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -24,20 +24,22 @@
 use mio::{Registry, Token};
 use state::RequestedState;
 
+use crate::connecting::{attempt_state, AttemptState};
 use crate::crash_history::CrashHistory;
 use crate::initial_source::InitialSource;
 use crate::load::LoadCounts;
-use crate::relays::Relays;
+use crate::relays::{Relays, FOLLOWED_RELAYS};
 use crate::replicas::Replicas;
 use crate::settings::GatewaySettings;
 use crate::undecided::UndecidedChanges;
 
-/// Timeout for establishing a link.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Time without a message after which a link is closed and opened again.
+/// Time without a message, beyond the round-trip time, after which a link is closed and opened again.
 const LINK_TIMEOUT: Duration = Duration::from_millis(1_600);
 
+/// Time after which the system closes a connection whose bytes are not acknowledged. Longer than silent links and
+/// attempts to connect are kept, so that it ends no link on which messages still move.
+const UNACKED_TIMEOUT: Duration = Duration::from_millis(5_000);
+
 /// Time for which the first count of gateways may still be too low: a new leader receives the reports of all
 /// replicas within 0.5 s.
 const GATEWAY_COUNT_SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -220,37 +222,72 @@
         self.report(now, content);
     }
 
-    /// Closes links that are not established in time or have been silent for too long.
+    /// Closes links that are not established in time or have been silent for too long. The address of an attempt that
+    /// takes long is avoided for a while, so that others are tried beside it.
     fn drop_dead_links(&mut self, now: Duration) {
-        let failed = self.links.iter().filter_map(|(token, link)| {
-            let failure = match link.connected {
-                false => {
-                    (now > link.opened_at + CONNECT_TIMEOUT).then_some(LinkFailure::NotEstablished)
+        let (mut failed, mut late) = (Vec::new(), Vec::new());
+        for (token, link) in &self.links {
+            match attempt_state(now, link.opened_at) {
+                _ if link.connected => {
+                    if now > link.last_received + link.handshake_time + LINK_TIMEOUT {
+                        failed.push((*token, LinkFailure::Silent));
+                    }
                 }
-                true => (now > link.last_received + LINK_TIMEOUT).then_some(LinkFailure::Silent),
-            };
-            Some((*token, failure?))
-        });
-        for (token, failure) in failed.collect::<Vec<_>>() {
+                AttemptState::TimedOut => failed.push((*token, LinkFailure::NotEstablished)),
+                AttemptState::Late if !link.is_late => late.push(*token),
+                AttemptState::Late | AttemptState::Recent => {}
+            }
+        }
+        for token in late {
+            self.note_late_attempt(now, token);
+        }
+        for (token, failure) in failed {
             self.drop_link(now, token, failure);
         }
     }
 
+    fn note_late_attempt(&mut self, now: Duration, token: Token) {
+        let Some(link) = self.links.get_mut(&token) else {
+            return;
+        };
+        link.is_late = true;
+        match link.peer {
+            LinkPeer::Replica => self.replicas.avoid(now, &link.address, self.retry_delay),
+            LinkPeer::Relay => self.relays.failed(now, &link.address),
+        }
+    }
+
+    /// Closes the other attempts at the address of a link that was just established, and the link itself if there is
+    /// already another one to that address, or enough links to relays.
+    fn drop_duplicates(&mut self, token: Token) {
+        let Some(link) = self.links.get(&token) else {
+            return;
+        };
+        let (peer, address) = (link.peer, link.address.clone());
+        let others = self.links.iter().filter(|(other, _)| **other != token);
+        let others: Vec<(Token, &Link)> = others.map(|(token, link)| (*token, link)).collect();
+        let connected = others.iter().filter(|(_, link)| link.connected);
+        let is_duplicate = connected.clone().any(|(_, link)| link.address == address);
+        let relays = connected.filter(|(_, link)| link.peer == LinkPeer::Relay);
+        let has_relays = peer == LinkPeer::Relay && relays.count() >= FOLLOWED_RELAYS;
+        if is_duplicate || has_relays {
+            self.links.remove(&token);
+            return;
+        }
+        let is_useless = |link: &Link| link.address == address && !link.connected;
+        self.links
+            .retain(|other, link| *other == token || !is_useless(link));
+    }
+
     /// Follows relays while the leader is silent, and closes the links to them once it is back.
     fn update_relays(&mut self, now: Duration, registry: &Registry, next_token: &mut usize) {
-        let links = self.links.iter();
-        let in_use = links.filter(|(_, link)| link.peer == LinkPeer::Relay);
-        let in_use: Vec<Token> = in_use.map(|(token, _)| *token).collect();
         if !self.relays.are_needed(now, self.last_leader_message) {
-            for token in in_use {
-                self.links.remove(&token);
-            }
+            self.links.retain(|_, link| link.peer != LinkPeer::Relay);
             return;
         }
-        let in_use: Vec<&String> = in_use
-            .iter()
-            .map(|token| &self.links[token].address)
-            .collect();
+        let links = self.links.values();
+        let in_use = links.filter(|link| link.peer == LinkPeer::Relay && !link.is_late);
+        let in_use: Vec<&String> = in_use.map(|link| &link.address).collect();
         for address in self.relays.wanted(now, &in_use) {
             self.open_link(now, registry, next_token, LinkPeer::Relay, address);
         }
@@ -275,7 +312,7 @@
             return;
         };
         *next_token += 1;
-        connection.set_unacked_timeout(LINK_TIMEOUT);
+        connection.set_unacked_timeout(UNACKED_TIMEOUT);
         self.links
             .insert(token, Link::new(peer, address, connection, now));
     }
@@ -362,6 +399,7 @@
             self.drop_link(now, token, LinkFailure::Closed);
         }
         if !was_connected && self.links.get(&token).is_some_and(|link| link.connected) {
+            self.drop_duplicates(token);
             // A replica sends its status only after it knows who is connected.
             self.send_report(now, token, LoadSample::default(), Vec::new());
             self.follow_relay(token, applied);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod backoff;
 pub mod client_retries;
 mod clients;
+pub mod connecting;
 pub mod cooldowns;
 mod crash_check;
 pub mod crash_history;
--- a/crates/gateway/src/relays.rs
+++ b/crates/gateway/src/relays.rs
@@ -12,7 +12,7 @@
 const NEEDED_AFTER: Duration = Duration::from_millis(900);
 
 /// Number of relays that are followed at a time.
-const FOLLOWED_RELAYS: usize = 2;
+pub const FOLLOWED_RELAYS: usize = 2;
 
 /// Time after which a relay is dropped if no replica or relay has named it again.
 const NAME_LIFETIME: Duration = Duration::from_secs(30);
