A gateway that stood still reads waiting changes before waiting requests

Callers got 404 for a route that was acknowledged while the gateway stood still: the request and the change waited side by side. Two causes: sockets were read in the order in which they became ready, and the first link that was read after the pause took the place of the followed one, which seemed silent until it was read itself; it was closed with the changes that waited in it.

Ready links are now read before other sockets, the followed one first, and after a pause all links are read at once, since more sockets may be ready than one poll returns.

--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -231,9 +231,13 @@
             }
             if let Some(stall) = self.stall_detector.check(self.clock.now()) {
                 event!(Event::StoodStill, ms = stall.as_millis());
+                self.read_directory();
             }
-            for event in &events {
-                self.on_event(event.token());
+            // Changes go first: a request that waits beside one may have been sent after its acknowledgement.
+            let mut ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
+            ready.sort_by_key(|token| self.directory.read_order(*token));
+            for token in ready {
+                self.on_event(token);
             }
             self.run_timers();
             self.dispatch_awaiting_capacity();
@@ -245,6 +249,16 @@
         }
     }
 
+    /// Reads all links to replicas and relays. After the process stood still, more sockets may be ready than one poll
+    /// returns.
+    fn read_directory(&mut self) {
+        let mut tokens = self.directory.tokens();
+        tokens.sort_by_key(|token| self.directory.read_order(*token));
+        for token in tokens {
+            self.on_directory(token);
+        }
+    }
+
     fn is_shut_down(&self) -> bool {
         let (in_flight, clients) = (self.in_flight.len(), self.clients.len());
         let now = self.now();
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -116,6 +116,17 @@
     }
 }
 
+/// Order in which ready sockets are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ReadOrder {
+    /// The link to the followed replica.
+    FollowedLink,
+    /// Another link to a replica or relay.
+    OtherLink,
+    /// Any other socket.
+    Other,
+}
+
 /// Client of the directory: all links to replicas and relays.
 #[derive(Debug)]
 pub struct DirectoryClient {
@@ -180,6 +191,21 @@
         since.is_some_and(|since| now >= since + GATEWAY_COUNT_SETTLE_TIME)
     }
 
+    /// Tokens of all links.
+    pub fn tokens(&self) -> Vec<Token> {
+        self.links.keys().copied().collect()
+    }
+
+    /// Position of a socket in the order in which ready ones are read. The followed link goes before the others: until
+    /// it is read it seems silent, and would be closed, with the changes that wait in it, for one that was read.
+    pub fn read_order(&self, token: Token) -> ReadOrder {
+        match self.owns(token) {
+            true if self.followed == Some(token) => ReadOrder::FollowedLink,
+            true => ReadOrder::OtherLink,
+            false => ReadOrder::Other,
+        }
+    }
+
     /// Number of open links, to replicas and relays.
     pub fn link_count(&self) -> usize {
         self.links.len()
