Undecided changes apply also where the state has reached their index another way

A gateway without contact to a leader requests a state together with the changes after it that may be acknowledged. Where a relay's entries had reached the index of that state first, the state was dropped and the undecided changes with it, so the gateway denied an acknowledged route or served a replaced one until the next comparison with the voters. Found by reading; they apply now, until a leader has decided.

gateway/tests/undecided.rs, undecided_changes_of_a_state_that_came_too_late_apply, failed before.

--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -93,16 +93,19 @@
     }
 
     /// Replaces the state by a snapshot of log index `index`, unless the present state is as new. `undecided` are
-    /// the changes that may be acknowledged and are not part of the snapshot.
+    /// the changes that may be acknowledged and are not part of the snapshot; they apply to either state.
     pub fn replace(
         &mut self,
         index: u64,
         catalog: Catalog,
         undecided: UndecidedChanges,
     ) -> TableChange {
-        if index <= self.applied {
+        if index <= self.applied && undecided.is_empty() {
             return TableChange::default();
         }
+        if index <= self.applied {
+            return self.set_undecided(undecided);
+        }
         self.catalog = catalog;
         self.applied = index;
         self.index_routes();
--- a/crates/gateway/tests/undecided.rs
+++ b/crates/gateway/tests/undecided.rs
@@ -251,3 +251,18 @@
     );
     assert_eq!(table.limits().map(|limits| limits.body_bytes), Some(300));
 }
+
+/// Guards against a gateway that has reached the index of the requested state another way, and serves what the undecided
+/// changes after it touch.
+#[test]
+fn undecided_changes_of_a_state_that_came_too_late_apply() {
+    let mut table = table(&[]);
+    let entry = Entry {
+        commands: Vec::new(),
+    };
+    table.apply(&[(INDEX + 1, entry)]);
+    let change = set(vec![route("new", "/new/", "a", 2)]);
+    table.replace(INDEX, state(), UndecidedChanges::of([&change]));
+    assert_eq!(table.applied(), INDEX + 1);
+    assert!(is_undecided(&table, "/new/x"));
+}
