A gateway requests again what it ignored of a replica that had lost its leader

Once the replica had a leader again, the gateway followed it, counted as fed and served by its old state, without a bound where nothing else changes. It now requests the entries after its own state with the replica's next status.

gateway/tests/following.rs, a stand-in for a replica: no request in 10 s before, at once now.

--- a/crates/gateway/src/follow/link.rs
+++ b/crates/gateway/src/follow/link.rs
@@ -31,6 +31,8 @@
     pub(super) last_received: Duration,
     /// Last status message of a replica.
     pub(super) head: Option<SourceStatus>,
+    /// Whether a state that it sent was ignored. The replica takes that state for received.
+    pub(super) ignored_state: bool,
     /// When the last report was sent; `None` before the first.
     pub(super) last_report: Option<Duration>,
 }
@@ -52,6 +54,7 @@
             handshake_time: Duration::ZERO,
             last_received: now,
             head: None,
+            ignored_state: false,
             last_report: None,
         }
     }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -510,7 +510,11 @@
         match is_fed {
             true => {
                 self.replicas.stop_avoiding(&link.address);
+                let ignored_state = std::mem::take(&mut link.ignored_state);
                 self.choose_feed(now, applied);
+                if ignored_state && self.followed == Some(token) {
+                    self.request_entries(token, applied);
+                }
             }
             false => {
                 if applied > 0 {
--- a/crates/gateway/src/follow/state.rs
+++ b/crates/gateway/src/follow/state.rs
@@ -30,7 +30,7 @@
     /// Decodes a complete state that was received on a link; returns nothing if it may lack acknowledged changes
     /// that this gateway does not know of.
     pub(super) fn take_state(
-        &self,
+        &mut self,
         token: Token,
         index: u64,
         state: &[u8],
@@ -38,6 +38,9 @@
     ) -> Option<Update> {
         let Some(undecided) = self.undecided_after(token, index) else {
             event!(Event::StateIgnored, index = index, before = applied);
+            if let Some(link) = self.links.get_mut(&token) {
+                link.ignored_state = true;
+            }
             return None;
         };
         match decode_frame::<Catalog>(state.get(STATE_PREFIX_BYTES..).unwrap_or_default()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod crash_history;
 pub mod evacuations;
 mod event_loop;
-mod follow;
+pub mod follow;
 mod forwarding;
 mod hashing;
 mod headers;
--- /dev/null
+++ b/crates/gateway/tests/following.rs
@@ -0,0 +1,139 @@
+//! What a gateway asks a replica for, against a stand-in that sends what a replica may send.
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use grebepin_catalog::Catalog;
+use grebepin_directory::link::{FromReplica, SourceStatus, ToReplica};
+use grebepin_gateway::crash_history::CrashHistory;
+use grebepin_gateway::follow::{AppliedState, DirectoryClient, ReportContent, Update};
+use grebepin_gateway::load::LoadCounts;
+use grebepin_gateway::GatewaySettings;
+use grebepin_reactor::{encode_frame, take_frame};
+use mio::{Events, Poll, Token};
+
+const TIME_LIMIT: Duration = Duration::from_secs(10);
+const POLL_TIME: Duration = Duration::from_millis(10);
+
+/// A gateway's client of the directory and the stand-in for its only replica.
+struct Harness {
+    client: DirectoryClient,
+    poll: Poll,
+    next_token: usize,
+    started: Instant,
+    applied: u64,
+    replica: TcpStream,
+    received: Vec<u8>,
+}
+
+impl Harness {
+    fn start(folder: &Path) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let seed = listener.local_addr().expect("an address");
+        let path = folder.join("following.toml");
+        let settings = format!(
+            "node = \"g\"\nzone = \"z\"\nfront_address = \"127.0.0.1:1\"\nready_address = \"127.0.0.1:2\"\nlink_port = {}\nseeds = [\"127.0.0.1:1\"]\n",
+            seed.port()
+        );
+        std::fs::write(&path, settings).expect("the settings are written");
+        let settings = GatewaySettings::load(&path).expect("the settings are valid");
+        let mut harness = Self {
+            client: DirectoryClient::new(&settings),
+            poll: Poll::new().expect("a poll"),
+            next_token: 1,
+            started: Instant::now(),
+            applied: 0,
+            // Replaced once the client has connected.
+            replica: TcpStream::connect(seed).expect("a connection"),
+            received: Vec::new(),
+        };
+        listener.accept().expect("the own connection");
+        harness.step();
+        harness.replica = listener.accept().expect("the client connects").0;
+        let set = harness.replica.set_nonblocking(true);
+        set.expect("a setting");
+        harness
+    }
+
+    /// Lets the client handle what is due; returns the updates.
+    fn step(&mut self) -> Vec<Update> {
+        let mut content = (LoadCounts::default(), CrashHistory::default());
+        let content = ReportContent {
+            load: &mut content.0,
+            crashes: &mut content.1,
+        };
+        let state = AppliedState {
+            applied: self.applied,
+            is_configured: self.applied > 0,
+        };
+        let registry = self.poll.registry();
+        let now = self.started.elapsed();
+        self.client
+            .tick(now, registry, &mut self.next_token, content, state);
+        let mut events = Events::with_capacity(16);
+        let polled = self.poll.poll(&mut events, Some(POLL_TIME));
+        polled.expect("the poll works");
+        let tokens: Vec<Token> = events.iter().map(|event| event.token()).collect();
+        let now = self.started.elapsed();
+        let updates = tokens.into_iter().flat_map(|token| {
+            let updates = self.client.on_event(now, token, self.applied);
+            updates.into_iter()
+        });
+        updates.collect()
+    }
+
+    fn send(&mut self, frame: &FromReplica) {
+        let mut bytes = Vec::new();
+        encode_frame(frame, &mut bytes).expect("the frame is encoded");
+        self.replica.write_all(&bytes).expect("the frame is sent");
+    }
+
+    fn send_status(&mut self, is_fed: bool, applied: u64) {
+        self.send(&FromReplica::Head(SourceStatus {
+            is_fed,
+            applied,
+            ..SourceStatus::default()
+        }));
+    }
+
+    /// Log index from which on the client requests entries next.
+    fn next_request(&mut self) -> u64 {
+        while self.started.elapsed() < TIME_LIMIT {
+            self.step();
+            let mut buffer = [0; 4_096];
+            if let Ok(count) = self.replica.read(&mut buffer) {
+                self.received.extend_from_slice(&buffer[..count]);
+            }
+            while let Some(frame) = take_frame(&mut self.received).expect("a frame") {
+                if let ToReplica::Follow(follow) = frame {
+                    return follow.applied;
+                }
+            }
+        }
+        panic!("no entries were requested");
+    }
+}
+
+/// Guards against a gateway that ignores the state of a replica that has just lost its leader, and stays at its old state
+/// until the next change, since the replica takes that state for received.
+#[test]
+fn a_state_that_was_ignored_is_requested_again_once_its_replica_has_a_leader() {
+    let mut harness = Harness::start(Path::new(env!("CARGO_TARGET_TMPDIR")));
+    harness.send_status(true, 5);
+    assert_eq!(harness.next_request(), 0);
+    harness.applied = 5;
+    harness.send_status(false, 7);
+    let mut state = vec![];
+    encode_frame(&Catalog::default(), &mut state).expect("the state is encoded");
+    harness.send(&FromReplica::Whole { index: 7, state });
+    for _ in 0..10 {
+        let updates = harness.step();
+        assert!(updates
+            .iter()
+            .all(|one| !matches!(one, Update::Snapshot { .. })));
+    }
+    harness.send_status(true, 7);
+    assert_eq!(harness.next_request(), 5);
+}
