Replicas send updates first to the gateways that lack most

A round of updates that its allowance ended early began at the same gateways each time, in the order of a hash map, so on a link that is too slow for all the others were left out for as long as new entries came; their states had no bound on their age. Gateways that lack most entries go first now, and complete states, which are large and go to gateways that serve nothing yet, go last.

directory/tests/pacing.rs: every_gateway_is_fed_although_each_round_reaches_only_some failed with the order as it was (seven of ten never fed). Another way, not kept: complete states first, as they lack most; one zone's start would hold up everyone's changes.

--- a/crates/directory/src/daemon/feed.rs
+++ b/crates/directory/src/daemon/feed.rs
@@ -13,7 +13,7 @@
 use super::link_connection::LinkConnection;
 use crate::link::FromReplica;
 use crate::node::{Node, NodeError};
-use crate::pacing::{Pacer, RoundEnd, RoundSchedule, BYTES_PER_MEGABIT};
+use crate::pacing::{feed_order, FedLink, Pacer, RoundEnd, RoundSchedule, BYTES_PER_MEGABIT};
 
 /// Fraction of the link's capacity that may be used.
 const LINK_FRACTION: f64 = 0.4;
@@ -56,11 +56,10 @@
         let gateways = links.len();
         let mut lost = Vec::new();
         let mut end = RoundEnd::Complete;
-        for (token, link) in links.iter_mut() {
-            let lacks_entries = link.fed_index.is_some_and(|fed| fed < applied);
-            if !lacks_entries && !link.wants_state {
+        for token in feed_order(links_to_feed(links, applied)) {
+            let Some(link) = links.get_mut(&token) else {
                 continue;
-            }
+            };
             if !self.pacer.allows(now) {
                 end = RoundEnd::AllowanceExhausted;
                 break;
@@ -78,7 +77,7 @@
             link.wants_state = false;
             link.fed_index = link.fed_index.map(|_| applied);
             if !link.send_bytes(bytes) {
-                lost.push(*token);
+                lost.push(token);
             }
             self.pacer.spend(sent_bytes);
         }
@@ -113,6 +112,19 @@
     }
 }
 
+/// Links of the gateways that lack updates up to `applied`.
+fn links_to_feed(links: &HashMap<Token, LinkConnection>, applied: u64) -> Vec<FedLink<Token>> {
+    let links = links.iter().filter_map(|(token, link)| {
+        let fed_index = link.fed_index.filter(|_| !link.wants_state);
+        let lacks_updates = link.wants_state || fed_index.is_some_and(|fed| fed < applied);
+        lacks_updates.then(|| FedLink {
+            token: *token,
+            fed_index: fed_index.unwrap_or_default(),
+        })
+    });
+    links.collect()
+}
+
 fn encode_state<D: Disk>(node: &Node<D>) -> Result<Vec<u8>, NodeError> {
     let (index, state) = node.whole_state()?;
     Ok(FromReplica::Whole { index, state }.encode()?)
--- a/crates/directory/src/pacing.rs
+++ b/crates/directory/src/pacing.rs
@@ -42,6 +42,23 @@
     }
 }
 
+/// A gateway's connection, and what was sent on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FedLink<T> {
+    /// Identifies the connection.
+    pub token: T,
+    /// Log index up to which the gateway was sent entries; 0 for one that needs the complete state.
+    pub fed_index: u64,
+}
+
+/// Order in which gateways are sent updates: those that lack most entries go first, since an allowance that ends a
+/// round early would otherwise leave out the same gateways in each round. Complete states go last: they are large,
+/// and gateways that start serve nothing yet.
+pub fn feed_order<T>(mut links: Vec<FedLink<T>>) -> impl Iterator<Item = T> {
+    links.sort_by_key(|link| (link.fed_index == 0, link.fed_index));
+    links.into_iter().map(|link| link.token)
+}
+
 /// Pause after a complete round, per gateway: each round may write to every one of them. The daemon counts each
 /// inbound link as a gateway.
 const PAUSE_PER_GATEWAY: Duration = Duration::from_micros(1_500);
--- a/crates/directory/tests/pacing.rs
+++ b/crates/directory/tests/pacing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebepin_directory::pacing::{Pacer, RoundEnd, RoundSchedule};
+use grebepin_directory::pacing::{feed_order, FedLink, Pacer, RoundEnd, RoundSchedule};
 
 const BYTES_PER_SECOND: f64 = 2_550_000.0;
 const STATE_BYTES: usize = 100_000;
@@ -106,3 +106,29 @@
     assert!((0.7..0.8).contains(&took(100)), "{}", took(100));
     assert!((6.5..7.0).contains(&took(300)), "{}", took(300));
 }
+
+/// Guards against rounds that the allowance ends early and that leave out the same gateways each time.
+#[test]
+fn every_gateway_is_fed_although_each_round_reaches_only_some() {
+    let mut fed = [1_u64; 10];
+    for round in 2..=100 {
+        let links = fed.iter().enumerate();
+        let links = links.map(|(token, fed_index)| FedLink {
+            token,
+            fed_index: *fed_index,
+        });
+        for token in feed_order(links.collect()).take(3) {
+            fed[token] = round;
+        }
+        let oldest = fed.iter().min().copied().unwrap_or_default();
+        assert!(oldest + 4 >= round, "round {round}: {fed:?}");
+    }
+}
+
+#[test]
+fn entries_are_sent_before_complete_states() {
+    let links = [(1, 0), (2, 7), (3, 0), (4, 5)];
+    let links = links.map(|(token, fed_index)| FedLink { token, fed_index });
+    let order: Vec<u32> = feed_order(links.to_vec()).collect();
+    assert_eq!(order, [4, 2, 1, 3]);
+}
