A confirmed state ends undecided changes without a followed replica

A source's confirmation from after the last comparison with the voters shows as much: the state contains everything acknowledged before.

gateway/tests/following.rs, a_confirmed_state_ends_undecided_changes_without_a_followed_replica, failed before.

--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -196,15 +196,18 @@
         if self.initial_source.is_pending(now) {
             return None;
         }
-        let heads = || self.current_heads(now);
-        let told = heads().map(|(_, address, head)| (address, head));
+        let told = self.current_heads(now);
+        let told = told.map(|(_, address, head)| (address, head));
         let newest = newest_of_majority(told, applied)?;
         let index = newest.index;
         let undecided = UndecidedChanges::of(newest.undecided);
+        self.compared_at = now;
         if index <= applied || (applied > 0 && !self.is_without_leader(now)) {
             return Some(undecided);
         }
-        let holders = heads().filter(|(_, _, head)| head.applied >= index);
+        let holders = self
+            .current_heads(now)
+            .filter(|(_, _, head)| head.applied >= index);
         let nearest = holders.min_by_key(|(_, address, _)| self.replicas.rank(address));
         let (token, address, _) = nearest?;
         if !self.may_request_state(now, token) {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -144,6 +144,8 @@
     /// Log index at which a replica with contact to a leader was first heard of since there was none. A state from
     /// there on contains every change that was acknowledged before.
     decided_index: Option<u64>,
+    /// When the state was last compared with those of a majority of the voters.
+    compared_at: Duration,
     /// The state that was last requested from a majority.
     requested_state: Option<RequestedState>,
     /// When a replica first reported the number of gateways.
@@ -168,6 +170,7 @@
             state_requested_from: None,
             initial_source: InitialSource::default(),
             decided_index: None,
+            compared_at: Duration::ZERO,
             requested_state: None,
             gateways_known_since: None,
             confirmed_state: ConfirmedState::default(),
--- a/crates/gateway/src/follow/state.rs
+++ b/crates/gateway/src/follow/state.rs
@@ -75,10 +75,13 @@
     }
 
     /// Whether a state of log index `applied` contains every change that was acknowledged while there was no
-    /// contact with a leader.
+    /// contact with a leader: a leader's replica feeds it, or a source has confirmed it since the last comparison with
+    /// the voters.
     pub fn is_decided(&self, now: Duration, applied: u64) -> bool {
         let is_reached = self.decided_index.is_some_and(|index| applied >= index);
-        is_reached && self.fed_link(now).is_some()
+        let age = self.confirmed_state.age(now);
+        let is_confirmed = age.is_some_and(|age| now.saturating_sub(age) > self.compared_at);
+        is_confirmed || (is_reached && self.fed_link(now).is_some())
     }
 
     fn log_state(&self, token: Token, index: u64, applied: u64) {
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -5,8 +5,9 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use grebepin_catalog::Catalog;
-use grebepin_directory::link::{FromReplica, SourceStatus, ToReplica};
+use grebepin_catalog::{Catalog, Command};
+use grebepin_directory::confirmed_state::Confirmation;
+use grebepin_directory::link::{FromReplica, OpenEntries, ReplicaAddress, SourceStatus, ToReplica};
 use grebepin_gateway::crash_history::CrashHistory;
 use grebepin_gateway::follow::{AppliedState, DirectoryClient, ReportContent, Update};
 use grebepin_gateway::load::LoadCounts;
@@ -32,7 +33,7 @@
     fn start(folder: &Path) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let seed = listener.local_addr().expect("an address");
-        let path = folder.join("following.toml");
+        let path = folder.join(format!("following-{}.toml", seed.port()));
         let settings = format!(
             "node = \"g\"\nzone = \"z\"\nfront_address = \"127.0.0.1:1\"\nready_address = \"127.0.0.1:2\"\nlink_port = {}\nseeds = [\"127.0.0.1:1\"]\n",
             seed.port()
@@ -90,6 +91,40 @@
         self.replica.write_all(&bytes).expect("the frame is sent");
     }
 
+    /// Sends the status of the only voter, which has no contact to a leader and an open entry in its log.
+    fn send_open_entry(&mut self, applied: u64) {
+        let own = self.replica.local_addr().expect("an address");
+        let voter = ReplicaAddress {
+            address: own.to_string(),
+            zone: "z".to_owned(),
+            votes: true,
+        };
+        let command = Command::SetEvacuation {
+            zone: "z".to_owned(),
+            evacuated: true,
+        };
+        self.send(&FromReplica::Head(SourceStatus {
+            applied,
+            votes: true,
+            replicas: vec![voter],
+            open_entries: OpenEntries {
+                commands: vec![(applied + 1, command)],
+                is_truncated: false,
+            },
+            ..SourceStatus::default()
+        }));
+    }
+
+    /// Steps until an update matches; returns when.
+    fn wait_for(&mut self, matches: impl Fn(&Update) -> bool) -> Duration {
+        while self.started.elapsed() < TIME_LIMIT {
+            if self.step().iter().any(&matches) {
+                return self.started.elapsed();
+            }
+        }
+        panic!("the update did not come");
+    }
+
     fn send_status(&mut self, is_fed: bool, applied: u64) {
         self.send(&FromReplica::Head(SourceStatus {
             is_fed,
@@ -137,3 +172,34 @@
     harness.send_status(true, 7);
     assert_eq!(harness.next_request(), 5);
 }
+
+/// Guards against a gateway that goes on refusing what undecided changes touch, although another source has shown that
+/// its state contains everything acknowledged.
+#[test]
+fn a_confirmed_state_ends_undecided_changes_without_a_followed_replica() {
+    let mut harness = Harness::start(Path::new(env!("CARGO_TARGET_TMPDIR")));
+    harness.applied = 5;
+    harness.send_open_entry(5);
+    let undecided_at =
+        harness.wait_for(|one| matches!(one, Update::Undecided(changes) if !changes.is_empty()));
+    let confirmation = |at: Duration| {
+        FromReplica::Confirmed(Confirmation {
+            sent_at_ms: at.as_millis() as u64,
+            age_ms: 0,
+            applied: 5,
+        })
+    };
+    let is_decided = |harness: &Harness| harness.client.is_decided(harness.started.elapsed(), 5);
+    harness.send(&confirmation(
+        undecided_at.saturating_sub(Duration::from_millis(500)),
+    ));
+    for _ in 0..10 {
+        harness.step();
+    }
+    assert!(!is_decided(&harness), "confirmed from before the change");
+    harness.send(&confirmation(undecided_at + Duration::from_millis(5)));
+    for _ in 0..10 {
+        harness.step();
+    }
+    assert!(is_decided(&harness));
+}
