gateway: links and reports of the directory's client in files of their own

A failure of a link is logged once a second and address at most: a gateway without a state tries replicas that do not run many times a second.

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -4,6 +4,8 @@
 mod feed;
 mod link;
 mod link_failure;
+mod links;
+mod reports;
 mod state;
 
 use std::collections::BTreeMap;
@@ -11,35 +13,22 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Catalog, Entry};
-use grebepin_directory::confirmed_state::{report_time, ConfirmedState};
-use grebepin_directory::crashes::CrashReport;
-use grebepin_directory::link::{
-    Follow, FromReplica, GatewayReport, PermitRequest, SourceStatus, ToReplica,
-};
+use grebepin_directory::confirmed_state::ConfirmedState;
+use grebepin_directory::link::{Follow, FromReplica, SourceStatus, ToReplica};
 use grebepin_grants::{LoadSample, Permit};
-use grebepin_reactor::Connection;
 use grebepin_telemetry::{event, Event};
 use link::{Link, LinkPeer};
-use link_failure::LinkFailure;
+use link_failure::{FailureLog, LinkFailure};
 use mio::{Registry, Token};
+pub use reports::ReportContent;
 use state::RequestedState;
 
-use crate::connecting::{attempt_state, AttemptState};
-use crate::crash_history::CrashHistory;
 use crate::initial_source::InitialSource;
-use crate::load::LoadCounts;
-use crate::relays::{Relays, FOLLOWED_RELAYS};
+use crate::relays::Relays;
 use crate::replicas::Replicas;
 use crate::settings::GatewaySettings;
 use crate::undecided::UndecidedChanges;
 
-/// Time without a message, beyond the round-trip time, after which a link is closed and opened again.
-const LINK_TIMEOUT: Duration = Duration::from_millis(1_600);
-
-/// Time after which the system closes a connection whose bytes are not acknowledged. Longer than silent links and
-/// attempts to connect are kept, so that it ends no link on which messages still move.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(5_000);
-
 /// Time for which the first count of gateways may still be too low: a new leader receives the reports of all
 /// replicas within 0.5 s.
 const GATEWAY_COUNT_SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -56,15 +45,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
 const INITIAL_TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Interval between two reports to a replica that is not followed.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// The same for the followed replica, whose answers confirm how old the state is.
-const FOLLOWED_REPORT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// The same while requests wait for capacity, or after a server crashed.
-const URGENT_REPORT_INTERVAL: Duration = Duration::from_millis(300);
-
 /// An update that was received from the directory or a relay.
 #[derive(Debug)]
 pub enum Update {
@@ -101,21 +81,6 @@
     pub is_configured: bool,
 }
 
-/// What the next report to the directory contains.
-pub struct ReportContent<'a> {
-    /// Load counted since the last report.
-    pub load: &'a mut LoadCounts,
-    /// Crashes of servers.
-    pub crashes: &'a mut CrashHistory,
-}
-
-impl ReportContent<'_> {
-    /// Whether the report should be sent early.
-    fn is_urgent(&self) -> bool {
-        self.load.is_overloaded() || self.crashes.has_unreported()
-    }
-}
-
 /// Order in which ready sockets are read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ReadOrder {
@@ -151,6 +116,7 @@
     /// When a replica first reported the number of gateways.
     gateways_known_since: Option<Duration>,
     confirmed_state: ConfirmedState,
+    failure_log: FailureLog,
     /// When the followed replica last sent a message while it received the leader's log.
     pub last_leader_message: Option<Duration>,
 }
@@ -174,6 +140,7 @@
             requested_state: None,
             gateways_known_since: None,
             confirmed_state: ConfirmedState::default(),
+            failure_log: FailureLog::default(),
             last_leader_message: None,
         }
     }
@@ -251,101 +218,6 @@
         self.report(now, content);
     }
 
-    /// Closes links that are not established in time or have been silent for too long. The address of an attempt that
-    /// takes long is avoided for a while, so that others are tried beside it.
-    fn drop_dead_links(&mut self, now: Duration) {
-        let (mut failed, mut late) = (Vec::new(), Vec::new());
-        for (token, link) in &self.links {
-            match attempt_state(now, link.opened_at) {
-                _ if link.connected => {
-                    if now > link.last_received + link.handshake_time + LINK_TIMEOUT {
-                        failed.push((*token, LinkFailure::Silent));
-                    }
-                }
-                AttemptState::TimedOut => failed.push((*token, LinkFailure::NotEstablished)),
-                AttemptState::Late if !link.is_late => late.push(*token),
-                AttemptState::Late | AttemptState::Recent => {}
-            }
-        }
-        for token in late {
-            self.note_late_attempt(now, token);
-        }
-        for (token, failure) in failed {
-            self.drop_link(now, token, failure);
-        }
-    }
-
-    fn note_late_attempt(&mut self, now: Duration, token: Token) {
-        let Some(link) = self.links.get_mut(&token) else {
-            return;
-        };
-        link.is_late = true;
-        match link.peer {
-            LinkPeer::Replica => self.replicas.avoid(now, &link.address, self.retry_delay),
-            LinkPeer::Relay => self.relays.failed(now, &link.address),
-        }
-    }
-
-    /// Closes the other attempts at the address of a link that was just established, and the link itself if there is
-    /// already another one to that address, or enough links to relays.
-    fn drop_duplicates(&mut self, token: Token) {
-        let Some(link) = self.links.get(&token) else {
-            return;
-        };
-        let (peer, address) = (link.peer, link.address.clone());
-        let others = self.links.iter().filter(|(other, _)| **other != token);
-        let others: Vec<(Token, &Link)> = others.map(|(token, link)| (*token, link)).collect();
-        let connected = others.iter().filter(|(_, link)| link.connected);
-        let is_duplicate = connected.clone().any(|(_, link)| link.address == address);
-        let relays = connected.filter(|(_, link)| link.peer == LinkPeer::Relay);
-        let has_relays = peer == LinkPeer::Relay && relays.count() >= FOLLOWED_RELAYS;
-        if is_duplicate || has_relays {
-            self.links.remove(&token);
-            return;
-        }
-        let is_useless = |link: &Link| link.address == address && !link.connected;
-        self.links
-            .retain(|other, link| *other == token || !is_useless(link));
-    }
-
-    /// Follows relays while the leader is silent, and closes the links to them once it is back.
-    fn update_relays(&mut self, now: Duration, registry: &Registry, next_token: &mut usize) {
-        if !self.relays.are_needed(now, self.last_leader_message) {
-            self.links.retain(|_, link| link.peer != LinkPeer::Relay);
-            return;
-        }
-        let links = self.links.values();
-        let in_use = links.filter(|link| link.peer == LinkPeer::Relay && !link.is_late);
-        let in_use: Vec<&String> = in_use.map(|link| &link.address).collect();
-        for address in self.relays.wanted(now, &in_use) {
-            self.open_link(now, registry, next_token, LinkPeer::Relay, address);
-        }
-    }
-
-    /// Opens a link.
-    fn open_link(
-        &mut self,
-        now: Duration,
-        registry: &Registry,
-        next_token: &mut usize,
-        peer: LinkPeer,
-        address: String,
-    ) {
-        let token = Token(*next_token);
-        let begun = address
-            .parse()
-            .ok()
-            .and_then(|parsed| Connection::connect(parsed, self.bind_ip, registry, token).ok());
-        let Some(connection) = begun else {
-            self.replicas.avoid(now, &address, self.retry_delay);
-            return;
-        };
-        *next_token += 1;
-        connection.set_unacked_timeout(UNACKED_TIMEOUT);
-        self.links
-            .insert(token, Link::new(peer, address, connection, now));
-    }
-
     /// Whether this gateway receives the leader's log, so that its state is current.
     pub fn is_fed(&self, now: Duration) -> bool {
         self.followed.is_some() && !self.relays.are_needed(now, self.last_leader_message)
@@ -361,64 +233,6 @@
         self.confirmed_state.update(applied);
     }
 
-    /// Sends reports that are due: to every linked replica that this gateway is alive, and to the followed
-    /// one also load and crashes.
-    fn report(&mut self, now: Duration, content: ReportContent<'_>) {
-        let followed_interval = match content.is_urgent() {
-            true => URGENT_REPORT_INTERVAL,
-            false => FOLLOWED_REPORT_INTERVAL,
-        };
-        let links = self.links.iter();
-        let due = links.filter(|(token, link)| {
-            let interval = match self.followed == Some(**token) {
-                true => followed_interval,
-                false => REPORT_INTERVAL,
-            };
-            link.connected && link.last_report.is_none_or(|at| now >= at + interval)
-        });
-        let due: Vec<Token> = due.map(|(token, _)| *token).collect();
-        for token in due {
-            let (load, crashes) = match self.followed == Some(token) {
-                true => (content.load.take(), content.crashes.reports(now)),
-                false => (LoadSample::default(), Vec::new()),
-            };
-            self.send_report(now, token, load, crashes);
-        }
-    }
-
-    fn send_report(
-        &mut self,
-        now: Duration,
-        token: Token,
-        load: LoadSample,
-        crashes: Vec<CrashReport>,
-    ) {
-        let Some(link) = self.links.get_mut(&token) else {
-            return;
-        };
-        link.last_report = Some(now);
-        let frame = ToReplica::Report(GatewayReport {
-            node: self.node.clone(),
-            relay: self.relays.own().to_owned(),
-            load,
-            crashes,
-            sent_at_ms: report_time(now),
-        });
-        link.send(&frame);
-    }
-
-    /// Requests a permit from the leader through the followed replica; returns whether there is a leader to
-    /// ask.
-    pub fn request_permit(&mut self, now: Duration, request: PermitRequest) -> bool {
-        let followed = self.fed_link(now);
-        let link = followed.and_then(|token| self.links.get_mut(&token));
-        let Some(link) = link else {
-            return false;
-        };
-        link.send(&ToReplica::TakePermit(request));
-        true
-    }
-
     /// Handles a socket event on a link. `applied` is the log index in force here.
     pub fn on_event(&mut self, now: Duration, token: Token, applied: u64) -> Vec<Update> {
         let mut frames = Vec::new();
@@ -539,32 +353,6 @@
         });
         link.send(&frame);
     }
-
-    fn drop_link(&mut self, now: Duration, token: Token, failure: LinkFailure) {
-        let Some(link) = self.links.remove(&token) else {
-            return;
-        };
-        event!(
-            Event::LinkDropped,
-            to = link.address,
-            reason = failure.reason(),
-            opened_ms = now.saturating_sub(link.opened_at).as_millis(),
-            received_ms = now.saturating_sub(link.last_received).as_millis()
-        );
-        if link.peer == LinkPeer::Relay {
-            self.relays.failed(now, &link.address);
-            return;
-        }
-        self.replicas.avoid(now, &link.address, self.retry_delay);
-        if self.state_requested_from == Some(token) {
-            self.state_requested_from = None;
-            self.initial_source.note_source_lost();
-        }
-        if self.followed == Some(token) {
-            self.followed = None;
-            event!(Event::GatewayLost, replica = link.address);
-        }
-    }
 }
 
 fn addresses(links: &[SocketAddr]) -> Vec<String> {
