--- a/crates/admin-client/src/http.rs
+++ b/crates/admin-client/src/http.rs
@@ -10,7 +10,7 @@
 use crate::error::ClientError;
 
 /// Largest response body that is read, in bytes.
-const MAXIMUM_RESPONSE_BYTES: u64 = 64 << 20;
+const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 
 /// Request method with its body, which is sent as JSON.
 pub(crate) enum Call<'a, T> {
@@ -69,7 +69,7 @@
     let body = response
         .body_mut()
         .with_config()
-        .limit(MAXIMUM_RESPONSE_BYTES)
+        .limit(MAX_RESPONSE_BYTES)
         .read_to_vec()
         .map_err(unreachable)?;
     if (200..300).contains(&status) {
--- a/crates/admin-client/src/search.rs
+++ b/crates/admin-client/src/search.rs
@@ -9,7 +9,7 @@
 
 /// Longest chain of leader hints that is followed. It ends the loop between two replicas that name each
 /// other as leader.
-const MAXIMUM_HINTS: usize = 2;
+const MAX_HINTS: usize = 2;
 
 /// Whether another replica, or the same one later, may answer the request.
 pub(crate) fn is_retryable(error: &ClientError) -> bool {
@@ -105,7 +105,7 @@
             outcome_is_unknown: was_unknown || error.outcome_is_unknown(),
         };
         self.attempts.insert(address, attempt);
-        if self.hints_followed >= MAXIMUM_HINTS {
+        if self.hints_followed >= MAX_HINTS {
             return;
         }
         if let ClientError::Refused { error, .. } = error {
--- a/crates/bench/src/fleet/relay.rs
+++ b/crates/bench/src/fleet/relay.rs
@@ -17,7 +17,7 @@
 const BUFFER_BYTES: usize = 64 << 10;
 const CUT_POLL_INTERVAL: Duration = Duration::from_millis(5);
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_secs(30);
-const MAXIMUM_METHOD_BYTES: usize = 8;
+const MAX_METHOD_BYTES: usize = 8;
 
 /// Traffic that a relay currently cuts.
 #[derive(Debug, Default)]
@@ -94,7 +94,7 @@
     caller.set_read_timeout(Some(FIRST_BYTES_TIMEOUT)).ok()?;
     let mut first = Vec::new();
     let mut buffer = [0; BUFFER_BYTES];
-    while first.len() < MAXIMUM_METHOD_BYTES + CONTROL_PATH.len() {
+    while first.len() < MAX_METHOD_BYTES + CONTROL_PATH.len() {
         match caller.read(&mut buffer) {
             Ok(0) | Err(_) => return None,
             Ok(count) => first.extend_from_slice(&buffer[..count]),
--- a/crates/bench/src/report/latency.rs
+++ b/crates/bench/src/report/latency.rs
@@ -8,7 +8,7 @@
 const SIGNIFICANT_DIGITS: u8 = 3;
 const MICROSECONDS_PER_SECOND: u64 = 1_000_000;
 /// Upper bound of the histograms; a longer latency is recorded as this one.
-const MAXIMUM_LATENCY_US: u64 = 3600 * MICROSECONDS_PER_SECOND;
+const MAX_LATENCY_US: u64 = 3600 * MICROSECONDS_PER_SECOND;
 
 /// Outcomes and latencies of one class. Latencies are in microseconds from the intended start of the
 /// request, so that a request that starts late counts in full.
@@ -106,7 +106,7 @@
 }
 
 fn empty_histogram() -> Histogram<u64> {
-    Histogram::new_with_max(MAXIMUM_LATENCY_US, SIGNIFICANT_DIGITS)
+    Histogram::new_with_max(MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         .expect("an hour and three significant digits are allowed")
 }
 
--- a/crates/bench/src/report/text.rs
+++ b/crates/bench/src/report/text.rs
@@ -8,7 +8,7 @@
 
 const MICROSECONDS_PER_MILLISECOND: f64 = 1e3;
 const MICROSECONDS_PER_SECOND: f64 = 1e6;
-const MAXIMUM_VIOLATIONS_SHOWN: usize = 10;
+const MAX_VIOLATIONS_SHOWN: usize = 10;
 
 /// Renders a report as text: latencies, measures and violated promises.
 pub fn render_text(report: &RunReport) -> String {
@@ -93,12 +93,7 @@
             .filter(|found| found.promise == promise);
         writeln!(text, "  {:<34} {}", promise.name(), broken.count())?;
     }
-    for violation in report
-        .check
-        .violations
-        .iter()
-        .take(MAXIMUM_VIOLATIONS_SHOWN)
-    {
+    for violation in report.check.violations.iter().take(MAX_VIOLATIONS_SHOWN) {
         let at = violation.at_us;
         let name = violation.promise.name();
         writeln!(
--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -7,7 +7,7 @@
 mod service;
 mod unique_values;
 
-use grebepin_schema::limits::MAXIMUM_BUNDLE_BYTES;
+use grebepin_schema::limits::MAX_BUNDLE_BYTES;
 use grebepin_schema::Bundle;
 
 use crate::canonical::canonical_bytes;
@@ -16,10 +16,10 @@
 use unique_values::UniqueValues;
 
 /// Maximum number of services in a bundle.
-pub const MAXIMUM_SERVICES: usize = 1024;
+pub const MAX_SERVICES: usize = 1024;
 
 /// Maximum size of the note of a bundle in bytes.
-pub const MAXIMUM_NOTE_BYTES: usize = 4096;
+pub const MAX_NOTE_BYTES: usize = 4096;
 
 /// Reserved service name: with it, requests to `/NAME/...` would reach the control calls of back ends.
 const RESERVED_SERVICE: &str = "grebepin";
@@ -29,22 +29,16 @@
     let mut findings = Findings::default();
     findings.check_range(Location::Bundle, "version", bundle.version, 1, u64::MAX);
     let note_bytes = bundle.note.as_ref().map_or(0, String::len);
-    findings.check_size("note", note_bytes, MAXIMUM_NOTE_BYTES);
+    findings.check_size("note", note_bytes, MAX_NOTE_BYTES);
     let bytes = canonical_bytes(bundle).len();
-    findings.check_size("bundle", bytes, MAXIMUM_BUNDLE_BYTES);
+    findings.check_size("bundle", bytes, MAX_BUNDLE_BYTES);
     check_services(bundle, &mut findings);
     findings.into_result()
 }
 
 fn check_services(bundle: &Bundle, findings: &mut Findings) {
     let count = bundle.services.len() as u64;
-    findings.check_range(
-        Location::Bundle,
-        "services",
-        count,
-        1,
-        MAXIMUM_SERVICES as u64,
-    );
+    findings.check_range(Location::Bundle, "services", count, 1, MAX_SERVICES as u64);
     let mut names = UniqueValues::default();
     let mut servers = UniqueValues::default();
     let mut addresses = UniqueValues::default();
--- a/crates/bundle/src/check/service.rs
+++ b/crates/bundle/src/check/service.rs
@@ -9,23 +9,23 @@
 use super::Findings;
 use crate::finding::FindingKind;
 
-const MAXIMUM_SHARDS: u64 = 4_194_304;
-const MAXIMUM_SHARE: u64 = 1_000_000;
-const MAXIMUM_SLOTS: u64 = 4096;
-const MAXIMUM_CONNECTIONS: u64 = 65_535;
-const MAXIMUM_WEIGHT: u64 = 1_000_000;
+const MAX_SHARDS: u64 = 4_194_304;
+const MAX_SHARE: u64 = 1_000_000;
+const MAX_SLOTS: u64 = 4096;
+const MAX_CONNECTIONS: u64 = 65_535;
+const MAX_WEIGHT: u64 = 1_000_000;
 const LOWEST_PRIORITY: u64 = 9;
-const MAXIMUM_DEADLINE_MS: u64 = 600_000;
-const MAXIMUM_WAITING: u64 = 100_000;
-const MAXIMUM_RETRY_PERCENT: u64 = 1000;
-const MAXIMUM_ATTEMPTS: u64 = 10;
-const MAXIMUM_MOVES: u64 = 1_000_000;
-const MAXIMUM_CONCURRENT_MOVES: u64 = 100_000;
-const MAXIMUM_IMBALANCE_PERCENT: u64 = 10_000;
+const MAX_DEADLINE_MS: u64 = 600_000;
+const MAX_WAITING: u64 = 100_000;
+const MAX_RETRY_PERCENT: u64 = 1000;
+const MAX_ATTEMPTS: u64 = 10;
+const MAX_MOVES: u64 = 1_000_000;
+const MAX_CONCURRENT_MOVES: u64 = 100_000;
+const MAX_IMBALANCE_PERCENT: u64 = 10_000;
 
 pub(super) fn check_service(service: &Service, location: Location<'_>, findings: &mut Findings) {
     let shards = service.shards.get().into();
-    findings.check_range(location, "shards", shards, 1, MAXIMUM_SHARDS);
+    findings.check_range(location, "shards", shards, 1, MAX_SHARDS);
     check_sides(service, location, findings);
     check_servers(service, location, findings);
     check_classes(&service.classes, location, findings);
@@ -41,7 +41,7 @@
     for side in &service.sides {
         let location = location.entry("sides", &side.side);
         names.insert(&side.side, location, "", findings);
-        findings.check_range(location, "share", side.share.into(), 0, MAXIMUM_SHARE);
+        findings.check_range(location, "share", side.share.into(), 0, MAX_SHARE);
         let mut servers = service.servers.iter();
         if side.share > 0 && !servers.any(|server| server.side == side.side) {
             findings.push(location, "", FindingKind::SideWithoutServers);
@@ -74,15 +74,15 @@
     let slots = server.slots.get();
     let connections = server.connections.get();
     let weight = server.weight.get();
-    findings.check_range(location, "slots", slots.into(), 1, MAXIMUM_SLOTS);
+    findings.check_range(location, "slots", slots.into(), 1, MAX_SLOTS);
     findings.check_range(
         location,
         "connections",
         connections.into(),
         1,
-        MAXIMUM_CONNECTIONS,
+        MAX_CONNECTIONS,
     );
-    findings.check_range(location, "weight", weight.into(), 1, MAXIMUM_WEIGHT);
+    findings.check_range(location, "weight", weight.into(), 1, MAX_WEIGHT);
     if connections < slots {
         let kind = FindingKind::FewerConnectionsThanSlots { connections, slots };
         findings.push(location, "connections", kind);
@@ -125,7 +125,7 @@
         LOWEST_PRIORITY,
     );
     let deadline = class.deadline_ms.get();
-    findings.check_range(location, "deadline_ms", deadline, 1, MAXIMUM_DEADLINE_MS);
+    findings.check_range(location, "deadline_ms", deadline, 1, MAX_DEADLINE_MS);
     if !is_path_prefix(&class.path_prefix) {
         let prefix = class.path_prefix.clone();
         findings.push(
@@ -161,32 +161,32 @@
             "queue.waiting_per_server",
             queue.waiting_per_server,
             0,
-            MAXIMUM_WAITING,
+            MAX_WAITING,
         ),
         (
             "retry.budget_percent",
             retry.budget_percent,
             0,
-            MAXIMUM_RETRY_PERCENT,
+            MAX_RETRY_PERCENT,
         ),
-        ("retry.attempts", retry.attempts.get(), 1, MAXIMUM_ATTEMPTS),
+        ("retry.attempts", retry.attempts.get(), 1, MAX_ATTEMPTS),
         (
             "churn.moves_per_minute",
             churn.moves_per_minute,
             0,
-            MAXIMUM_MOVES,
+            MAX_MOVES,
         ),
         (
             "churn.concurrent_moves",
             churn.concurrent_moves.get(),
             1,
-            MAXIMUM_CONCURRENT_MOVES,
+            MAX_CONCURRENT_MOVES,
         ),
         (
             "churn.imbalance_percent",
             churn.imbalance_percent,
             0,
-            MAXIMUM_IMBALANCE_PERCENT,
+            MAX_IMBALANCE_PERCENT,
         ),
     ];
     for (field, value, minimum, maximum) in limits {
--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use limits::CheckLimits;
 pub use measures::{measure, Imbalance, Measures, ServiceMeasures};
-pub use reader::{read_history, HistoryReader, ReadError, MAXIMUM_LINE_BYTES};
+pub use reader::{read_history, HistoryReader, ReadError, MAX_LINE_BYTES};
 pub use report::{Counts, Promise, Report, Violation};
 
 use grebepin_schema::HistoryRecord;
--- a/crates/check/src/reader.rs
+++ b/crates/check/src/reader.rs
@@ -5,7 +5,7 @@
 use grebepin_schema::HistoryRecord;
 
 /// Maximum length of a line of a history in bytes, including its line break.
-pub const MAXIMUM_LINE_BYTES: usize = 64 << 10;
+pub const MAX_LINE_BYTES: usize = 64 << 10;
 
 /// Why a history could not be read.
 #[derive(Debug, thiserror::Error)]
@@ -18,8 +18,8 @@
         /// Error of the underlying reader.
         source: std::io::Error,
     },
-    /// A line is longer than [`MAXIMUM_LINE_BYTES`].
-    #[error("line {line}: longer than {MAXIMUM_LINE_BYTES} bytes")]
+    /// A line is longer than [`MAX_LINE_BYTES`].
+    #[error("line {line}: longer than {MAX_LINE_BYTES} bytes")]
     TooLong {
         /// Line number, starting at 1.
         line: usize,
@@ -55,10 +55,10 @@
         let line = self.line;
         let mut bytes = Vec::new();
         (&mut self.reader)
-            .take(MAXIMUM_LINE_BYTES as u64 + 1)
+            .take(MAX_LINE_BYTES as u64 + 1)
             .read_until(b'\n', &mut bytes)
             .map_err(|source| ReadError::Io { line, source })?;
-        if bytes.len() > MAXIMUM_LINE_BYTES {
+        if bytes.len() > MAX_LINE_BYTES {
             return Err(ReadError::TooLong { line });
         }
         Ok((!bytes.is_empty()).then_some(bytes))
--- a/crates/check/tests/reading.rs
+++ b/crates/check/tests/reading.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use grebepin_check::{check, measure, read_history, CheckLimits, ReadError, MAXIMUM_LINE_BYTES};
+use grebepin_check::{check, measure, read_history, CheckLimits, ReadError, MAX_LINE_BYTES};
 use grebepin_schema::{HistoryRecord, Outcome};
 use support::*;
 
@@ -37,7 +37,7 @@
     let read: Vec<_> = read_history(format!("{good}\nrubbish\n{good}\n").as_bytes()).collect();
     assert_eq!(read.len(), 2);
     assert!(matches!(read[1], Err(ReadError::Parse { line: 2, .. })));
-    let long = " ".repeat(MAXIMUM_LINE_BYTES + 1);
+    let long = " ".repeat(MAX_LINE_BYTES + 1);
     let read: Vec<_> = read_history(long.as_bytes()).collect();
     assert!(matches!(read[..], [Err(ReadError::TooLong { line: 1 })]));
 }
--- a/crates/cli/src/check/deployment.rs
+++ b/crates/cli/src/check/deployment.rs
@@ -61,8 +61,8 @@
 }
 
 fn is_control(path: &Path) -> Result<bool, CliError> {
-    const MAXIMUM_SETTINGS_BYTES: u64 = 1 << 20;
-    let bytes = files::read(path, MAXIMUM_SETTINGS_BYTES)?;
+    const MAX_SETTINGS_BYTES: u64 = 1 << 20;
+    let bytes = files::read(path, MAX_SETTINGS_BYTES)?;
     let text = String::from_utf8_lossy(&bytes);
     let names_field = |line: &str| line.trim_start().starts_with(CONTROL_FIELD);
     Ok(text.lines().any(names_field))
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -20,7 +20,7 @@
 use subject::{Matches, Subject};
 
 /// Largest log file read, in bytes.
-const MAXIMUM_LOG_BYTES: u64 = 1 << 30;
+const MAX_LOG_BYTES: u64 = 1 << 30;
 
 /// The log lines about the subject.
 #[derive(Serialize)]
@@ -82,10 +82,10 @@
         source,
     };
     let length = fs::metadata(path).map_err(failed)?.len();
-    if length > MAXIMUM_LOG_BYTES {
+    if length > MAX_LOG_BYTES {
         return Err(CliError::TooLarge {
             path: path.to_owned(),
-            maximum: MAXIMUM_LOG_BYTES,
+            maximum: MAX_LOG_BYTES,
         });
     }
     let bytes = fs::read(path).map_err(failed)?;
--- a/crates/cli/src/files.rs
+++ b/crates/cli/src/files.rs
@@ -9,7 +9,7 @@
 use std::path::{Path, PathBuf};
 
 use grebepin_bundle::{parse_signing_key, SigningKey};
-use grebepin_schema::limits::MAXIMUM_BUNDLE_BYTES;
+use grebepin_schema::limits::MAX_BUNDLE_BYTES;
 use grebepin_schema::{Bundle, SignedBundle};
 use serde::Serialize;
 
@@ -17,11 +17,11 @@
 
 const PRIVATE_MODE: u32 = 0o600;
 const PUBLIC_MODE: u32 = 0o644;
-const MAXIMUM_KEY_BYTES: u64 = 4096;
+const MAX_KEY_BYTES: u64 = 4096;
 
 /// Reads a bundle file, signed or not.
 pub(crate) fn read_bundle(path: &Path) -> Result<SignedBundle, CliError> {
-    let bytes = read(path, MAXIMUM_BUNDLE_BYTES as u64)?;
+    let bytes = read(path, MAX_BUNDLE_BYTES as u64)?;
     let not_a_bundle = |source| CliError::NotABundle {
         path: path.to_owned(),
         source,
@@ -39,7 +39,7 @@
 
 /// Reads a file with a signing key.
 pub(crate) fn read_signing_key(path: &Path) -> Result<SigningKey, CliError> {
-    let bytes = read(path, MAXIMUM_KEY_BYTES)?;
+    let bytes = read(path, MAX_KEY_BYTES)?;
     let text = String::from_utf8_lossy(&bytes);
     parse_signing_key(&text).map_err(|source| CliError::Key {
         path: path.to_owned(),
--- a/crates/cli/src/replica_folder.rs
+++ b/crates/cli/src/replica_folder.rs
@@ -14,7 +14,7 @@
 use crate::files::{file_error, read};
 
 /// Largest file of a data folder that is read, in bytes.
-const MAXIMUM_FILE_BYTES: u64 = 4 << 30;
+const MAX_FILE_BYTES: u64 = 4 << 30;
 
 /// Persisted state of a replica.
 pub(crate) struct ReplicaFolder {
@@ -50,7 +50,7 @@
         let file = entry.path();
         if file.is_file() {
             let name = entry.file_name().to_string_lossy().into_owned();
-            disk.put(&name, read(&file, MAXIMUM_FILE_BYTES)?);
+            disk.put(&name, read(&file, MAX_FILE_BYTES)?);
         }
     }
     Ok(disk)
--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -23,7 +23,7 @@
         /// Number of entries or reads that are waiting.
         waiting: usize,
     },
-    /// The command exceeds [`crate::MAXIMUM_COMMAND_BYTES`].
+    /// The command exceeds [`crate::MAX_COMMAND_BYTES`].
     #[error("command of {bytes} bytes is over the limit of {limit}")]
     CommandTooLarge {
         /// Size of the command in bytes.
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -12,7 +12,7 @@
 use crate::core::{Consensus, State};
 use crate::error::{MembershipError, ProposeError};
 use crate::limits::{
-    MAXIMUM_COMMAND_BYTES, MAX_PENDING_READS, MAX_UNCOMMITTED_ENTRIES, RETAINED_DURING_TRANSFER,
+    MAX_COMMAND_BYTES, MAX_PENDING_READS, MAX_UNCOMMITTED_ENTRIES, RETAINED_DURING_TRANSFER,
     RETAINED_ENTRIES,
 };
 use crate::membership::{check_change, is_member};
@@ -223,10 +223,10 @@
     ) -> Result<(Term, LogIndex), ProposeError> {
         self.advance_clock(now);
         self.check_may_append()?;
-        if command.len() > MAXIMUM_COMMAND_BYTES {
+        if command.len() > MAX_COMMAND_BYTES {
             return Err(ProposeError::CommandTooLarge {
                 bytes: command.len(),
-                limit: MAXIMUM_COMMAND_BYTES,
+                limit: MAX_COMMAND_BYTES,
             });
         }
         let payload = EntryPayload::Command(Bytes(command));
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -29,5 +29,5 @@
 pub use crate::config::{Config, Guard, Guards};
 pub use crate::core::Consensus;
 pub use crate::error::{MembershipError, ProposeError};
-pub use crate::limits::MAXIMUM_COMMAND_BYTES;
+pub use crate::limits::MAX_COMMAND_BYTES;
 pub use crate::ready::{ReadId, Ready, Restored, Role};
--- a/crates/consensus/src/limits.rs
+++ b/crates/consensus/src/limits.rs
@@ -4,7 +4,7 @@
 
 /// Maximum size of a command, in bytes. An append request with one entry of this size fits in an internal
 /// frame.
-pub const MAXIMUM_COMMAND_BYTES: usize = 8 << 20;
+pub const MAX_COMMAND_BYTES: usize = 8 << 20;
 
 /// Maximum number of entries in one append request.
 pub(crate) const MAX_BATCH_ENTRIES: usize = 128;
@@ -48,7 +48,7 @@
 pub(crate) const RETAINED_DURING_TRANSFER: u64 = 8192;
 
 /// Maximum size of a snapshot that a replica accepts from a leader, in bytes.
-pub(crate) const MAXIMUM_SNAPSHOT_BYTES: u64 = 1 << 30;
+pub(crate) const MAX_SNAPSHOT_BYTES: u64 = 1 << 30;
 
 /// Maximum number of rounds whose send times a leader stores.
 pub(crate) const MAX_TRACKED_ROUNDS: usize = 4096;
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::core::Consensus;
-use crate::limits::MAXIMUM_SNAPSHOT_BYTES;
+use crate::limits::MAX_SNAPSHOT_BYTES;
 use crate::log::Snapshot;
 use crate::membership::MembershipHistory;
 use crate::progress::SnapshotTransfer;
@@ -63,7 +63,7 @@
         let index = request.meta.index;
         let plausible = index <= MAX_SNAPSHOT_INDEX
             && request.meta.term <= self.term
-            && request.total <= MAXIMUM_SNAPSHOT_BYTES;
+            && request.total <= MAX_SNAPSHOT_BYTES;
         if !plausible || !self.accept_leader(from) {
             return;
         }
--- a/crates/control/src/daemon/admin.rs
+++ b/crates/control/src/daemon/admin.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use grebepin_http::{serve, HttpRequest, HttpResponse, MessageError, ServerHooks, ServerOptions};
-use grebepin_schema::limits::MAXIMUM_BUNDLE_BYTES;
+use grebepin_schema::limits::MAX_BUNDLE_BYTES;
 use grebepin_schema::{ApiError, ApiErrorKind};
 use grebepin_telemetry::metrics::METRICS_CONTENT_TYPE;
 use serde::de::DeserializeOwned;
@@ -31,7 +31,7 @@
     connections: CONNECTION_LIMIT,
     maximum_head: 16 << 10,
     maximum_headers: 64,
-    maximum_body: MAXIMUM_BUNDLE_BYTES,
+    maximum_body: MAX_BUNDLE_BYTES,
     idle_timeout: Some(Duration::from_secs(10)),
     transfer_timeout: Duration::from_secs(10),
 };
--- a/crates/control/src/daemon/back_ends.rs
+++ b/crates/control/src/daemon/back_ends.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, Sender};
-use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
+use grebepin_schema::limits::MAX_BACK_END_MESSAGE_BYTES;
 use grebepin_schema::SocketAddress;
 use grebepin_telemetry::ControlMetrics;
 use serde::de::DeserializeOwned;
@@ -258,7 +258,7 @@
     if !answer.status().is_success() {
         return Err(CallFailure::BadAnswer);
     }
-    let limit = MAXIMUM_BACK_END_MESSAGE_BYTES as u64;
+    let limit = MAX_BACK_END_MESSAGE_BYTES as u64;
     let body = answer.body_mut().with_config().limit(limit).read_to_vec();
     body.map_err(|error| failure(&error))
 }
--- a/crates/control/src/daemon/platform.rs
+++ b/crates/control/src/daemon/platform.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::Receiver;
-use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
+use grebepin_schema::limits::MAX_BACK_END_MESSAGE_BYTES;
 use grebepin_schema::MachineList;
 use grebepin_telemetry::{event, Event};
 
@@ -49,7 +49,7 @@
 
 fn fetch(agent: &ureq::Agent, url: &str) -> Option<MachineList> {
     let mut answer = agent.get(url).call().ok()?;
-    let limit = MAXIMUM_BACK_END_MESSAGE_BYTES as u64;
+    let limit = MAX_BACK_END_MESSAGE_BYTES as u64;
     let body = answer.body_mut().with_config().limit(limit).read_to_vec();
     serde_json::from_slice(&body.ok()?).ok()
 }
--- a/crates/control/src/node/members.rs
+++ b/crates/control/src/node/members.rs
@@ -20,7 +20,7 @@
 use super::ControlNode;
 
 /// Maximum number of members of a group, voters and learners together.
-const MAXIMUM_MEMBERS: usize = 15;
+const MAX_MEMBERS: usize = 15;
 
 impl<D: Disk> ControlNode<D> {
     pub(super) fn handle_join(&mut self, now: Duration, request: JoinRequest) {
@@ -49,8 +49,8 @@
             return Some(JoinResponse::Refused(text));
         }
         if self.member(request.member.replica).is_none() {
-            if self.consensus.membership().members.len() >= MAXIMUM_MEMBERS {
-                let text = format!("the group has {MAXIMUM_MEMBERS} members already");
+            if self.consensus.membership().members.len() >= MAX_MEMBERS {
+                let text = format!("the group has {MAX_MEMBERS} members already");
                 return Some(JoinResponse::Refused(text));
             }
             self.add_learner(now, request.member);
--- a/crates/control/src/node/replication.rs
+++ b/crates/control/src/node/replication.rs
@@ -20,12 +20,12 @@
 use super::ControlNode;
 
 /// Maximum rounds per call, so that the call returns even if each round produces more work.
-const MAXIMUM_ROUNDS: usize = 8;
+const MAX_ROUNDS: usize = 8;
 
 impl<D: Disk> ControlNode<D> {
-    /// Processes consensus output until none is left or [`MAXIMUM_ROUNDS`] is reached.
+    /// Processes consensus output until none is left or [`MAX_ROUNDS`] is reached.
     pub(super) fn advance(&mut self, now: Duration) -> Result<(), NodeError> {
-        for _ in 0..MAXIMUM_ROUNDS {
+        for _ in 0..MAX_ROUNDS {
             self.update_leadership(now);
             self.update_membership(now);
             let ready = self.consensus.ready();
--- a/crates/directory/src/node/membership.rs
+++ b/crates/directory/src/node/membership.rs
@@ -19,7 +19,7 @@
 
 /// Maximum number of members, voters and learners together. It bounds the number of replicas that one leader
 /// sends to and is well above the number of control machines of any planned deployment.
-const MAXIMUM_MEMBERS: usize = 128;
+const MAX_MEMBERS: usize = 128;
 
 /// Time without contact after which a learner is removed from the membership.
 const LEARNER_REMOVAL_DELAY: Duration = Duration::from_secs(20);
@@ -253,7 +253,7 @@
             .pending_members
             .first_key_value()?;
         let next = members::admission_step(membership, pending.clone());
-        (next.members.len() <= MAXIMUM_MEMBERS).then_some(next)
+        (next.members.len() <= MAX_MEMBERS).then_some(next)
     }
 
     fn without_lost_learner(&self, now: Duration) -> Option<Membership> {
--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -34,7 +34,7 @@
 pub const DEFAULT_DRAIN_S: f64 = 2.0;
 
 /// Maximum number of voters: with more, each commit waits for too many disks.
-const MAXIMUM_VOTERS: usize = 15;
+const MAX_VOTERS: usize = 15;
 
 /// Why settings cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -147,7 +147,7 @@
         check_optional("lease_s", self.lease_s)?;
         check_optional("bounds.evacuation_s", self.bounds.evacuation_s)?;
         check_positive("link_mbps", self.link_mbps)?;
-        if self.fault_tolerance.wanted_voters() > MAXIMUM_VOTERS {
+        if self.fault_tolerance.wanted_voters() > MAX_VOTERS {
             return Err(value(
                 "fault_tolerance",
                 "must not require more than 15 voters",
--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -13,10 +13,10 @@
 const MINIMUM_DELAY: Duration = Duration::from_millis(20);
 
 /// Longest delay. In this time a queue of ten requests of 160 ms each on two slots drains twice.
-const MAXIMUM_DELAY: Duration = Duration::from_millis(1_500);
+const MAX_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Number of doublings after which the delay no longer grows.
-const MAXIMUM_EXPONENT: u32 = 6;
+const MAX_EXPONENT: u32 = 6;
 
 /// Consecutive requests of this gateway that one server has shed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -38,8 +38,8 @@
     /// Time after which the server is likely to accept a request. `per_slot` is the mean time until the
     /// server finishes a request and has capacity for the next.
     pub fn delay(&self, per_slot: Duration) -> Duration {
-        let doublings = self.consecutive.saturating_sub(1).min(MAXIMUM_EXPONENT);
-        exponential_delay(per_slot, doublings, MAXIMUM_DELAY).max(MINIMUM_DELAY)
+        let doublings = self.consecutive.saturating_sub(1).min(MAX_EXPONENT);
+        exponential_delay(per_slot, doublings, MAX_DELAY).max(MINIMUM_DELAY)
     }
 }
 
--- a/crates/gateway/src/client_retries.rs
+++ b/crates/gateway/src/client_retries.rs
@@ -15,7 +15,7 @@
 const RELEARN_AFTER: Duration = Duration::from_secs(60);
 
 /// Maximum number of routes kept. All are discarded when there are more.
-const MAXIMUM_ROUTES: usize = 4_096;
+const MAX_ROUTES: usize = 4_096;
 
 /// The longest time stated on a route since `since`.
 #[derive(Clone, Copy, Debug)]
@@ -43,7 +43,7 @@
     }
 
     fn relearn(&mut self, now: Duration, route: &str, stated: Duration) {
-        if self.by_route.len() >= MAXIMUM_ROUTES {
+        if self.by_route.len() >= MAX_ROUTES {
             self.by_route.clear();
         }
         let longest = Longest { stated, since: now };
--- a/crates/gateway/src/crash_history.rs
+++ b/crates/gateway/src/crash_history.rs
@@ -19,7 +19,7 @@
 const RETENTION: Duration = Duration::from_secs(120);
 
 /// Maximum number of crashes kept; the oldest is dropped first.
-const MAXIMUM_CRASHES: usize = 32;
+const MAX_CRASHES: usize = 32;
 
 /// Fingerprint of a request: a hash of everything that determines the work of a server (method, host, target,
 /// shard key, body), and of nothing that changes between two attempts, such as the request id or the
@@ -62,7 +62,7 @@
         if self.crashes.iter().any(is_same) {
             return;
         }
-        if self.crashes.len() == MAXIMUM_CRASHES {
+        if self.crashes.len() == MAX_CRASHES {
             self.crashes.pop_front();
         }
         self.crashes.push_back(Crash {
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -55,7 +55,7 @@
 const RESERVED_DESCRIPTORS: usize = 250;
 
 /// Largest request body that is buffered; the configuration can only lower this limit.
-const MAXIMUM_BODY_BYTES: u64 = 32 << 20;
+const MAX_BODY_BYTES: u64 = 32 << 20;
 
 /// Limit on request heads until the first configuration arrives.
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
@@ -389,11 +389,11 @@
         match self.table.limits() {
             Some(limits) => RequestLimits {
                 head_bytes: limits.header_bytes as usize,
-                body_bytes: limits.body_bytes.min(MAXIMUM_BODY_BYTES),
+                body_bytes: limits.body_bytes.min(MAX_BODY_BYTES),
             },
             None => RequestLimits {
                 head_bytes: DEFAULT_HEAD_BYTES,
-                body_bytes: MAXIMUM_BODY_BYTES,
+                body_bytes: MAX_BODY_BYTES,
             },
         }
     }
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -12,13 +12,13 @@
 
 /// Bounds of a limit.
 const MINIMUM_LIMIT: f64 = 0.2;
-const MAXIMUM_LIMIT: f64 = 32.0;
+const MAX_LIMIT: f64 = 32.0;
 
 /// Requests for each slot that all gateways together may have at a server that has not responded yet.
 const INITIAL_PER_SLOT: f64 = 6.0;
 
 /// Largest initial limit of one gateway.
-const MAXIMUM_INITIAL_LIMIT: f64 = 4.0;
+const MAX_INITIAL_LIMIT: f64 = 4.0;
 
 /// Increase of a limit of at least one after as many fast responses as the limit allows requests at once.
 const GROWTH_PER_ROUND: f64 = 0.5;
@@ -36,7 +36,7 @@
 /// Initial limit of one of `gateways` at a server with `slots` slots, which all gateways share.
 pub fn initial_limit(slots: u32, gateways: u32) -> f64 {
     let total = INITIAL_PER_SLOT * f64::from(slots);
-    (total / f64::from(gateways.max(1))).clamp(1.0, MAXIMUM_INITIAL_LIMIT)
+    (total / f64::from(gateways.max(1))).clamp(1.0, MAX_INITIAL_LIMIT)
 }
 
 /// One gateway's concurrency limit at one server.
@@ -103,7 +103,7 @@
             true => self.limit + GROWTH_PER_ROUND / self.limit,
             false => self.limit * GROWTH_BELOW_ONE,
         };
-        self.limit = grown.min(MAXIMUM_LIMIT);
+        self.limit = grown.min(MAX_LIMIT);
     }
 
     /// Records a response later than the target latency.
--- a/crates/gateway/src/load_balancer.rs
+++ b/crates/gateway/src/load_balancer.rs
@@ -43,7 +43,7 @@
 
 /// Shortest and longest ejection of a server that could not be reached.
 const INITIAL_EJECTION: Duration = Duration::from_millis(300);
-const MAXIMUM_EJECTION: Duration = Duration::from_secs(4);
+const MAX_EJECTION: Duration = Duration::from_secs(4);
 
 /// Fraction of the target latency within which a response raises the concurrency limit.
 const FAST_FRACTION: f64 = 0.7;
@@ -225,8 +225,7 @@
     /// that doubles with each failure in a row, and returns that time.
     pub fn connection_failed(&mut self, id: &InstanceId, now: Duration) -> Duration {
         let endpoint = self.endpoint(id);
-        let ejection =
-            exponential_delay(INITIAL_EJECTION, endpoint.failures.min(8), MAXIMUM_EJECTION);
+        let ejection = exponential_delay(INITIAL_EJECTION, endpoint.failures.min(8), MAX_EJECTION);
         endpoint.failures += 1;
         endpoint.ejected_until = now + ejection;
         ejection
--- a/crates/gateway/src/rate_turns.rs
+++ b/crates/gateway/src/rate_turns.rs
@@ -31,8 +31,8 @@
     /// `open`, but no longer than its period.
     pub fn shared(per_second: f64, gateways: u32, open: Duration) -> Self {
         let seconds = f64::from(gateways.max(1)) / per_second;
-        let period = Duration::try_from_secs_f64(seconds).unwrap_or(MAXIMUM_PERIOD);
-        let period = period.min(MAXIMUM_PERIOD);
+        let period = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_PERIOD);
+        let period = period.min(MAX_PERIOD);
         Self {
             period,
             open: open.min(period),
@@ -41,7 +41,7 @@
 }
 
 /// Longest period, so that sums of times stay in range.
-const MAXIMUM_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
+const MAX_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// State of the turns at one server.
 #[derive(Clone, Copy, Debug)]
--- a/crates/gateway/src/statement.rs
+++ b/crates/gateway/src/statement.rs
@@ -13,7 +13,7 @@
 const RETRY_AFTER: &str = "Retry-After";
 
 /// Longest accepted value; a longer one is taken for a mistake and ignored.
-const MAXIMUM_RETRY_AFTER: Duration = Duration::from_secs(86_400);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(86_400);
 
 /// What a response states about the rate limit of its server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,7 +49,7 @@
         };
         let retry_after = retry_after.and_then(|seconds| {
             let time = Duration::try_from_secs_f64(seconds).ok();
-            let time = time.filter(|time| *time <= MAXIMUM_RETRY_AFTER);
+            let time = time.filter(|time| *time <= MAX_RETRY_AFTER);
             if time.is_none() {
                 unusable.push(RETRY_AFTER);
             }
--- a/crates/gateway/tests/cooldown_simulation/mod.rs
+++ b/crates/gateway/tests/cooldown_simulation/mod.rs
@@ -23,11 +23,11 @@
 
 /// Longest time for which a gateway holds a request, and fraction of its caller's remaining time after which
 /// a caller may retry that was refused because the gateway's limit was reached.
-const MAXIMUM_HOLD: Duration = Duration::from_millis(60);
+const MAX_HOLD: Duration = Duration::from_millis(60);
 const RETRY_FRACTION: f64 = 0.33;
 
 /// Maximum attempts of a caller.
-const MAXIMUM_ATTEMPTS: u32 = 4;
+const MAX_ATTEMPTS: u32 = 4;
 
 /// How gateways handle a cooldown.
 #[derive(Clone, Copy, Debug)]
@@ -169,7 +169,7 @@
             Event::Arrives(caller) => {
                 self.callers[caller].attempts += 1;
                 self.callers[caller].gateway = self.random.random_range(0..self.scenario.gateways);
-                self.dispatch(now, caller, now + MAXIMUM_HOLD);
+                self.dispatch(now, caller, now + MAX_HOLD);
             }
             Event::ChecksAgain(caller, until) => self.dispatch(now, caller, until),
             Event::Done(caller) => self.done(now, caller),
@@ -189,10 +189,7 @@
             return self.refuse(now, caller, client_retry_after.unwrap_or(left));
         }
         if !gateway.limit.has_room(now) {
-            let next = gateway
-                .limit
-                .opens_at(now)
-                .unwrap_or(now + MAXIMUM_HOLD / 6);
+            let next = gateway.limit.opens_at(now).unwrap_or(now + MAX_HOLD / 6);
             match next < until {
                 true => self.schedule(next, Event::ChecksAgain(caller, until)),
                 false => {
@@ -279,7 +276,7 @@
             false => left.mul_f64(RETRY_FRACTION),
         };
         let pause = after.min(left.mul_f64(self.scenario.obeyed_fraction));
-        if self.callers[caller].attempts < MAXIMUM_ATTEMPTS && pause < left {
+        if self.callers[caller].attempts < MAX_ATTEMPTS && pause < left {
             self.schedule(now + pause, Event::Arrives(caller));
         }
     }
--- a/crates/holder/src/config.rs
+++ b/crates/holder/src/config.rs
@@ -5,10 +5,10 @@
 use crate::Guards;
 
 /// Longest lease duration; a longer one in a renewal is shortened to it.
-pub const MAXIMUM_LEASE: Duration = Duration::from_secs(60);
+pub const MAX_LEASE: Duration = Duration::from_secs(60);
 
 /// Control groups of which one server keeps leases; heartbeats of further groups give no lease.
-pub const MAXIMUM_GROUPS: usize = 64;
+pub const MAX_GROUPS: usize = 64;
 
 /// Bounds and durations of a [`Holder`](crate::Holder).
 #[derive(Clone, Debug)]
--- a/crates/holder/src/headers.rs
+++ b/crates/holder/src/headers.rs
@@ -29,7 +29,7 @@
 pub const RAN_EARLIER: &str = "Grebepin-Ran-Earlier";
 
 /// Longest key in bytes.
-pub const MAXIMUM_KEY_BYTES: usize = 1024;
+pub const MAX_KEY_BYTES: usize = 1024;
 
 /// A request from a router, as described by its headers.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,7 +40,7 @@
     pub shard: ShardId,
     /// Epoch of the shard in the router's routing data.
     pub epoch: Epoch,
-    /// Key, of 1 to [`MAXIMUM_KEY_BYTES`] bytes.
+    /// Key, of 1 to [`MAX_KEY_BYTES`] bytes.
     pub key: String,
     /// Identifier chosen by the caller, the same for all attempts.
     pub request_id: RequestId,
@@ -72,7 +72,7 @@
         header: impl Fn(&'static str) -> Option<&'a str>,
     ) -> Result<Self, HeaderError> {
         let key = required(&header, KEY)?;
-        if key.is_empty() || key.len() > MAXIMUM_KEY_BYTES {
+        if key.is_empty() || key.len() > MAX_KEY_BYTES {
             return Err(HeaderError::Invalid(KEY));
         }
         let request = Self {
--- a/crates/holder/src/holder.rs
+++ b/crates/holder/src/holder.rs
@@ -10,13 +10,13 @@
     ShardKey,
 };
 
-use crate::config::MAXIMUM_GROUPS;
+use crate::config::MAX_GROUPS;
 use crate::lease::GroupLease;
 use crate::record::{Counts, Record};
 use crate::HolderConfig;
 
 /// Most changes kept for [`Holder::take_changes`]; further ones are dropped.
-const MAXIMUM_CHANGES: usize = 1 << 20;
+const MAX_CHANGES: usize = 1 << 20;
 
 /// State of one shard that the server holds or has held since its start.
 #[derive(Debug)]
@@ -187,7 +187,7 @@
     }
 
     /// Answers a heartbeat and applies the lease renewal in it. A heartbeat with an old term, or for
-    /// a group above [`MAXIMUM_GROUPS`], gets the nonce 0 and renews nothing.
+    /// a group above [`MAX_GROUPS`], gets the nonce 0 and renews nothing.
     pub fn heartbeat(&mut self, now: Duration, request: &HeartbeatRequest) -> HeartbeatAnswer {
         self.expire_leases(now);
         let guards = self.config.guards;
@@ -246,7 +246,7 @@
     /// Stores the group's term; `false` for an old term, or for a group above the bound.
     pub(crate) fn accept_term(&mut self, group: GroupId, term: grebepin_schema::Term) -> bool {
         let first_session = Session(self.config.boot);
-        if !self.groups.contains_key(&group) && self.groups.len() >= MAXIMUM_GROUPS {
+        if !self.groups.contains_key(&group) && self.groups.len() >= MAX_GROUPS {
             return false;
         }
         let lease = self.groups.entry(group);
@@ -360,7 +360,7 @@
     }
 
     fn report(&mut self, at: Duration, kind: HoldingChangeKind, shard: HeldShard) {
-        if self.config.report_changes && self.changes.len() < MAXIMUM_CHANGES {
+        if self.config.report_changes && self.changes.len() < MAX_CHANGES {
             self.changes.push(HoldingChange { at, kind, shard });
         }
     }
--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -8,7 +8,7 @@
 
 use grebepin_schema::{LeaseRenewal, Nonce, Session, Term};
 
-use crate::config::MAXIMUM_LEASE;
+use crate::config::MAX_LEASE;
 use crate::guards::{Guard, Guards};
 
 /// Nonces that a server keeps; a renewal with an older one has no effect.
@@ -87,7 +87,7 @@
         let Some(issued) = self.issued_at(now, renewal.nonce, guards) else {
             return false;
         };
-        let duration = Duration::from_millis(renewal.duration_ms).min(MAXIMUM_LEASE);
+        let duration = Duration::from_millis(renewal.duration_ms).min(MAX_LEASE);
         let expires_at = issued + duration;
         if expires_at <= now {
             return false;
--- a/crates/holder/src/lib.rs
+++ b/crates/holder/src/lib.rs
@@ -15,7 +15,7 @@
 mod record;
 mod requests;
 
-pub use config::{HolderConfig, MAXIMUM_GROUPS, MAXIMUM_LEASE};
+pub use config::{HolderConfig, MAX_GROUPS, MAX_LEASE};
 pub use guards::{Guard, Guards};
 pub use headers::{HeaderError, Request};
 pub use holder::{Holder, HoldingChange, HoldingChangeKind};
--- a/crates/holder/tests/leases.rs
+++ b/crates/holder/tests/leases.rs
@@ -4,7 +4,7 @@
 
 use common::{held, key, ms, previous, request, Server, BOOT, GROUP, LEASE_MS};
 use grebepin_holder::{
-    Effect, Guard, Guards, HolderConfig, HoldingChange, HoldingChangeKind, MAXIMUM_GROUPS,
+    Effect, Guard, Guards, HolderConfig, HoldingChange, HoldingChangeKind, MAX_GROUPS,
 };
 use grebepin_schema::hashing::shard_hash;
 use grebepin_schema::{
@@ -156,7 +156,7 @@
     let leased = (0..200)
         .filter(|group| server.holder.heartbeat(ms(1), &heartbeat(*group)).nonce != Nonce(0));
     // Group 1 has seen a higher term than the one in these heartbeats.
-    assert_eq!(leased.count(), MAXIMUM_GROUPS - 1);
+    assert_eq!(leased.count(), MAX_GROUPS - 1);
 }
 
 #[test]
--- a/crates/ownership/src/coordinator/load.rs
+++ b/crates/ownership/src/coordinator/load.rs
@@ -38,7 +38,7 @@
 const MINIMUM_BUSY_US: u64 = 200_000;
 
 /// Most shards counted in one window.
-const MAXIMUM_SHARDS: usize = 16_384;
+const MAX_SHARDS: usize = 16_384;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct ServerCount {
@@ -108,7 +108,7 @@
         }
         for load in &report.shards {
             let known = state.owner(&load.service, load.shard).is_some();
-            if window.shard_count >= MAXIMUM_SHARDS || !known {
+            if window.shard_count >= MAX_SHARDS || !known {
                 continue;
             }
             let shards = window.shards.entry(load.service.clone()).or_default();
--- a/crates/ownership/src/coordinator/supervise.rs
+++ b/crates/ownership/src/coordinator/supervise.rs
@@ -19,7 +19,7 @@
 const ASSIGNMENTS_PER_COMMAND: usize = 2_048;
 
 /// Most assignments that are proposed and not applied yet.
-const MAXIMUM_PENDING: usize = 16_384;
+const MAX_PENDING: usize = 16_384;
 
 /// Shards of a draining server that may always move concurrently, regardless of the churn limits.
 const MINIMUM_DRAIN_MOVES: usize = 64;
@@ -272,7 +272,7 @@
     }
 
     fn has_room(&self, in_batch: usize) -> Option<usize> {
-        MAXIMUM_PENDING
+        MAX_PENDING
             .checked_sub(self.pending.len() + in_batch)
             .filter(|remaining| *remaining > 0)
     }
--- a/crates/ownership/src/state/changes.rs
+++ b/crates/ownership/src/state/changes.rs
@@ -1,6 +1,6 @@
 //! Recent changes of the routing table, kept so that routers can get deltas.
 //!
-//! Invariant: every change after `floor` is kept, and at most [`MAXIMUM_CHANGES`] changes in total.
+//! Invariant: every change after `floor` is kept, and at most [`MAX_CHANGES`] changes in total.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -9,7 +9,7 @@
 use super::servers::ServerIndex;
 
 /// Most changes of shards and standings kept; a router further behind gets the whole table.
-const MAXIMUM_CHANGES: usize = 65_536;
+const MAX_CHANGES: usize = 65_536;
 
 /// Changes of one log entry.
 #[derive(Clone, Debug, Default)]
@@ -73,7 +73,7 @@
     pub fn push(&mut self, changes: EntryChanges) {
         self.kept += changes.size();
         self.entries.push_back(changes);
-        while self.kept > MAXIMUM_CHANGES {
+        while self.kept > MAX_CHANGES {
             let Some(oldest) = self.entries.pop_front() else {
                 return;
             };
--- a/crates/reactor/src/frames.rs
+++ b/crates/reactor/src/frames.rs
@@ -6,13 +6,13 @@
 const PREFIX_BYTES: usize = 4;
 
 /// Largest frame that is sent or accepted, in bytes.
-pub const MAXIMUM_FRAME_BYTES: usize = 64 << 20;
+pub const MAX_FRAME_BYTES: usize = 64 << 20;
 
 /// Why a frame can't be encoded or decoded.
 #[derive(Debug, thiserror::Error)]
 pub enum FrameError {
-    /// The frame is larger than [`MAXIMUM_FRAME_BYTES`].
-    #[error("frame of {bytes} bytes is over the limit of {MAXIMUM_FRAME_BYTES}")]
+    /// The frame is larger than [`MAX_FRAME_BYTES`].
+    #[error("frame of {bytes} bytes is over the limit of {MAX_FRAME_BYTES}")]
     TooLong {
         /// Length of the frame.
         bytes: usize,
@@ -37,7 +37,7 @@
         return Err(error.into());
     }
     let bytes = out.len() - start - PREFIX_BYTES;
-    if bytes > MAXIMUM_FRAME_BYTES {
+    if bytes > MAX_FRAME_BYTES {
         out.truncate(start);
         return Err(FrameError::TooLong { bytes });
     }
@@ -54,7 +54,7 @@
         return Ok(None);
     };
     let bytes = u32::from_be_bytes(*prefix) as usize;
-    if bytes > MAXIMUM_FRAME_BYTES {
+    if bytes > MAX_FRAME_BYTES {
         return Err(FrameError::TooLong { bytes });
     }
     let end = PREFIX_BYTES + bytes;
--- a/crates/reactor/src/http/body.rs
+++ b/crates/reactor/src/http/body.rs
@@ -1,7 +1,7 @@
 //! Message bodies: with a length, chunked, or delimited by the end of the connection.
 
 /// Longest line of a chunk size or a trailer.
-const MAXIMUM_LINE_BYTES: usize = 4_096;
+const MAX_LINE_BYTES: usize = 4_096;
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,7 +154,7 @@
 /// `used`.
 fn take_line<'a>(bytes: &'a [u8], used: &mut usize) -> Result<Option<&'a [u8]>, BodyError> {
     let Some(end) = bytes.iter().position(|byte| *byte == b'\n') else {
-        return match bytes.len() > MAXIMUM_LINE_BYTES {
+        return match bytes.len() > MAX_LINE_BYTES {
             true => Err(BodyError::MalformedChunk),
             false => Ok(None),
         };
--- a/crates/reactor/src/http/fields.rs
+++ b/crates/reactor/src/http/fields.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 
 /// Largest number of header fields in a message.
-pub(super) const MAXIMUM_FIELDS: usize = 100;
+pub(super) const MAX_FIELDS: usize = 100;
 
 /// Hop-by-hop fields and those that describe the framing; they are never forwarded.
 const CONNECTION_FIELDS: [&str; 9] = [
--- a/crates/reactor/src/http/request.rs
+++ b/crates/reactor/src/http/request.rs
@@ -1,7 +1,7 @@
 //! Parser of requests.
 
 use super::body::{BodyError, BodyReader, Framing};
-use super::fields::{Fields, MAXIMUM_FIELDS};
+use super::fields::{Fields, MAX_FIELDS};
 
 /// Limits on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,7 +110,7 @@
     if buffer.is_empty() {
         return Ok(None);
     }
-    let mut fields = [httparse::EMPTY_HEADER; MAXIMUM_FIELDS];
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Request::new(&mut fields);
     let status = match parsed.parse(buffer) {
         Ok(status) => status,
--- a/crates/reactor/src/http/response.rs
+++ b/crates/reactor/src/http/response.rs
@@ -1,11 +1,11 @@
 //! Parser of responses.
 
 use super::body::{BodyError, BodyReader, Framing};
-use super::fields::{Fields, MAXIMUM_FIELDS};
+use super::fields::{Fields, MAX_FIELDS};
 use super::request::stated_length;
 
 /// Largest head of a response in bytes.
-const MAXIMUM_HEAD_BYTES: usize = 64 << 10;
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// A complete response.
 #[derive(Clone, Debug)]
@@ -110,14 +110,14 @@
     if buffer.is_empty() {
         return Ok(None);
     }
-    let mut fields = [httparse::EMPTY_HEADER; MAXIMUM_FIELDS];
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Response::new(&mut fields);
     let status = parsed
         .parse(buffer)
         .map_err(|_| BadResponse::MalformedHead)?;
     let length = match status {
         httparse::Status::Complete(length) => length,
-        httparse::Status::Partial if buffer.len() <= MAXIMUM_HEAD_BYTES => return Ok(None),
+        httparse::Status::Partial if buffer.len() <= MAX_HEAD_BYTES => return Ok(None),
         httparse::Status::Partial => return Err(BadResponse::MalformedHead),
     };
     let fields = Fields::from_parsed(parsed.headers);
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -16,5 +16,5 @@
 pub use compression::{compress, decompress};
 pub use connection::{Connection, ReadOutcome};
 pub use deadlines::Deadlines;
-pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAXIMUM_FRAME_BYTES};
+pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAX_FRAME_BYTES};
 pub use text_server::{TextResponse, TextServer};
--- a/crates/reactor/tests/frames.rs
+++ b/crates/reactor/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Frames: complete, fragmented, too large, and malformed.
 
-use grebepin_reactor::{encode_frame, take_frame, FrameError, MAXIMUM_FRAME_BYTES};
+use grebepin_reactor::{encode_frame, take_frame, FrameError, MAX_FRAME_BYTES};
 
 #[test]
 fn frames_round_trip_however_they_are_fragmented() {
@@ -20,7 +20,7 @@
 
 #[test]
 fn a_frame_over_the_limit_is_rejected_by_its_length_prefix() {
-    let mut buffer = ((MAXIMUM_FRAME_BYTES + 1) as u32).to_be_bytes().to_vec();
+    let mut buffer = ((MAX_FRAME_BYTES + 1) as u32).to_be_bytes().to_vec();
     let refused = take_frame::<String>(&mut buffer);
     assert!(matches!(refused, Err(FrameError::TooLong { .. })));
 }
--- a/crates/schema/src/framing.rs
+++ b/crates/schema/src/framing.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use crate::limits::MAXIMUM_FRAME_BYTES;
+use crate::limits::MAX_FRAME_BYTES;
 
 const LENGTH_PREFIX_BYTES: usize = 4;
 
@@ -21,7 +21,7 @@
     #[error("connection closed by the peer")]
     Closed,
     /// The frame is longer than the limit.
-    #[error("frame of {bytes} bytes is over the limit of {MAXIMUM_FRAME_BYTES}")]
+    #[error("frame of {bytes} bytes is over the limit of {MAX_FRAME_BYTES}")]
     TooLong {
         /// Length of the frame in bytes, without its prefix.
         bytes: usize,
@@ -41,7 +41,7 @@
 
 /// Decodes a MessagePack value. Invalid bytes return an error and never cause a panic.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
-    if bytes.len() > MAXIMUM_FRAME_BYTES {
+    if bytes.len() > MAX_FRAME_BYTES {
         return Err(FrameError::TooLong { bytes: bytes.len() });
     }
     Ok(rmp_serde::from_slice(bytes)?)
@@ -50,7 +50,7 @@
 /// Writes one frame and flushes the writer. Returns the size of the frame in bytes, including the prefix.
 pub fn write_frame<T: Serialize>(writer: &mut impl Write, value: &T) -> Result<usize, FrameError> {
     let body = encode(value)?;
-    if body.len() > MAXIMUM_FRAME_BYTES {
+    if body.len() > MAX_FRAME_BYTES {
         return Err(FrameError::TooLong { bytes: body.len() });
     }
     let mut frame = Vec::with_capacity(LENGTH_PREFIX_BYTES + body.len());
@@ -72,7 +72,7 @@
     }
     reader.read_exact(&mut prefix[1..])?;
     let length = u32::from_be_bytes(prefix) as usize;
-    if length > MAXIMUM_FRAME_BYTES {
+    if length > MAX_FRAME_BYTES {
         return Err(FrameError::TooLong { bytes: length });
     }
     let mut body = Vec::new();
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -1,7 +1,7 @@
 //! Types of all messages and settings files, generated from `schema/*.json`, the framing of the internal
 //! protocol, and size limits.
 //!
-//! Invariant: decoding never panics, and a frame longer than [`limits::MAXIMUM_FRAME_BYTES`] is rejected
+//! Invariant: decoding never panics, and a frame longer than [`limits::MAX_FRAME_BYTES`] is rejected
 //! before memory is allocated for it.
 
 pub mod framing;
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -15,7 +15,7 @@
 pub use timing::ControlTiming;
 
 /// Maximum number of other replicas in a settings file.
-const MAXIMUM_PEERS: usize = 14;
+const MAX_PEERS: usize = 14;
 
 /// Validated settings of one control replica.
 #[derive(Clone, Debug, PartialEq)]
@@ -124,5 +124,5 @@
         problems.push("peers", ProblemKind::Duplicate { value });
     }
     let peers = settings.peers.len() as u64;
-    problems.check_range("peers", peers, 0, MAXIMUM_PEERS as u64);
+    problems.check_range("peers", peers, 0, MAX_PEERS as u64);
 }
--- a/crates/settings/src/control/operators.rs
+++ b/crates/settings/src/control/operators.rs
@@ -6,7 +6,7 @@
 use crate::error::ProblemKind;
 use crate::problems::Problems;
 
-const MAXIMUM_SIGNATURES: u64 = 100;
+const MAX_SIGNATURES: u64 = 100;
 
 /// Reports duplicate names and keys, invalid public keys, and a number of required sign-offs that is out of
 /// range or greater than the number of operators.
@@ -25,7 +25,7 @@
         }
     }
     let field = "required_signatures";
-    problems.check_range(field, required.into(), 1, MAXIMUM_SIGNATURES);
+    problems.check_range(field, required.into(), 1, MAX_SIGNATURES);
     if required as usize > operators.len() {
         let operators = operators.len();
         let kind = ProblemKind::TooFewOperators {
--- a/crates/settings/src/file.rs
+++ b/crates/settings/src/file.rs
@@ -7,7 +7,7 @@
 use crate::error::SettingsError;
 
 /// Maximum size of a settings file in bytes.
-const MAXIMUM_SETTINGS_BYTES: u64 = 1 << 20;
+const MAX_SETTINGS_BYTES: u64 = 1 << 20;
 
 /// Suffix of the names of fields that hold a time; their values are whole numbers of milliseconds.
 const TIME_SUFFIX: &str = "_ms";
@@ -18,8 +18,8 @@
         source,
     };
     let size = std::fs::metadata(path).map_err(unreadable)?.len();
-    if size > MAXIMUM_SETTINGS_BYTES {
-        let message = format!("{size} bytes are over the limit of {MAXIMUM_SETTINGS_BYTES}");
+    if size > MAX_SETTINGS_BYTES {
+        let message = format!("{size} bytes are over the limit of {MAX_SETTINGS_BYTES}");
         return Err(malformed(path, None, message));
     }
     std::fs::read_to_string(path).map_err(unreadable)
--- a/crates/standin/src/back_end/faults.rs
+++ b/crates/standin/src/back_end/faults.rs
@@ -9,7 +9,7 @@
 use crate::lock;
 
 /// Maximum duration of a freeze.
-const MAXIMUM_FREEZE: Duration = Duration::from_secs(600);
+const MAX_FREEZE: Duration = Duration::from_secs(600);
 
 /// Injected faults of one server.
 #[derive(Debug)]
@@ -30,7 +30,7 @@
 
     /// Freezes the server for `time` from now. Zero ends a freeze.
     pub(crate) fn freeze(&self, time: Duration) {
-        let until = Instant::now() + time.min(MAXIMUM_FREEZE);
+        let until = Instant::now() + time.min(MAX_FREEZE);
         *lock(&self.frozen_until) = Some(until);
         self.unfrozen.notify_all();
     }
--- a/crates/standin/src/back_end/handover.rs
+++ b/crates/standin/src/back_end/handover.rs
@@ -9,7 +9,7 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use grebepin_holder::HandoverFetch;
-use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
+use grebepin_schema::limits::MAX_BACK_END_MESSAGE_BYTES;
 use grebepin_schema::{HandoverAnswer, SocketAddress};
 
 use super::node::Node;
@@ -158,7 +158,7 @@
             fetch.previous.epoch.0
         );
         let mut response = self.agent.get(url).call().ok()?;
-        let limit = MAXIMUM_BACK_END_MESSAGE_BYTES as u64;
+        let limit = MAX_BACK_END_MESSAGE_BYTES as u64;
         let body = response
             .body_mut()
             .with_config()
--- a/crates/standin/src/back_end/mod.rs
+++ b/crates/standin/src/back_end/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 
 use grebepin_holder::Guards;
-use grebepin_schema::limits::MAXIMUM_BACK_END_MESSAGE_BYTES;
+use grebepin_schema::limits::MAX_BACK_END_MESSAGE_BYTES;
 use grebepin_schema::HistoryEvent;
 use grebepin_telemetry::{event, Event};
 
@@ -89,7 +89,7 @@
         stop::start_ticker(&node).map_err(BackEndError::Start)?;
         let options = ServerOptions {
             connections: arguments.connections,
-            maximum_body: MAXIMUM_BACK_END_MESSAGE_BYTES,
+            maximum_body: MAX_BACK_END_MESSAGE_BYTES,
             ..ServerOptions::default()
         };
         let server = HttpServer::start(listener, options, node).map_err(BackEndError::Start)?;
--- a/crates/standin/src/back_end/serving.rs
+++ b/crates/standin/src/back_end/serving.rs
@@ -14,7 +14,7 @@
 use crate::{lock, milliseconds};
 
 /// Upper bound on the service time, for any distribution and any `work_ms` of a request.
-const MAXIMUM_SERVICE_TIME: Duration = Duration::from_secs(60);
+const MAX_SERVICE_TIME: Duration = Duration::from_secs(60);
 
 /// Body of an answer of the simulated back end.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -133,7 +133,7 @@
             ServiceDistribution::Uniform => mean * (0.5 + sample),
             ServiceDistribution::Exponential => mean * -(1.0 - sample).ln(),
         };
-        milliseconds(time).min(MAXIMUM_SERVICE_TIME)
+        milliseconds(time).min(MAX_SERVICE_TIME)
     }
 
     fn effect_record(&self, request: &Request) -> EffectRecord {
--- a/crates/standin/src/back_end/slots.rs
+++ b/crates/standin/src/back_end/slots.rs
@@ -9,7 +9,7 @@
 use crate::lock;
 
 /// Number of past load samples that are kept for delayed load reports.
-const MAXIMUM_SAMPLES: usize = 4096;
+const MAX_SAMPLES: usize = 4096;
 
 /// Reason why no slot was acquired.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,7 +36,7 @@
 impl State {
     fn sample(&mut self) {
         self.samples.push_back((Instant::now(), self.load));
-        if self.samples.len() > MAXIMUM_SAMPLES {
+        if self.samples.len() > MAX_SAMPLES {
             self.samples.pop_front();
         }
     }
--- a/crates/standin/src/caller/client.rs
+++ b/crates/standin/src/caller/client.rs
@@ -20,7 +20,7 @@
 const OUTCOME: &str = "Grebepin-Outcome";
 
 /// Maximum size of an answer's body.
-const MAXIMUM_ANSWER_BYTES: u64 = 16 << 20;
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
 /// Timeout of an outcome lookup.
 const LOOK_UP_TIMEOUT: Duration = Duration::from_secs(2);
@@ -119,7 +119,7 @@
     let body = answer
         .body_mut()
         .with_config()
-        .limit(MAXIMUM_ANSWER_BYTES)
+        .limit(MAX_ANSWER_BYTES)
         .read_to_vec();
     let Ok(body) = body else {
         return AttemptResult {
--- a/crates/standin/src/caller/rules.rs
+++ b/crates/standin/src/caller/rules.rs
@@ -13,7 +13,7 @@
 const DEFAULT_PAUSE: Duration = Duration::from_millis(200);
 
 /// Upper bound on the pause that an answer can ask for.
-const MAXIMUM_PAUSE: Duration = Duration::from_secs(2);
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 
 /// Result of one attempt.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -70,10 +70,7 @@
     repeatable: bool,
     result: &AttemptResult,
 ) -> NextStep {
-    let pause = result
-        .retry_after
-        .unwrap_or(DEFAULT_PAUSE)
-        .min(MAXIMUM_PAUSE);
+    let pause = result.retry_after.unwrap_or(DEFAULT_PAUSE).min(MAX_PAUSE);
     let more = sent < rules.attempts;
     match result.outcome {
         Some(Outcome::Answered) => NextStep::Done,
--- a/crates/standin/src/caller/summary.rs
+++ b/crates/standin/src/caller/summary.rs
@@ -13,7 +13,7 @@
 use super::ClassSpec;
 
 /// Maximum latency that histograms can record, in microseconds.
-const MAXIMUM_LATENCY_US: u64 = 600_000_000;
+const MAX_LATENCY_US: u64 = 600_000_000;
 
 /// Significant decimal digits that histograms keep.
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -156,8 +156,7 @@
         let service = self.service(class);
         let histograms = &mut class_tally_mut(service, class).requests;
         if !histograms.contains_key(ending) {
-            let Ok(histogram) =
-                Histogram::new_with_bounds(1, MAXIMUM_LATENCY_US, SIGNIFICANT_DIGITS)
+            let Ok(histogram) = Histogram::new_with_bounds(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
             else {
                 return;
             };
--- a/crates/standin/tests/stand_ins.rs
+++ b/crates/standin/tests/stand_ins.rs
@@ -14,7 +14,7 @@
 use serde_json::{json, Value};
 
 /// Number of polls of a server after which a test fails.
-const MAXIMUM_POLLS: u32 = 100_000;
+const MAX_POLLS: u32 = 100_000;
 
 #[derive(Parser)]
 struct BackEndFlags {
@@ -106,7 +106,7 @@
 
 /// Polls the load answer until `member` has the wanted value.
 fn wait_for_load(address: SocketAddr, member: &str, wanted: u32) {
-    let seen = (0..MAXIMUM_POLLS).any(|_| load(address)[member] == wanted);
+    let seen = (0..MAX_POLLS).any(|_| load(address)[member] == wanted);
     assert!(seen, "{member} never was {wanted}");
 }
 
--- a/crates/storage/src/replay.rs
+++ b/crates/storage/src/replay.rs
@@ -15,11 +15,11 @@
 use crate::snapshot_file::{damage_from, read_frame};
 
 /// Largest encoded batch in bytes.
-pub(crate) const MAXIMUM_BATCH_BYTES: u64 = 256 << 20;
+pub(crate) const MAX_BATCH_BYTES: u64 = 256 << 20;
 /// Upper bound in bytes of the segment size limit: a larger segment accepts no further batch.
-pub(crate) const MAXIMUM_SEGMENT_BYTES: u64 = 64 << 20;
-const MAXIMUM_FILE_BYTES: u64 =
-    MAXIMUM_SEGMENT_BYTES + MAXIMUM_BATCH_BYTES + frame::FRAME_OVERHEAD_BYTES as u64;
+pub(crate) const MAX_SEGMENT_BYTES: u64 = 64 << 20;
+const MAX_FILE_BYTES: u64 =
+    MAX_SEGMENT_BYTES + MAX_BATCH_BYTES + frame::FRAME_OVERHEAD_BYTES as u64;
 
 /// A segment of the current log.
 #[derive(Clone, Debug)]
@@ -85,7 +85,7 @@
 
 fn read_file<D: Disk>(disk: &D, segment: u64) -> Result<Vec<u8>, StorageError> {
     let name = segment_name(segment);
-    disk.read(&name, MAXIMUM_FILE_BYTES)
+    disk.read(&name, MAX_FILE_BYTES)
         .map_err(StorageError::required(&name))
 }
 
--- a/crates/storage/src/replica_storage.rs
+++ b/crates/storage/src/replica_storage.rs
@@ -11,7 +11,7 @@
 use crate::frame::{self, FrameKind};
 use crate::guards::{Guard, Guards};
 use crate::record::{self, BatchView, Identity, SegmentStart};
-use crate::replay::{Replay, SegmentInfo, MAXIMUM_BATCH_BYTES, MAXIMUM_SEGMENT_BYTES};
+use crate::replay::{Replay, SegmentInfo, MAX_BATCH_BYTES, MAX_SEGMENT_BYTES};
 use crate::segment::{self, segment_name, snapshot_name};
 use crate::snapshot_file;
 use crate::startup::{self, Opened};
@@ -124,7 +124,7 @@
 
     /// Sets the size limits; they apply from the next batch on.
     pub fn with_limits(mut self, limits: Limits) -> Self {
-        self.limits.segment_bytes = limits.segment_bytes.min(MAXIMUM_SEGMENT_BYTES);
+        self.limits.segment_bytes = limits.segment_bytes.min(MAX_SEGMENT_BYTES);
         self
     }
 
@@ -175,10 +175,10 @@
             entries,
         })?;
         let bytes = body.len() as u64;
-        if bytes > MAXIMUM_BATCH_BYTES {
+        if bytes > MAX_BATCH_BYTES {
             return Err(StorageError::TooLarge {
                 bytes,
-                limit: MAXIMUM_BATCH_BYTES,
+                limit: MAX_BATCH_BYTES,
             });
         }
         self.poisoned = true;
--- a/crates/storage/src/snapshot_file.rs
+++ b/crates/storage/src/snapshot_file.rs
@@ -9,10 +9,10 @@
 use crate::segment::{snapshot_name, write_file, FileFrame};
 
 /// Largest size of the data of a snapshot in bytes.
-pub(crate) const MAXIMUM_SNAPSHOT_BYTES: u64 = 1 << 30;
-const MAXIMUM_META_BYTES: u64 = 1 << 20;
-const MAXIMUM_FILE_BYTES: u64 =
-    MAXIMUM_SNAPSHOT_BYTES + MAXIMUM_META_BYTES + 2 * frame::FRAME_OVERHEAD_BYTES as u64;
+pub(crate) const MAX_SNAPSHOT_BYTES: u64 = 1 << 30;
+const MAX_META_BYTES: u64 = 1 << 20;
+const MAX_FILE_BYTES: u64 =
+    MAX_SNAPSHOT_BYTES + MAX_META_BYTES + 2 * frame::FRAME_OVERHEAD_BYTES as u64;
 
 /// Writes the snapshot that `segment` will refer to. It is durable on return.
 pub(crate) fn write<D: Disk>(
@@ -22,8 +22,8 @@
     data: &[u8],
 ) -> Result<(), StorageError> {
     let encoded = record::encode(meta)?;
-    check_size(encoded.len(), MAXIMUM_META_BYTES)?;
-    check_size(data.len(), MAXIMUM_SNAPSHOT_BYTES)?;
+    check_size(encoded.len(), MAX_META_BYTES)?;
+    check_size(data.len(), MAX_SNAPSHOT_BYTES)?;
     let frame = |kind, body| FileFrame {
         kind,
         number: segment,
@@ -41,7 +41,7 @@
 pub(crate) fn read<D: Disk>(disk: &D, segment: u64) -> Result<Snapshot, StorageError> {
     let name = snapshot_name(segment);
     let mut bytes = disk
-        .read(&name, MAXIMUM_FILE_BYTES)
+        .read(&name, MAX_FILE_BYTES)
         .map_err(StorageError::required(&name))?;
     let meta_frame = read_frame(&name, &bytes, 0, FrameKind::SnapshotMeta)?;
     let meta = record::decode(&name, 0, meta_frame.body)?;
--- a/crates/storage/src/startup.rs
+++ b/crates/storage/src/startup.rs
@@ -13,7 +13,7 @@
 use crate::segment::{parse_name, segment_name, StorageFile, CREATING_FILE, IDENTITY_FILE};
 use crate::snapshot_file::{self, read_frame};
 
-const MAXIMUM_IDENTITY_FILE_BYTES: u64 = 4096;
+const MAX_IDENTITY_FILE_BYTES: u64 = 4096;
 
 /// Result of opening a folder.
 #[expect(
@@ -152,7 +152,7 @@
 
 fn read_identity<D: Disk>(disk: &D) -> Result<FixedIdentity, StorageError> {
     let bytes = disk
-        .read(IDENTITY_FILE, MAXIMUM_IDENTITY_FILE_BYTES)
+        .read(IDENTITY_FILE, MAX_IDENTITY_FILE_BYTES)
         .map_err(StorageError::required(IDENTITY_FILE))?;
     let frame = read_frame(IDENTITY_FILE, &bytes, 0, FrameKind::Identity)?;
     if frame.end != bytes.len() {
