--- a/crates/directory/src/daemon/feed.rs
+++ b/crates/directory/src/daemon/feed.rs
@@ -53,7 +53,8 @@
             self.is_behind = true;
             return Vec::new();
         }
-        let gateways = links.len();
+        let following = |link: &&LinkConnection| link.fed_index.is_some();
+        let gateways = links.values().filter(following).count();
         let mut lost = Vec::new();
         let mut end = RoundEnd::Complete;
         for token in feed_order(links_to_feed(links, applied)) {
