The state of a relay does not end undecided changes

A relay with contact to a leader may be behind: it counts as fed from the moment at which it follows a replica again, before the entries have come. A gateway without contact that took its state forgot which changes are undecided, and denied an acknowledged route or served a replaced one. They now stay undecided until a leader's replica feeds the gateway or a confirmation shows that the state contains them.

gateway/tests/following.rs, a_state_from_a_relay_does_not_end_undecided_changes: failed before (the update with kept changes did not come in 10 s).

--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -54,8 +54,8 @@
         index: u64,
         /// The state.
         catalog: Box<Catalog>,
-        /// Changes that may be acknowledged and are not part of it.
-        undecided: UndecidedChanges,
+        /// Changes that may be acknowledged and are not part of it; `None` if those known so far remain undecided.
+        undecided: Option<UndecidedChanges>,
     },
     /// Changes that may be acknowledged and are not part of the state in force, while there is no leader.
     Undecided(UndecidedChanges),
--- a/crates/gateway/src/follow/state.rs
+++ b/crates/gateway/src/follow/state.rs
@@ -26,6 +26,16 @@
     pub(super) undecided: UndecidedChanges,
 }
 
+/// Changes that may be acknowledged and come after a received state.
+enum UndecidedAfter {
+    /// These; none after the state of a replica with contact to a leader.
+    Known(UndecidedChanges),
+    /// Those known so far: a relay with contact to a leader may be behind.
+    Unchanged,
+    /// Not known, so the state must not be taken.
+    Unknown,
+}
+
 impl DirectoryClient {
     /// Decodes a complete state that was received on a link; returns nothing if it may lack acknowledged changes
     /// that this gateway does not know of.
@@ -36,12 +46,16 @@
         state: &[u8],
         applied: u64,
     ) -> Option<Update> {
-        let Some(undecided) = self.undecided_after(token, index) else {
-            event!(Event::StateIgnored, index = index, before = applied);
-            if let Some(link) = self.links.get_mut(&token) {
-                link.ignored_state = true;
+        let undecided = match self.undecided_after(token, index) {
+            UndecidedAfter::Known(undecided) => Some(undecided),
+            UndecidedAfter::Unchanged => None,
+            UndecidedAfter::Unknown => {
+                event!(Event::StateIgnored, index = index, before = applied);
+                if let Some(link) = self.links.get_mut(&token) {
+                    link.ignored_state = true;
+                }
+                return None;
             }
-            return None;
         };
         match decode_frame::<Catalog>(state.get(STATE_PREFIX_BYTES..).unwrap_or_default()) {
             Ok(catalog) => {
@@ -59,18 +73,20 @@
         }
     }
 
-    /// The changes that a received state may lack; none are for a sender with contact to a leader. `None` if it
-    /// may lack changes that are not known.
-    fn undecided_after(&self, token: Token, index: u64) -> Option<UndecidedChanges> {
-        let link = self.links.get(&token)?;
+    /// What a received state may lack.
+    fn undecided_after(&self, token: Token, index: u64) -> UndecidedAfter {
+        let Some(link) = self.links.get(&token) else {
+            return UndecidedAfter::Unknown;
+        };
         let is_fed = link.head.as_ref().is_some_and(|head| head.is_fed);
-        match link.peer {
-            _ if is_fed => Some(UndecidedChanges::default()),
-            LinkPeer::Relay => None,
-            LinkPeer::Replica => {
-                let requested = self.requested_state.as_ref()?;
-                (index >= requested.index).then(|| requested.undecided.clone())
+        let requested = self.requested_state.as_ref();
+        match (link.peer, requested) {
+            (LinkPeer::Replica, _) if is_fed => UndecidedAfter::Known(UndecidedChanges::default()),
+            (LinkPeer::Relay, _) if is_fed => UndecidedAfter::Unchanged,
+            (LinkPeer::Replica, Some(requested)) if index >= requested.index => {
+                UndecidedAfter::Known(requested.undecided.clone())
             }
+            _ => UndecidedAfter::Unknown,
         }
     }
 
--- a/crates/gateway/src/state_updates.rs
+++ b/crates/gateway/src/state_updates.rs
@@ -27,7 +27,10 @@
                     index,
                     catalog,
                     undecided,
-                } => self.table.replace(index, *catalog, undecided),
+                } => {
+                    let undecided = undecided.unwrap_or_else(|| self.table.undecided().clone());
+                    self.table.replace(index, *catalog, undecided)
+                }
                 Update::Undecided(undecided) => self.change_undecided(undecided),
                 Update::Entries(entries) => self.apply_entries(&entries),
                 Update::Permit { id, permit } => {
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -29,6 +29,18 @@
     received: Vec<u8>,
 }
 
+fn send_on(stream: &mut TcpStream, frame: &FromReplica) {
+    let mut bytes = Vec::new();
+    encode_frame(frame, &mut bytes).expect("the frame is encoded");
+    stream.write_all(&bytes).expect("the frame is sent");
+}
+
+fn whole_state(index: u64) -> FromReplica {
+    let mut state = vec![];
+    encode_frame(&Catalog::default(), &mut state).expect("the state is encoded");
+    FromReplica::Whole { index, state }
+}
+
 impl Harness {
     fn start(folder: &Path) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -86,13 +98,12 @@
     }
 
     fn send(&mut self, frame: &FromReplica) {
-        let mut bytes = Vec::new();
-        encode_frame(frame, &mut bytes).expect("the frame is encoded");
-        self.replica.write_all(&bytes).expect("the frame is sent");
+        send_on(&mut self.replica, frame);
     }
 
-    /// Sends the status of the only voter, which has no contact to a leader and an open entry in its log.
-    fn send_open_entry(&mut self, applied: u64) {
+    /// Sends the status of the only voter, which has no contact to a leader and an open entry in its log, and names
+    /// relays.
+    fn send_open_entry(&mut self, applied: u64, relays: &[String]) {
         let own = self.replica.local_addr().expect("an address");
         let voter = ReplicaAddress {
             address: own.to_string(),
@@ -106,6 +117,7 @@
         self.send(&FromReplica::Head(SourceStatus {
             applied,
             votes: true,
+            relays: relays.to_vec(),
             replicas: vec![voter],
             open_entries: OpenEntries {
                 commands: vec![(applied + 1, command)],
@@ -160,9 +172,7 @@
     assert_eq!(harness.next_request(), 0);
     harness.applied = 5;
     harness.send_status(false, 7);
-    let mut state = vec![];
-    encode_frame(&Catalog::default(), &mut state).expect("the state is encoded");
-    harness.send(&FromReplica::Whole { index: 7, state });
+    harness.send(&whole_state(7));
     for _ in 0..10 {
         let updates = harness.step();
         assert!(updates
@@ -179,7 +189,7 @@
 fn a_confirmed_state_ends_undecided_changes_without_a_followed_replica() {
     let mut harness = Harness::start(Path::new(env!("CARGO_TARGET_TMPDIR")));
     harness.applied = 5;
-    harness.send_open_entry(5);
+    harness.send_open_entry(5, &[]);
     let undecided_at =
         harness.wait_for(|one| matches!(one, Update::Undecided(changes) if !changes.is_empty()));
     let confirmation = |at: Duration| {
@@ -203,3 +213,38 @@
     }
     assert!(is_decided(&harness));
 }
+
+/// Guards against a gateway that forgets undecided changes because of the state of a relay that is behind itself.
+#[test]
+fn a_state_from_a_relay_does_not_end_undecided_changes() {
+    let mut harness = Harness::start(Path::new(env!("CARGO_TARGET_TMPDIR")));
+    let relay = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = relay.local_addr().expect("an address").to_string();
+    relay.set_nonblocking(true).expect("a setting");
+    harness.applied = 5;
+    harness.send_open_entry(5, &[address]);
+    harness.wait_for(|one| matches!(one, Update::Undecided(changes) if !changes.is_empty()));
+    let mut relay = loop {
+        harness.step();
+        if let Ok((stream, _)) = relay.accept() {
+            break stream;
+        }
+        assert!(harness.started.elapsed() < TIME_LIMIT, "no relay was asked");
+    };
+    let status = SourceStatus {
+        is_fed: true,
+        applied: 6,
+        ..SourceStatus::default()
+    };
+    send_on(&mut relay, &FromReplica::Head(status));
+    send_on(&mut relay, &whole_state(6));
+    harness.wait_for(|one| {
+        matches!(
+            one,
+            Update::Snapshot {
+                undecided: None,
+                ..
+            }
+        )
+    });
+}
