--- a/crates/gateway/src/follow/links.rs
+++ b/crates/gateway/src/follow/links.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    pub(super) fn note_late_attempt(&mut self, now: Duration, token: Token) {
+    fn note_late_attempt(&mut self, now: Duration, token: Token) {
         let Some(link) = self.links.get_mut(&token) else {
             return;
         };
--- a/crates/gateway/tests/connecting.rs
+++ b/crates/gateway/tests/connecting.rs
@@ -13,7 +13,7 @@
     Duration::from_millis(number)
 }
 
-/// An attempt to connect; `None` for one that no other should be begun beside.
+/// An attempt to connect that is under way.
 struct Attempt {
     opened_at: Duration,
     is_late: bool,
