--- a/crates/directory/src/confirmed_state.rs
+++ b/crates/directory/src/confirmed_state.rs
@@ -27,6 +27,17 @@
 }
 
 impl Confirmation {
+    /// Answer to a report that was sent at `sent_at_ms`, by a sender with a state of this age and log index.
+    pub fn new(sent_at_ms: u64, age: Duration, applied: u64) -> Self {
+        // Rounded up, so that no state seems newer.
+        let age_ms = age.as_nanos().div_ceil(1_000_000) as u64;
+        Self {
+            sent_at_ms,
+            age_ms,
+            applied,
+        }
+    }
+
     /// Time in the receiver's clock before which everything acknowledged is in the log up to `applied`.
     fn confirmed_at(self) -> Duration {
         Duration::from_millis(self.sent_at_ms.saturating_sub(self.age_ms))
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -425,14 +425,6 @@
         Ok(())
     }
 
-    fn update_confirmed_state(&mut self) {
-        let now = self.now();
-        match self.node.holds_leader_lease(now) {
-            true => self.confirmed_state.confirm(now),
-            false => self.confirmed_state.update(self.node.applied()),
-        }
-    }
-
     fn execute(&mut self, output: NodeOutput) {
         match output {
             NodeOutput::Peer { address, frame } => {
--- a/crates/directory/src/daemon/feed.rs
+++ b/crates/directory/src/daemon/feed.rs
@@ -53,8 +53,7 @@
             self.is_behind = true;
             return Vec::new();
         }
-        let following = |link: &&LinkConnection| link.fed_index.is_some();
-        let gateways = links.values().filter(following).count();
+        let gateways = links.values().filter(|link| link.follows()).count();
         let mut lost = Vec::new();
         let mut end = RoundEnd::Complete;
         for token in feed_order(links_to_feed(links, applied)) {
@@ -65,8 +64,7 @@
                 end = RoundEnd::AllowanceExhausted;
                 break;
             }
-            let fed = link.fed_index.filter(|_| !link.wants_state);
-            let update = fed.and_then(|fed| {
+            let update = link.entries_from().and_then(|fed| {
                 let update = entries.entry(fed);
                 let update = update.or_insert_with(|| encode_entries(node, fed));
                 update.as_deref()
@@ -116,7 +114,7 @@
 /// Links of the gateways that lack updates up to `applied`.
 fn links_to_feed(links: &HashMap<Token, LinkConnection>, applied: u64) -> Vec<FedLink<Token>> {
     let links = links.iter().filter_map(|(token, link)| {
-        let fed_index = link.fed_index.filter(|_| !link.wants_state);
+        let fed_index = link.entries_from();
         let lacks_updates = link.wants_state || fed_index.is_some_and(|fed| fed < applied);
         lacks_updates.then(|| FedLink {
             token: *token,
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -4,14 +4,14 @@
 
 use grebepin_catalog::InstanceState;
 use grebepin_reactor::{encode_frame, TextResponse};
-use grebepin_telemetry::{event, Event};
+use grebepin_telemetry::{age_ms, event, Event};
 use mio::Token;
 
 use super::event_loop::EventLoop;
 use super::http_connection::HttpConnection;
 use super::opening::modified_at;
 use crate::call::{Reply, UnavailableReason};
-use crate::confirmed_state::{report_time, Confirmation};
+use crate::confirmed_state::report_time;
 use crate::fleet::{rotate_relays, FleetSummary, ReplicaReport};
 use crate::link::{FromReplica, SourceStatus, ToReplica};
 use crate::node::NodeInput;
@@ -59,9 +59,7 @@
         metrics.unapplied_entries.set(unapplied as i64);
         metrics.followers.set(i64::from(self.followers()));
         metrics.is_fed.set(i64::from(self.node.is_fed(now)));
-        let age = self.state_age(now);
-        let age = age.map_or(-1, |age| age.as_millis() as i64);
-        metrics.state_age_ms.set(age);
+        metrics.state_age_ms.set(age_ms(self.state_age(now)));
         metrics
             .members
             .set(consensus.membership().members.len() as i64);
@@ -91,39 +89,10 @@
         }
     }
 
-    /// Time since which acknowledged changes may be missing in the applied state; `None` if it is not known.
-    pub(super) fn state_age(&self, now: Duration) -> Option<Duration> {
-        match self.node.holds_leader_lease(now) {
-            true => Some(Duration::ZERO),
-            false => self.confirmed_state.age(now),
-        }
-    }
-
-    /// Answers a gateway's report that was sent at `sent_at_ms` of its clock.
-    pub(super) fn confirm_state(&mut self, token: Token, sent_at_ms: u64) {
-        let now = self.now();
-        let Some(age) = self.state_age(now) else {
-            return;
-        };
-        let confirmation = Confirmation {
-            sent_at_ms,
-            age_ms: age.as_millis() as u64 + 1,
-            applied: self.node.applied(),
-        };
-        if let Some(link) = self.inbound_links.get_mut(&token) {
-            link.queue(&FromReplica::Confirmed(confirmation));
-            self.unsent_links.insert(token);
-        }
-    }
-
     /// On the leader: the answer to a replica's report that was sent at `sent_at_ms` of its clock.
     pub(super) fn fleet_summary(&self, now: Duration, sent_at_ms: u64) -> FleetSummary {
         FleetSummary {
-            confirmation: Some(Confirmation {
-                sent_at_ms,
-                age_ms: 0,
-                applied: self.node.applied(),
-            }),
+            confirmation: self.confirmation(now, sent_at_ms),
             gateways: self.fleet.gateways(now, true, self.followers()),
             relays: self.fleet.select_relays(status_round(now)),
         }
@@ -132,7 +101,7 @@
     /// Number of gateways that follow this replica.
     fn followers(&self) -> u32 {
         let links = self.inbound_links.values();
-        links.filter(|link| link.fed_index.is_some()).count() as u32
+        links.filter(|link| link.follows()).count() as u32
     }
 
     /// Reports the load and crashes collected from gateways to the leader when the report is due.
@@ -205,7 +174,7 @@
     fn log_feed_change(&self, now: Duration, is_fed: bool) {
         let consensus = self.node.consensus();
         let stated = consensus.leader_commit();
-        let age = stated.map(|(at, _)| now.saturating_sub(at).as_millis() as i64);
+        let age = stated.map(|(at, _)| now.saturating_sub(at));
         event!(
             Event::FeedChanged,
             feeds = is_fed,
@@ -214,7 +183,7 @@
             applied = self.node.applied(),
             committed = stated.map_or(0, |(_, committed)| committed.0),
             last = consensus.last_index().0,
-            contact_ms = age.unwrap_or(-1)
+            contact_ms = age_ms(age)
         );
     }
 
--- a/crates/directory/src/daemon/link_connection.rs
+++ b/crates/directory/src/daemon/link_connection.rs
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Whether it belongs to a gateway that follows this replica.
+    pub(super) fn follows(&self) -> bool {
+        self.fed_index.is_some()
+    }
+
+    /// Log index after which entries are sent; `None` where the complete state is sent instead, or nothing.
+    pub(super) fn entries_from(&self) -> Option<u64> {
+        self.fed_index.filter(|_| !self.wants_state)
+    }
+
     /// Returns the frames received.
     ///
     /// # Errors
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 
 mod bad_calls;
 mod calls;
+mod confirming;
 mod event_log;
 mod event_loop;
 mod feed;
--- a/crates/directory/src/pacing.rs
+++ b/crates/directory/src/pacing.rs
@@ -59,8 +59,7 @@
     links.into_iter().map(|link| link.token)
 }
 
-/// Pause after a complete round, per gateway: each round may write to every one of them. The daemon counts each
-/// inbound link as a gateway.
+/// Pause after a complete round, per gateway that follows: each round may write to every one of them.
 const PAUSE_PER_GATEWAY: Duration = Duration::from_micros(1_500);
 
 /// Pause before a round continues that ran out of allowance; the allowance of 10 ms accumulates in the
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -9,7 +9,7 @@
 
 use grebepin_reactor::http::RequestLimits;
 use grebepin_reactor::{Clock, Connection, Deadlines, StallDetector, TextResponse, TextServer};
-use grebepin_telemetry::{event, Event, GatewayMetrics, Metrics};
+use grebepin_telemetry::{age_ms, event, Event, GatewayMetrics, Metrics};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use rand::rngs::SmallRng;
@@ -229,13 +229,14 @@
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
+            let mut ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
             if let Some(stall) = self.stall_detector.check(self.clock.now()) {
                 event!(Event::StoodStill, ms = stall.as_millis());
-                self.read_directory();
+                // More sockets may be ready by now than one poll returns.
+                ready.extend(self.directory.tokens());
             }
             // Changes go first: a request that waits beside one may have been sent after its acknowledgement.
-            let mut ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
-            ready.sort_by_key(|token| self.directory.read_order(*token));
+            ready.sort_by_cached_key(|token| self.directory.read_order(*token));
             for token in ready {
                 self.on_event(token);
             }
@@ -249,16 +250,6 @@
         }
     }
 
-    /// Reads all links to replicas and relays. After the process stood still, more sockets may be ready than one poll
-    /// returns.
-    fn read_directory(&mut self) {
-        let mut tokens = self.directory.tokens();
-        tokens.sort_by_key(|token| self.directory.read_order(*token));
-        for token in tokens {
-            self.on_directory(token);
-        }
-    }
-
     fn is_shut_down(&self) -> bool {
         let (in_flight, clients) = (self.in_flight.len(), self.clients.len());
         let now = self.now();
@@ -369,8 +360,7 @@
             .directory
             .last_leader_message
             .map(|at| now.saturating_sub(at));
-        let age = age.map_or(-1, |age| age.as_millis() as i64);
-        metrics.leader_age_ms.set(age);
+        metrics.leader_age_ms.set(age_ms(age));
         metrics.state_age_ms.set(self.state_age_ms());
         let links = self.directory.link_count();
         metrics.directory_links.set(links as i64);
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -126,8 +126,8 @@
             wanted.extend(self.replicas.state_candidates(now));
             limit = MAX_INITIAL_LINKS;
         }
-        let links = self.links.values().filter(|link| !link.is_late);
-        let linked: BTreeSet<&String> = links.map(|link| &link.address).collect();
+        let linked = self.links_in_use().map(|link| &link.address);
+        let linked: BTreeSet<&String> = linked.collect();
         let mut missing: Vec<String> = Vec::new();
         for address in wanted {
             if !linked.contains(&address) && !missing.contains(&address) {
@@ -146,8 +146,7 @@
         self.replicas.avoid(now, &link.address, UNFED_RETRY_DELAY);
         // While no replica receives the leader's log, a few such links stay open: they show at once when a
         // leader is back.
-        let open = self.links.values().filter(|link| !link.is_late).count();
-        if self.followed != Some(token) && open >= MAX_LINKS {
+        if self.followed != Some(token) && self.links_in_use().count() >= MAX_LINKS {
             self.links.remove(&token);
         }
     }
@@ -205,9 +204,8 @@
         if index <= applied || (applied > 0 && !self.is_without_leader(now)) {
             return Some(undecided);
         }
-        let holders = self
-            .current_heads(now)
-            .filter(|(_, _, head)| head.applied >= index);
+        let holders = self.current_heads(now);
+        let holders = holders.filter(|(_, _, head)| head.applied >= index);
         let nearest = holders.min_by_key(|(_, address, _)| self.replicas.rank(address));
         let (token, address, _) = nearest?;
         if !self.may_request_state(now, token) {
--- a/crates/gateway/src/follow/links.rs
+++ b/crates/gateway/src/follow/links.rs
@@ -20,6 +20,11 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(5_000);
 
 impl DirectoryClient {
+    /// Links that are established, or may be soon: all but late attempts to connect.
+    pub(super) fn links_in_use(&self) -> impl Iterator<Item = &Link> {
+        self.links.values().filter(|link| !link.is_late)
+    }
+
     /// Closes links that are not established in time or have been silent for too long. The address of an attempt that
     /// takes long is avoided for a while, so that others are tried beside it.
     pub(super) fn drop_dead_links(&mut self, now: Duration) {
@@ -62,19 +67,17 @@
             return;
         };
         let (peer, address) = (link.peer, link.address.clone());
-        let others = self.links.iter().filter(|(other, _)| **other != token);
-        let others: Vec<(Token, &Link)> = others.map(|(token, link)| (*token, link)).collect();
-        let connected = others.iter().filter(|(_, link)| link.connected);
-        let is_duplicate = connected.clone().any(|(_, link)| link.address == address);
-        let relays = connected.filter(|(_, link)| link.peer == LinkPeer::Relay);
+        let others = self.links.iter();
+        let others = others.filter(|(other, link)| **other != token && link.connected);
+        let is_duplicate = others.clone().any(|(_, link)| link.address == address);
+        let relays = others.filter(|(_, link)| link.peer == LinkPeer::Relay);
         let has_relays = peer == LinkPeer::Relay && relays.count() >= FOLLOWED_RELAYS;
         if is_duplicate || has_relays {
             self.links.remove(&token);
             return;
         }
-        let is_useless = |link: &Link| link.address == address && !link.connected;
         self.links
-            .retain(|other, link| *other == token || !is_useless(link));
+            .retain(|_, link| link.connected || link.address != address);
     }
 
     /// Follows relays while the leader is silent, and closes the links to them once it is back.
@@ -88,8 +91,9 @@
             self.links.retain(|_, link| link.peer != LinkPeer::Relay);
             return;
         }
-        let links = self.links.values();
-        let in_use = links.filter(|link| link.peer == LinkPeer::Relay && !link.is_late);
+        let in_use = self
+            .links_in_use()
+            .filter(|link| link.peer == LinkPeer::Relay);
         let in_use: Vec<&String> = in_use.map(|link| &link.address).collect();
         for address in self.relays.wanted(now, &in_use) {
             self.open_link(now, registry, next_token, LinkPeer::Relay, address);
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -161,9 +161,9 @@
         since.is_some_and(|since| now >= since + GATEWAY_COUNT_SETTLE_TIME)
     }
 
-    /// Tokens of all links.
-    pub fn tokens(&self) -> Vec<Token> {
-        self.links.keys().copied().collect()
+    /// Tokens of all links, established or not.
+    pub fn tokens(&self) -> impl Iterator<Item = Token> + '_ {
+        self.links.keys().copied()
     }
 
     /// Position of a socket in the order in which ready ones are read. The followed link goes before the others: until
@@ -273,7 +273,7 @@
         if let Some(token) = self.followed {
             self.request_entries(token, applied);
         }
-        let tokens: Vec<Token> = self.links.keys().copied().collect();
+        let tokens: Vec<Token> = self.tokens().collect();
         for token in tokens {
             self.follow_relay(token, applied);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,7 +45,7 @@
 mod sending;
 pub mod server_index;
 mod settings;
-pub mod state_age;
+mod state_age;
 mod state_updates;
 pub mod stated_rate;
 pub mod statement;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -41,7 +41,7 @@
 /// The state in force at this gateway.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayedState<'a> {
-    /// The state.
+    /// Configuration, servers and owners of shards.
     pub table: &'a Table,
     /// Whether this gateway itself receives the leader's log.
     pub is_fed: bool,
@@ -182,11 +182,8 @@
         let Some(age) = state.age else {
             return true;
         };
-        self.send(&FromReplica::Confirmed(Confirmation {
-            sent_at_ms,
-            age_ms: age.as_millis() as u64 + 1,
-            applied: state.table.applied(),
-        }))
+        let confirmation = Confirmation::new(sent_at_ms, age, state.table.applied());
+        self.send(&FromReplica::Confirmed(confirmation))
     }
 
     /// Sends a snapshot to a follower that lacks entries; returns whether the connection is still usable.
--- a/crates/gateway/src/state_age.rs
+++ b/crates/gateway/src/state_age.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebepin_telemetry::{event, Event};
+use grebepin_telemetry::{age_ms, event, Event};
 
 use crate::event_loop::EventLoop;
 
@@ -11,21 +11,16 @@
 /// each second while messages take up to 300 ms.
 const OUTDATED_AFTER: Duration = Duration::from_millis(1_500);
 
-/// Whether a state of this age may lack changes that must be in force; `None` for a state of unknown age.
-pub fn is_outdated(age: Option<Duration>) -> bool {
-    age.is_none_or(|age| age > OUTDATED_AFTER)
-}
-
 impl EventLoop {
-    /// Whether the state in force may lack changes that must be in force.
+    /// Whether the state may lack changes that must be in force. One of unknown age may.
     pub(crate) fn is_outdated(&self) -> bool {
-        is_outdated(self.directory.state_age(self.now()))
+        let age = self.directory.state_age(self.now());
+        age.is_none_or(|age| age > OUTDATED_AFTER)
     }
 
     /// Time in milliseconds since which acknowledged changes may be missing in the state in force; -1 if unknown.
     pub(crate) fn state_age_ms(&self) -> i64 {
-        let age = self.directory.state_age(self.now());
-        age.map_or(-1, |age| age.as_millis() as i64)
+        age_ms(self.directory.state_age(self.now()))
     }
 
     /// Logs when the state becomes outdated or recent.
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -100,11 +100,11 @@
         catalog: Catalog,
         undecided: UndecidedChanges,
     ) -> TableChange {
-        if index <= self.applied && undecided.is_empty() {
-            return TableChange::default();
-        }
         if index <= self.applied {
-            return self.set_undecided(undecided);
+            return match undecided.is_empty() {
+                true => TableChange::default(),
+                false => self.set_undecided(undecided),
+            };
         }
         self.catalog = catalog;
         self.applied = index;
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -30,6 +30,11 @@
 
 pub use log;
 
+/// An age in milliseconds as log lines and metrics state it: -1 if it is not known.
+pub fn age_ms(age: Option<std::time::Duration>) -> i64 {
+    age.map_or(-1, |age| age.as_millis() as i64)
+}
+
 /// Starts logging to standard error; the environment variable `GREBEPIN_LOG` overrides `level`. If a logger is
 /// already installed, the call has no effect.
 pub fn start_logging(level: log::LevelFilter) {
