A gateway knows whether it hears any server, and says so

Reachability, a pure type, records what the gateway's own connections show: bytes received, attempts that fail, requests without an answer. Paths count as lost when three servers of a service, or of all, failed and none was heard since the first of them began. Added: events 250 and 251, silence_ms and unreachable in 226 and 227, three gauges. Nothing decides by it yet.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -5,7 +5,7 @@
 
 use grebepin_catalog::InstanceId;
 use grebepin_reactor::http::Response;
-use grebepin_telemetry::{event, Event};
+use grebepin_telemetry::{age_ms, event, Event};
 use mio::Token;
 
 use crate::crash_history::fingerprint;
@@ -332,6 +332,8 @@
             servers = request.tried_server_ids(),
             applied = self.table.applied(),
             state_age_ms = self.state_age_ms(),
+            silence_ms = age_ms(self.reachability.silence(self.now())),
+            unreachable = self.reachability.unreachable(),
             ms = took.as_millis()
         );
         self.metrics
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -29,6 +29,7 @@
 use crate::link_queue::LinkQueue;
 use crate::load::LoadCounts;
 use crate::load_balancer::LoadBalancer;
+use crate::reachability::Reachability;
 use crate::relay::{Relay, RelayedState};
 use crate::retry_budget::{RetryBudgetBound, RetryBudgets};
 use crate::settings::GatewaySettings;
@@ -110,6 +111,7 @@
     pub(crate) stated_rates: StatedRates,
     pub(crate) cooldowns: Cooldowns,
     pub(crate) leaving: LeavingServers,
+    pub(crate) reachability: Reachability,
     /// Response header fields that held an unusable value; each is logged once.
     pub(crate) unusable_fields: BTreeSet<&'static str>,
     pub(crate) load: LoadCounts,
@@ -203,6 +205,7 @@
             stated_rates,
             cooldowns: Cooldowns::default(),
             leaving,
+            reachability: Reachability::default(),
             unusable_fields: BTreeSet::new(),
             load: LoadCounts::default(),
             crashes: CrashHistory::default(),
@@ -369,6 +372,12 @@
         let cooling_down = self.cooldowns.count(now);
         metrics.servers_cooling_down.set(cooling_down as i64);
         metrics.servers_leaving.set(self.leaving.len() as i64);
+        let unreachable = self.reachability.unreachable();
+        metrics.servers_unreachable.set(unreachable as i64);
+        let is_cut_off = self.reachability.is_cut_off();
+        metrics.cut_off.set(i64::from(is_cut_off));
+        let silence = self.reachability.silence(now);
+        metrics.server_silence_ms.set(age_ms(silence));
         let undecided = self.table.undecided().len();
         metrics.undecided_changes.set(undecided as i64);
         let link_wait = self.link_queue.wait(now);
--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -44,6 +44,7 @@
         self.directory
             .tick(now, registry, &mut self.next_token, content, state);
         self.log_state_age();
+        self.note_unanswered_requests(now);
         self.close_expired_connections(now);
         self.close_idle_clients(now);
         if let Some(relay) = &mut self.relay {
@@ -64,6 +65,7 @@
         self.stated_rates.retain(|id| table.is_live(id));
         self.cooldowns.retain(now, |id| table.is_live(id));
         self.leaving.retain(|id| table.is_live(id));
+        self.reachability.retain(|id| table.is_live(id));
         for token in expired {
             self.drop_upstream(token);
         }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -142,6 +142,15 @@
             .collect()
     }
 
+    /// Servers of the requests that are assigned to a connection, and when each was assigned.
+    pub fn assigned(&self) -> impl Iterator<Item = (&InstanceId, Duration)> {
+        let states = self.requests.values().map(|request| &request.state);
+        states.filter_map(|state| match state {
+            InFlightState::Assigned { server, since, .. } => Some((server, *since)),
+            _ => None,
+        })
+    }
+
     /// Requests that wait for an owner.
     pub fn awaiting_owner(&self) -> Vec<InFlightId> {
         let waiting = self.requests.iter();
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -12,6 +12,7 @@
 use crate::event_loop::{EventLoop, Timer};
 use crate::http_writer::write_request;
 use crate::in_flight::{InFlightId, InFlightState};
+use crate::reachability::ConnectFailure;
 use crate::refusal::Refusal;
 use crate::upstreams::Upstream;
 use crate::verdict::{belongs_to_request, classify, Verdict};
@@ -146,7 +147,7 @@
             return;
         }
         match upstream.connection.unsent() == unsent {
-            true => self.on_connect_failure(token),
+            true => self.on_connect_failure(token, ConnectFailure::Refused),
             false => self.fail_connection(token, "connection broke while the request was sent"),
         }
     }
@@ -154,17 +155,18 @@
     /// Handles the timeout of a connection attempt.
     pub(crate) fn on_connect_timeout(&mut self, token: Token) {
         if self.upstreams.get(token).is_some_and(|one| !one.connected) {
-            self.on_connect_failure(token);
+            self.on_connect_failure(token, ConnectFailure::TimedOut);
         }
     }
 
     /// Drops a connection on which nothing was sent, and dispatches its request again.
-    pub(crate) fn on_connect_failure(&mut self, token: Token) {
+    pub(crate) fn on_connect_failure(&mut self, token: Token, failure: ConnectFailure) {
         let now = self.now();
         let Some(upstream) = self.drop_upstream(token) else {
             return;
         };
         let server = upstream.server;
+        self.note_connect_failure(&server, failure, upstream.idle_since);
         let pause = self.load_balancer.connection_failed(&server, now);
         self.metrics.note_suspected("no connection");
         event!(
@@ -202,13 +204,17 @@
                 Ok(false) => return,
                 Err(_) => {
                     self.record_probed_crash(token);
-                    return self.on_connect_failure(token);
+                    return self.on_connect_failure(token, ConnectFailure::Refused);
                 }
                 Ok(true) => {
                     upstream.connected = true;
-                    match upstream.crash_probe.take() {
-                        Some(_) => self.upstreams.release_unused(token, now),
-                        None => self.write_request(token),
+                    upstream.crash_probe = None;
+                    let has_request = upstream.request.is_some();
+                    let server = upstream.server.clone();
+                    self.note_connected(&server);
+                    match has_request {
+                        true => self.write_request(token),
+                        false => self.upstreams.release_unused(token, now),
                     }
                 }
             }
@@ -217,6 +223,13 @@
             return;
         };
         let outcome = upstream.connection.fill(READ_LIMIT);
+        if !upstream.connection.inbound.is_empty() {
+            let server = upstream.server.clone();
+            self.note_received(&server);
+        }
+        let Some(upstream) = self.upstreams.get_mut(token) else {
+            return;
+        };
         if upstream.connection.flush().is_err() {
             return self.fail_connection(token, "connection broke");
         }
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -262,6 +262,12 @@
         servers.filter_map(|id| self.catalog.instance(id))
     }
 
+    /// All live servers of all services.
+    pub fn live_servers(&self) -> impl Iterator<Item = &Instance> {
+        let instances = self.catalog.instances();
+        instances.filter(|instance| self.catalog.is_live(&instance.id))
+    }
+
     /// Number of index updates of single servers since the start, as a measure of the work done.
     pub fn server_updates(&self) -> u64 {
         self.servers.updates()
--- /dev/null
+++ b/crates/gateway/tests/reachability.rs
@@ -0,0 +1,177 @@
+//! What failures on connections to servers show about the paths of a gateway.
+
+use std::time::Duration;
+
+use grebepin_catalog::{Instance, InstanceId, InstanceState};
+use grebepin_gateway::reachability::{ConnectFailure, PathChange, Reachability};
+use proptest::prelude::*;
+
+const SERVICE: &str = "ledger";
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn id(number: u64) -> InstanceId {
+    InstanceId::new(&format!("i-{number}"))
+}
+
+fn server(number: u64) -> Instance {
+    Instance {
+        id: id(number),
+        service: SERVICE.to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "z".to_owned(),
+        slots: 2,
+        state: InstanceState::Ready,
+        is_cold: false,
+    }
+}
+
+/// Paths to servers 0 to 9, all heard at 1,000 ms.
+fn calm() -> Reachability {
+    let mut paths = Reachability::default();
+    for number in 0..10 {
+        assert!(paths.connected(&id(number), SERVICE, ms(1_000)).is_empty());
+    }
+    paths
+}
+
+fn fail(paths: &mut Reachability, number: u64, began: u64, now: u64) -> Vec<PathChange> {
+    let failure = ConnectFailure::TimedOut;
+    paths.connect_failed(&id(number), SERVICE, failure, ms(began), ms(now))
+}
+
+fn lose_all(paths: &mut Reachability) -> Vec<PathChange> {
+    let mut changes = Vec::new();
+    for number in 0..3 {
+        changes.extend(fail(paths, number, 1_100 + number, 1_350 + number));
+    }
+    changes
+}
+
+#[test]
+fn three_servers_that_fail_while_none_is_heard_show_that_the_paths_are_lost() {
+    let mut paths = calm();
+    let changes = lose_all(&mut paths);
+    let service = Some(SERVICE.to_owned());
+    assert_eq!(changes, [PathChange::Lost(None), PathChange::Lost(service)]);
+    assert!(paths.is_cut_off() && paths.is_lost("another service"));
+    assert!(!paths.is_open(&id(7), SERVICE), "nothing was tried there");
+}
+
+#[test]
+fn servers_that_crash_while_others_answer_are_not_mistaken_for_lost_paths() {
+    let mut paths = calm();
+    for number in 0..6 {
+        let began = 1_100 + 10 * number;
+        assert!(fail(&mut paths, number, began, began + 2).is_empty());
+        assert!(paths.received(&id(9), SERVICE, ms(began + 5)).is_empty());
+    }
+    assert!(!paths.is_lost(SERVICE));
+    assert!(!paths.may_connect(&id(0), SERVICE));
+    assert!(paths.may_connect(&id(9), SERVICE) && paths.may_connect(&id(8), SERVICE));
+}
+
+#[test]
+fn an_attempt_from_before_the_last_bytes_shows_nothing() {
+    let mut paths = calm();
+    for number in 0..5 {
+        assert!(fail(&mut paths, number, 900, 1_150).is_empty());
+    }
+    assert!(!paths.is_cut_off());
+}
+
+#[test]
+fn one_server_that_fails_again_and_again_is_not_mistaken_for_lost_paths() {
+    let mut paths = calm();
+    for at in 0..20 {
+        assert!(fail(&mut paths, 1, 1_100 + at, 1_350 + at).is_empty());
+    }
+    assert!(!paths.is_cut_off());
+}
+
+#[test]
+fn a_service_whose_paths_alone_are_lost_leaves_others_in_use() {
+    let mut paths = calm();
+    paths.connected(&id(20), "payout", ms(1_000));
+    for number in 0..3 {
+        fail(&mut paths, number, 1_100, 1_350);
+        paths.received(&id(20), "payout", ms(1_360));
+    }
+    assert!(paths.is_lost(SERVICE) && !paths.is_cut_off());
+    assert!(paths.may_connect(&id(20), "payout"));
+}
+
+#[test]
+fn a_refused_connection_leaves_open_ones_in_use() {
+    let mut paths = calm();
+    let failure = ConnectFailure::Refused;
+    paths.connect_failed(&id(1), SERVICE, failure, ms(1_100), ms(1_101));
+    assert!(paths.is_open(&id(1), SERVICE));
+    assert!(!paths.may_connect(&id(1), SERVICE));
+}
+
+#[test]
+fn two_servers_that_are_heard_restore_the_paths() {
+    let mut paths = calm();
+    lose_all(&mut paths);
+    assert!(paths.connected(&id(5), SERVICE, ms(4_000)).is_empty());
+    assert!(paths.may_connect(&id(5), SERVICE) && paths.is_cut_off());
+    let changes = paths.connected(&id(6), SERVICE, ms(4_001));
+    let after = ms(3_001);
+    let service = Some(SERVICE.to_owned());
+    let expected = [
+        PathChange::Restored(None, after),
+        PathChange::Restored(service, after),
+    ];
+    assert_eq!(changes, expected);
+    assert!(paths.may_connect(&id(8), SERVICE));
+    assert!(!paths.may_connect(&id(0), SERVICE), "not tried since");
+}
+
+/// A herd of connections at the end of a partition would overload the servers.
+#[test]
+fn probes_are_few_at_any_size() {
+    let mut paths = calm();
+    lose_all(&mut paths);
+    let servers: Vec<Instance> = (0..3_000).map(server).collect();
+    let probed: usize = (0..50)
+        .map(|tick| {
+            paths
+                .due_probes(ms(2_000 + 200 * tick), servers.iter())
+                .len()
+        })
+        .sum();
+    assert!(probed > 0 && probed <= 100, "{probed} probes in 10 s");
+}
+
+#[test]
+fn no_server_is_probed_while_all_paths_work() {
+    let servers: Vec<Instance> = (0..10).map(server).collect();
+    assert!(calm().due_probes(ms(2_000), servers.iter()).is_empty());
+}
+
+proptest! {
+    /// Whatever happened before, bytes from all servers end every doubt.
+    #[test]
+    fn paths_recover_from_every_history(steps in proptest::collection::vec((0u64..12, 0u64..4), 0..60)) {
+        let mut paths = calm();
+        let mut now = 1_000;
+        for (number, what) in steps {
+            now += 7;
+            match what {
+                0 => _ = paths.received(&id(number), SERVICE, ms(now)),
+                1 => _ = fail(&mut paths, number, now, now),
+                2 => _ = paths.unanswered(&id(number), SERVICE, ms(now)),
+                _ => _ = paths.connect_failed(&id(number), SERVICE, ConnectFailure::Refused, ms(now), ms(now)),
+            }
+        }
+        for number in 0..12 {
+            paths.connected(&id(number), SERVICE, ms(now + 1 + number));
+        }
+        prop_assert!(!paths.is_lost(SERVICE));
+        prop_assert!((0..12).all(|number| paths.may_connect(&id(number), SERVICE)));
+        prop_assert_eq!(paths.unreachable(), 0);
+    }
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -113,6 +113,8 @@
     StateOutdated = 247, Warn, "the state may lack changes that were acknowledged some time ago";
     StateConfirmed = 248, Info, "the state is confirmed as recent again";
     LinkDropped = 249, Info, "a connection to a replica or relay was given up";
+    PathsLost = 250, Warn, "no server is heard any more; the paths of this gateway to the servers are most likely interrupted";
+    PathsRestored = 251, Info, "servers are heard again after the paths to them were lost";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -44,6 +44,12 @@
     pub servers_leaving: IntGauge,
     /// Items, servers, zones and requests touched by changes that are undecided without a leader.
     pub undecided_changes: IntGauge,
+    /// Servers to which the last attempts to connect failed.
+    pub servers_unreachable: IntGauge,
+    /// 1 while the paths to all servers are lost, 0 otherwise.
+    pub cut_off: IntGauge,
+    /// Time in milliseconds since bytes of any server arrived; -1 before the first.
+    pub server_silence_ms: IntGauge,
     unusable_fields: IntCounterVec,
 }
 
@@ -133,6 +139,18 @@
                 "gateway_undecided_changes",
                 "Items, servers, zones and requests touched by changes that are undecided without a leader",
             )?,
+            servers_unreachable: metrics.gauge(
+                "gateway_servers_unreachable",
+                "Servers to which the last attempts to connect failed",
+            )?,
+            cut_off: metrics.gauge(
+                "gateway_cut_off",
+                "1 while the paths of this gateway to all servers are lost",
+            )?,
+            server_silence_ms: metrics.gauge(
+                "gateway_server_silence_milliseconds",
+                "Time since any server was heard; -1 before the first",
+            )?,
             unusable_fields: metrics.counters(
                 "gateway_unusable_fields_total",
                 "Fields of servers' answers that could not be used, by name",
