A gateway that can't reach a server sends its requests through another gateway

The cause: a gateway knew one way to a server, its own, and took the failure of that way for a failure of the server. Each request found out for itself: keyed ones held 250 ms for an attempt that hangs, pooled ones two of them.

Reachability decides: a server counts as unreachable while the paths of its service, or all paths, are lost, its last attempt timed out, or it refuses connections and was not heard for 500 ms; open connections that still answer are used on. Such a request goes to another gateway over HTTP on a port of its own, one hop, with what is left of its deadline; the client's close travels on. The other gateway treats it as a client's: own table, owner and drain checks, admission, limits; it counts it in its retry budget and this one no longer does, shards' load is counted here only. Answers that are not a server's carry an outcome: unreachable, paths lost, unavailable, refused (none of them ran), unknown. Peers is the pure policy: same zone first, six in use, who fails or lost a service is avoided for 0.5 to 4 s, a server that two others can't reach either causes no detours for 0.5 to 4 s. Ways back are probed by connections without a request, two at a time per gateway at any size. What neither way reaches is refused at once.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -11,6 +11,7 @@
 use crate::crash_history::fingerprint;
 use crate::event_loop::{EventLoop, Timer};
 use crate::forwarding::MIN_TIME_LEFT;
+use crate::hop::HopOutcome;
 use crate::http_writer::{write_local_response, write_response, LocalResponse};
 use crate::in_flight::{InFlightId, InFlightRequest, InFlightState};
 use crate::refusal::Refusal;
@@ -191,6 +192,10 @@
                 let upstream = self.upstreams.get(*connection);
                 upstream.map_or((false, false), |one| (one.connected, one.reused))
             }
+            InFlightState::Forwarded { connection } => {
+                let connection = self.peer_connections.get(*connection);
+                (connection.is_some_and(|one| one.connected), false)
+            }
             _ => (false, false),
         };
         let state = request.state.clone();
@@ -212,6 +217,10 @@
     /// Closes the connection that a request is on and ends the attempt.
     pub(crate) fn cancel_attempt(&mut self, id: InFlightId) {
         let state = self.in_flight.get(id).map(|request| request.state.clone());
+        if let Some(InFlightState::Forwarded { connection }) = state {
+            self.cancel_forwarded(connection);
+            return;
+        }
         let Some(InFlightState::Assigned {
             connection, server, ..
         }) = state
@@ -271,6 +280,8 @@
             route = request.route_name,
             status = response.status,
             sendings = request.attempts,
+            forwarded = request.is_forwarded,
+            hops = request.tried_peers.len(),
             instance = request
                 .tried_servers
                 .last()
@@ -285,7 +296,8 @@
             return;
         };
         let closes = !client.keeps_alive || stopping;
-        write_response(client.connection.outbound(), response, closes);
+        let zone = client.is_peer.then_some(self.settings.zone.as_str());
+        write_response(client.connection.outbound(), response, closes, zone);
         self.finish_response(request.client, closes);
     }
 
@@ -295,7 +307,11 @@
             return;
         };
         let left = request.deadline.saturating_sub(self.now());
-        let response = LocalResponse::not_run(refusal.retry_after(Some(left)));
+        let paths_lost = self.reachability.is_lost(&request.service);
+        let response = LocalResponse {
+            hop_outcome: HopOutcome::of_refusal(refusal, paths_lost),
+            ..LocalResponse::not_run(refusal.retry_after(Some(left)))
+        };
         self.answer_locally(id, response, Event::RequestRefused, refusal.reason());
     }
 
@@ -330,6 +346,8 @@
             sendings = request.attempts,
             key = request.key.map_or(-1, i64::from),
             servers = request.tried_server_ids(),
+            forwarded = request.is_forwarded,
+            hops = request.tried_peers.len(),
             applied = self.table.applied(),
             state_age_ms = self.state_age_ms(),
             silence_ms = age_ms(self.reachability.silence(self.now())),
@@ -349,7 +367,9 @@
         };
         let closes = response.closes || !client.keeps_alive || stopping;
         let response = LocalResponse { closes, ..response };
-        write_local_response(client.connection.outbound(), response, request_id, &names);
+        let zone = client.is_peer.then_some(self.settings.zone.as_str());
+        let out = client.connection.outbound();
+        write_local_response(out, response, request_id, &names, zone);
         self.finish_response(token, closes);
     }
 
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -25,6 +25,8 @@
     pub closing: bool,
     /// When the first byte of a partly read request arrived.
     pub request_started: Option<Duration>,
+    /// Whether it is another gateway that forwards requests of its clients.
+    pub is_peer: bool,
     /// When the last response was sent, or the connection was accepted.
     pub idle_since: Duration,
 }
@@ -38,10 +40,19 @@
             keeps_alive: true,
             closing: false,
             request_started: None,
+            is_peer: false,
             idle_since: now,
         }
     }
 
+    /// A connection of another gateway.
+    pub fn of_peer(connection: Connection, now: Duration) -> Self {
+        Self {
+            is_peer: true,
+            ..Self::new(connection, now)
+        }
+    }
+
     /// Reads available bytes; returns whether the connection is still open.
     pub fn fill(&mut self, limit: usize) -> bool {
         let limit = match self.request {
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -2,6 +2,7 @@
 //! process.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -29,6 +30,8 @@
 use crate::link_queue::LinkQueue;
 use crate::load::LoadCounts;
 use crate::load_balancer::LoadBalancer;
+use crate::peer_connections::PeerConnections;
+use crate::peers::Peers;
 use crate::reachability::Reachability;
 use crate::relay::{Relay, RelayedState};
 use crate::retry_budget::{RetryBudgetBound, RetryBudgets};
@@ -44,7 +47,8 @@
 const READINESS_LISTENER: Token = Token(1);
 const METRICS_LISTENER: Token = Token(2);
 const RELAY_LISTENER: Token = Token(3);
-const FIRST_CONNECTION: usize = 4;
+const PEER_LISTENER: Token = Token(4);
+const FIRST_CONNECTION: usize = 5;
 
 /// Capacity of the event buffer that each poll fills.
 const EVENT_CAPACITY: usize = 256;
@@ -77,6 +81,8 @@
     PermitWait(InFlightId, u32),
     /// The connection to a server with this token must be established by now.
     ConnectTimeout(usize),
+    /// The connection to another gateway with this token must be established by now.
+    PeerConnectTimeout(usize),
 }
 
 /// The gateway's event loop, with all state of the process.
@@ -87,6 +93,8 @@
     pub(crate) names: HeaderNames,
     pub(crate) poll: Poll,
     client_listener: TcpListener,
+    /// Accepts requests that other gateways forward.
+    peer_listener: Option<TcpListener>,
     pub(crate) readiness_server: TextServer,
     pub(crate) metrics_server: Option<TextServer>,
     pub(crate) relay: Option<Relay>,
@@ -97,6 +105,8 @@
     pub(crate) next_token: usize,
     pub(crate) clients: Clients,
     pub(crate) upstreams: Upstreams,
+    pub(crate) peers: Peers,
+    pub(crate) peer_connections: PeerConnections,
     pub(crate) in_flight: InFlightRequests,
     /// Services with a server that may accept more requests since their waiting requests were last
     /// dispatched.
@@ -151,6 +161,15 @@
                 Some(Relay::listen(address, registry, RELAY_LISTENER)?)
             }
         };
+        let peer_listener = match settings.peer_port() {
+            None => None,
+            Some(port) => {
+                let address = SocketAddr::new(settings.front_address.ip(), port);
+                let mut listener = TcpListener::bind(settings.bind_address(address))?;
+                registry.register(&mut listener, PEER_LISTENER, Interest::READABLE)?;
+                Some(listener)
+            }
+        };
         let metrics_registry = Metrics::new();
         let metrics = GatewayMetrics::register(&metrics_registry)?;
         let stop_requested = Arc::new(AtomicBool::new(false));
@@ -174,6 +193,7 @@
         let leaving = LeavingServers::new(settings.drain());
         let retry_budgets = RetryBudgets::new(bound, &settings.node);
         let link_queue = LinkQueue::new(settings.link_mbps);
+        let peers = Peers::new(&settings.zone);
         let table = Table::new(&settings.node, &settings.zone);
         Ok(Self {
             settings_path: path.to_owned(),
@@ -183,6 +203,7 @@
             names,
             poll,
             client_listener,
+            peer_listener,
             readiness_server,
             metrics_server,
             relay,
@@ -193,6 +214,8 @@
             next_token: FIRST_CONNECTION,
             clients: Clients::new(),
             upstreams: Upstreams::default(),
+            peers,
+            peer_connections: PeerConnections::default(),
             in_flight: InFlightRequests::default(),
             services_with_capacity: BTreeSet::new(),
             timers: Deadlines::default(),
@@ -275,8 +298,10 @@
     fn on_event(&mut self, token: Token) {
         match token {
             CLIENT_LISTENER => self.accept_clients(),
+            PEER_LISTENER => self.accept_peers(),
             token if self.clients.contains_key(&token) => self.on_client(token),
             token if self.upstreams.owns(token) => self.on_upstream(token),
+            token if self.peer_connections.owns(token) => self.on_peer(token),
             token if self.directory.owns(token) => self.on_directory(token),
             token if self.relay.as_ref().is_some_and(|relay| relay.owns(token)) => {
                 self.on_follower(token);
@@ -302,12 +327,9 @@
     }
 
     fn accept_clients(&mut self) {
-        let limit = self
-            .settings
-            .maximum_descriptors
-            .saturating_sub(RESERVED_DESCRIPTORS);
+        let limit = self.connection_capacity();
         while let Ok((stream, _)) = self.client_listener.accept() {
-            if self.clients.len() + self.upstreams.len() >= limit {
+            if self.connection_count() >= limit {
                 continue;
             }
             let now = self.now();
@@ -318,6 +340,32 @@
         }
     }
 
+    /// Accepts connections of other gateways. They may use half of the descriptors, so that own clients still
+    /// connect.
+    fn accept_peers(&mut self) {
+        let limit = self.connection_capacity() / 2;
+        while let Some(Ok((stream, _))) = self.peer_listener.as_ref().map(TcpListener::accept) {
+            if self.connection_count() >= limit {
+                continue;
+            }
+            let now = self.now();
+            let token = self.allocate_token();
+            if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
+                self.clients.insert(token, Client::of_peer(connection, now));
+            }
+        }
+    }
+
+    /// Number of connections that clients, servers and other gateways may have together.
+    fn connection_capacity(&self) -> usize {
+        let descriptors = self.settings.maximum_descriptors;
+        descriptors.saturating_sub(RESERVED_DESCRIPTORS)
+    }
+
+    fn connection_count(&self) -> usize {
+        self.clients.len() + self.upstreams.len() + self.peer_connections.len()
+    }
+
     /// Whether the gateway accepts new clients: it has a configuration and is not shutting down.
     fn is_ready(&self) -> bool {
         self.stopping.is_none() && self.table.is_configured()
@@ -446,6 +494,7 @@
                 Timer::CapacityWait(request, attempts) => self.end_capacity_wait(request, attempts),
                 Timer::PermitWait(request, attempts) => self.end_permit_wait(request, attempts),
                 Timer::ConnectTimeout(token) => self.on_connect_timeout(Token(token)),
+                Timer::PeerConnectTimeout(token) => self.on_peer_connect_timeout(Token(token)),
             }
         }
     }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -176,6 +176,11 @@
         }
     }
 
+    /// Relay addresses of other gateways, as far as the directory has named them.
+    pub fn gateways(&self) -> impl Iterator<Item = &str> {
+        self.relays.known()
+    }
+
     /// Number of open links, to replicas and relays.
     pub fn link_count(&self) -> usize {
         self.links.len()
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -12,6 +12,7 @@
 use crate::crash_history::fingerprint;
 use crate::event_loop::{EventLoop, Timer};
 use crate::headers::HeaderNames;
+use crate::hop::{HopOutcome, HopRequest};
 use crate::http_writer::LocalResponse;
 use crate::in_flight::{InFlightId, InFlightRequest, InFlightState};
 use crate::placing::warmup_allows;
@@ -36,6 +37,8 @@
     stated_timeout: Option<Duration>,
     /// When the first byte arrived.
     received_at: Duration,
+    /// What another gateway decided that forwards the request; `None` for a request of a client.
+    hop: Option<HopRequest>,
 }
 
 impl IncomingRequest {
@@ -49,6 +52,7 @@
             stated_timeout: stated_timeout.map(Duration::from_millis),
             request,
             received_at,
+            hop: None,
         }
     }
 
@@ -123,7 +127,13 @@
 
     /// Selects the route and service of a request, then admits or rejects it.
     fn route(&mut self, token: Token, request: Request, received_at: Duration, now: Duration) {
-        let incoming = IncomingRequest::new(token, request, received_at, &self.names);
+        let mut incoming = IncomingRequest::new(token, request, received_at, &self.names);
+        if self.clients.get(&token).is_some_and(|one| one.is_peer) {
+            incoming.hop = HopRequest::take(&mut incoming.request);
+            if incoming.hop.is_none() {
+                return self.respond(token, LocalResponse::status(400).closing(), "");
+            }
+        }
         if !self.table.is_configured() {
             return self.reject(&incoming, Refusal::Unconfigured);
         }
@@ -143,17 +153,36 @@
             return self.reject(&incoming, Refusal::Quarantined);
         }
         let name = name.to_owned();
-        let target = self.splitter.next(&name, &route);
-        let service = route.targets[target].service.clone();
-        let stated_timeout = incoming.stated_timeout;
-        let is_client_retry = stated_timeout
-            .is_some_and(|stated_timeout| self.client_retries.is_retry(now, &name, stated_timeout));
+        let service = self.select_service(&incoming, &name, &route);
+        let is_client_retry = self.is_client_retry(&incoming, &name, now);
         match self.admit(&incoming, &route, &service, is_client_retry, now) {
             Ok(()) => self.accept(incoming, name, route, service, is_client_retry),
             Err(refusal) => self.reject(&incoming, refusal),
         }
     }
 
+    /// The service of a request. What another gateway selected holds as long as the route allows it, so that the
+    /// services of a route get their shares of the requests at the gateways of the clients.
+    fn select_service(&mut self, incoming: &IncomingRequest, name: &str, route: &Route) -> String {
+        let selected = incoming.hop.as_ref().map(|hop| &hop.service);
+        let targets = route.targets.iter().map(|target| &target.service);
+        match selected.filter(|service| targets.clone().any(|target| target == *service)) {
+            Some(service) => service.clone(),
+            None => {
+                let target = self.splitter.next(name, route);
+                route.targets[target].service.clone()
+            }
+        }
+    }
+
+    fn is_client_retry(&mut self, incoming: &IncomingRequest, name: &str, now: Duration) -> bool {
+        match (&incoming.hop, incoming.stated_timeout) {
+            (Some(hop), _) => hop.is_client_retry,
+            (None, Some(timeout)) => self.client_retries.is_retry(now, name, timeout),
+            (None, None) => false,
+        }
+    }
+
     /// Whether the request is quarantined because it crashed the servers that executed it. No request is
     /// hashed while the quarantine is empty.
     fn is_quarantined(&self, request: &Request) -> bool {
@@ -219,7 +248,9 @@
         let is_sharded = self.table.is_sharded(&service);
         let shard = is_sharded.then(|| shard_of_key(key.unwrap_or_default()));
         self.retry_budgets.note_request(&service, now);
-        if let Some(shard) = shard {
+        let is_forwarded = incoming.hop.is_some();
+        // The gateway that forwarded the request has counted it.
+        if let Some(shard) = shard.filter(|_| !is_forwarded) {
             self.load.note_request(&service, shard);
         }
         let expires = incoming.expires(&route);
@@ -239,6 +270,11 @@
             expires,
             attempts: 0,
             connect_failures: 0,
+            timed_out_since: None,
+            is_forwarded,
+            tried_peers: Vec::new(),
+            unreachable_target: String::new(),
+            is_handed_over: false,
             tried_servers: Vec::new(),
             permitted_server: None,
             state: InFlightState::Dispatching,
@@ -262,7 +298,10 @@
             applied = self.table.applied(),
             state_age_ms = self.state_age_ms()
         );
-        let response = LocalResponse::not_run(refusal.retry_after(incoming.stated_timeout));
+        let response = LocalResponse {
+            hop_outcome: HopOutcome::of_refusal(refusal, false),
+            ..LocalResponse::not_run(refusal.retry_after(incoming.stated_timeout))
+        };
         let response = match refusal {
             Refusal::Stopping => response.closing(),
             _ => response,
@@ -299,13 +338,11 @@
             .filter(|instance| self.may_receive(instance, now))
             .filter(|instance| self.evacuations.owner_may_serve(&instance.zone, now));
         match owner.cloned() {
+            Some(owner) if !self.is_reachable(&owner) => {
+                self.dispatch_to_unreachable_owner(id, &owner, fence);
+            }
             Some(owner) if request.connect_failures > 0 => {
-                event!(
-                    Event::ServerSuspected,
-                    instance = owner.id,
-                    reason = "owner out of reach"
-                );
-                self.wait_for_owner(id, fence);
+                self.wait_for_unreachable_owner(id, &owner.id, fence);
             }
             Some(owner) if self.cooldowns.remaining(&owner.id, now).is_some() => {
                 self.wait_for_cooldown(id, &owner.id);
@@ -323,6 +360,34 @@
         }
     }
 
+    /// Handles a request whose owner this gateway can't reach: forwards it to another gateway. If there is none, an owner
+    /// that refuses connections is tried again, unless another request already does.
+    fn dispatch_to_unreachable_owner(&mut self, id: InFlightId, owner: &Instance, fence: u64) {
+        if self.forward_to_peer(id, owner.id.name()) {
+            return;
+        }
+        let request = self.in_flight.get(id);
+        let is_forwarded = request.is_some_and(|one| one.is_forwarded);
+        if is_forwarded || self.reachability.is_lost(&owner.service) {
+            return self.refuse(id, Refusal::Unreachable);
+        }
+        let has_failed = request.is_some_and(|one| one.connect_failures > 0);
+        let hangs = !self.reachability.is_open(&owner.id, &owner.service);
+        match has_failed || hangs || self.upstreams.is_connecting_to(&owner.id) {
+            true => self.wait_for_unreachable_owner(id, &owner.id, fence),
+            false => self.send(id, owner),
+        }
+    }
+
+    fn wait_for_unreachable_owner(&mut self, id: InFlightId, owner: &InstanceId, fence: u64) {
+        event!(
+            Event::ServerSuspected,
+            instance = owner,
+            reason = "owner out of reach"
+        );
+        self.wait_for_owner(id, fence);
+    }
+
     /// Whether an owner may receive requests for its keys. A draining owner still does for part of the drain
     /// time, until others have taken its shards over. A gateway that did not see the drain begin can't tell
     /// how much of that time is left, so it sends nothing.
--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -45,6 +45,9 @@
             .tick(now, registry, &mut self.next_token, content, state);
         self.log_state_age();
         self.note_unanswered_requests(now);
+        self.probe_servers(now);
+        self.peer_connections.close_idle(now);
+        self.peers.forget_expired(now);
         self.close_expired_connections(now);
         self.close_idle_clients(now);
         if let Some(relay) = &mut self.relay {
--- a/crates/gateway/src/http_writer.rs
+++ b/crates/gateway/src/http_writer.rs
@@ -6,6 +6,7 @@
 use grebepin_reactor::http::{Request, Response};
 
 use crate::headers::HeaderNames;
+use crate::hop::{is_hop_field, write_answer_fields, HopOutcome};
 
 /// A response that the gateway generates itself, without a body.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -16,6 +17,8 @@
     pub retry_after: Option<Duration>,
     /// Whether the connection is closed after the response.
     pub closes: bool,
+    /// What another gateway is told that forwarded the request.
+    pub hop_outcome: HopOutcome,
 }
 
 impl LocalResponse {
@@ -26,6 +29,7 @@
             status: 503,
             retry_after,
             closes: false,
+            hop_outcome: HopOutcome::of_status(503),
         }
     }
 
@@ -35,6 +39,7 @@
             status,
             retry_after: None,
             closes: false,
+            hop_outcome: HopOutcome::of_status(status),
         }
     }
 
@@ -47,12 +52,14 @@
     }
 }
 
-/// Writes a response of the gateway's own. An empty `request_id` is left out.
+/// Writes a response of the gateway's own. An empty `request_id` is left out. `zone` is that of this gateway if the
+/// response goes to another gateway.
 pub fn write_local_response(
     out: &mut Vec<u8>,
     response: LocalResponse,
     request_id: &str,
     names: &HeaderNames,
+    zone: Option<&str>,
 ) {
     let reason = reason_phrase(response.status);
     let _ = write!(out, "HTTP/1.1 {} {reason}\r\n", response.status);
@@ -62,16 +69,24 @@
     if let Some(after) = response.retry_after {
         let _ = write!(out, "Retry-After: {:.3}\r\n", after.as_secs_f64());
     }
+    if let Some(zone) = zone {
+        write_answer_fields(out, Some(response.hop_outcome), zone);
+    }
     let connection = connection_value(response.closes);
     let _ = write!(out, "Content-Length: 0\r\nConnection: {connection}\r\n\r\n");
 }
 
-/// Writes a server's response, without its hop-by-hop header fields.
-pub fn write_response(out: &mut Vec<u8>, response: &Response, closes: bool) {
+/// Writes a server's response, without its hop-by-hop header fields. `zone` is that of this gateway if the response
+/// goes to another gateway.
+pub fn write_response(out: &mut Vec<u8>, response: &Response, closes: bool, zone: Option<&str>) {
     let reason = reason_phrase(response.status);
     out.reserve(response.body.len() + 512);
     let _ = write!(out, "HTTP/1.1 {} {reason}\r\n", response.status);
-    write_fields(out, response.fields.end_to_end());
+    let fields = response.fields.end_to_end();
+    write_fields(out, fields.filter(|(name, _)| !is_hop_field(name)));
+    if let Some(zone) = zone {
+        write_answer_fields(out, None, zone);
+    }
     let connection = connection_value(closes);
     if response.status != 204 && response.status != 304 {
         let _ = write!(out, "Content-Length: {}\r\n", response.body.len());
@@ -89,6 +104,23 @@
     time_left: Duration,
     instance: &str,
 ) {
+    write_head(out, request, names, time_left);
+    let _ = write!(out, "{}: {instance}\r\n", names.expected_instance);
+    write_body(out, request);
+}
+
+/// Writes a request to another gateway. The deadline replaces the client's own header field of this name.
+pub fn write_forwarded_request(
+    out: &mut Vec<u8>,
+    request: &Request,
+    names: &HeaderNames,
+    time_left: Duration,
+) {
+    write_head(out, request, names, time_left);
+    write_body(out, request);
+}
+
+fn write_head(out: &mut Vec<u8>, request: &Request, names: &HeaderNames, time_left: Duration) {
     out.reserve(request.body.len() + 512);
     let _ = write!(out, "{} {} HTTP/1.1\r\n", request.method, request.target);
     let own = |name: &str| {
@@ -100,11 +132,10 @@
         request.fields.end_to_end().filter(|(name, _)| !own(name)),
     );
     let milliseconds = time_left.as_millis().max(1);
-    let _ = write!(
-        out,
-        "{}: {milliseconds}\r\n{}: {instance}\r\n",
-        names.deadline_ms, names.expected_instance
-    );
+    let _ = write!(out, "{}: {milliseconds}\r\n", names.deadline_ms);
+}
+
+fn write_body(out: &mut Vec<u8>, request: &Request) {
     let has_body = !request.body.is_empty() || !matches!(request.method.as_str(), "GET" | "HEAD");
     if has_body {
         let _ = write!(out, "Content-Length: {}\r\n", request.body.len());
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -1,6 +1,7 @@
 //! Requests in flight: accepted from a client and not yet answered.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,11 @@
     },
     /// Waits for capacity at the key's owner, or at any server of the service.
     AwaitingCapacity,
+    /// Forwarded to another gateway, or about to be.
+    Forwarded {
+        /// The connection to that gateway.
+        connection: Token,
+    },
     /// Assigned to a connection to a server.
     Assigned {
         connection: Token,
@@ -69,6 +75,16 @@
     pub attempts: u32,
     /// Number of connections that could not be established for this request.
     pub connect_failures: u32,
+    /// Start of the last attempt to connect for this request that timed out.
+    pub timed_out_since: Option<Duration>,
+    /// Whether another gateway forwarded it to this one.
+    pub is_forwarded: bool,
+    /// Other gateways that it was forwarded to, in order.
+    pub tried_peers: Vec<SocketAddr>,
+    /// The server or service that was out of reach when it was last forwarded; empty before.
+    pub unreachable_target: String,
+    /// Whether another gateway counts it in the retry budget.
+    pub is_handed_over: bool,
     /// Servers that it was assigned to, in order, including those that could not be reached.
     pub tried_servers: Vec<InstanceId>,
     /// The server that the request may be sent to under the leader's permit or this gateway's turn.
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -2,17 +2,31 @@
 
 use std::time::Duration;
 
-use grebepin_catalog::InstanceId;
+use grebepin_catalog::{Instance, InstanceId, RequestKind};
 use grebepin_telemetry::{age_ms, event, Event};
+use mio::Token;
 
 use crate::event_loop::EventLoop;
-use crate::reachability::{ConnectFailure, PathChange};
+use crate::in_flight::{InFlightId, InFlightRequest};
+use crate::reachability::{ConnectFailure, Loss, PathChange, Reachability};
+use crate::upstreams::Upstreams;
 
 /// Time after which a request that was sent counts as unanswered, as a multiple of the server's expected response
 /// time, and the least such time. Lost packets are sent again within it.
 const UNANSWERED_FACTOR: u32 = 3;
 const MIN_UNANSWERED_TIME: Duration = Duration::from_millis(300);
 
+/// Whether a request can most likely be sent to a server, on a new connection or an idle one.
+pub(crate) fn is_reachable(
+    reachability: &Reachability,
+    upstreams: &Upstreams,
+    server: &Instance,
+) -> bool {
+    let (id, service) = (&server.id, &server.service);
+    reachability.may_connect(id, service)
+        || (upstreams.has_idle(id) && reachability.is_open(id, service))
+}
+
 impl EventLoop {
     /// Records that bytes of a server arrived.
     pub(crate) fn note_received(&mut self, server: &InstanceId) {
@@ -71,21 +85,68 @@
         }
     }
 
+    /// Whether a request can most likely be sent to a server from here.
+    pub(crate) fn is_reachable(&self, server: &Instance) -> bool {
+        is_reachable(&self.reachability, &self.upstreams, server)
+    }
+
+    /// Opens connections to some of the servers that may be out of reach, without a request of a client.
+    pub(crate) fn probe_servers(&mut self, now: Duration) {
+        if !self.reachability.is_in_doubt() {
+            return;
+        }
+        self.update_peers();
+        let servers = self.table.live_servers();
+        for server in self.reachability.due_probes(now, servers) {
+            self.connect(&server, now);
+        }
+    }
+
     fn on_path_changes(&mut self, changes: &[PathChange]) {
         for change in changes {
-            match change {
-                PathChange::Lost(service) => event!(
+            let service = change.service.as_deref().unwrap_or_default();
+            let new_only = change.loss == Loss::NewConnections;
+            match change.restored_after {
+                None => event!(
                     Event::PathsLost,
-                    service = service.as_deref().unwrap_or_default(),
+                    service = service,
+                    new_connections_only = new_only,
                     silence_ms = age_ms(self.reachability.silence(self.now())),
                     unreachable = self.reachability.unreachable()
                 ),
-                PathChange::Restored(service, after) => event!(
+                Some(after) => event!(
                     Event::PathsRestored,
-                    service = service.as_deref().unwrap_or_default(),
+                    service = service,
+                    new_connections_only = new_only,
                     ms = after.as_millis()
                 ),
             }
         }
+        if changes.iter().any(|change| change.restored_after.is_none()) {
+            self.leave_lost_paths();
+        }
+    }
+
+    /// Ends what waits on connections that most likely no longer work: attempts to connect, whose requests are
+    /// dispatched again, idle connections, and requests that may be repeated.
+    fn leave_lost_paths(&mut self) {
+        let lost = self.upstreams.iter().filter(|(_, upstream)| {
+            let instance = self.table.instance(&upstream.server);
+            instance.is_some_and(|one| !self.reachability.is_open(&one.id, &one.service))
+        });
+        let lost: Vec<(Token, bool, Option<InFlightId>)> = lost
+            .map(|(token, upstream)| (token, upstream.connected, upstream.request))
+            .collect();
+        for (token, connected, request) in lost {
+            let request = request.and_then(|id| self.in_flight.get(id));
+            match (connected, request.map(InFlightRequest::kind)) {
+                (false, Some(_)) => self.on_connect_failure(token, ConnectFailure::TimedOut),
+                (true, Some(RequestKind::Safe)) => {
+                    self.fail_connection(token, "paths to servers lost");
+                }
+                (true, None) => _ = self.drop_upstream(token),
+                (true, Some(RequestKind::Unsafe)) | (false, None) => {}
+            }
+        }
     }
 }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -8,16 +8,26 @@
 
 use crate::event_loop::EventLoop;
 use crate::in_flight::InFlightId;
+use crate::paths::is_reachable;
 use crate::refusal::Refusal;
 use crate::table::Table;
 use crate::warmup::WarmupTurns;
 
+/// Whether a request may go through another gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Detour {
+    Allowed,
+    None,
+}
+
 /// Result of the server selection for a request to a pooled service.
 enum Selection {
     /// The request is sent to this server.
     Send(Instance),
     /// No server can execute the request now.
     Refuse(Refusal),
+    /// Most servers of this service are out of reach, so the request should go through another gateway.
+    Forward(String),
     /// The request waits for capacity. `opens_at` is when a pause that closes a server ends; `None` if that
     /// is not known.
     Wait { opens_at: Option<Duration> },
@@ -25,7 +35,8 @@
 
 impl EventLoop {
     pub(crate) fn dispatch_to_pool(&mut self, id: InFlightId) {
-        match self.select_server(id) {
+        match self.select_server(id, Detour::Allowed) {
+            Some(Selection::Forward(service)) => self.forward_or_send(id, &service),
             Some(Selection::Send(server)) => self.send(id, &server),
             Some(Selection::Refuse(refusal)) => self.refuse(id, refusal),
             Some(Selection::Wait { opens_at }) => self.wait_for_capacity(id, opens_at),
@@ -33,10 +44,32 @@
         }
     }
 
+    /// Forwards a request to another gateway. If there is none, a server is tried all the same as long as the paths do
+    /// not count as lost.
+    fn forward_or_send(&mut self, id: InFlightId, service: &str) {
+        if self.forward_to_peer(id, service) {
+            return;
+        }
+        let is_forwarded = self.in_flight.get(id).is_some_and(|one| one.is_forwarded);
+        if is_forwarded || self.reachability.is_lost(service) {
+            return self.refuse(id, Refusal::Unreachable);
+        }
+        match self.select_server(id, Detour::None) {
+            Some(Selection::Send(server)) => self.send(id, &server),
+            Some(Selection::Wait { opens_at }) => self.wait_for_capacity(id, opens_at),
+            Some(Selection::Refuse(refusal)) => self.refuse(id, refusal),
+            Some(Selection::Forward(_)) | None => {}
+        }
+    }
+
     /// Selects a server for a request to a pooled service; `None` when the request has ended.
-    fn select_server(&mut self, id: InFlightId) -> Option<Selection> {
+    fn select_server(&mut self, id: InFlightId, detour: Detour) -> Option<Selection> {
         let now = self.now();
         let gateways = self.gateway_count();
+        if detour == Detour::Allowed && self.should_forward(id) {
+            let request = self.in_flight.get(id)?;
+            return Some(Selection::Forward(request.service.clone()));
+        }
         let request = self.in_flight.get(id)?;
         let (table, warmup, rates) = (&self.table, &self.warmup, &self.stated_rates);
         let cooldowns = &self.cooldowns;
@@ -55,7 +88,12 @@
         let staying = available
             .clone()
             .filter(|server| !leaving.is_leaving(&server.id));
-        let chosen = self.load_balancer.choose(staying, zone, now, &mut random);
+        let (reachability, upstreams) = (&self.reachability, &self.upstreams);
+        let reachable = staying
+            .clone()
+            .filter(|server| is_reachable(reachability, upstreams, server));
+        let chosen = self.load_balancer.choose(reachable, zone, now, &mut random);
+        let chosen = chosen.or_else(|| self.load_balancer.choose(staying, zone, now, &mut random));
         let chosen = chosen.or_else(|| {
             let available = available.clone();
             self.load_balancer.choose(available, zone, now, &mut random)
@@ -81,6 +119,25 @@
         Some(self.select_without_available(id, first_back.as_ref(), capacity_after))
     }
 
+    /// Whether a request to a pooled service should go through another gateway: its last attempt to connect timed out
+    /// and no server of the service was heard since, or this gateway reaches less than half of the service's servers.
+    fn should_forward(&self, id: InFlightId) -> bool {
+        let Some(request) = self.in_flight.get(id) else {
+            return false;
+        };
+        if !self.reachability.is_in_doubt() {
+            return false;
+        }
+        let service = &request.service;
+        let unheard = |since| !self.reachability.is_service_heard_since(service, since);
+        if request.timed_out_since.is_some_and(unheard) {
+            return true;
+        }
+        let servers = self.table.usable_servers(service);
+        let reachable = servers.clone().filter(|one| self.is_reachable(one));
+        2 * reachable.count() < servers.count()
+    }
+
     /// Decides about a request that no server accepts now. `first_back` is the cooling server whose cooldown
     /// ends first, and `capacity_after` the shortest time after which a server that states a rate has capacity;
     /// each is `None` where there is no such server.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -57,6 +57,11 @@
     NoConnection,
     /// The servers that were tried could not be reached.
     Unreachable,
+    /// Another gateway, to which the request was forwarded, refused it.
+    AtPeer {
+        /// Time after which the client may retry, as that gateway says.
+        retry_after: Option<Duration>,
+    },
     /// The server states that it did not run the request, and the request can't be retried.
     NotRun {
         /// Time until the server is likely to accept it, if known.
@@ -89,6 +94,7 @@
             Self::NoServer => "no server",
             Self::NoConnection => "no connection",
             Self::Unreachable => "servers out of reach",
+            Self::AtPeer { .. } => "refused by another gateway",
             Self::NotRun { .. } => "server did not run it",
             Self::BudgetSpent { .. } => "server did not run it, retry budget spent",
             Self::DeadlineExpired => "no time left",
@@ -98,10 +104,11 @@
     /// Time after which a client may retry. `left` is the remaining time that it stated, if any. `None` for a
     /// request that should not be retried at all.
     pub fn retry_after(self, left: Option<Duration>) -> Option<Duration> {
-        if self == Self::Quarantined {
-            return None;
+        match self {
+            Self::Quarantined => None,
+            Self::AtPeer { retry_after } => retry_after,
+            _ => Some(self.delay(left)),
         }
-        Some(self.delay(left))
     }
 
     fn delay(self, left: Option<Duration>) -> Duration {
--- a/crates/gateway/src/relays.rs
+++ b/crates/gateway/src/relays.rs
@@ -53,6 +53,11 @@
         self.avoided_until.retain(|_, until| now < *until);
     }
 
+    /// Addresses of the other gateways that act as relays, as far as they are known.
+    pub fn known(&self) -> impl Iterator<Item = &str> {
+        self.named.keys().map(String::as_str)
+    }
+
     /// Records that a relay could not be reached or has no current state itself.
     pub fn failed(&mut self, now: Duration, address: &str) {
         self.avoided_until
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -79,6 +79,13 @@
         account.requests.push_back(now);
     }
 
+    /// Takes back the last request of a service that was counted, since another gateway counts it.
+    pub fn forget_request(&mut self, service: &str) {
+        if let Some(account) = self.accounts.get_mut(service) {
+            account.requests.pop_back();
+        }
+    }
+
     /// Takes one retry out of a service's budget; returns false if none is left. `is_client_retry` is true if
     /// the request itself is a retry by a client that was refused before.
     pub fn take(&mut self, service: &str, now: Duration, is_client_retry: bool) -> bool {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -21,16 +21,16 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Timeout after which a connection with unacknowledged bytes fails.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Connections that may fail for one request before it is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
 /// Largest response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 64 << 20;
+pub(crate) const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 
 /// Bytes of a response that are read at once.
-const READ_LIMIT: usize = 1 << 20;
+pub(crate) const READ_LIMIT: usize = 1 << 20;
 
 /// Send time assumed for a response that belongs to no request here. The real time is unknown, so the
 /// response overrides nothing that the server stated since.
@@ -46,7 +46,11 @@
     /// Assigns a request to an idle or new connection to a server.
     pub(crate) fn send(&mut self, id: InFlightId, server: &Instance) {
         let now = self.now();
-        let idle = self.upstreams.take_idle(&server.id, now);
+        let is_open = self.reachability.is_open(&server.id, &server.service);
+        let idle = match is_open {
+            true => self.upstreams.take_idle(&server.id, now),
+            false => None,
+        };
         let token = match idle {
             Some(token) => token,
             None => match self.connect(server, now) {
@@ -186,6 +190,9 @@
         };
         request.attempts -= 1;
         request.connect_failures += 1;
+        if failure == ConnectFailure::TimedOut {
+            request.timed_out_since = Some(upstream.idle_since);
+        }
         request.state = InFlightState::Dispatching;
         match request.connect_failures > MAX_CONNECT_FAILURES {
             true => self.refuse(id, Refusal::Unreachable),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,10 @@
     /// the IP address of `front_address`; 0 disables it.
     #[serde(default)]
     pub relay_port: u16,
+    /// Port at which this gateway accepts requests that other gateways forward, at the IP address of `front_address`,
+    /// and at which it forwards requests to them; 0 disables both.
+    #[serde(default)]
+    pub peer_port: u16,
     /// Control addresses of directory replicas that are likely to be reachable at startup.
     pub seeds: Vec<SocketAddr>,
     /// Bandwidth of the machine's network link in megabits per second. Without it no request is rejected
@@ -122,6 +126,11 @@
         (self.relay_port != 0).then_some(address)
     }
 
+    /// Port of requests between gateways; `None` if they are disabled.
+    pub fn peer_port(&self) -> Option<u16> {
+        (self.peer_port != 0).then_some(self.peer_port)
+    }
+
     /// The relay address as it is advertised to the directory; empty when this gateway does not relay.
     pub fn relay_name(&self) -> String {
         let address = self.relay_address();
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -115,6 +115,22 @@
             .collect()
     }
 
+    /// Whether a connection to a server is being established.
+    pub fn is_connecting_to(&self, server: &InstanceId) -> bool {
+        let mut connections = self.connections.values();
+        connections.any(|one| !one.connected && one.server == *server)
+    }
+
+    /// All connections with their tokens.
+    pub fn iter(&self) -> impl Iterator<Item = (Token, &Upstream)> {
+        self.connections.iter().map(|(token, one)| (*token, one))
+    }
+
+    /// Whether there is an idle connection to a server.
+    pub fn has_idle(&self, server: &InstanceId) -> bool {
+        self.idle.contains_key(server)
+    }
+
     /// Idle connections to a server. After one connection was lost without a close, others that were open at
     /// the time may be dead as well, and each would cost a request its whole time to find out.
     pub fn idle_connections(&self, server: &InstanceId) -> Vec<Token> {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -115,6 +115,7 @@
     LinkDropped = 249, Info, "a connection to a replica or relay was given up";
     PathsLost = 250, Warn, "no server is heard any more; the paths of this gateway to the servers are most likely interrupted";
     PathsRestored = 251, Info, "servers are heard again after the paths to them were lost";
+    RequestForwarded = 252, Debug, "request sent through another gateway, since its server is out of reach";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -48,6 +48,8 @@
     pub servers_unreachable: IntGauge,
     /// 1 while the paths to all servers are lost, 0 otherwise.
     pub cut_off: IntGauge,
+    /// Requests sent through another gateway because their server was out of reach.
+    pub forwarded_requests: IntCounter,
     /// Time in milliseconds since bytes of any server arrived; -1 before the first.
     pub server_silence_ms: IntGauge,
     unusable_fields: IntCounterVec,
@@ -147,6 +149,10 @@
                 "gateway_cut_off",
                 "1 while the paths of this gateway to all servers are lost",
             )?,
+            forwarded_requests: metrics.counter(
+                "gateway_forwarded_requests_total",
+                "Requests sent through another gateway because their server was out of reach",
+            )?,
             server_silence_ms: metrics.gauge(
                 "gateway_server_silence_milliseconds",
                 "Time since any server was heard; -1 before the first",
