--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -10,7 +10,7 @@
 
 use crate::crash_history::fingerprint;
 use crate::event_loop::{EventLoop, Timer};
-use crate::forwarding::MIN_TIME_LEFT;
+use crate::dispatch::MIN_TIME_LEFT;
 use crate::hop::HopOutcome;
 use crate::http_writer::{write_local_response, write_response, LocalResponse};
 use crate::in_flight::{InFlightId, InFlightRequest, InFlightState};
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -13,8 +13,8 @@
 use mio::Token;
 use rand::Rng;
 
+use crate::dispatch::MIN_TIME_LEFT;
 use crate::event_loop::{EventLoop, Timer};
-use crate::forwarding::MIN_TIME_LEFT;
 use crate::hop::{HopAnswer, HopOutcome, HopRequest};
 use crate::http_writer::write_forwarded_request;
 use crate::in_flight::{InFlightId, InFlightState};
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -9,8 +9,8 @@
 use std::time::{Duration, SystemTime};
 
 use grebepin_reactor::http::RequestLimits;
-use grebepin_reactor::{Clock, Connection, Deadlines, StallDetector, TextResponse, TextServer};
-use grebepin_telemetry::{age_ms, event, Event, GatewayMetrics, Metrics};
+use grebepin_reactor::{Clock, Connection, Deadlines, StallDetector, TextServer};
+use grebepin_telemetry::{event, Event, GatewayMetrics, Metrics};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use rand::rngs::SmallRng;
@@ -98,7 +98,7 @@
     pub(crate) readiness_server: TextServer,
     pub(crate) metrics_server: Option<TextServer>,
     pub(crate) relay: Option<Relay>,
-    metrics_registry: Metrics,
+    pub(crate) metrics_registry: Metrics,
     pub(crate) metrics: GatewayMetrics,
     clock: Clock,
     stall_detector: StallDetector,
@@ -132,7 +132,7 @@
     pub(crate) random: SmallRng,
     pub(crate) directory: DirectoryClient,
     pub(crate) stopping: Option<Stopping>,
-    logged_ready: bool,
+    pub(crate) logged_ready: bool,
     pub(crate) logged_outdated: bool,
     pub(crate) next_housekeeping: Duration,
     pub(crate) next_settings_check: Duration,
@@ -366,72 +366,6 @@
         self.clients.len() + self.upstreams.len() + self.peer_connections.len()
     }
 
-    /// Whether the gateway accepts new clients: it has a configuration and is not shutting down.
-    fn is_ready(&self) -> bool {
-        self.stopping.is_none() && self.table.is_configured()
-    }
-
-    fn on_readiness_request(&mut self, token: Token) {
-        let now = self.now();
-        let status = match self.is_ready() {
-            true => 200,
-            false => 503,
-        };
-        let registry = self.poll.registry();
-        let next = &mut self.next_token;
-        let response = || TextResponse {
-            status,
-            body: String::new(),
-        };
-        self.readiness_server
-            .on_event(now, token, registry, next, response);
-    }
-
-    fn on_metrics_request(&mut self, token: Token) {
-        let now = self.now();
-        self.update_gauges(now);
-        let metrics_registry = &self.metrics_registry;
-        let response = || TextResponse {
-            status: 200,
-            body: metrics_registry.render().unwrap_or_default(),
-        };
-        if let Some(metrics) = &mut self.metrics_server {
-            let registry = self.poll.registry();
-            metrics.on_event(now, token, registry, &mut self.next_token, response);
-        }
-    }
-
-    fn update_gauges(&self, now: Duration) {
-        let metrics = &self.metrics;
-        metrics.requests_in_flight.set(self.in_flight.len() as i64);
-        metrics.client_connections.set(self.clients.len() as i64);
-        metrics.server_connections.set(self.upstreams.len() as i64);
-        metrics.applied_index.set(self.table.applied() as i64);
-        let age = self
-            .directory
-            .last_leader_message
-            .map(|at| now.saturating_sub(at));
-        metrics.leader_age_ms.set(age_ms(age));
-        metrics.state_age_ms.set(self.state_age_ms());
-        let links = self.directory.link_count();
-        metrics.directory_links.set(links as i64);
-        let rated = self.stated_rates.len();
-        metrics.servers_stating_rates.set(rated as i64);
-        let cooling_down = self.cooldowns.count(now);
-        metrics.servers_cooling_down.set(cooling_down as i64);
-        metrics.servers_leaving.set(self.leaving.len() as i64);
-        let unreachable = self.reachability.unreachable();
-        metrics.servers_unreachable.set(unreachable as i64);
-        let is_cut_off = self.reachability.is_cut_off();
-        metrics.cut_off.set(i64::from(is_cut_off));
-        let silence = self.reachability.silence(now);
-        metrics.server_silence_ms.set(age_ms(silence));
-        let undecided = self.table.undecided().len();
-        metrics.undecided_changes.set(undecided as i64);
-        let link_wait = self.link_queue.wait(now);
-        metrics.link_wait_ms.set(link_wait.as_millis() as i64);
-    }
-
     pub(crate) fn request_limits(&self) -> RequestLimits {
         match self.table.limits() {
             Some(limits) => RequestLimits {
@@ -472,18 +406,6 @@
         is_known.then(|| self.retry_budgets.gateways())
     }
 
-    pub(crate) fn log_readiness(&mut self) {
-        let ready = self.is_ready();
-        if ready != self.logged_ready {
-            self.logged_ready = ready;
-            event!(
-                Event::GatewayReady,
-                ready = ready,
-                applied = self.table.applied()
-            );
-        }
-    }
-
     fn run_timers(&mut self) {
         let now = self.now();
         while let Some(due) = self.timers.pop_due(now) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,10 +1,12 @@
 //! The gateway: accepts client requests, selects the server that may execute each one, and returns the
 //! response.
 //!
-//! Everything runs on one thread. `table`, `load_balancer`, `retry_budget`, `cooldowns`, `stated_rate` and
-//! `verdict` make decisions and perform no I/O. `clients`, `upstreams` and `follow` own the connections.
-//! `forwarding`, `sending` and `answering` implement the phases of a request, `housekeeping` holds the periodic
-//! tasks, and `event_loop` drives them all.
+//! Everything runs on one thread. `table`, `load_balancer`, `retry_budget`, `cooldowns`, `stated_rate`,
+//! `reachability`, `peers` and `verdict` make decisions and perform no I/O. `clients`, `upstreams`, `peer_connections` and
+//! `follow` own the connections.
+//! `forwarding`, `dispatch`, `sending` and `answering` implement the phases of a request, `detour` sends it through
+//! another gateway. `paths` records what connections show of the paths to servers, `housekeeping` holds the periodic
+//! tasks, `endpoints` answers questions about this gateway, and `event_loop` drives them all.
 //!
 //! Invariants: a request that is not repeatable is sent a second time only after proof that the first attempt
 //! was not executed. A response reaches the client only in full, and only if it carries the id of its
@@ -19,6 +21,8 @@
 mod crash_check;
 pub mod crash_history;
 mod detour;
+mod dispatch;
+mod endpoints;
 pub mod evacuations;
 mod event_loop;
 pub mod follow;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -8,8 +8,8 @@
 use grebepin_directory::link::PermitRequest;
 use grebepin_grants::Permit;
 
+use crate::dispatch::MAX_WAIT_FRACTION;
 use crate::event_loop::{EventLoop, Timer};
-use crate::forwarding::MAX_WAIT_FRACTION;
 use crate::in_flight::{InFlightId, InFlightState};
 use crate::refusal::Refusal;
 
