What happens on a lost path no longer counts against the servers

A gateway that is cut off saw its probes for crashes refused and reported crashes (three of one request on three servers quarantine it everywhere for 15 minutes), and reported the time until it gave requests up as time that owners took, by which the directory moves keys; it also cut its concurrency limit and raised its mean response time for them.

Now: a refused probe is no crash while no server of the service is heard, crashes recorded since the last bytes are dropped before the next report that lists them, and requests given up at a server that is not heard change neither limits nor the load report.

The test of the history failed to compile before, as there was nothing to drop; the load report has no test of its own.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -9,8 +9,8 @@
 use mio::Token;
 
 use crate::crash_history::fingerprint;
-use crate::event_loop::{EventLoop, Timer};
 use crate::dispatch::MIN_TIME_LEFT;
+use crate::event_loop::{EventLoop, Timer};
 use crate::hop::HopOutcome;
 use crate::http_writer::{write_local_response, write_response, LocalResponse};
 use crate::in_flight::{InFlightId, InFlightRequest, InFlightState};
@@ -200,8 +200,10 @@
         };
         let state = request.state.clone();
         if let (InFlightState::Assigned { server, since, .. }, true) = (state, was_sent) {
-            self.load_balancer
-                .timed_out(&server, now, now.saturating_sub(since));
+            if self.is_heard(&server) {
+                self.load_balancer
+                    .timed_out(&server, now, now.saturating_sub(since));
+            }
             if reused {
                 self.drop_idle(&server);
             }
@@ -256,7 +258,7 @@
 
     /// Adds the time that an owner spent on a request to the load report, whether the request finished or was
     /// given up. Requests that the server did not execute are left out: they end so quickly that the server
-    /// would seem to have capacity for every key.
+    /// would seem to have capacity for every key. So are those to a server that is not heard: they tell about the path.
     pub(crate) fn record_owner_time(
         &mut self,
         id: InFlightId,
@@ -264,7 +266,7 @@
         took: Duration,
     ) {
         let request = self.in_flight.get(id);
-        if request.is_some_and(|request| request.shard.is_some()) {
+        if request.is_some_and(|request| request.shard.is_some()) && self.is_heard(server) {
             self.load.note_answer(server, took);
         }
     }
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -1,7 +1,7 @@
 //! Detects whether a server that closed a connection with a request on it has crashed, see
 //! [`crate::crash_history`].
 
-use grebepin_catalog::InstanceId;
+use grebepin_catalog::{Instance, InstanceId};
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Records a crash if the refused connection was a probe for one.
+    /// Records a crash if the refused connection was a probe for one, unless the paths to the service are lost.
     pub(crate) fn record_probed_crash(&mut self, token: Token) {
         let now = self.now();
         let Some(upstream) = self.upstreams.get(token) else {
@@ -39,6 +39,11 @@
         let Some(fingerprint) = upstream.crash_probe else {
             return;
         };
+        let instance = self.table.instance(&upstream.server);
+        let is_lost = |one: &Instance| self.reachability.silent_since(&one.service).is_some();
+        if instance.is_some_and(is_lost) {
+            return;
+        }
         event!(
             Event::ServerCrashed,
             instance = upstream.server,
--- a/crates/gateway/src/crash_history.rs
+++ b/crates/gateway/src/crash_history.rs
@@ -89,6 +89,12 @@
         self.crashes.retain(|one| one.fingerprint != fingerprint);
     }
 
+    /// Drops the crashes recorded after `at`, from when on this gateway heard no server: what ended the connections
+    /// was most likely the path to the servers.
+    pub fn forget_since(&mut self, at: Duration) {
+        self.crashes.retain(|one| one.at <= at);
+    }
+
     /// Whether a crash has been recorded since the last report.
     pub fn has_unreported(&self) -> bool {
         self.has_unreported
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Whether what happened on a connection to a server tells about the server: bytes arrive from it.
+    pub(crate) fn is_heard(&self, server: &InstanceId) -> bool {
+        let instance = self.table.instance(server);
+        instance.is_none_or(|one| self.reachability.is_open(server, &one.service))
+    }
+
     /// Whether a request can most likely be sent to a server from here.
     pub(crate) fn is_reachable(&self, server: &Instance) -> bool {
         is_reachable(&self.reachability, &self.upstreams, server)
@@ -122,7 +128,11 @@
                 ),
             }
         }
-        if changes.iter().any(|change| change.restored_after.is_none()) {
+        for change in changes.iter().filter(|one| one.restored_after.is_none()) {
+            let service = change.service.as_deref().unwrap_or_default();
+            if let Some(since) = self.reachability.silent_since(service) {
+                self.crashes.forget_since(since);
+            }
             self.leave_lost_paths();
         }
     }
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -247,11 +247,9 @@
 
     /// Whether open connections to a server most likely work.
     pub fn is_open(&self, id: &InstanceId, service: &str) -> bool {
-        let group = self.services.get(service);
-        let group = group.and_then(|one| one.bytes.lost_since);
         let path = self.paths.get(id);
         let timed_out = path.and_then(|path| path.timed_out_since);
-        let Some(doubted_since) = self.all.bytes.lost_since.max(group).max(timed_out) else {
+        let Some(doubted_since) = self.silent_since(service).max(timed_out) else {
             return true;
         };
         path.is_some_and(|path| path.received_at > doubted_since)
@@ -283,6 +281,13 @@
         self.all.is_lost() || group.is_some_and(Group::is_lost)
     }
 
+    /// Time of the last bytes before the paths to a service's servers were lost; `None` while bytes arrive.
+    pub fn silent_since(&self, service: &str) -> Option<Duration> {
+        let group = self.services.get(service);
+        let group = group.and_then(|one| one.bytes.lost_since);
+        self.all.bytes.lost_since.max(group)
+    }
+
     /// Whether the paths to all servers are lost.
     pub fn is_cut_off(&self) -> bool {
         self.all.bytes.lost_since.is_some()
--- a/crates/gateway/tests/crash_history.rs
+++ b/crates/gateway/tests/crash_history.rs
@@ -27,6 +27,19 @@
     }
 }
 
+/// A gateway that loses its paths sees every server refuse connections, as after a crash.
+#[test]
+fn crashes_seen_while_no_server_was_heard_are_not_reported() {
+    let print = fingerprint(&request("POST", "/a/1", &[("Host", "h")], "pay"), &NAMES);
+    let mut history = CrashHistory::default();
+    history.note_crash(at(1), print, &InstanceId::new("i-1"));
+    history.note_crash(at(3), print, &InstanceId::new("i-2"));
+    history.forget_since(at(2));
+    let reported = history.reports(at(4));
+    let servers: Vec<&InstanceId> = reported.iter().map(|one| &one.server).collect();
+    assert_eq!(servers, [&InstanceId::new("i-1")]);
+}
+
 #[test]
 fn attempts_of_a_request_share_a_fingerprint_and_other_requests_do_not() {
     let of = |target, fields: &[(&str, &str)], body| {
