Gateways count a request's attempts together, and ask for a single server only who heard it

Each gateway counted its own attempts only: one of its own, then two of the other gateway's; and a safe request was handed to yet another gateway after one broke off. Now a forwarded request says how often it was sent, its answer says how often in all, and a gateway that breaks off ends the request.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -11,7 +11,7 @@
 use crate::crash_history::fingerprint;
 use crate::dispatch::MIN_TIME_LEFT;
 use crate::event_loop::{EventLoop, Timer};
-use crate::hop::HopOutcome;
+use crate::hop::{AnsweringGateway, HopOutcome};
 use crate::http_writer::{write_local_response, write_response, LocalResponse};
 use crate::in_flight::{InFlightId, InFlightRequest, InFlightState};
 use crate::refusal::Refusal;
@@ -298,8 +298,11 @@
             return;
         };
         let closes = !client.keeps_alive || stopping;
-        let zone = client.is_peer.then_some(self.settings.zone.as_str());
-        write_response(client.connection.outbound(), response, closes, zone);
+        let gateway = client.is_peer.then_some(AnsweringGateway {
+            zone: &self.settings.zone,
+            attempts: request.attempts,
+        });
+        write_response(client.connection.outbound(), response, closes, gateway);
         self.finish_response(request.client, closes);
     }
 
@@ -337,6 +340,10 @@
         let Some(request) = self.in_flight.remove(id) else {
             return;
         };
+        let response = LocalResponse {
+            attempts: request.attempts,
+            ..response
+        };
         let took = self.now().saturating_sub(request.received_at);
         event!(
             what,
@@ -369,9 +376,12 @@
         };
         let closes = response.closes || !client.keeps_alive || stopping;
         let response = LocalResponse { closes, ..response };
-        let zone = client.is_peer.then_some(self.settings.zone.as_str());
+        let gateway = client.is_peer.then_some(AnsweringGateway {
+            zone: &self.settings.zone,
+            attempts: response.attempts,
+        });
         let out = client.connection.outbound();
-        write_local_response(out, response, request_id, &names, zone);
+        write_local_response(out, response, request_id, &names, gateway);
         self.finish_response(token, closes);
     }
 
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use grebepin_catalog::RequestKind;
 use grebepin_reactor::http::{Response, ResponseReader};
 use grebepin_reactor::{Connection, ReadOutcome};
 use grebepin_telemetry::{event, Event};
@@ -25,9 +24,12 @@
 /// Timeout for establishing a connection to another gateway: a few round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Gateways that are tried for one request.
+/// Gateways that are tried for one request while the paths to its service are lost.
 const MAX_PEERS: usize = 3;
 
+/// The same for a single server that can't be reached, which has most likely failed.
+const MAX_PEERS_FOR_SERVER: usize = 1;
+
 /// Subtracted from the time that the other gateway has for a request, so that its answer arrives before this gateway
 /// gives the request up.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -43,8 +45,14 @@
         let Some(request) = self.in_flight.get(id) else {
             return false;
         };
+        let paths_lost = self.reachability.is_lost(&request.service);
+        let limit = match paths_lost {
+            true => MAX_PEERS,
+            false => MAX_PEERS_FOR_SERVER,
+        };
         let is_allowed = !request.is_forwarded
-            && request.tried_peers.len() < MAX_PEERS
+            && request.tried_peers.len() < limit
+            && request.attempts < request.route.maximum_attempts
             && now + ANSWER_MARGIN + MIN_TIME_LEFT < request.expires
             && self.peers.may_reach(target, now);
         if !is_allowed {
@@ -151,6 +159,8 @@
         let hop = HopRequest {
             service: request.service.clone(),
             is_client_retry: request.is_client_retry,
+            attempts: request.attempts,
+            only_if_heard: !self.reachability.is_lost(&request.service),
         };
         let mut message = request.message.clone();
         hop.put(&mut message);
@@ -237,7 +247,14 @@
         let service = request.service.clone();
         self.link_queue
             .note_answer(&request.service, response.body.len());
-        let HopAnswer { outcome, zone } = HopAnswer::read(response);
+        let HopAnswer {
+            outcome,
+            attempts,
+            zone,
+        } = HopAnswer::read(response);
+        if let (Some(request), Some(attempts)) = (self.in_flight.get_mut(id), attempts) {
+            request.attempts = request.attempts.max(attempts);
+        }
         match outcome {
             Some(HopOutcome::Unavailable) => self.peers.failed(now, peer),
             _ => self.peers.answered(peer, zone),
@@ -260,13 +277,13 @@
             }
             Some(HopOutcome::Unreachable) => {
                 self.peers.unreachable(&target, now);
-                self.redispatch(id);
+                self.dispatch_again(id);
             }
             Some(HopOutcome::PathsLost) => {
                 self.peers.lost_paths(now, peer, &service);
-                self.redispatch(id);
+                self.dispatch_again(id);
             }
-            Some(HopOutcome::Unavailable) => self.redispatch(id),
+            Some(HopOutcome::Unavailable) => self.dispatch_again(id),
         }
     }
 
@@ -295,7 +312,7 @@
         self.peers.failed(now, connection.peer);
         if let Some(id) = connection.request {
             self.peers.end(connection.peer);
-            self.redispatch(id);
+            self.dispatch_again(id);
         }
     }
 
@@ -310,18 +327,15 @@
             return;
         };
         self.peers.end(connection.peer);
-        let Some(request) = self.in_flight.get(id) else {
-            return;
-        };
-        let may_repeat = request.kind() == RequestKind::Safe
-            && self.directory.knows_gateway_count(now)
-            && self
-                .retry_budgets
-                .take(&request.service, now, request.is_client_retry);
-        match may_repeat {
-            true => self.redispatch(id),
-            false => self.fail(id, 502, "another gateway broke off"),
+        self.fail(id, 502, "another gateway broke off");
+    }
+
+    /// Dispatches a request that another gateway did not send to any server.
+    fn dispatch_again(&mut self, id: InFlightId) {
+        if let Some(request) = self.in_flight.get_mut(id) {
+            request.state = InFlightState::Dispatching;
         }
+        self.dispatch(id);
     }
 
     /// Closes the connection of a forwarded request that was given up; returns whether the request had been sent.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -48,6 +48,9 @@
             .filter(|instance| self.may_receive(instance, now))
             .filter(|instance| self.evacuations.owner_may_serve(&instance.zone, now));
         match owner.cloned() {
+            Some(owner) if request.only_if_heard && !self.is_heard_lately(&owner.id) => {
+                self.refuse(id, Refusal::Unreachable);
+            }
             Some(owner) if !self.is_reachable(&owner) => {
                 self.dispatch_to_unreachable_owner(id, &owner, fence);
             }
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -17,6 +17,12 @@
 /// Present if the client most likely retries a request that was refused before.
 const CLIENT_RETRY: &str = "Grebepin-Hop-Client-Retry";
 
+/// Number of servers that the request was sent to so far.
+const ATTEMPTS: &str = "Grebepin-Hop-Attempts";
+
+/// Present if the other gateway should send the request only to a server that it has heard lately.
+const IF_HEARD: &str = "Grebepin-Hop-If-Heard";
+
 /// Outcome of a request that no server's response answers.
 const OUTCOME: &str = "Grebepin-Hop-Outcome";
 
@@ -36,17 +42,27 @@
     pub service: String,
     /// Whether the client most likely retries a request that was refused before.
     pub is_client_retry: bool,
+    /// Number of servers that the request was sent to so far.
+    pub attempts: u32,
+    /// Whether the other gateway should send the request only to an owner that it has heard lately. The owner is then
+    /// the only server that the first gateway can't reach, so it has most likely failed.
+    pub only_if_heard: bool,
 }
 
 impl HopRequest {
-    /// Reads and removes the fields of a request; `None` if it names no service.
+    /// Reads and removes the fields of a request; `None` if they are incomplete.
     pub fn take(request: &mut Request) -> Option<Self> {
         let service = request.fields.get(SERVICE)?.to_owned();
         let is_client_retry = request.fields.get(CLIENT_RETRY).is_some();
+        let only_if_heard = request.fields.get(IF_HEARD).is_some();
+        let attempts = request.fields.get(ATTEMPTS);
+        let attempts = attempts.and_then(|text| text.parse().ok())?;
         request.fields = without_hop_fields(&request.fields);
         Some(Self {
             service,
             is_client_retry,
+            attempts,
+            only_if_heard,
         })
     }
 
@@ -57,6 +73,10 @@
         if self.is_client_retry {
             fields.push(CLIENT_RETRY, b"1");
         }
+        fields.push(ATTEMPTS, self.attempts.to_string().as_bytes());
+        if self.only_if_heard {
+            fields.push(IF_HEARD, b"1");
+        }
         request.fields = fields;
     }
 }
@@ -124,6 +144,8 @@
 pub struct HopAnswer {
     /// `None` if the answer is a server's.
     pub outcome: Option<HopOutcome>,
+    /// Number of servers that the request was sent to in all; `None` if it is not told.
+    pub attempts: Option<u32>,
     /// Zone of the gateway that answers.
     pub zone: Option<String>,
 }
@@ -137,16 +159,36 @@
                 .unwrap_or(HopOutcome::Unknown)
         });
         let zone = response.fields.get(ZONE).map(str::to_owned);
-        Self { outcome, zone }
+        let attempts = response.fields.get(ATTEMPTS);
+        let attempts = attempts.and_then(|text| text.parse().ok());
+        Self {
+            outcome,
+            attempts,
+            zone,
+        }
     }
 }
 
+/// What the answer to another gateway tells besides the outcome.
+#[derive(Clone, Copy, Debug)]
+pub struct AnsweringGateway<'a> {
+    /// Zone of this gateway.
+    pub zone: &'a str,
+    /// Number of servers that the request was sent to in all.
+    pub attempts: u32,
+}
+
 /// Writes the fields of an answer to another gateway.
-pub fn write_answer_fields(out: &mut Vec<u8>, outcome: Option<HopOutcome>, zone: &str) {
+pub fn write_answer_fields(
+    out: &mut Vec<u8>,
+    outcome: Option<HopOutcome>,
+    gateway: AnsweringGateway<'_>,
+) {
     if let Some(outcome) = outcome {
         let _ = write!(out, "{OUTCOME}: {}\r\n", outcome.as_str());
     }
-    let _ = write!(out, "{ZONE}: {zone}\r\n");
+    let AnsweringGateway { zone, attempts } = gateway;
+    let _ = write!(out, "{ZONE}: {zone}\r\n{ATTEMPTS}: {attempts}\r\n");
 }
 
 fn without_hop_fields(fields: &Fields) -> Fields {
--- a/crates/gateway/src/http_writer.rs
+++ b/crates/gateway/src/http_writer.rs
@@ -6,7 +6,7 @@
 use grebepin_reactor::http::{Request, Response};
 
 use crate::headers::HeaderNames;
-use crate::hop::{is_hop_field, write_answer_fields, HopOutcome};
+use crate::hop::{is_hop_field, write_answer_fields, AnsweringGateway, HopOutcome};
 
 /// A response that the gateway generates itself, without a body.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,6 +19,8 @@
     pub closes: bool,
     /// What another gateway is told that forwarded the request.
     pub hop_outcome: HopOutcome,
+    /// Number of servers that the request was sent to.
+    pub attempts: u32,
 }
 
 impl LocalResponse {
@@ -30,6 +32,7 @@
             retry_after,
             closes: false,
             hop_outcome: HopOutcome::of_status(503),
+            attempts: 0,
         }
     }
 
@@ -40,6 +43,7 @@
             retry_after: None,
             closes: false,
             hop_outcome: HopOutcome::of_status(status),
+            attempts: 0,
         }
     }
 
@@ -52,14 +56,14 @@
     }
 }
 
-/// Writes a response of the gateway's own. An empty `request_id` is left out. `zone` is that of this gateway if the
+/// Writes a response of the gateway's own. An empty `request_id` is left out. `gateway` is this one if the
 /// response goes to another gateway.
 pub fn write_local_response(
     out: &mut Vec<u8>,
     response: LocalResponse,
     request_id: &str,
     names: &HeaderNames,
-    zone: Option<&str>,
+    gateway: Option<AnsweringGateway<'_>>,
 ) {
     let reason = reason_phrase(response.status);
     let _ = write!(out, "HTTP/1.1 {} {reason}\r\n", response.status);
@@ -69,23 +73,28 @@
     if let Some(after) = response.retry_after {
         let _ = write!(out, "Retry-After: {:.3}\r\n", after.as_secs_f64());
     }
-    if let Some(zone) = zone {
-        write_answer_fields(out, Some(response.hop_outcome), zone);
+    if let Some(gateway) = gateway {
+        write_answer_fields(out, Some(response.hop_outcome), gateway);
     }
     let connection = connection_value(response.closes);
     let _ = write!(out, "Content-Length: 0\r\nConnection: {connection}\r\n\r\n");
 }
 
-/// Writes a server's response, without its hop-by-hop header fields. `zone` is that of this gateway if the response
-/// goes to another gateway.
-pub fn write_response(out: &mut Vec<u8>, response: &Response, closes: bool, zone: Option<&str>) {
+/// Writes a server's response, without its hop-by-hop header fields. `gateway` is this one if the response goes to
+/// another gateway.
+pub fn write_response(
+    out: &mut Vec<u8>,
+    response: &Response,
+    closes: bool,
+    gateway: Option<AnsweringGateway<'_>>,
+) {
     let reason = reason_phrase(response.status);
     out.reserve(response.body.len() + 512);
     let _ = write!(out, "HTTP/1.1 {} {reason}\r\n", response.status);
     let fields = response.fields.end_to_end();
     write_fields(out, fields.filter(|(name, _)| !is_hop_field(name)));
-    if let Some(zone) = zone {
-        write_answer_fields(out, None, zone);
+    if let Some(gateway) = gateway {
+        write_answer_fields(out, None, gateway);
     }
     let connection = connection_value(closes);
     if response.status != 204 && response.status != 304 {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -71,7 +71,8 @@
     pub deadline: Duration,
     /// When the gateway gives the request up.
     pub expires: Duration,
-    /// Number of attempts at a server, without those whose connection was not established.
+    /// Number of attempts at a server, those of other gateways included, without those whose connection was not
+    /// established.
     pub attempts: u32,
     /// Number of connections that could not be established for this request.
     pub connect_failures: u32,
@@ -79,6 +80,8 @@
     pub timed_out_since: Option<Duration>,
     /// Whether another gateway forwarded it to this one.
     pub is_forwarded: bool,
+    /// Whether the gateway that forwarded it asks to send it only to an owner that was heard lately.
+    pub only_if_heard: bool,
     /// Other gateways that it was forwarded to, in order.
     pub tried_peers: Vec<SocketAddr>,
     /// The server or service that was out of reach when it was last forwarded; empty before.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -175,6 +175,8 @@
     let hop = HopRequest {
         service: SERVICE.to_owned(),
         is_client_retry: true,
+        attempts: 1,
+        only_if_heard: true,
     };
     hop.put(&mut message);
     assert_eq!(message.fields.all("Grebepin-Hop-Service").count(), 1);
