Lost paths are confirmed by probes before anything is decided by them

Slow answers and two failures now only cause probes of further servers, and six different servers must fail with none heard in between (all, where a service has three to five). Gateways probe in different orders.

--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -193,6 +193,7 @@
         let leaving = LeavingServers::new(settings.drain());
         let retry_budgets = RetryBudgets::new(bound, &settings.node);
         let link_queue = LinkQueue::new(settings.link_mbps);
+        let reachability = Reachability::new(&settings.node);
         let peers = Peers::new(&settings.zone);
         let table = Table::new(&settings.node, &settings.zone);
         Ok(Self {
@@ -228,7 +229,7 @@
             stated_rates,
             cooldowns: Cooldowns::default(),
             leaving,
-            reachability: Reachability::default(),
+            reachability,
             unusable_fields: BTreeSet::new(),
             load: LoadCounts::default(),
             crashes: CrashHistory::default(),
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -8,13 +8,18 @@
 
 use crate::event_loop::EventLoop;
 use crate::in_flight::{InFlightId, InFlightRequest};
-use crate::reachability::{ConnectFailure, Loss, PathChange, Reachability};
+use crate::reachability::{
+    ConnectFailure, Loss, PathChange, Reachability, ServerCounts, MAX_REQUIRED_FAILURES,
+};
 use crate::upstreams::Upstreams;
 
 /// Time after which a request that was sent counts as unanswered, as a multiple of the server's expected response
-/// time, and the least such time. Lost packets are sent again within it.
+/// time, and the least such time.
 const UNANSWERED_FACTOR: u32 = 3;
-const MIN_UNANSWERED_TIME: Duration = Duration::from_millis(300);
+const MIN_UNANSWERED_TIME: Duration = Duration::from_millis(250);
+
+/// Time for which a server that was heard counts as working.
+const HEARD_LATELY: Duration = Duration::from_millis(500);
 
 /// Whether a request can most likely be sent to a server, on a new connection or an idle one.
 pub(crate) fn is_reachable(
@@ -55,14 +60,26 @@
     ) {
         if let Some(instance) = self.table.instance(server) {
             let (service, now) = (&instance.service, self.now());
+            let servers = ServerCounts {
+                of_service: self
+                    .table
+                    .usable_servers(service)
+                    .take(MAX_REQUIRED_FAILURES)
+                    .count(),
+                all: self
+                    .table
+                    .live_servers()
+                    .take(MAX_REQUIRED_FAILURES)
+                    .count(),
+            };
             let changes = self
                 .reachability
-                .connect_failed(server, service, failure, began, now);
+                .connect_failed(server, service, failure, began, now, servers);
             self.on_path_changes(&changes);
         }
     }
 
-    /// Records requests that have been sent to servers and are without an answer for too long.
+    /// Records requests that have been sent to servers and are without an answer for long.
     pub(crate) fn note_unanswered_requests(&mut self, now: Duration) {
         let sent = self.in_flight.assigned();
         let unanswered = sent.filter(|(server, since)| {
@@ -71,17 +88,10 @@
             let patience = expected.unwrap_or_default() * UNANSWERED_FACTOR;
             now > *since + patience.max(MIN_UNANSWERED_TIME)
         });
-        let unanswered: Vec<(InstanceId, Duration)> = unanswered
-            .map(|(server, since)| (server.clone(), since))
-            .collect();
         for (server, since) in unanswered {
-            let Some(instance) = self.table.instance(&server) else {
-                continue;
-            };
-            let changes = self
-                .reachability
-                .unanswered(&server, &instance.service, since);
-            self.on_path_changes(&changes);
+            if let Some(instance) = self.table.instance(server) {
+                self.reachability.unanswered(&instance.service, since);
+            }
         }
     }
 
@@ -91,6 +101,12 @@
         instance.is_none_or(|one| self.reachability.is_open(server, &one.service))
     }
 
+    /// Whether bytes of a server arrived so recently that it most likely works.
+    pub(crate) fn is_heard_lately(&self, server: &InstanceId) -> bool {
+        let since = self.now().saturating_sub(HEARD_LATELY);
+        self.reachability.is_heard_since(server, since)
+    }
+
     /// Whether a request can most likely be sent to a server from here.
     pub(crate) fn is_reachable(&self, server: &Instance) -> bool {
         is_reachable(&self.reachability, &self.upstreams, server)
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -2,7 +2,9 @@
 //!
 //! One server that can't be reached tells nothing about the reason: the server may have failed, or the path to it.
 //! When several servers fail and none was heard since the first of them, the paths of this gateway are lost, and other
-//! gateways may still reach the servers. This is judged for each service and for all servers together.
+//! gateways may still reach the servers. This is judged for each service and for all servers together. A gateway with
+//! few requests hears servers rarely, so that a few failures or slow answers in a row are suspicious only; probes of
+//! further servers then confirm or refute it.
 //!
 //! Invariant: a failure counts only if it began after the last bytes from any server of the group, so that servers
 //! which crash or are overloaded one by one are not mistaken for lost paths.
@@ -11,12 +13,19 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Instance, InstanceId};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::backoff::exponential_delay;
 
-/// Servers that must fail without any being heard until paths count as lost. Two may fail together by chance or on
-/// one machine.
-const MIN_FAILING: usize = 3;
+/// Servers that must fail without any being heard until paths count as lost, if the group has that many. When a fifth
+/// of all servers crash at once, six in a row fail by chance once in 15,000 times.
+pub const MAX_REQUIRED_FAILURES: usize = 6;
+
+/// The same for small groups. Two servers may fail together on one machine.
+const MIN_REQUIRED_FAILURES: usize = 3;
+
+/// Servers that must fail until others are probed.
+const SUSPICIOUS_FAILURES: usize = 2;
 
 /// Servers that must be heard until the paths count as restored.
 const MIN_RESTORED: usize = 2;
@@ -31,6 +40,9 @@
 /// Probes begun at a time. It limits the connections that all gateways open at once when a partition ends.
 const MAX_PROBES: usize = 2;
 
+/// The same while paths are suspected to be lost, which probes of other servers decide.
+const MAX_SUSPICION_PROBES: usize = 4;
+
 /// How an attempt to connect to a server failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectFailure {
@@ -60,6 +72,15 @@
     pub restored_after: Option<Duration>,
 }
 
+/// Numbers of servers that can be reached as far as the directory knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerCounts {
+    /// Servers of the service.
+    pub of_service: usize,
+    /// Servers of all services.
+    pub all: usize,
+}
+
 /// Detects that a group of servers no longer succeeds at one thing: to send bytes, or to establish connections.
 #[derive(Debug, Default)]
 struct Detector {
@@ -71,6 +92,8 @@
     lost_since: Option<Duration>,
     /// Servers that succeeded since the paths were lost.
     restored: BTreeSet<InstanceId>,
+    /// Whether a server has been without an answer for long, since before the last success.
+    is_unanswered: bool,
 }
 
 impl Detector {
@@ -78,6 +101,7 @@
     fn succeeded(&mut self, id: &InstanceId, now: Duration) -> Option<Duration> {
         self.succeeded_at = now;
         self.failing.clear();
+        self.is_unanswered = false;
         self.lost_since?;
         self.restored.insert(id.clone());
         if self.restored.len() < MIN_RESTORED {
@@ -87,13 +111,14 @@
         self.lost_since.take()
     }
 
-    /// Records a failure that began at `began`; returns whether the paths are lost by it.
-    fn failed(&mut self, id: &InstanceId, began: Duration) -> bool {
+    /// Records a failure at one of `servers` servers that began at `began`; returns whether the paths are lost by it.
+    fn failed(&mut self, id: &InstanceId, began: Duration, servers: usize) -> bool {
         if self.lost_since.is_some() || began <= self.succeeded_at {
             return false;
         }
         self.failing.insert(id.clone());
-        if self.failing.len() < MIN_FAILING {
+        let required = servers.clamp(MIN_REQUIRED_FAILURES, MAX_REQUIRED_FAILURES);
+        if self.failing.len() < required {
             return false;
         }
         self.failing.clear();
@@ -101,6 +126,17 @@
         self.lost_since = Some(self.succeeded_at);
         true
     }
+
+    /// Records a request that was sent at `sent_at` and has been without an answer for long.
+    fn unanswered(&mut self, sent_at: Duration) {
+        self.is_unanswered |= sent_at > self.succeeded_at;
+    }
+
+    /// Whether further servers should be probed to find out whether the paths are lost.
+    fn is_suspected(&self) -> bool {
+        let is_suspicious = self.is_unanswered || self.failing.len() >= SUSPICIOUS_FAILURES;
+        is_suspicious && self.lost_since.is_none()
+    }
 }
 
 /// A group of paths: those to one service, or all.
@@ -121,6 +157,10 @@
     fn is_lost(&self) -> bool {
         self.bytes.lost_since.is_some() || self.connections.lost_since.is_some()
     }
+
+    fn is_suspected(&self) -> bool {
+        self.bytes.is_suspected() || self.connections.is_suspected()
+    }
 }
 
 /// The path to one server.
@@ -148,14 +188,29 @@
 }
 
 /// Paths of this gateway to the servers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Reachability {
+    /// Seed of the order in which this gateway probes servers, so that gateways probe different ones.
+    seed: u64,
     all: Group,
     services: HashMap<String, Group>,
     paths: HashMap<InstanceId, Path>,
+    /// Servers to which the last attempt to connect failed.
+    failing: BTreeSet<InstanceId>,
 }
 
 impl Reachability {
+    /// Starts without any knowledge. `node` is the name of this gateway's machine.
+    pub fn new(node: &str) -> Self {
+        Self {
+            seed: xxh3_64(node.as_bytes()),
+            all: Group::default(),
+            services: HashMap::new(),
+            paths: HashMap::new(),
+            failing: BTreeSet::new(),
+        }
+    }
+
     /// Records that bytes of a server arrived.
     pub fn received(&mut self, id: &InstanceId, service: &str, now: Duration) -> Vec<PathChange> {
         self.path(id).received_at = now;
@@ -168,6 +223,7 @@
         path.connect_failures = 0;
         path.connected_at = now;
         path.timed_out_since = None;
+        self.failing.remove(id);
         let mut changes = self.received(id, service, now);
         changes.extend(self.succeeded(id, service, Loss::NewConnections, now));
         changes
@@ -181,6 +237,7 @@
         failure: ConnectFailure,
         began: Duration,
         now: Duration,
+        servers: ServerCounts,
     ) -> Vec<PathChange> {
         let path = self.path(id);
         let exponent = path.connect_failures.min(8);
@@ -191,19 +248,16 @@
         if failure == ConnectFailure::TimedOut {
             path.timed_out_since.get_or_insert(began);
         }
-        let mut changes = self.failed(id, service, Loss::All, began);
-        changes.extend(self.failed(id, service, Loss::NewConnections, began));
+        self.failing.insert(id.clone());
+        let mut changes = self.failed(id, service, Loss::All, began, servers);
+        changes.extend(self.failed(id, service, Loss::NewConnections, began, servers));
         changes
     }
 
-    /// Records that a request, sent to a server at `sent_at`, has been without an answer for too long.
-    pub fn unanswered(
-        &mut self,
-        id: &InstanceId,
-        service: &str,
-        sent_at: Duration,
-    ) -> Vec<PathChange> {
-        self.failed(id, service, Loss::All, sent_at)
+    /// Records that a request to a service, sent at `sent_at`, has been without an answer for long.
+    pub fn unanswered(&mut self, service: &str, sent_at: Duration) {
+        self.all.bytes.unanswered(sent_at);
+        self.group(service).bytes.unanswered(sent_at);
     }
 
     fn succeeded(
@@ -232,9 +286,11 @@
         service: &str,
         loss: Loss,
         began: Duration,
+        servers: ServerCounts,
     ) -> Vec<PathChange> {
-        let of_all = self.all.detector(loss).failed(id, began);
-        let of_service = self.group(service).detector(loss).failed(id, began);
+        let of_all = self.all.detector(loss).failed(id, began, servers.all);
+        let group = self.group(service).detector(loss);
+        let of_service = group.failed(id, began, servers.of_service);
         let lost = [(None, of_all), (Some(service.to_owned()), of_service)].into_iter();
         lost.filter(|(_, is_lost)| *is_lost)
             .map(|(service, _)| PathChange {
@@ -295,8 +351,7 @@
 
     /// Number of servers to which no connection could be established lately.
     pub fn unreachable(&self) -> usize {
-        let paths = self.paths.values();
-        paths.filter(|path| path.connect_failures > 0).count()
+        self.failing.len()
     }
 
     /// Time since any server was heard; `None` before the first.
@@ -305,12 +360,26 @@
         (!received_at.is_zero()).then(|| now.saturating_sub(received_at))
     }
 
+    /// Whether bytes of a server arrived after `since`.
+    pub fn is_heard_since(&self, id: &InstanceId, since: Duration) -> bool {
+        let path = self.paths.get(id);
+        path.is_some_and(|path| path.received_at > since)
+    }
+
     /// Whether any server may be unreachable.
     pub fn is_in_doubt(&self) -> bool {
-        let mut paths = self.paths.values();
-        self.all.is_lost()
-            || self.services.values().any(Group::is_lost)
-            || paths.any(|path| path.connect_failures > 0)
+        let mut groups = self.services.values().chain([&self.all]);
+        let is_doubtful = |group: &Group| group.is_lost() || group.is_suspected();
+        !self.failing.is_empty() || groups.any(is_doubtful)
+    }
+
+    /// Whether a probe of a server would show whether it, or the paths to it and others, work.
+    fn wants_probe(&self, server: &Instance) -> bool {
+        let group = self.services.get(&server.service);
+        self.all.is_suspected()
+            || group.is_some_and(Group::is_suspected)
+            || self.failing.contains(&server.id)
+            || !self.may_connect(&server.id, &server.service)
     }
 
     /// Servers to probe now, the longest waiting first. Each counts as probed.
@@ -322,29 +391,23 @@
         if !self.is_in_doubt() {
             return Vec::new();
         }
-        let probe_at = |id: &InstanceId| {
-            self.paths
-                .get(id)
-                .map_or(Duration::ZERO, |path| path.probe_at)
-        };
-        let has_failed = |id: &InstanceId| {
-            self.paths
-                .get(id)
-                .is_some_and(|path| path.connect_failures > 0)
+        let is_suspected =
+            self.all.is_suspected() || self.services.values().any(Group::is_suspected);
+        let limit = match is_suspected {
+            true => MAX_SUSPICION_PROBES,
+            false => MAX_PROBES,
         };
-        let in_doubt =
-            servers.filter(|one| has_failed(&one.id) || !self.may_connect(&one.id, &one.service));
-        let mut due: Vec<(Duration, &Instance)> = in_doubt
-            .map(|one| (probe_at(&one.id), one))
-            .filter(|(at, _)| now >= *at)
-            .collect();
-        due.sort_by(|left, right| {
-            left.0
-                .cmp(&right.0)
-                .then_with(|| left.1.id.cmp(&right.1.id))
+        let due = servers.filter_map(|one| {
+            let path = self.paths.get(&one.id);
+            let probe_at = path.map_or(Duration::ZERO, |path| path.probe_at);
+            let is_due = now >= probe_at && self.wants_probe(one);
+            let order = xxh3_64_with_seed(one.id.name().as_bytes(), self.seed);
+            is_due.then_some((probe_at, order, one))
         });
-        due.truncate(MAX_PROBES);
-        let due: Vec<Instance> = due.into_iter().map(|(_, one)| one.clone()).collect();
+        let mut due: Vec<(Duration, u64, &Instance)> = due.collect();
+        due.sort_by_key(|(probe_at, order, _)| (*probe_at, *order));
+        due.truncate(limit);
+        let due: Vec<Instance> = due.into_iter().map(|(_, _, one)| one.clone()).collect();
         for one in &due {
             self.path(&one.id).probe_at = now + MAX_PROBE_INTERVAL;
         }
@@ -354,6 +417,7 @@
     /// Drops what is known of servers that are not live.
     pub fn retain(&mut self, is_live: impl Fn(&InstanceId) -> bool) {
         self.paths.retain(|id, _| is_live(id));
+        self.failing.retain(|id| is_live(id));
     }
 
     fn path(&mut self, id: &InstanceId) -> &mut Path {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -113,8 +113,8 @@
     StateOutdated = 247, Warn, "the state may lack changes that were acknowledged some time ago";
     StateConfirmed = 248, Info, "the state is confirmed as recent again";
     LinkDropped = 249, Info, "a connection to a replica or relay was given up";
-    PathsLost = 250, Warn, "no server is heard any more; the paths of this gateway to the servers are most likely interrupted";
-    PathsRestored = 251, Info, "servers are heard again after the paths to them were lost";
+    PathsLost = 250, Warn, "nothing arrives from any server, or no connection is established; the paths to the servers are most likely lost";
+    PathsRestored = 251, Info, "the paths to the servers work again";
     RequestForwarded = 252, Debug, "request sent through another gateway, since its server is out of reach";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
