A gateway whose link is full ends a forwarded request

On the shifted site, whose links are the bottleneck, requests with large bodies went to up to three gateways with full links in turn. Now the first one's refusal goes to the client, with that gateway's time to come back, and the gateway is avoided for 100 ms only, so that clients of cut-off gateways keep their share of the links that are left.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -12,7 +12,7 @@
 /// Bytes that are buffered of pipelined requests while an earlier request is in flight.
 const BUFFER_LIMIT: usize = 256 << 10;
 
-/// A client connection.
+/// Connection of a client, or of another gateway that forwards requests of its clients.
 #[derive(Debug)]
 pub struct Client {
     pub connection: Connection,
@@ -111,5 +111,5 @@
     }
 }
 
-/// All client connections.
+/// Connections of clients and other gateways by their tokens.
 pub type Clients = HashMap<Token, Client>;
--- a/crates/gateway/src/crash_history.rs
+++ b/crates/gateway/src/crash_history.rs
@@ -48,7 +48,7 @@
     at: Duration,
 }
 
-/// Recent crashes.
+/// Crashes within [`RETENTION`], at most [`MAX_CRASHES`], oldest first.
 #[derive(Debug, Default)]
 pub struct CrashHistory {
     crashes: VecDeque<Crash>,
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -257,6 +257,7 @@
         }
         match outcome {
             Some(HopOutcome::Unavailable) => self.peers.failed(now, peer),
+            Some(HopOutcome::Overloaded) => self.peers.overloaded(now, peer),
             _ => self.peers.answered(peer, zone),
         }
         match outcome {
@@ -267,11 +268,10 @@
             }
             Some(HopOutcome::Refused) => {
                 self.peers.reached(&target);
-                let retry_after = response.fields.get("retry-after");
-                let retry_after = retry_after.and_then(|text| text.parse().ok());
-                let retry_after = retry_after.and_then(|one| Duration::try_from_secs_f64(one).ok());
-                self.refuse(id, Refusal::AtPeer { retry_after });
+                self.refuse_as_peer(id, response);
             }
+            // Another try would put the request's bytes on this gateway's link once more.
+            Some(HopOutcome::Overloaded) => self.refuse_as_peer(id, response),
             Some(HopOutcome::Unknown) => {
                 self.fail(id, response.status, "failed at another gateway")
             }
@@ -287,6 +287,14 @@
         }
     }
 
+    /// Refuses a request for the time that another gateway said.
+    fn refuse_as_peer(&mut self, id: InFlightId, response: &Response) {
+        let retry_after = response.fields.get("retry-after");
+        let retry_after = retry_after.and_then(|text| text.parse().ok());
+        let retry_after = retry_after.and_then(|one| Duration::try_from_secs_f64(one).ok());
+        self.refuse(id, Refusal::AtPeer { retry_after });
+    }
+
     /// Ends the use of a connection by its request; returns the gateway.
     fn release_peer_connection(&mut self, token: Token, keeps_alive: bool) -> Option<SocketAddr> {
         let now = self.now();
--- a/crates/gateway/src/follow/link.rs
+++ b/crates/gateway/src/follow/link.rs
@@ -13,7 +13,7 @@
 pub(super) enum LinkPeer {
     /// A replica of the directory.
     Replica,
-    /// Another gateway.
+    /// A gateway that relays the state.
     Relay,
 }
 
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -52,7 +52,7 @@
     Snapshot {
         /// Log index of the state.
         index: u64,
-        /// The state.
+        /// Configuration, servers and owners of shards at that index.
         catalog: Box<Catalog>,
         /// Changes that may be acknowledged and are not part of it; `None` if those known so far remain undecided.
         undecided: Option<UndecidedChanges>,
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -90,6 +90,8 @@
     PathsLost,
     /// The gateway can serve no requests, or not know the route. The request did not run.
     Unavailable,
+    /// The gateway's network link is full. The request did not run.
+    Overloaded,
     /// The server, or the gateway on its behalf, accepts no request now. The request did not run.
     Refused,
     /// The request may have run.
@@ -97,10 +99,11 @@
 }
 
 impl HopOutcome {
-    const ALL: [Self; 5] = [
+    const ALL: [Self; 6] = [
         Self::Unreachable,
         Self::PathsLost,
         Self::Unavailable,
+        Self::Overloaded,
         Self::Refused,
         Self::Unknown,
     ];
@@ -110,6 +113,7 @@
             Self::Unreachable => "unreachable",
             Self::PathsLost => "paths lost",
             Self::Unavailable => "unavailable",
+            Self::Overloaded => "overloaded",
             Self::Refused => "refused",
             Self::Unknown => "unknown",
         }
@@ -123,8 +127,8 @@
             Refusal::Unconfigured
             | Refusal::Undecided
             | Refusal::StateOutdated
-            | Refusal::Stopping
-            | Refusal::LinkFull => Self::Unavailable,
+            | Refusal::Stopping => Self::Unavailable,
+            Refusal::LinkFull => Self::Overloaded,
             _ => Self::Refused,
         }
     }
--- a/crates/gateway/src/http_writer.rs
+++ b/crates/gateway/src/http_writer.rs
@@ -11,7 +11,7 @@
 /// A response that the gateway generates itself, without a body.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LocalResponse {
-    /// HTTP status code.
+    /// Status code; 503 promises that the request did not run and never will.
     pub status: u16,
     /// Time after which the client may retry a request that was not executed; sent as `Retry-After`.
     pub retry_after: Option<Duration>,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -27,7 +27,7 @@
     AwaitingRetry,
     /// Waits for the leader's permit to go to the key's owner, which states a rate.
     AwaitingPermit {
-        /// The owner.
+        /// Server that owns the shard of the request's key.
         server: InstanceId,
     },
     /// Waits for capacity at the key's owner, or at any server of the service.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,10 @@
 const MIN_AVOIDED: Duration = Duration::from_millis(500);
 const MAX_AVOIDED: Duration = Duration::from_secs(4);
 
+/// Time for which a gateway with a full link is avoided. Its queue has shrunk by then, and its own clients come back
+/// after the same time.
+const OVERLOAD_PAUSE: Duration = Duration::from_millis(100);
+
 /// Shortest and longest time for which no other gateway is asked for a target that none could reach.
 const MIN_BLOCKED: Duration = Duration::from_millis(500);
 const MAX_BLOCKED: Duration = Duration::from_secs(4);
@@ -152,6 +156,12 @@
         }
     }
 
+    /// Records that the network link of a gateway is full.
+    pub fn overloaded(&mut self, now: Duration, address: SocketAddr) {
+        let peer = self.peers.entry(address).or_default();
+        peer.avoided_until = now + OVERLOAD_PAUSE;
+    }
+
     /// Records that a gateway can't be reached or can't serve.
     pub fn failed(&mut self, now: Duration, address: SocketAddr) {
         let peer = self.peers.entry(address).or_default();
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -55,7 +55,7 @@
 /// What no longer works on a group of paths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
-    /// No bytes arrive.
+    /// No bytes arrive from any server.
     All,
     /// No connection can be established; open ones may still work.
     NewConnections,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -70,6 +70,17 @@
     assert_eq!(waits, [500, 1_000, 2_000, 4_000, 4_000, 4_000]);
 }
 
+/// Clients of a gateway that is cut off must get their share of the links that are left.
+#[test]
+fn a_gateway_with_a_full_link_is_asked_again_soon() {
+    let mut peers = peers(1);
+    for at in (0..2_000).step_by(100) {
+        assert_eq!(choose(&peers, at, &[]), Some(address(1)));
+        peers.overloaded(ms(at), address(1));
+        assert_eq!(choose(&peers, at + 50, &[]), None);
+    }
+}
+
 #[test]
 fn a_gateway_that_lost_its_paths_to_a_service_is_used_for_others() {
     let mut peers = peers(1);
@@ -198,4 +209,5 @@
     assert_eq!(of(Refusal::Unreachable, true), HopOutcome::PathsLost);
     assert_eq!(of(Refusal::Stopping, true), HopOutcome::Unavailable);
     assert_eq!(of(Refusal::NoRoom, true), HopOutcome::Refused);
+    assert_eq!(of(Refusal::LinkFull, false), HopOutcome::Overloaded);
 }
