Failures from before paths were restored no longer keep servers out of use

After a partition each server that had failed waited for its own probe, two in 200 ms: on the shifted site with 229 servers gateways went on sending through others for ten seconds and more, over links that were full. A failure that began before the paths were restored is the paths' now, so requests go to the servers directly at once; new connections come with requests, not in a burst.

--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -92,6 +92,8 @@
     lost_since: Option<Duration>,
     /// Servers that succeeded since the paths were lost.
     restored: BTreeSet<InstanceId>,
+    /// When the paths were last restored.
+    restored_at: Duration,
     /// Whether a server has been without an answer for long, since before the last success.
     is_unanswered: bool,
 }
@@ -108,6 +110,7 @@
             return None;
         }
         self.restored.clear();
+        self.restored_at = now;
         self.lost_since.take()
     }
 
@@ -154,6 +157,11 @@
         }
     }
 
+    /// When the paths were last restored. Earlier failures were most likely theirs.
+    fn restored_at(&self) -> Duration {
+        self.bytes.restored_at.max(self.connections.restored_at)
+    }
+
     fn is_lost(&self) -> bool {
         self.bytes.lost_since.is_some() || self.connections.lost_since.is_some()
     }
@@ -179,11 +187,11 @@
 }
 
 impl Path {
-    /// Whether attempts to connect fail and the server was not heard shortly before. A server that answers on open
+    /// Whether attempts to connect fail that began after `restored_at`, and the server was not heard shortly before. A server that answers on open
     /// connections and refuses new ones is itself at its limit.
-    fn fails_silently(&self) -> bool {
+    fn fails_silently(&self, restored_at: Duration) -> bool {
         let heard_lately = self.received_at + MAX_SILENCE > self.failed_since;
-        self.connect_failures > 0 && !heard_lately
+        self.connect_failures > 0 && self.failed_since > restored_at && !heard_lately
     }
 }
 
@@ -246,7 +254,7 @@
         path.failed_since = began;
         path.probe_at = now + interval;
         if failure == ConnectFailure::TimedOut {
-            path.timed_out_since.get_or_insert(began);
+            path.timed_out_since = Some(began);
         }
         self.failing.insert(id.clone());
         let mut changes = self.failed(id, service, Loss::All, began, servers);
@@ -305,6 +313,8 @@
     pub fn is_open(&self, id: &InstanceId, service: &str) -> bool {
         let path = self.paths.get(id);
         let timed_out = path.and_then(|path| path.timed_out_since);
+        let restored_at = self.restored_at(service);
+        let timed_out = timed_out.filter(|since| *since > restored_at);
         let Some(doubted_since) = self.silent_since(service).max(timed_out) else {
             return true;
         };
@@ -320,11 +330,18 @@
         let lost = self.all.connections.lost_since.max(group);
         let connected_since =
             |lost: Duration| path.is_some_and(|path| !has_failed && path.connected_at > lost);
-        !path.is_some_and(Path::fails_silently)
+        let restored_at = self.restored_at(service);
+        !path.is_some_and(|path| path.fails_silently(restored_at))
             && self.is_open(id, service)
             && lost.is_none_or(connected_since)
     }
 
+    fn restored_at(&self, service: &str) -> Duration {
+        let group = self.services.get(service);
+        let of_service = group.map_or(Duration::ZERO, Group::restored_at);
+        self.all.restored_at().max(of_service)
+    }
+
     /// Whether any server of a service was heard after `since`.
     pub fn is_service_heard_since(&self, service: &str, since: Duration) -> bool {
         let group = self.services.get(service);
