Ejections of servers end when the paths to them are restored

A twin of the incident's cause: after a partition every pooled server had failed and stayed ejected for up to 4 s, although its path had failed. The test ejections_by_a_lost_path_end_with_it is new; the function did not exist before.

--- a/crates/gateway/src/load_balancer.rs
+++ b/crates/gateway/src/load_balancer.rs
@@ -55,6 +55,8 @@
     /// Moving average of response times; `None` before the first response.
     mean_seconds: Option<f64>,
     failures: u32,
+    /// When a connection last failed.
+    failed_at: Duration,
     backoff: ShedBackoff,
     ejected_until: Duration,
     limit: ConcurrencyLimit,
@@ -66,6 +68,7 @@
             connections: 0,
             mean_seconds: None,
             failures: 0,
+            failed_at: Duration::ZERO,
             backoff: ShedBackoff::default(),
             ejected_until: Duration::ZERO,
             limit: ConcurrencyLimit::new(limit),
@@ -227,10 +230,21 @@
         let endpoint = self.endpoint(id);
         let ejection = exponential_delay(INITIAL_EJECTION, endpoint.failures.min(8), MAX_EJECTION);
         endpoint.failures += 1;
+        endpoint.failed_at = now;
         endpoint.ejected_until = now + ejection;
         ejection
     }
 
+    /// Ends the ejections of servers that `is_affected` selects and whose last failure is later than `since`.
+    pub fn end_ejections(&mut self, since: Duration, is_affected: impl Fn(&InstanceId) -> bool) {
+        let endpoints = self.endpoints.iter_mut();
+        let ejected = endpoints.filter(|(id, one)| one.failed_at > since && is_affected(id));
+        for (_, endpoint) in ejected {
+            endpoint.failures = 0;
+            endpoint.ejected_until = Duration::ZERO;
+        }
+    }
+
     /// End of a server's ejection; `None` when it is not ejected.
     pub fn ejected_until(&self, id: &InstanceId, now: Duration) -> Option<Duration> {
         let until = self.endpoints.get(id)?.ejected_until;
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -144,8 +144,12 @@
                 ),
             }
         }
-        for change in changes.iter().filter(|one| one.restored_after.is_none()) {
+        for change in changes {
             let service = change.service.as_deref().unwrap_or_default();
+            if let Some(after) = change.restored_after {
+                self.end_ejections(change.service.as_deref(), after);
+                continue;
+            }
             if let Some(since) = self.reachability.silent_since(service) {
                 self.crashes.forget_since(since);
             }
@@ -153,6 +157,16 @@
         }
     }
 
+    /// Ends the ejections of servers that failed while the paths to them were lost, for `time` until now.
+    fn end_ejections(&mut self, service: Option<&str>, time: Duration) {
+        let since = self.now().saturating_sub(time);
+        let table = &self.table;
+        self.load_balancer.end_ejections(since, |id| {
+            let instance = table.instance(id);
+            service.is_none() || instance.is_some_and(|one| Some(one.service.as_str()) == service)
+        });
+    }
+
     /// Ends what waits on connections that most likely no longer work: attempts to connect, whose requests are
     /// dispatched again, idle connections, and requests that may be repeated.
     fn leave_lost_paths(&mut self) {
--- a/crates/gateway/tests/policies.rs
+++ b/crates/gateway/tests/policies.rs
@@ -440,3 +440,18 @@
     };
     assert_eq!((taken(false), taken(true), taken(false)), (30, 30, 0));
 }
+
+/// After a partition all servers have failed; each would be left out for up to 4 s more.
+#[test]
+fn ejections_by_a_lost_path_end_with_it() {
+    let mut balance = LoadBalancer::default();
+    let servers = [instance("before", "here"), instance("during", "here")];
+    for server in &servers {
+        balance.connection_opened(server);
+    }
+    balance.connection_failed(&servers[0].id, ms(900));
+    balance.connection_failed(&servers[1].id, ms(1_100));
+    balance.end_ejections(ms(1_000), |id| id.name() != "other");
+    assert!(balance.ejected_until(&servers[0].id, ms(1_150)).is_some());
+    assert!(balance.ejected_until(&servers[1].id, ms(1_150)).is_none());
+}
