--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -108,6 +108,10 @@
             let (field, rule) = ("seeds", "must not be empty");
             return Err(SettingsError::Value { field, rule });
         }
+        if self.peer_port != 0 && self.peer_port == self.relay_port {
+            let (field, rule) = ("peer_port", "must differ from relay_port");
+            return Err(SettingsError::Value { field, rule });
+        }
         if self.link_port == 0 {
             let (field, rule) = ("link_port", "must not be 0");
             return Err(SettingsError::Value { field, rule });
