--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -24,9 +24,6 @@
 /// The same for small groups. Two servers may fail together on one machine.
 const MIN_REQUIRED_FAILURES: usize = 3;
 
-/// Servers that must fail until others are probed.
-const SUSPICIOUS_FAILURES: usize = 2;
-
 /// Servers that must be heard until the paths count as restored.
 const MIN_RESTORED: usize = 2;
 
@@ -41,7 +38,7 @@
 const MAX_PROBES: usize = 2;
 
 /// The same while paths are suspected to be lost, which probes of other servers decide.
-const MAX_SUSPICION_PROBES: usize = 4;
+const MAX_SUSPICION_PROBES: usize = MAX_REQUIRED_FAILURES;
 
 /// How an attempt to connect to a server failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -137,7 +134,7 @@
 
     /// Whether further servers should be probed to find out whether the paths are lost.
     fn is_suspected(&self) -> bool {
-        let is_suspicious = self.is_unanswered || self.failing.len() >= SUSPICIOUS_FAILURES;
+        let is_suspicious = self.is_unanswered || !self.failing.is_empty();
         is_suspicious && self.lost_since.is_none()
     }
 }
