--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -91,7 +91,7 @@
     restored: BTreeSet<InstanceId>,
     /// When the paths were last restored.
     restored_at: Duration,
-    /// Whether a server has been without an answer for long, since before the last success.
+    /// Whether a request sent after the last success has been without an answer for long.
     is_unanswered: bool,
 }
 
@@ -171,6 +171,7 @@
 /// The path to one server.
 #[derive(Debug, Default)]
 struct Path {
+    /// When bytes of the server last arrived, or a connection was established.
     received_at: Duration,
     /// When a connection was last established.
     connected_at: Duration,
@@ -180,12 +181,13 @@
     failed_since: Duration,
     /// Start of an attempt to connect that timed out.
     timed_out_since: Option<Duration>,
+    /// When the server may be probed again.
     probe_at: Duration,
 }
 
 impl Path {
-    /// Whether attempts to connect fail that began after `restored_at`, and the server was not heard shortly before. A server that answers on open
-    /// connections and refuses new ones is itself at its limit.
+    /// Whether attempts to connect fail that began after `restored_at`, and the server was not heard shortly before.
+    /// A server that answers on open connections and refuses new ones is itself at its limit.
     fn fails_silently(&self, restored_at: Duration) -> bool {
         let heard_lately = self.received_at + MAX_SILENCE > self.failed_since;
         self.connect_failures > 0 && self.failed_since > restored_at && !heard_lately
@@ -274,12 +276,13 @@
     ) -> Vec<PathChange> {
         let of_all = self.all.detector(loss).succeeded(id, now);
         let of_service = self.group(service).detector(loss).succeeded(id, now);
-        let lost = [(None, of_all), (Some(service.to_owned()), of_service)].into_iter();
+        let lost = [(None, of_all), (Some(service), of_service)].into_iter();
         lost.filter_map(|(service, since)| {
+            let restored_after = Some(now.saturating_sub(since?));
             Some(PathChange {
-                service,
+                service: service.map(str::to_owned),
                 loss,
-                restored_after: Some(now.saturating_sub(since?)),
+                restored_after,
             })
         })
         .collect()
@@ -296,10 +299,10 @@
         let of_all = self.all.detector(loss).failed(id, began, servers.all);
         let group = self.group(service).detector(loss);
         let of_service = group.failed(id, began, servers.of_service);
-        let lost = [(None, of_all), (Some(service.to_owned()), of_service)].into_iter();
+        let lost = [(None, of_all), (Some(service), of_service)].into_iter();
         lost.filter(|(_, is_lost)| *is_lost)
             .map(|(service, _)| PathChange {
-                service,
+                service: service.map(str::to_owned),
                 loss,
                 restored_after: None,
             })
