--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -32,7 +32,8 @@
 }
 
 impl Client {
-    pub fn new(connection: Connection, now: Duration) -> Self {
+    /// A connection that was accepted at `now`, from another gateway if `is_peer` is true.
+    pub fn new(connection: Connection, now: Duration, is_peer: bool) -> Self {
         Self {
             connection,
             reader: RequestReader::default(),
@@ -40,19 +41,11 @@
             keeps_alive: true,
             closing: false,
             request_started: None,
-            is_peer: false,
+            is_peer,
             idle_since: now,
         }
     }
 
-    /// A connection of another gateway.
-    pub fn of_peer(connection: Connection, now: Duration) -> Self {
-        Self {
-            is_peer: true,
-            ..Self::new(connection, now)
-        }
-    }
-
     /// Reads available bytes; returns whether the connection is still open.
     pub fn fill(&mut self, limit: usize) -> bool {
         let limit = match self.request {
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -42,6 +42,9 @@
     /// `target` is the server that can't be reached, or the service if none of its servers can.
     pub(crate) fn forward_to_peer(&mut self, id: InFlightId, target: &str) -> bool {
         let now = self.now();
+        if self.peers.is_empty() {
+            self.update_peers();
+        }
         let Some(request) = self.in_flight.get(id) else {
             return false;
         };
@@ -58,12 +61,6 @@
         if !is_allowed {
             return false;
         }
-        if self.peers.is_empty() {
-            self.update_peers();
-        }
-        let Some(request) = self.in_flight.get(id) else {
-            return false;
-        };
         let (service, tried) = (&request.service, &request.tried_peers);
         let random = &mut self.random;
         let mut random = || random.random::<f64>();
@@ -129,13 +126,13 @@
             unreachable = target,
             tried = request.tried_peers.len()
         );
+        if request.tried_peers.is_empty() {
+            // The other gateways count the request from now on.
+            self.retry_budgets.forget_request(&request.service);
+        }
         request.tried_peers.push(peer);
         request.unreachable_target = target.to_owned();
         request.state = InFlightState::Forwarded { connection: token };
-        if !std::mem::replace(&mut request.is_handed_over, true) {
-            // The other gateway counts the request from now on.
-            self.retry_budgets.forget_request(&request.service);
-        }
         self.peers.begin(peer);
         self.metrics.forwarded_requests.inc();
         let Some(connection) = self.peer_connections.get_mut(token) else {
@@ -162,11 +159,9 @@
             attempts: request.attempts,
             only_if_heard: !self.reachability.is_lost(&request.service),
         };
-        let mut message = request.message.clone();
-        hop.put(&mut message);
         let left = request.expires.saturating_sub(now + ANSWER_MARGIN);
         let out = connection.connection.outbound();
-        write_forwarded_request(out, &message, &names, left);
+        write_forwarded_request(out, &request.message, &names, left, &hop);
         let unsent = connection.connection.unsent();
         if connection.connection.flush().is_ok() {
             return;
@@ -346,12 +341,10 @@
         self.dispatch(id);
     }
 
-    /// Closes the connection of a forwarded request that was given up; returns whether the request had been sent.
-    pub(crate) fn cancel_forwarded(&mut self, token: Token) -> bool {
-        let Some(connection) = self.peer_connections.remove(token) else {
-            return false;
-        };
-        self.peers.end(connection.peer);
-        connection.connected
+    /// Closes the connection of a forwarded request that was given up.
+    pub(crate) fn cancel_forwarded(&mut self, token: Token) {
+        if let Some(connection) = self.peer_connections.remove(token) {
+            self.peers.end(connection.peer);
+        }
     }
 }
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -11,7 +11,7 @@
 use grebepin_reactor::http::RequestLimits;
 use grebepin_reactor::{Clock, Connection, Deadlines, StallDetector, TextServer};
 use grebepin_telemetry::{event, Event, GatewayMetrics, Metrics};
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -330,14 +330,7 @@
     fn accept_clients(&mut self) {
         let limit = self.connection_capacity();
         while let Ok((stream, _)) = self.client_listener.accept() {
-            if self.connection_count() >= limit {
-                continue;
-            }
-            let now = self.now();
-            let token = self.allocate_token();
-            if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
-                self.clients.insert(token, Client::new(connection, now));
-            }
+            self.add_client(stream, limit, false);
         }
     }
 
@@ -346,14 +339,20 @@
     fn accept_peers(&mut self) {
         let limit = self.connection_capacity() / 2;
         while let Some(Ok((stream, _))) = self.peer_listener.as_ref().map(TcpListener::accept) {
-            if self.connection_count() >= limit {
-                continue;
-            }
-            let now = self.now();
-            let token = self.allocate_token();
-            if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
-                self.clients.insert(token, Client::of_peer(connection, now));
-            }
+            self.add_client(stream, limit, true);
+        }
+    }
+
+    /// Adds an accepted connection unless there are `limit` already.
+    fn add_client(&mut self, stream: TcpStream, limit: usize, is_peer: bool) {
+        if self.connection_count() >= limit {
+            return;
+        }
+        let now = self.now();
+        let token = self.allocate_token();
+        if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
+            self.clients
+                .insert(token, Client::new(connection, now, is_peer));
         }
     }
 
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -266,7 +266,6 @@
             only_if_heard: incoming.hop.as_ref().is_some_and(|hop| hop.only_if_heard),
             tried_peers: Vec::new(),
             unreachable_target: String::new(),
-            is_handed_over: false,
             tried_servers: Vec::new(),
             permitted_server: None,
             state: InFlightState::Dispatching,
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -66,18 +66,18 @@
         })
     }
 
-    /// Replaces the fields of a request.
-    pub fn put(&self, request: &mut Request) {
-        let mut fields = without_hop_fields(&request.fields);
-        fields.push(SERVICE, self.service.as_bytes());
+    /// Writes the fields of a request.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let Self {
+            service, attempts, ..
+        } = self;
+        let _ = write!(out, "{SERVICE}: {service}\r\n{ATTEMPTS}: {attempts}\r\n");
         if self.is_client_retry {
-            fields.push(CLIENT_RETRY, b"1");
+            let _ = write!(out, "{CLIENT_RETRY}: 1\r\n");
         }
-        fields.push(ATTEMPTS, self.attempts.to_string().as_bytes());
         if self.only_if_heard {
-            fields.push(IF_HEARD, b"1");
+            let _ = write!(out, "{IF_HEARD}: 1\r\n");
         }
-        request.fields = fields;
     }
 }
 
--- a/crates/gateway/src/http_writer.rs
+++ b/crates/gateway/src/http_writer.rs
@@ -6,7 +6,7 @@
 use grebepin_reactor::http::{Request, Response};
 
 use crate::headers::HeaderNames;
-use crate::hop::{is_hop_field, write_answer_fields, AnsweringGateway, HopOutcome};
+use crate::hop::{is_hop_field, write_answer_fields, AnsweringGateway, HopOutcome, HopRequest};
 
 /// A response that the gateway generates itself, without a body.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -113,33 +113,41 @@
     time_left: Duration,
     instance: &str,
 ) {
-    write_head(out, request, names, time_left);
+    write_head(out, request, names, time_left, |_| true);
     let _ = write!(out, "{}: {instance}\r\n", names.expected_instance);
     write_body(out, request);
 }
 
-/// Writes a request to another gateway. The deadline replaces the client's own header field of this name.
+/// Writes a request to another gateway. The deadline and the fields between gateways replace the client's own header
+/// fields of these names.
 pub fn write_forwarded_request(
     out: &mut Vec<u8>,
     request: &Request,
     names: &HeaderNames,
     time_left: Duration,
+    hop: &HopRequest,
 ) {
-    write_head(out, request, names, time_left);
+    write_head(out, request, names, time_left, |name| !is_hop_field(name));
+    hop.write(out);
     write_body(out, request);
 }
 
-fn write_head(out: &mut Vec<u8>, request: &Request, names: &HeaderNames, time_left: Duration) {
+/// Writes the request line, the client's fields that `is_kept` selects, and the deadline.
+fn write_head(
+    out: &mut Vec<u8>,
+    request: &Request,
+    names: &HeaderNames,
+    time_left: Duration,
+    is_kept: impl Fn(&str) -> bool,
+) {
     out.reserve(request.body.len() + 512);
     let _ = write!(out, "{} {} HTTP/1.1\r\n", request.method, request.target);
     let own = |name: &str| {
         name.eq_ignore_ascii_case(names.deadline_ms)
             || name.eq_ignore_ascii_case(names.expected_instance)
     };
-    write_fields(
-        out,
-        request.fields.end_to_end().filter(|(name, _)| !own(name)),
-    );
+    let fields = request.fields.end_to_end();
+    write_fields(out, fields.filter(|(name, _)| !own(name) && is_kept(name)));
     let milliseconds = time_left.as_millis().max(1);
     let _ = write!(out, "{}: {milliseconds}\r\n", names.deadline_ms);
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -86,8 +86,6 @@
     pub tried_peers: Vec<SocketAddr>,
     /// The server or service that was out of reach when it was last forwarded; empty before.
     pub unreachable_target: String,
-    /// Whether another gateway counts it in the retry budget.
-    pub is_handed_over: bool,
     /// Servers that it was assigned to, in order, including those that could not be reached.
     pub tried_servers: Vec<InstanceId>,
     /// The server that the request may be sent to under the leader's permit or this gateway's turn.
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -128,31 +128,28 @@
         for change in changes {
             let service = change.service.as_deref().unwrap_or_default();
             let new_only = change.loss == Loss::NewConnections;
-            match change.restored_after {
-                None => event!(
-                    Event::PathsLost,
-                    service = service,
-                    new_connections_only = new_only,
-                    silence_ms = age_ms(self.reachability.silence(self.now())),
-                    unreachable = self.reachability.unreachable()
-                ),
-                Some(after) => event!(
+            if let Some(after) = change.restored_after {
+                event!(
                     Event::PathsRestored,
                     service = service,
                     new_connections_only = new_only,
                     ms = after.as_millis()
-                ),
-            }
-        }
-        for change in changes {
-            let service = change.service.as_deref().unwrap_or_default();
-            if let Some(after) = change.restored_after {
+                );
                 self.end_ejections(change.service.as_deref(), after);
                 continue;
             }
+            event!(
+                Event::PathsLost,
+                service = service,
+                new_connections_only = new_only,
+                silence_ms = age_ms(self.reachability.silence(self.now())),
+                unreachable = self.reachability.unreachable()
+            );
             if let Some(since) = self.reachability.silent_since(service) {
                 self.crashes.forget_since(since);
             }
+        }
+        if changes.iter().any(|change| change.restored_after.is_none()) {
             self.leave_lost_paths();
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,7 @@
 //! Invariant: what no gateway can reach causes few detours. A server that two other gateways could not reach either
 //! is not asked for through others for a while, and a gateway that can't serve is avoided.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,31 +19,44 @@
 /// Largest random increase of a cost, as a fraction, so that gateways with equal costs share the requests.
 const JITTER: f64 = 0.3;
 
-/// Shortest and longest time for which a gateway is avoided after a failure.
-const MIN_AVOIDED: Duration = Duration::from_millis(500);
-const MAX_AVOIDED: Duration = Duration::from_secs(4);
+/// Shortest and longest pause after a failure: of the use of a gateway, and of requests for a target that none could
+/// reach.
+const MIN_PAUSE: Duration = Duration::from_millis(500);
+const MAX_PAUSE: Duration = Duration::from_secs(4);
 
 /// Time for which a gateway with a full link is avoided. Its queue has shrunk by then, and its own clients come back
 /// after the same time.
 const OVERLOAD_PAUSE: Duration = Duration::from_millis(100);
 
-/// Shortest and longest time for which no other gateway is asked for a target that none could reach.
-const MIN_BLOCKED: Duration = Duration::from_millis(500);
-const MAX_BLOCKED: Duration = Duration::from_secs(4);
-
 /// Other gateways that must report a target as unreachable before it is no longer asked for.
 const MIN_UNREACHABLE_REPORTS: u32 = 2;
 
+/// A pause that doubles with each failure in a row.
+#[derive(Debug, Default)]
+struct Pause {
+    failures: u32,
+    until: Duration,
+}
+
+impl Pause {
+    fn extend(&mut self, now: Duration) {
+        self.until = now + exponential_delay(MIN_PAUSE, self.failures.min(8), MAX_PAUSE);
+        self.failures += 1;
+    }
+
+    fn is_over(&self, now: Duration) -> bool {
+        now >= self.until
+    }
+}
+
 #[derive(Debug, Default)]
 struct Peer {
     /// `None` until it has answered.
     zone: Option<String>,
     in_flight: u32,
-    failures: u32,
-    avoided_until: Duration,
-    /// Services whose servers it can't reach, with the number of reports in a row and the end of the time for which
-    /// it is avoided for them.
-    lost_services: HashMap<String, (u32, Duration)>,
+    avoided: Pause,
+    /// Services whose servers it can't reach, and how long it is avoided for them.
+    lost_services: HashMap<String, Pause>,
     is_in_use: bool,
 }
 
@@ -52,8 +65,7 @@
 struct Target {
     reports: u32,
     reported_at: Duration,
-    blocks: u32,
-    blocked_until: Duration,
+    blocked: Pause,
 }
 
 /// The other gateways, and the targets that they can't reach.
@@ -76,7 +88,7 @@
 
     /// Replaces the addresses of the other gateways; those with requests in flight are kept.
     pub fn update(&mut self, addresses: impl Iterator<Item = SocketAddr>) {
-        let addresses: std::collections::BTreeSet<SocketAddr> = addresses.collect();
+        let addresses: BTreeSet<SocketAddr> = addresses.collect();
         self.peers
             .retain(|address, peer| peer.in_flight > 0 || addresses.contains(address));
         for address in addresses {
@@ -89,7 +101,8 @@
         self.peers.is_empty()
     }
 
-    /// The gateway for the next request to a service, none of those in `tried`. `random` returns numbers between 0 and 1.
+    /// The gateway for the next request to a service, none of those in `tried`. `random` returns numbers between 0
+    /// and 1.
     pub fn choose(
         &self,
         now: Duration,
@@ -99,7 +112,7 @@
     ) -> Option<SocketAddr> {
         let usable = |peer: &Peer| {
             let lost = peer.lost_services.get(service);
-            now >= peer.avoided_until && lost.is_none_or(|(_, until)| now >= *until)
+            peer.avoided.is_over(now) && lost.is_none_or(|pause| pause.is_over(now))
         };
         let in_use = self.peers.values();
         let in_use = in_use.filter(|peer| peer.is_in_use && usable(peer)).count();
@@ -137,16 +150,15 @@
     pub fn answered(&mut self, address: SocketAddr, zone: Option<String>) {
         let peer = self.peers.entry(address).or_default();
         peer.zone = zone.or(peer.zone.take());
-        peer.failures = 0;
+        peer.avoided.failures = 0;
         peer.is_in_use = true;
     }
 
     /// Records that a gateway has lost its paths to the servers of a service.
     pub fn lost_paths(&mut self, now: Duration, address: SocketAddr, service: &str) {
         let peer = self.peers.entry(address).or_default();
-        let (reports, until) = peer.lost_services.entry(service.to_owned()).or_default();
-        *until = now + exponential_delay(MIN_AVOIDED, (*reports).min(8), MAX_AVOIDED);
-        *reports += 1;
+        let lost = peer.lost_services.entry(service.to_owned()).or_default();
+        lost.extend(now);
     }
 
     /// Records that a gateway served a request to a service.
@@ -159,22 +171,20 @@
     /// Records that the network link of a gateway is full.
     pub fn overloaded(&mut self, now: Duration, address: SocketAddr) {
         let peer = self.peers.entry(address).or_default();
-        peer.avoided_until = now + OVERLOAD_PAUSE;
+        peer.avoided.until = now + OVERLOAD_PAUSE;
     }
 
     /// Records that a gateway can't be reached or can't serve.
     pub fn failed(&mut self, now: Duration, address: SocketAddr) {
         let peer = self.peers.entry(address).or_default();
-        peer.avoided_until =
-            now + exponential_delay(MIN_AVOIDED, peer.failures.min(8), MAX_AVOIDED);
-        peer.failures += 1;
+        peer.avoided.extend(now);
         peer.is_in_use = false;
     }
 
     /// Whether other gateways may be asked for a target.
     pub fn may_reach(&self, target: &str, now: Duration) -> bool {
         let target = self.targets.get(target);
-        target.is_none_or(|target| now >= target.blocked_until)
+        target.is_none_or(|target| target.blocked.is_over(now))
     }
 
     /// Records that another gateway served a request for a target.
@@ -190,15 +200,13 @@
         if target.reports < MIN_UNREACHABLE_REPORTS {
             return;
         }
-        let time = exponential_delay(MIN_BLOCKED, target.blocks.min(8), MAX_BLOCKED);
-        target.blocks += 1;
         target.reports = 0;
-        target.blocked_until = now + time;
+        target.blocked.extend(now);
     }
 
     /// Forgets targets that have not been reported for long.
     pub fn forget_expired(&mut self, now: Duration) {
         self.targets
-            .retain(|_, target| now < target.reported_at + 2 * MAX_BLOCKED);
+            .retain(|_, target| now < target.reported_at + 2 * MAX_PAUSE);
     }
 }
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -13,21 +13,12 @@
 use crate::table::Table;
 use crate::warmup::WarmupTurns;
 
-/// Whether a request may go through another gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Detour {
-    Allowed,
-    None,
-}
-
 /// Result of the server selection for a request to a pooled service.
 enum Selection {
     /// The request is sent to this server.
     Send(Instance),
     /// No server can execute the request now.
     Refuse(Refusal),
-    /// Most servers of this service are out of reach, so the request should go through another gateway.
-    Forward(String),
     /// The request waits for capacity. `opens_at` is when a pause that closes a server ends; `None` if that
     /// is not known.
     Wait { opens_at: Option<Duration> },
@@ -35,8 +26,10 @@
 
 impl EventLoop {
     pub(crate) fn dispatch_to_pool(&mut self, id: InFlightId) {
-        match self.select_server(id, Detour::Allowed) {
-            Some(Selection::Forward(service)) => self.forward_or_send(id, &service),
+        if self.should_forward(id) && self.forward_or_refuse(id) {
+            return;
+        }
+        match self.select_server(id) {
             Some(Selection::Send(server)) => self.send(id, &server),
             Some(Selection::Refuse(refusal)) => self.refuse(id, refusal),
             Some(Selection::Wait { opens_at }) => self.wait_for_capacity(id, opens_at),
@@ -44,32 +37,27 @@
         }
     }
 
-    /// Forwards a request to another gateway. If there is none, a server is tried all the same as long as the paths do
-    /// not count as lost.
-    fn forward_or_send(&mut self, id: InFlightId, service: &str) {
-        if self.forward_to_peer(id, service) {
-            return;
-        }
-        let is_forwarded = self.in_flight.get(id).is_some_and(|one| one.is_forwarded);
-        if is_forwarded || self.reachability.is_lost(service) {
-            return self.refuse(id, Refusal::Unreachable);
+    /// Forwards a request to another gateway. If there is none, refuses it while the paths count as lost, and returns
+    /// false otherwise: then a server should be tried all the same.
+    fn forward_or_refuse(&mut self, id: InFlightId) -> bool {
+        let Some(request) = self.in_flight.get(id) else {
+            return true;
+        };
+        let (service, is_forwarded) = (request.service.clone(), request.is_forwarded);
+        if self.forward_to_peer(id, &service) {
+            return true;
         }
-        match self.select_server(id, Detour::None) {
-            Some(Selection::Send(server)) => self.send(id, &server),
-            Some(Selection::Wait { opens_at }) => self.wait_for_capacity(id, opens_at),
-            Some(Selection::Refuse(refusal)) => self.refuse(id, refusal),
-            Some(Selection::Forward(_)) | None => {}
+        let is_refused = is_forwarded || self.reachability.is_lost(&service);
+        if is_refused {
+            self.refuse(id, Refusal::Unreachable);
         }
+        is_refused
     }
 
     /// Selects a server for a request to a pooled service; `None` when the request has ended.
-    fn select_server(&mut self, id: InFlightId, detour: Detour) -> Option<Selection> {
+    fn select_server(&mut self, id: InFlightId) -> Option<Selection> {
         let now = self.now();
         let gateways = self.gateway_count();
-        if detour == Detour::Allowed && self.should_forward(id) {
-            let request = self.in_flight.get(id)?;
-            return Some(Selection::Forward(request.service.clone()));
-        }
         let request = self.in_flight.get(id)?;
         let (table, warmup, rates) = (&self.table, &self.warmup, &self.stated_rates);
         let cooldowns = &self.cooldowns;
@@ -134,6 +122,11 @@
             return true;
         }
         let servers = self.table.usable_servers(service);
+        // While the paths work, only servers that failed can be out of reach.
+        let enough = 2 * self.reachability.unreachable();
+        if !self.reachability.is_lost(service) && servers.clone().take(enough).count() == enough {
+            return false;
+        }
         let reachable = servers.clone().filter(|one| self.is_reachable(one));
         2 * reachable.count() < servers.count()
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,13 +1,17 @@
 //! Choice of another gateway for requests whose servers this one can't reach, and the fields between gateways.
 
+mod header_names;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use grebepin_gateway::hop::{is_hop_field, HopOutcome, HopRequest};
+use grebepin_gateway::http_writer::write_forwarded_request;
 use grebepin_gateway::peers::Peers;
 use grebepin_gateway::refusal::Refusal;
-use grebepin_reactor::http::{Fields, Request};
+use grebepin_reactor::http::{Fields, Request, RequestLimits, RequestReader};
+use header_names::NAMES;
 
 const SERVICE: &str = "ledger";
 
@@ -179,6 +183,18 @@
     }
 }
 
+/// The request as the other gateway reads it.
+fn received(message: &Request, hop: &HopRequest) -> Request {
+    let mut bytes = Vec::new();
+    write_forwarded_request(&mut bytes, message, &NAMES, ms(500), hop);
+    let limits = RequestLimits {
+        head_bytes: 4_096,
+        body_bytes: 0,
+    };
+    let read = RequestReader::default().take(&mut bytes, limits);
+    read.expect("a valid request").expect("a whole request")
+}
+
 /// A client must not choose the service of its request.
 #[test]
 fn fields_between_gateways_replace_those_of_a_client() {
@@ -189,7 +205,7 @@
         attempts: 1,
         only_if_heard: true,
     };
-    hop.put(&mut message);
+    message = received(&message, &hop);
     assert_eq!(message.fields.all("Grebepin-Hop-Service").count(), 1);
     assert_eq!(HopRequest::take(&mut message), Some(hop));
     assert!(message.fields.iter().all(|(name, _)| !is_hop_field(name)));
