--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -33,20 +33,20 @@
 }
 
 impl EventLoop {
-    /// Records that bytes of a server arrived.
-    pub(crate) fn note_received(&mut self, server: &InstanceId) {
-        if let Some(instance) = self.table.instance(server) {
-            let now = self.now();
-            let changes = self.reachability.received(server, &instance.service, now);
+    /// Records that bytes of a server arrived on a connection.
+    pub(crate) fn note_received(&mut self, token: Token, now: Duration) {
+        let server = self.upstreams.get(token).map(|one| &one.server);
+        if let Some(one) = server.and_then(|server| self.table.instance(server)) {
+            let changes = self.reachability.received(&one.id, &one.service, now);
             self.on_path_changes(&changes);
         }
     }
 
     /// Records that a connection to a server was established.
-    pub(crate) fn note_connected(&mut self, server: &InstanceId) {
-        if let Some(instance) = self.table.instance(server) {
-            let now = self.now();
-            let changes = self.reachability.connected(server, &instance.service, now);
+    pub(crate) fn note_connected(&mut self, token: Token, now: Duration) {
+        let server = self.upstreams.get(token).map(|one| &one.server);
+        if let Some(one) = server.and_then(|server| self.table.instance(server)) {
+            let changes = self.reachability.connected(&one.id, &one.service, now);
             self.on_path_changes(&changes);
         }
     }
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -217,8 +217,7 @@
                     upstream.connected = true;
                     upstream.crash_probe = None;
                     let has_request = upstream.request.is_some();
-                    let server = upstream.server.clone();
-                    self.note_connected(&server);
+                    self.note_connected(token, now);
                     match has_request {
                         true => self.write_request(token),
                         false => self.upstreams.release_unused(token, now),
@@ -231,8 +230,7 @@
         };
         let outcome = upstream.connection.fill(READ_LIMIT);
         if !upstream.connection.inbound.is_empty() {
-            let server = upstream.server.clone();
-            self.note_received(&server);
+            self.note_received(token, now);
         }
         let Some(upstream) = self.upstreams.get_mut(token) else {
             return;
