A stated Keep-Alive time of any size no longer ends a gateway

The gateway ends within 0.3 s, exit status 101, and the requests of its other clients get no response: 8 of 16 lost.

Cause: Upstreams::expired and take_idle add the stated time to the time since which the connection is idle, and the sum of two Durations panics on overflow; the log of the process says so. The field was parsed apart from all other statements and without a bound.

Change: statement.rs parses it like the others, from 0 to 86,400 s; anything else is ignored, logged and counted. The pool compares the age of an idle connection with its time-out, so no sum can overflow whatever the time is.

--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -306,7 +306,7 @@
         let Some((server, since)) = self.end_attempt(id) else {
             return;
         };
-        self.apply_statement(&server, since, &response);
+        let idle_timeout = self.apply_statement(&server, since, &response);
         let Some(request) = self.in_flight.get(id) else {
             return;
         };
@@ -322,7 +322,7 @@
             .get(token)
             .is_some_and(|upstream| response.keeps_alive && upstream.connection.inbound.is_empty());
         match reusable {
-            true => self.upstreams.release(token, now, &response.fields),
+            true => self.upstreams.release(token, now, idle_timeout),
             false => _ = self.drop_upstream(token),
         }
         match verdict {
--- a/crates/gateway/src/statement.rs
+++ b/crates/gateway/src/statement.rs
@@ -12,8 +12,14 @@
 /// Standard field with the time in seconds after which a client may retry.
 const RETRY_AFTER: &str = "Retry-After";
 
-/// Longest accepted value; a longer one is taken for a mistake and ignored.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(86_400);
+/// Standard field with the time in whole seconds after which the server closes an idle connection.
+const KEEP_ALIVE: &str = "Keep-Alive";
+
+/// Parameter of `Keep-Alive` with that time.
+const KEEP_ALIVE_TIMEOUT: &str = "timeout";
+
+/// Longest accepted time; a longer one is taken for a mistake and ignored.
+const MAX_STATED_TIME: Duration = Duration::from_secs(86_400);
 
 /// What a response states about the rate limit of its server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,6 +41,8 @@
     pub is_leaving: bool,
     /// Rate limit of the server.
     pub rate: RateStatement,
+    /// Time after which the server closes the connection of this response while it is idle.
+    pub idle_timeout: Option<Duration>,
     /// Names of fields that were present but unusable.
     pub unusable: Vec<&'static str>,
 }
@@ -43,23 +51,17 @@
     /// Parses the fields of a response.
     pub fn of(response: &Response, names: &HeaderNames) -> Self {
         let mut unusable = Vec::new();
+        let longest = MAX_STATED_TIME.as_secs_f64();
         let retry_after = match response.status {
-            429 | 503 => number(&response.fields, RETRY_AFTER, &mut unusable),
+            429 | 503 => number(&response.fields, RETRY_AFTER, longest, &mut unusable),
             _ => None,
         };
-        let retry_after = retry_after.and_then(|seconds| {
-            let time = Duration::try_from_secs_f64(seconds).ok();
-            let time = time.filter(|time| *time <= MAX_RETRY_AFTER);
-            if time.is_none() {
-                unusable.push(RETRY_AFTER);
-            }
-            time
-        });
         let rate = rate(response, names, &mut unusable);
         Self {
-            retry_after,
+            retry_after: retry_after.map(Duration::from_secs_f64),
             is_leaving: is_leaving(&response.fields, names, &mut unusable),
             rate,
+            idle_timeout: idle_timeout(&response.fields, &mut unusable),
             unusable,
         }
     }
@@ -84,21 +86,45 @@
 ) -> RateStatement {
     let is_present = response.fields.all(names.stated_rate).next().is_some();
     let has_run = response.fields.get(names.signature).is_some();
-    match number(&response.fields, names.stated_rate, unusable) {
+    match number(&response.fields, names.stated_rate, f64::MAX, unusable) {
         Some(rate) => RateStatement::PerSecond(rate),
         None if has_run && !is_present => RateStatement::Unbounded,
         None => RateStatement::Unspecified,
     }
 }
 
-/// Parses a finite, non-negative number from a field that is present once. Adds the field to `unusable` if
+/// The parameter `timeout` of `Keep-Alive`, which may be missing beside others.
+fn idle_timeout(fields: &Fields, unusable: &mut Vec<&'static str>) -> Option<Duration> {
+    let mut values = fields.all(KEEP_ALIVE);
+    let text = std::str::from_utf8(values.next()?).unwrap_or_default();
+    let parameters = text.split(',').filter_map(|part| part.split_once('='));
+    let mut timeouts = parameters
+        .filter(|(name, _)| name.trim().eq_ignore_ascii_case(KEEP_ALIVE_TIMEOUT))
+        .map(|(_, value)| value.trim().parse().map(Duration::from_secs));
+    let timeout = match timeouts.next()? {
+        Ok(timeout) if timeout <= MAX_STATED_TIME => Some(timeout),
+        _ => None,
+    };
+    let timeout = timeout.filter(|_| timeouts.next().is_none() && values.next().is_none());
+    if timeout.is_none() {
+        unusable.push(KEEP_ALIVE);
+    }
+    timeout
+}
+
+/// Parses a number from 0 to `largest` from a field that is present once. Adds the field to `unusable` if
 /// that fails.
-fn number(fields: &Fields, name: &'static str, unusable: &mut Vec<&'static str>) -> Option<f64> {
+fn number(
+    fields: &Fields,
+    name: &'static str,
+    largest: f64,
+    unusable: &mut Vec<&'static str>,
+) -> Option<f64> {
     let mut values = fields.all(name);
     let value = values.next()?;
     let text = std::str::from_utf8(value).ok();
     let number = text.and_then(|text| text.trim().parse::<f64>().ok());
-    let number = number.filter(|number| number.is_finite() && *number >= 0.0);
+    let number = number.filter(|number| (0.0..=largest).contains(number));
     let number = number.filter(|_| values.next().is_none());
     if number.is_none() {
         unusable.push(name);
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -10,13 +10,14 @@
 use crate::statement::{RateStatement, ServerStatement};
 
 impl EventLoop {
-    /// Applies what a response states of its server; its request was sent at `sent`.
+    /// Applies what a response states of its server; its request was sent at `sent`. Returns the stated idle
+    /// timeout of the connection.
     pub(crate) fn apply_statement(
         &mut self,
         server: &InstanceId,
         sent: Duration,
         response: &Response,
-    ) {
+    ) -> Option<Duration> {
         let statement = ServerStatement::of(response, &self.names);
         self.apply_stated_rate(server, sent, statement.rate);
         if statement.is_leaving {
@@ -28,6 +29,7 @@
         for field in statement.unusable {
             self.record_unusable_field(server, field);
         }
+        statement.idle_timeout
     }
 
     /// Reports a leaving server with each such response until the directory marks the server as draining,
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Fingerprint, InstanceId};
-use grebepin_reactor::http::{Fields, ResponseReader};
+use grebepin_reactor::http::ResponseReader;
 use grebepin_reactor::Connection;
 use mio::Token;
 
 use crate::in_flight::InFlightId;
 
-/// Idle timeout for servers that state none in `Keep-Alive`.
+/// Idle timeout for servers that state none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Subtracted from the idle timeout that a server states, to allow for the network delay to the server.
@@ -40,6 +40,14 @@
     pub idle_timeout: Duration,
 }
 
+impl Upstream {
+    /// Whether the connection has been idle for too long to be used again. Computes the age and not the end
+    /// of the time, since sums with a time that a server states could overflow.
+    fn is_expired(&self, now: Duration) -> bool {
+        now.saturating_sub(self.idle_since) >= self.idle_timeout
+    }
+}
+
 /// All connections to servers.
 #[derive(Debug, Default)]
 pub struct Upstreams {
@@ -75,21 +83,23 @@
         let idle = self.idle.get_mut(server)?;
         let token = idle.pop()?;
         let upstream = self.connections.get(&token)?;
-        if now < upstream.idle_since + upstream.idle_timeout {
+        if !upstream.is_expired(now) {
             return Some(token);
         }
         idle.push(token);
         None
     }
 
-    /// Returns a connection to the pool after a complete response. The response's `Keep-Alive` field sets the
-    /// idle timeout.
-    pub fn release(&mut self, token: Token, now: Duration, fields: &Fields) {
+    /// Returns a connection to the pool after a complete response. `stated` is the idle timeout that the
+    /// response states.
+    pub fn release(&mut self, token: Token, now: Duration, stated: Option<Duration>) {
         if let Some(upstream) = self.connections.get_mut(&token) {
             upstream.request = None;
             upstream.reused = true;
             upstream.idle_since = now;
-            upstream.idle_timeout = idle_timeout(fields);
+            upstream.idle_timeout = stated.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
+                stated.saturating_sub(IDLE_TIMEOUT_MARGIN)
+            });
             upstream.connection.trim();
             let idle = self.idle.entry(upstream.server.clone()).or_default();
             idle.push(token);
@@ -155,24 +165,11 @@
             .connections
             .iter()
             .filter(|(_, one)| one.request.is_none());
-        idle.filter(|(_, one)| now >= one.idle_since + one.idle_timeout || !is_used(&one.server))
+        idle.filter(|(_, one)| one.is_expired(now) || !is_used(&one.server))
             .map(|(token, _)| *token)
             .collect()
     }
 }
 
-/// Idle timeout of a connection, from the response's `Keep-Alive` field.
-fn idle_timeout(fields: &Fields) -> Duration {
-    let stated = fields.get("keep-alive").and_then(|value| {
-        let parts = value.split(',');
-        let mut timeouts = parts.filter_map(|part| part.trim().strip_prefix("timeout="));
-        timeouts.next()?.trim().parse::<u64>().ok()
-    });
-    match stated {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(IDLE_TIMEOUT_MARGIN),
-        None => DEFAULT_IDLE_TIMEOUT,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/upstreams/tests.rs
+++ b/crates/gateway/src/upstreams/tests.rs
@@ -29,7 +29,7 @@
     for (number, server) in [&one, &one, &one, &other].into_iter().enumerate() {
         let token = Token(number);
         upstreams.add(token, connection(&poll, &listener, token, server));
-        upstreams.release(token, Duration::ZERO, &Fields::default());
+        upstreams.release(token, Duration::ZERO, None);
     }
     let busy = upstreams.take_idle(&one, Duration::ZERO);
     assert_eq!(busy, Some(Token(2)));
@@ -41,3 +41,17 @@
     assert_eq!(upstreams.take_idle(&one, Duration::ZERO), None);
     assert_eq!(upstreams.idle_connections(&other), [Token(3)]);
 }
+
+/// Guards against a sum of times that overflows and ends the process.
+#[test]
+fn an_idle_timeout_without_limit_does_not_overflow() {
+    let poll = Poll::new().expect("a poll");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let server = InstanceId::new("i-1");
+    let (token, later) = (Token(0), Duration::from_secs(3_600));
+    let mut upstreams = Upstreams::default();
+    upstreams.add(token, connection(&poll, &listener, token, &server));
+    upstreams.release(token, Duration::from_secs(1), Some(Duration::MAX));
+    assert_eq!(upstreams.expired(later, |_| true), []);
+    assert_eq!(upstreams.take_idle(&server, later), Some(token));
+}
--- a/crates/gateway/tests/statement.rs
+++ b/crates/gateway/tests/statement.rs
@@ -109,3 +109,35 @@
         }
     }
 }
+
+#[test]
+fn the_idle_timeout_is_read_from_the_parameter_timeout() {
+    let cases: [(FieldList, Option<u64>, usize); 12] = [
+        (&[("Keep-Alive", "timeout=10")], Some(10), 0),
+        (
+            &[("Keep-Alive", "max=100, Timeout = 86400")],
+            Some(86_400),
+            0,
+        ),
+        (&[("Keep-Alive", "timeout=0")], Some(0), 0),
+        (&[("Keep-Alive", "max=100")], None, 0),
+        (&[("Keep-Alive", "")], None, 0),
+        (&[], None, 0),
+        (&[("Keep-Alive", "timeout=86401")], None, 1),
+        (&[("Keep-Alive", "timeout=18446744073709551615")], None, 1),
+        (&[("Keep-Alive", "timeout=99999999999999999999")], None, 1),
+        (&[("Keep-Alive", "timeout=-1")], None, 1),
+        (&[("Keep-Alive", "timeout=5, timeout=6")], None, 1),
+        (
+            &[("Keep-Alive", "timeout=5"), ("Keep-Alive", "timeout=5")],
+            None,
+            1,
+        ),
+    ];
+    for (fields, seconds, unusable) in cases {
+        let statement = statement(200, fields);
+        let expected = seconds.map(Duration::from_secs);
+        assert_eq!(statement.idle_timeout, expected, "{fields:?}");
+        assert_eq!(statement.unusable.len(), unusable, "{fields:?}");
+    }
+}
