A stated rate of any size no longer ends a gateway

What callers saw: a server states `Server-Limit: 1e12` or more; the gateway ends by a panic within a turn, with the requests of all its clients.

Cause: TurnTiming::shared computes the time between two turns as gateways / rate, which rounds to zero nanoseconds for large rates. RateTurns::current_or_next divides by it and multiplies the time by the quotient, which is not finite. `warmup_per_s` of a service reaches the same code.

Change: the time between two turns is 1 us at least. Rates over 1e9 a second are unusable values and ignored like others, so that the directory does not take them for a server's capacity either.

--- a/crates/gateway/src/rate_turns.rs
+++ b/crates/gateway/src/rate_turns.rs
@@ -32,7 +32,7 @@
     pub fn shared(per_second: f64, gateways: u32, open: Duration) -> Self {
         let seconds = f64::from(gateways.max(1)) / per_second;
         let period = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_PERIOD);
-        let period = period.min(MAX_PERIOD);
+        let period = period.clamp(MIN_PERIOD, MAX_PERIOD);
         Self {
             period,
             open: open.min(period),
@@ -40,6 +40,10 @@
     }
 }
 
+/// Shortest period, so that a number of periods stays finite. A gateway never sends a million requests a second
+/// to one server.
+const MIN_PERIOD: Duration = Duration::from_micros(1);
+
 /// Longest period, so that sums of times stay in range.
 const MAX_PERIOD: Duration = Duration::from_secs(24 * 60 * 60);
 
--- a/crates/gateway/src/statement.rs
+++ b/crates/gateway/src/statement.rs
@@ -21,6 +21,10 @@
 /// Longest accepted time; a longer one is taken for a mistake and ignored.
 const MAX_STATED_TIME: Duration = Duration::from_secs(86_400);
 
+/// Largest accepted rate in requests a second, above that of any server; a larger one is taken for a mistake
+/// and ignored.
+const MAX_STATED_RATE: f64 = 1e9;
+
 /// What a response states about the rate limit of its server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RateStatement {
@@ -86,7 +90,12 @@
 ) -> RateStatement {
     let is_present = response.fields.all(names.stated_rate).next().is_some();
     let has_run = response.fields.get(names.signature).is_some();
-    match number(&response.fields, names.stated_rate, f64::MAX, unusable) {
+    match number(
+        &response.fields,
+        names.stated_rate,
+        MAX_STATED_RATE,
+        unusable,
+    ) {
         Some(rate) => RateStatement::PerSecond(rate),
         None if has_run && !is_present => RateStatement::Unbounded,
         None => RateStatement::Unspecified,
--- a/crates/gateway/tests/stated_rate.rs
+++ b/crates/gateway/tests/stated_rate.rs
@@ -9,6 +9,7 @@
 use grebepin_catalog::InstanceId;
 use grebepin_gateway::stated_rate::{RateChange, StatedRates};
 use grebepin_gateway::statement::RateStatement;
+use grebepin_gateway::warmup::WarmupTurns;
 use grebepin_grants::Permits;
 use rate_sharing::{Load, Permitted, Turns};
 
@@ -179,3 +180,28 @@
     let most = (4.2 * 60.0 / 11.0) as u32 + 1;
     assert!(sent > 0 && sent <= most, "{sent} requests, {most} allowed");
 }
+
+/// Guards against a period that rounds to zero, by which a time was divided: the process ended.
+#[test]
+fn an_extreme_rate_does_not_end_the_process() {
+    let id = InstanceId::new("i-1");
+    let extremes = [0.0, f64::MIN_POSITIVE, 1e-9, 1e9, 1e12, 1e300, f64::MAX];
+    for rate in extremes {
+        for gateways in [1, 984, u32::MAX] {
+            let mut rates = StatedRates::new("gateway");
+            let mut warmup = WarmupTurns::new("gateway");
+            rates.note(&id, at(0), at(0), RateStatement::PerSecond(rate));
+            warmup.update(at(0), [&id].into_iter());
+            for now in (0..2_000).step_by(100).map(at) {
+                if rates.is_open(&id, now, Some(gateways)) {
+                    rates.note_sent(&id, now, gateways);
+                }
+                if rate > 0.0 && warmup.is_open(&id, now, rate, Some(gateways)) {
+                    warmup.note_sent(&id, now, rate, gateways);
+                }
+            }
+            let large = rate >= 1e9 && gateways < 1_000;
+            assert!(!large || rates.is_open(&id, at(2_100), Some(gateways)));
+        }
+    }
+}
--- a/crates/gateway/tests/statement.rs
+++ b/crates/gateway/tests/statement.rs
@@ -69,13 +69,15 @@
 #[test]
 fn a_rate_is_stated_not_stated_or_left_open() {
     use RateStatement::{PerSecond, Unbounded, Unspecified};
-    let cases: [(FieldList, RateStatement, usize); 6] = [
+    let cases: [(FieldList, RateStatement, usize); 8] = [
         (
             &[("X-Rate", "3.5"), ("X-Signature", "s")],
             PerSecond(3.5),
             0,
         ),
         (&[("X-Rate", "0")], PerSecond(0.0), 0),
+        (&[("X-Rate", "1e9")], PerSecond(1e9), 0),
+        (&[("X-Rate", "1e12")], Unspecified, 1),
         (&[("X-Signature", "s")], Unbounded, 0),
         (&[("X-Not-Run", "1")], Unspecified, 0),
         (&[("X-Rate", "many"), ("X-Signature", "s")], Unspecified, 1),
