A second copy of a rejection is not taken for the response to the retry

Cause: a response was matched by its id, which a retry at the same server shares with the first attempt, and the pool gives the retry the connection that was used last. The same holds for rejections without an id on any reused connection.

Change: a request gets no connection that has carried it (the connection is closed instead if the limit leaves no other); a rejection without an id proves nothing unless its connection carried nothing else. gateway_surplus_answers_total counts idle connections that receive bytes. Closing the connection after each rejection was weighed: it costs a connection for each request that a full server rejects.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -267,6 +267,7 @@
             tried_peers: Vec::new(),
             unreachable_target: String::new(),
             tried_servers: Vec::new(),
+            tried_connections: Vec::new(),
             permitted_server: None,
             state: InFlightState::Dispatching,
         });
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -88,6 +88,8 @@
     pub unreachable_target: String,
     /// Servers that it was assigned to, in order, including those that could not be reached.
     pub tried_servers: Vec<InstanceId>,
+    /// Connections to servers that it was assigned to, in order.
+    pub tried_connections: Vec<Token>,
     /// The server that the request may be sent to under the leader's permit or this gateway's turn.
     pub permitted_server: Option<InstanceId>,
     pub state: InFlightState,
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -15,7 +15,7 @@
 use crate::reachability::ConnectFailure;
 use crate::refusal::Refusal;
 use crate::upstreams::Upstream;
-use crate::verdict::{belongs_to_request, classify, Verdict};
+use crate::verdict::{belongs_to_request, classify, is_attributed, Verdict};
 
 /// Timeout for establishing a connection to a server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -46,23 +46,15 @@
     /// Assigns a request to an idle or new connection to a server.
     pub(crate) fn send(&mut self, id: InFlightId, server: &Instance) {
         let now = self.now();
-        let is_open = self.reachability.is_open(&server.id, &server.service);
-        let idle = match is_open {
-            true => self.upstreams.take_idle(&server.id, now),
-            false => None,
-        };
-        let token = match idle {
-            Some(token) => token,
-            None => match self.connect(server, now) {
-                Some(token) => token,
-                None => return self.refuse(id, Refusal::NoConnection),
-            },
+        let Some(token) = self.connection_for(id, server, now) else {
+            return self.refuse(id, Refusal::NoConnection);
         };
         let Some(request) = self.in_flight.get_mut(id) else {
             return;
         };
         request.attempts += 1;
         request.tried_servers.push(server.id.clone());
+        request.tried_connections.push(token);
         request.state = InFlightState::Assigned {
             connection: token,
             server: server.id.clone(),
@@ -88,6 +80,30 @@
         }
     }
 
+    /// An idle or new connection to a server that has not carried the request before: a second copy of an
+    /// earlier response may still arrive on one that has, with the id of the request.
+    fn connection_for(
+        &mut self,
+        id: InFlightId,
+        server: &Instance,
+        now: Duration,
+    ) -> Option<Token> {
+        let tried = self.in_flight.get(id)?.tried_connections.clone();
+        let is_open = self.reachability.is_open(&server.id, &server.service);
+        let idle = match is_open {
+            true => self.upstreams.take_idle(&server.id, now, &tried),
+            false => None,
+        };
+        if let Some(token) = idle.or_else(|| self.connect(server, now)) {
+            return Some(token);
+        }
+        // The connections that can't be used may have exhausted the limit.
+        let mut tried = tried.into_iter();
+        let idle = tried.find(|token| self.upstreams.is_idle_at(*token, &server.id))?;
+        self.drop_upstream(idle);
+        self.connect(server, now)
+    }
+
     /// Uses up this gateway's current turn at a server that warms up.
     fn use_warmup_turn(&mut self, server: &Instance, now: Duration) {
         if let Some(rate) = self.table.warmup_rate(&server.service) {
@@ -241,6 +257,9 @@
         let Some(id) = upstream.request else {
             // Bytes or a close on an idle connection make it unusable.
             let is_quiet = upstream.connection.inbound.is_empty();
+            if !is_quiet {
+                self.metrics.surplus_answers.inc();
+            }
             if !is_quiet || !matches!(outcome, Ok(ReadOutcome::Open)) {
                 self.drop_upstream(token);
             }
@@ -315,12 +334,14 @@
         if !self.crashes.is_empty() && response.fields.get(names.signature).is_some() {
             self.crashes.clear(fingerprint(&request.message, &names));
         }
-        let verdict = classify(&response, &names);
+        let upstream = self.upstreams.get(token);
+        let is_attributed =
+            upstream.is_some_and(|one| is_attributed(&response, &names, one.reused));
+        let verdict = classify(&response, &names, is_attributed);
+        let reusable = upstream.is_some_and(|one| {
+            is_attributed && response.keeps_alive && one.connection.inbound.is_empty()
+        });
         self.record_outcome(id, verdict, &server, since);
-        let reusable = self
-            .upstreams
-            .get(token)
-            .is_some_and(|upstream| response.keeps_alive && upstream.connection.inbound.is_empty());
         match reusable {
             true => self.upstreams.release(token, now, idle_timeout),
             false => _ = self.drop_upstream(token),
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -78,16 +78,27 @@
         self.connections.insert(token, upstream);
     }
 
-    /// Takes the most recently used idle connection to a server, unless it has been idle for too long.
-    pub fn take_idle(&mut self, server: &InstanceId, now: Duration) -> Option<Token> {
+    /// Takes the most recently used idle connection to a server that is not in `excluded`, unless it has been
+    /// idle for too long.
+    pub fn take_idle(
+        &mut self,
+        server: &InstanceId,
+        now: Duration,
+        excluded: &[Token],
+    ) -> Option<Token> {
         let idle = self.idle.get_mut(server)?;
-        let token = idle.pop()?;
-        let upstream = self.connections.get(&token)?;
-        if !upstream.is_expired(now) {
-            return Some(token);
+        let position = idle.iter().rposition(|token| !excluded.contains(token))?;
+        let upstream = self.connections.get(&idle[position])?;
+        match upstream.is_expired(now) {
+            true => None,
+            false => Some(idle.remove(position)),
         }
-        idle.push(token);
-        None
+    }
+
+    /// Whether a connection is an idle one to a server.
+    pub fn is_idle_at(&self, token: Token, server: &InstanceId) -> bool {
+        let idle = self.idle.get(server);
+        idle.is_some_and(|idle| idle.contains(&token))
     }
 
     /// Returns a connection to the pool after a complete response. `stated` is the idle timeout that the
--- a/crates/gateway/src/upstreams/tests.rs
+++ b/crates/gateway/src/upstreams/tests.rs
@@ -31,14 +31,14 @@
         upstreams.add(token, connection(&poll, &listener, token, server));
         upstreams.release(token, Duration::ZERO, None);
     }
-    let busy = upstreams.take_idle(&one, Duration::ZERO);
+    let busy = upstreams.take_idle(&one, Duration::ZERO, &[]);
     assert_eq!(busy, Some(Token(2)));
     assert_eq!(upstreams.idle_connections(&one), [Token(0), Token(1)]);
     for token in upstreams.idle_connections(&one) {
         upstreams.remove(token);
     }
     assert_eq!(upstreams.idle_connections(&one), []);
-    assert_eq!(upstreams.take_idle(&one, Duration::ZERO), None);
+    assert_eq!(upstreams.take_idle(&one, Duration::ZERO, &[]), None);
     assert_eq!(upstreams.idle_connections(&other), [Token(3)]);
 }
 
@@ -53,5 +53,29 @@
     upstreams.add(token, connection(&poll, &listener, token, &server));
     upstreams.release(token, Duration::from_secs(1), Some(Duration::MAX));
     assert_eq!(upstreams.expired(later, |_| true), []);
-    assert_eq!(upstreams.take_idle(&server, later), Some(token));
+    assert_eq!(upstreams.take_idle(&server, later, &[]), Some(token));
+}
+
+/// Guards against a surplus response that is taken for the response to a retry with the same id.
+#[test]
+fn a_request_gets_no_connection_that_has_carried_it() {
+    let poll = Poll::new().expect("a poll");
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let server = InstanceId::new("i-1");
+    let mut upstreams = Upstreams::default();
+    for token in [Token(0), Token(1)] {
+        upstreams.add(token, connection(&poll, &listener, token, &server));
+        upstreams.release(token, Duration::ZERO, None);
+    }
+    let mut carried = Vec::new();
+    for expected in [Some(Token(1)), Some(Token(0)), None] {
+        let taken = upstreams.take_idle(&server, Duration::ZERO, &carried);
+        assert_eq!(taken, expected);
+        if let Some(token) = taken {
+            carried.push(token);
+            assert!(!upstreams.is_idle_at(token, &server));
+            upstreams.release(token, Duration::ZERO, None);
+            assert!(upstreams.is_idle_at(token, &server));
+        }
+    }
 }
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -30,14 +30,23 @@
     }
 }
 
-/// Classifies a response that belongs to the request.
-pub fn classify(response: &Response, names: &HeaderNames) -> Verdict {
+/// Whether a response certainly answers the request that waits on its connection: it carries an id, or the
+/// connection was not `reused`. Any other may be a second copy of the response to an earlier request.
+pub fn is_attributed(response: &Response, names: &HeaderNames, reused: bool) -> bool {
+    !reused || response.fields.get(names.request_id).is_some()
+}
+
+/// Classifies a response that belongs to the request. One that is not attributed to it proves nothing about
+/// its execution.
+pub fn classify(response: &Response, names: &HeaderNames, is_attributed: bool) -> Verdict {
     let says_not_run = response.fields.get(names.not_executed).is_some();
     let is_signed = response.fields.get(names.signature).is_some();
     let is_encoded = response.fields.get("content-encoding").is_some();
     match response.status {
-        421 => Verdict::NotOwner,
-        _ if says_not_run => Verdict::NotRun,
+        421 if is_attributed => Verdict::NotOwner,
+        421 => Verdict::Unknown,
+        _ if says_not_run && is_attributed => Verdict::NotRun,
+        _ if says_not_run => Verdict::Unknown,
         200..=299 if !is_signed || is_encoded => Verdict::Unknown,
         200..=299 => Verdict::Final,
         // Clients may take these statuses to mean that the request did not run, which the server did not
--- a/crates/gateway/tests/verdict.rs
+++ b/crates/gateway/tests/verdict.rs
@@ -3,7 +3,7 @@
 mod header_names;
 
 use grebepin_catalog::RequestKind;
-use grebepin_gateway::verdict::{belongs_to_request, classify, may_retry, Verdict};
+use grebepin_gateway::verdict::{belongs_to_request, classify, is_attributed, may_retry, Verdict};
 use grebepin_reactor::http::{Fields, Response};
 use header_names::NAMES;
 
@@ -42,7 +42,7 @@
         (421, &[], Verdict::NotOwner),
     ];
     for (status, fields, expected) in cases {
-        let verdict = classify(&response(status, fields), &NAMES);
+        let verdict = classify(&response(status, fields), &NAMES, true);
         assert_eq!(verdict, expected, "{status} {fields:?}");
     }
 }
@@ -74,3 +74,24 @@
     assert!(!belongs_to_request(&response(200, &[]), "a", &NAMES));
     assert!(belongs_to_request(&response(503, &[]), "a", &NAMES));
 }
+
+/// Guards against a surplus rejection without an id that is taken for the response to the next request.
+#[test]
+fn a_rejection_without_an_id_on_a_reused_connection_proves_nothing() {
+    for status in [400, 421, 429, 503] {
+        for (id, reused) in [
+            (None, false),
+            (Some("a"), false),
+            (Some("a"), true),
+            (None, true),
+        ] {
+            let fields = id.map(|id| ("X-Id", id)).into_iter();
+            let fields: Vec<_> = fields.chain([("X-Not-Run", "1")]).collect();
+            let response = response(status, &fields);
+            let attributed = is_attributed(&response, &NAMES, reused);
+            let verdict = classify(&response, &NAMES, attributed);
+            let proves = matches!(verdict, Verdict::NotRun | Verdict::NotOwner);
+            assert_eq!(proves, id.is_some() || !reused, "{status} {id:?} {reused}");
+        }
+    }
+}
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -32,6 +32,8 @@
     pub link_wait_ms: IntGauge,
     /// Responses of servers that belonged to another request.
     pub foreign_answers: IntCounter,
+    /// Connections to servers closed because bytes arrived on them while they were idle.
+    pub surplus_answers: IntCounter,
     /// Servers that currently state a request rate.
     pub servers_stating_rates: IntGauge,
     /// Requests sent to servers that had stated a rate.
@@ -117,6 +119,10 @@
                 "gateway_foreign_answers_total",
                 "Answers that belonged to another request",
             )?,
+            surplus_answers: metrics.counter(
+                "gateway_surplus_answers_total",
+                "Idle connections on which a server sent bytes that answer no request",
+            )?,
             servers_stating_rates: metrics.gauge(
                 "gateway_servers_stating_rates",
                 "Servers that state how many requests a second they take",
