router: the connection is closed after a refusal

Callers may repeat an identifier as well, so connections can't be excluded per request; a connection is not reused after a refusal.

--- a/crates/router/src/back_end.rs
+++ b/crates/router/src/back_end.rs
@@ -1,8 +1,8 @@
 //! Requests to a back end over a pooled connection.
 //!
 //! Invariants: an answer is forwarded only if it is complete and carries the identifier of its request; a
-//! connection is reused only after such an answer; "not sent" is reported only if no byte was handed to
-//! the operating system.
+//! connection is reused only after such an answer that is no refusal; "not sent" is reported only if no byte
+//! was handed to the operating system.
 
 use std::time::Instant;
 
@@ -99,7 +99,9 @@
         .and_then(|()| read_answer(connection, request, limit, limits.body_bytes));
     match answer {
         Ok((result, keep_alive)) => {
-            if keep_alive {
+            // A second copy of a refusal would be taken for the answer to the retry, which has the same
+            // identifier.
+            if keep_alive && !matches!(result, SendResult::Refused(_)) {
                 pooled.release();
             }
             result
--- a/crates/router/tests/outcomes.rs
+++ b/crates/router/tests/outcomes.rs
@@ -338,3 +338,26 @@
     }
     router.stop();
 }
+
+/// Guards against a second copy of a refusal that is taken for the answer to the retry, which has the same
+/// identifier.
+#[test]
+fn a_repeated_refusal_is_not_taken_for_the_answer_to_the_retry() {
+    const COPY: &str =
+        "HTTP/1.1 503 Service Unavailable\r\nGrebepin-Request-Id: {id}\r\nGrebepin-Refusal: shed\r\nContent-Length: 0\r\n\r\n";
+    let number = AtomicU32::new(0);
+    let back_end = BackEnd::start(move |request| {
+        match (number.fetch_add(1, Ordering::Relaxed), request.connection) {
+            (0, _) => Action::Refuse("shed"),
+            (_, 0) => Action::Raw(COPY),
+            _ => Action::Answer(b"yes".to_vec()),
+        }
+    });
+    let (_control, router) = ready_router(&[back_end.address]);
+    let reply = call(router.address(), "approve", "id-1", "1");
+    assert_eq!(
+        (reply.outcome(), reply.body.as_slice()),
+        ("answered", b"yes".as_slice())
+    );
+    router.stop();
+}
