router: cancellations and look-ups of outcomes have connections of their own

Answers to cancellations carry no identifier. On a pooled connection a surplus answer to an earlier cancellation was taken for proof that another request had not run. Such calls are rare; each opens a connection now, in the place of an idle one at the limit, and closes it.

Test: outcomes.rs an_answer_to_an_earlier_cancellation_proves_nothing_about_another_request, "not-run" before, "unknown" now.

--- a/crates/router/src/back_end.rs
+++ b/crates/router/src/back_end.rs
@@ -145,6 +145,8 @@
     control_exchange(pool, "GET", &bytes, until, limits)
 }
 
+/// Sends a request on a connection of its own: these answers carry no identifier, so a surplus answer to an
+/// earlier request on the connection could not be told from them.
 fn control_exchange(
     pool: &ConnectionPool,
     method: &str,
@@ -154,16 +156,13 @@
 ) -> Option<Vec<u8>> {
     let left = until.saturating_duration_since(Instant::now());
     let limit = TimeLimit { until, idle: left };
-    let mut pooled = pool.acquire(limits.connect_timeout.min(left)).ok()?;
+    let mut pooled = pool.open(limits.connect_timeout.min(left)).ok()?;
     let connection = pooled.connection()?;
     connection.write(bytes, limit).ok()?;
     let head = connection.read_response_head(limit, method).ok()?;
     let body = connection
         .read_body(head.body, MAX_CONTROL_ANSWER_BYTES, limit)
         .ok()?;
-    if head.keep_alive {
-        pooled.release();
-    }
     (head.status == 200).then_some(body)
 }
 
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -91,6 +91,24 @@
         self.connect(timeout)
     }
 
+    /// Returns a new connection. An idle one is closed if it takes the last place.
+    ///
+    /// # Errors
+    /// [`ConnectError`] if none can be opened; nothing was sent.
+    pub fn open(&self, timeout: Duration) -> Result<PooledConnection<'_>, ConnectError> {
+        match self.connect(timeout) {
+            Err(ConnectError::Exhausted) => {}
+            result => return result,
+        }
+        let idle = self.take_idle().ok_or(ConnectError::Exhausted)?;
+        drop(PooledConnection {
+            pool: self,
+            connection: Some(idle.connection),
+            released: false,
+        });
+        self.connect(timeout)
+    }
+
     fn connect(&self, timeout: Duration) -> Result<PooledConnection<'_>, ConnectError> {
         let target = self.target.ok_or(ConnectError::Address)?;
         let reserved = self
--- a/crates/router/tests/outcomes.rs
+++ b/crates/router/tests/outcomes.rs
@@ -361,3 +361,42 @@
     );
     router.stop();
 }
+
+/// Guards against an answer to an earlier cancellation that is taken for proof that another request was not
+/// run.
+#[test]
+fn an_answer_to_an_earlier_cancellation_proves_nothing_about_another_request() {
+    const NOT_RUN: &str =
+        "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n{\"state\":\"not-run\",\"epoch\":10}";
+    let cancelled_on = Mutex::new(Vec::new());
+    let back_end = BackEnd::start(move |request| {
+        if request.head.target != CANCEL {
+            return Action::Close;
+        }
+        let mut cancelled_on = cancelled_on.lock().expect("lock");
+        let is_reused = cancelled_on.contains(&request.connection);
+        cancelled_on.push(request.connection);
+        match (cancelled_on.len(), is_reused) {
+            (1, _) => Action::Hold,
+            (2, _) | (_, true) => Action::Raw(NOT_RUN),
+            _ => Action::Json("{\"state\":\"ran\",\"epoch\":10}"),
+        }
+    });
+    let (_control, router) = ready_router(&[back_end.address]);
+    let address = router.address();
+    let outcome = move |id: &str| {
+        let reply = call(address, "approve", id, "1");
+        reply.outcome().to_owned()
+    };
+    // The first cancellation is held, so that the second one gets a connection that the third request does
+    // not use.
+    let first = std::thread::spawn(move || outcome("id-1"));
+    for _ in ["the request", "its cancellation"] {
+        back_end.received.recv().expect("received");
+    }
+    assert_eq!(outcome("id-2"), "not-run");
+    back_end.release.send(()).expect("held");
+    first.join().expect("answered");
+    assert_eq!(outcome("id-3"), "unknown");
+    router.stop();
+}
