A heartbeat from before a grant proves no release at a later leader

The next leader knows no sequence numbers, takes the second of them for the release of keys that it withheld after the first, and another server gets the keys while the first one's lease runs.

Change: the sequence number of the last heartbeat whose response grants a server keys that it did not list is part of the replicated state, committed before the response. At any leader heartbeats up to it are stale, and only later ones prove a release.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -198,12 +198,16 @@
                 service,
                 id,
                 shards,
+                sequence,
             } => {
                 if !self.is_live(id) {
                     return effects;
                 }
                 let ownership = self.ownership.entry(service.clone()).or_default();
                 let assigned = ownership.assign(id, shards);
+                if let Some(sequence) = sequence {
+                    ownership.record_grant(id, *sequence);
+                }
                 effects.shards.push(ShardChange {
                     service: service.clone(),
                     id: id.clone(),
@@ -212,6 +216,15 @@
                     fence: ownership.last_fence(),
                 });
             }
+            Command::RecordGrant {
+                service,
+                id,
+                sequence,
+            } => {
+                if let Some(ownership) = self.ownership.get_mut(service) {
+                    ownership.record_grant(id, *sequence);
+                }
+            }
             Command::SetEvacuation { zone, evacuated } => {
                 if self.set_evacuation(zone, *evacuated) {
                     effects.evacuation = Some(EvacuationChange {
--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -48,6 +48,18 @@
         id: InstanceId,
         /// Numbers of the shards; a shard that has an owner is skipped.
         shards: Vec<u16>,
+        /// Sequence number of the heartbeat whose response grants them first.
+        #[serde(default)]
+        sequence: Option<u64>,
+    },
+    /// Records that the response to a heartbeat grants shards that the heartbeat does not list.
+    RecordGrant {
+        /// Name of the sharded service.
+        service: String,
+        /// Server that sent the heartbeat.
+        id: InstanceId,
+        /// Sequence number of the heartbeat.
+        sequence: u64,
     },
     /// Starts or ends the evacuation of a zone. Servers in an evacuated zone get no requests and own no
     /// shards.
--- a/crates/catalog/src/ownership.rs
+++ b/crates/catalog/src/ownership.rs
@@ -1,7 +1,8 @@
 //! Ownership of a service's shards, with fences and handovers.
 //!
-//! Invariant: a shard is freed before it is assigned again, and each assignment uses a fence above every
-//! fence that the service has used before.
+//! Invariants: a shard is freed before it is assigned again, and each assignment uses a fence above every
+//! fence that the service has used before. The last grant of an owner is recorded before the response that
+//! carries it is sent, so that any leader knows which heartbeats were sent before the owner could take it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -58,6 +59,9 @@
     by_owner: BTreeMap<InstanceId, BTreeSet<u16>>,
     /// Shards without an owner; an index over `shards` that is not stored.
     unowned: BTreeSet<u16>,
+    /// Sequence number of the last heartbeat of each owner whose response granted shards that the heartbeat did
+    /// not list.
+    last_grants: BTreeMap<InstanceId, u64>,
 }
 
 /// Stored form of [`ShardOwnership`], which holds each owner's identity once.
@@ -66,6 +70,9 @@
     owners: Vec<InstanceId>,
     shards: Vec<StoredShard>,
     last_fence: u64,
+    /// Last grant of each owner; empty in states of versions that recorded none.
+    #[serde(default)]
+    last_grants: Vec<Option<u64>>,
 }
 
 /// Stored form of [`Shard`].
@@ -80,6 +87,10 @@
 impl From<ShardOwnership> for StoredOwnership {
     fn from(ownership: ShardOwnership) -> Self {
         let owners: Vec<InstanceId> = ownership.by_owner.keys().cloned().collect();
+        let last_grants = owners
+            .iter()
+            .map(|owner| ownership.last_grants.get(owner).copied());
+        let last_grants = last_grants.collect();
         let position = |owner: &InstanceId| owners.binary_search(owner).ok().map(|at| at as u16);
         let shards = ownership.shards.into_iter().map(|shard| StoredShard {
             owner: shard.owner.as_ref().and_then(position),
@@ -91,6 +102,7 @@
             owners,
             shards,
             last_fence: ownership.last_fence,
+            last_grants,
         }
     }
 }
@@ -104,7 +116,11 @@
             fence: shard.fence,
             handover: shard.handover,
         });
-        Self::indexed(shards.collect(), stored.last_fence)
+        let mut ownership = Self::indexed(shards.collect(), stored.last_fence);
+        let last_grants = owners.iter().cloned().zip(stored.last_grants);
+        let last_grants = last_grants.filter_map(|(owner, sequence)| Some((owner, sequence?)));
+        ownership.last_grants = last_grants.collect();
+        ownership
     }
 }
 
@@ -132,6 +148,7 @@
             last_fence,
             by_owner,
             unowned,
+            last_grants: BTreeMap::new(),
         }
     }
 
@@ -201,6 +218,22 @@
         assigned
     }
 
+    /// Records that the response to heartbeat `sequence` grants shards to an owner that the heartbeat does not
+    /// list. Ignored for a server that owns nothing.
+    pub fn record_grant(&mut self, id: &InstanceId, sequence: u64) {
+        if self.by_owner.contains_key(id) {
+            let last = self.last_grants.entry(id.clone()).or_default();
+            *last = sequence.max(*last);
+        }
+    }
+
+    /// Sequence number of the last heartbeat of an owner whose response granted it shards that the heartbeat
+    /// did not list. A heartbeat with a higher number was sent after the owner had taken these, or could no
+    /// longer take them. `None` for a server that owns nothing, or whose grants were not recorded.
+    pub fn last_grant(&self, id: &InstanceId) -> Option<u64> {
+        self.last_grants.get(id).copied()
+    }
+
     /// Takes shards from their owner and returns the shards freed. A shard that has another owner or another
     /// fence than stated is skipped, so that a late release does not free a newer assignment.
     pub fn free(&mut self, id: &InstanceId, shards: &[FreedShard]) -> Vec<u16> {
@@ -230,6 +263,7 @@
         owned.remove(&shard);
         if owned.is_empty() {
             self.by_owner.remove(id);
+            self.last_grants.remove(id);
         }
     }
 
--- a/crates/catalog/tests/ownership.rs
+++ b/crates/catalog/tests/ownership.rs
@@ -134,6 +134,7 @@
         service: "s".to_owned(),
         id: id(name),
         shards: vec![3],
+        sequence: None,
     };
     catalog.apply(&assign("unknown"));
     catalog.apply(&Command::Register(instance("ended", InstanceState::Ready)));
--- a/crates/gateway/examples/table_memory.rs
+++ b/crates/gateway/examples/table_memory.rs
@@ -78,6 +78,7 @@
                 service: "keyed".to_owned(),
                 id,
                 shards: vec![number as u16],
+                sequence: None,
             });
         }
     }
--- a/crates/gateway/src/undecided.rs
+++ b/crates/gateway/src/undecided.rs
@@ -60,7 +60,8 @@
             | Command::SetEvacuation { .. }
             | Command::SetQuarantine { .. }
             | Command::FreeShards { .. }
-            | Command::AssignShards { .. } => {}
+            | Command::AssignShards { .. }
+            | Command::RecordGrant { .. } => {}
         }
     }
 
--- a/crates/grants/src/coordinator/assignment.rs
+++ b/crates/grants/src/coordinator/assignment.rs
@@ -73,6 +73,7 @@
             service: heartbeat.service.clone(),
             id: heartbeat.id.clone(),
             shards: shards.into_iter().map(|shard| shard as u16).collect(),
+            sequence: Some(heartbeat.sequence),
         });
     }
 
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -14,7 +14,7 @@
 use crate::heartbeat::{Grant, Heartbeat};
 use crate::load::{LoadSample, LoadTracker};
 use crate::registration::{freed_shard, is_leaving, must_release, registration_commands};
-use crate::rows::{granted_rows, withhold_surplus};
+use crate::rows::{granted_rows, grants_unlisted, withhold_surplus};
 use crate::servers::Servers;
 use crate::timing::Timing;
 use crate::transfer::Reservations;
@@ -25,8 +25,8 @@
 /// Result of a heartbeat.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HeartbeatOutcome {
-    /// The heartbeat is older than one already received, or its server is gone. It is to be acknowledged
-    /// without a grant.
+    /// The heartbeat is older than one already received, by this or an earlier leader, or its server is gone. It
+    /// is to be acknowledged without a grant.
     Stale,
     /// Commands to apply before the grant is requested.
     Fresh(Vec<Command>),
@@ -83,7 +83,7 @@
         catalog: &Catalog,
         heartbeat: &Heartbeat,
     ) -> HeartbeatOutcome {
-        if catalog.has_ended(&heartbeat.id) {
+        if catalog.has_ended(&heartbeat.id) || precedes_last_grant(catalog, heartbeat) {
             return HeartbeatOutcome::Stale;
         }
         if !self.servers.record_heartbeat(now, heartbeat) {
@@ -99,10 +99,31 @@
                 self.rebalance(now, catalog, heartbeat);
                 self.assign(now, catalog, heartbeat, &mut commands);
             }
+            self.record_grant(catalog, heartbeat, &mut commands);
         }
         HeartbeatOutcome::Fresh(commands)
     }
 
+    /// Records the grant of shards that the server owns and does not list, because a response was lost or its
+    /// lease expired. New assignments record their grants themselves.
+    fn record_grant(&self, catalog: &Catalog, heartbeat: &Heartbeat, commands: &mut Vec<Command>) {
+        let is_recorded = |one: &Command| matches!(one, Command::AssignShards { .. });
+        let (Some(ownership), Some(server)) = (
+            catalog.ownership(&heartbeat.service),
+            self.servers.get(&heartbeat.id),
+        ) else {
+            return;
+        };
+        if commands.iter().any(is_recorded) || !grants_unlisted(ownership, server, heartbeat) {
+            return;
+        }
+        commands.push(Command::RecordGrant {
+            service: heartbeat.service.clone(),
+            id: heartbeat.id.clone(),
+            sequence: heartbeat.sequence,
+        });
+    }
+
     /// Grant for the server that sent a heartbeat, once the commands of that heartbeat are applied;
     /// `None` for a server of a service that isn't sharded or for one that is gone. Must be called only
     /// within the leader's own lease, and the response must be sent at once.
@@ -190,11 +211,18 @@
         let owned: BTreeSet<usize> = ownership.owned_by(&heartbeat.id).collect();
         server.releasing.retain(|shard, _| owned.contains(shard));
         let old_responses_expired = now >= self.leader_since + self.timing.response_lifetime();
+        // Without a record the shards may have been granted after this heartbeat was sent, by a leader whose
+        // leases have not expired yet.
+        let follows_last_grant = match ownership.last_grant(&heartbeat.id) {
+            Some(last_grant) => heartbeat.sequence > last_grant,
+            None => now > self.timing.lease_end(self.leader_since),
+        };
         let released: Vec<FreedShard> = server
             .releasing
             .iter()
             .filter(|(shard, first_withheld)| {
                 old_responses_expired
+                    && follows_last_grant
                     && heartbeat.sequence > **first_withheld
                     && heartbeat.fence_of(**shard).is_none()
             })
@@ -229,3 +257,10 @@
         self.move_away(now, catalog, heartbeat, leaving);
     }
 }
+
+/// Whether a heartbeat was sent before the server could take the last grant that is recorded.
+fn precedes_last_grant(catalog: &Catalog, heartbeat: &Heartbeat) -> bool {
+    let ownership = catalog.ownership(&heartbeat.service);
+    let last_grant = ownership.and_then(|ownership| ownership.last_grant(&heartbeat.id));
+    last_grant.is_some_and(|last_grant| heartbeat.sequence <= last_grant)
+}
--- a/crates/grants/src/rows.rs
+++ b/crates/grants/src/rows.rs
@@ -12,26 +12,52 @@
 const ROW_BYTES: usize = 23;
 
 /// Rows of the server's shards that it isn't releasing. A handover text is included only until the
-/// server reports that it holds the shard.
+/// server reports that it holds the shard. Shards that the heartbeat does not list are left out unless their
+/// grant is recorded.
 pub(crate) fn granted_rows(
     ownership: &ShardOwnership,
     server: &Server,
     heartbeat: &Heartbeat,
 ) -> Vec<KeyRange> {
-    let granted = ownership
-        .owned_by(&heartbeat.id)
-        .filter(|shard| !server.releasing.contains_key(shard));
-    let (taken, new): (Vec<usize>, Vec<usize>) = granted
-        .partition(|shard| heartbeat.fence_of(*shard) == Some(ownership.shards()[*shard].fence));
+    let (taken, new): (Vec<usize>, Vec<usize>) = kept_shards(ownership, server, heartbeat)
+        .partition(|shard| is_listed(ownership, heartbeat, *shard));
     let mut rows = ownership.key_ranges(taken.into_iter());
     for row in &mut rows {
         row.handover.clear();
     }
+    if ownership.last_grant(&heartbeat.id) < Some(heartbeat.sequence) {
+        return rows;
+    }
     rows.extend(ownership.key_ranges(new.into_iter()));
     drop_handovers_beyond_limit(&mut rows);
     rows
 }
 
+/// Whether the response to a heartbeat grants shards that the heartbeat does not list.
+pub(crate) fn grants_unlisted(
+    ownership: &ShardOwnership,
+    server: &Server,
+    heartbeat: &Heartbeat,
+) -> bool {
+    let mut kept = kept_shards(ownership, server, heartbeat);
+    kept.any(|shard| !is_listed(ownership, heartbeat, shard))
+}
+
+/// Shards of a server that it isn't releasing.
+fn kept_shards<'a>(
+    ownership: &'a ShardOwnership,
+    server: &'a Server,
+    heartbeat: &'a Heartbeat,
+) -> impl Iterator<Item = usize> + 'a {
+    let owned = ownership.owned_by(&heartbeat.id);
+    owned.filter(|shard| !server.releasing.contains_key(shard))
+}
+
+/// Whether a heartbeat lists a shard under its present fence.
+fn is_listed(ownership: &ShardOwnership, heartbeat: &Heartbeat, shard: usize) -> bool {
+    heartbeat.fence_of(shard) == Some(ownership.shards()[shard].fence)
+}
+
 /// Withholds the shards whose rows exceed the limit of a response, which happens after many small moves.
 pub(crate) fn withhold_surplus(
     ownership: &ShardOwnership,
--- a/crates/grants/tests/exclusive.rs
+++ b/crates/grants/tests/exclusive.rs
@@ -27,6 +27,17 @@
     assert_exclusive(Settings::default());
 }
 
+/// Guards against a heartbeat that was sent before a grant and is taken by a later leader for the release of what
+/// was granted.
+#[test]
+fn late_heartbeats_at_a_new_leader_release_nothing_that_is_held() {
+    for seed in SEEDS.start..SEEDS.end * 4 {
+        let mut fleet = Fleet::new(seed, Settings::late_heartbeats());
+        fleet.run(RUN_TIME);
+        assert_eq!(fleet.overlaps, Vec::new(), "seed {seed}");
+    }
+}
+
 /// Servers reject responses over 4 KiB, so a larger response would renew no lease.
 #[test]
 fn moves_for_load_keep_shards_exclusive_and_responses_small() {
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use grebepin_catalog::{Catalog, Command, InstanceId, SHARDS};
+use grebepin_catalog::{Catalog, Command, InstanceId, InstanceState, SHARDS};
 use grebepin_grants::{Coordinator, Grant, Heartbeat, HeartbeatOutcome, LoadSample, ServerSample};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -18,6 +18,9 @@
 const TICK: Duration = Duration::from_millis(100);
 const SERVERS: usize = 12;
 
+/// Time for which the new heartbeats of a server are lost, longer than its lease.
+const CUT_TIME: Duration = Duration::from_secs(5);
+
 /// Faults and load of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -35,6 +38,12 @@
     restart_every: Duration,
     /// Whether servers only drain and never crash.
     only_drains: bool,
+    /// Fraction of the heartbeats of which a copy arrives as well, with a delay of its own.
+    copies: f64,
+    /// Mean time between two servers whose new heartbeats are lost for `CUT_TIME`; zero for none.
+    cut_every: Duration,
+    /// Mean time between two servers that gateways report as leaving; zero for none.
+    leave_every: Duration,
     /// Whether gateways report load that is uneven among shards and servers.
     pub skewed_load: bool,
     /// Whether a new leader takes leases of earlier leaders into account.
@@ -53,6 +62,9 @@
             crash_every: Duration::from_secs(4),
             restart_every: Duration::ZERO,
             only_drains: false,
+            copies: 0.0,
+            cut_every: Duration::ZERO,
+            leave_every: Duration::ZERO,
             skewed_load: false,
             bounds_earlier_leases: true,
             two_leaders: false,
@@ -95,6 +107,23 @@
         }
     }
 
+    /// Heartbeats arrive late and twice, at leaders that follow each other quickly, while servers are cut off and
+    /// leave.
+    pub fn late_heartbeats() -> Self {
+        Self {
+            heartbeat_delay: Duration::from_secs(8),
+            leader_every: Duration::from_millis(2_500),
+            crash_every: Duration::from_secs(1),
+            restart_every: Duration::from_secs(3),
+            only_drains: true,
+            copies: 0.5,
+            cut_every: Duration::from_millis(500),
+            leave_every: Duration::from_millis(700),
+            skewed_load: true,
+            ..Self::default()
+        }
+    }
+
     pub fn stable_with_restarts() -> Self {
         Self {
             restart_every: Duration::from_secs(3),
@@ -278,6 +307,19 @@
             }
             self.start_server();
         }
+        if self.happens(self.settings.cut_every) {
+            let number = self.random.random_range(0..self.servers.len());
+            self.servers[number].cut_until = self.now + CUT_TIME;
+        }
+        if self.happens(self.settings.leave_every) {
+            let number = self.random.random_range(0..self.servers.len());
+            self.commit(vec![Command::SetState {
+                id: self.servers[number].id.clone(),
+                state: InstanceState::Draining,
+            }]);
+            self.servers[number].leave(self.now);
+            self.start_server();
+        }
         let now = self.now;
         self.servers.retain(|server| !server.has_left(now));
     }
@@ -335,9 +377,18 @@
         let mut heartbeats = Vec::new();
         for server in &mut self.servers {
             server.advance(now);
-            heartbeats.extend(server.heartbeat(now));
+            let heartbeat = server.heartbeat(now);
+            heartbeats.extend(heartbeat.filter(|_| now >= server.cut_until));
         }
         for heartbeat in heartbeats {
+            if self.random.random::<f64>() < self.settings.copies {
+                let delay = self
+                    .settings
+                    .heartbeat_delay
+                    .mul_f64(self.random.random::<f64>());
+                let copy = Message::Heartbeat(heartbeat.clone());
+                self.network.push((now + delay, copy));
+            }
             let delay = self.delay(self.settings.heartbeat_delay);
             self.network
                 .push((now + delay, Message::Heartbeat(heartbeat)));
--- a/crates/grants/tests/model/server.rs
+++ b/crates/grants/tests/model/server.rs
@@ -42,7 +42,10 @@
     releasing: BTreeMap<usize, (u64, Duration)>,
     freed: BTreeSet<usize>,
     highest_fence: BTreeMap<usize, u64>,
-    last_response: Duration,
+    /// When the heartbeat was sent whose response it waits for.
+    awaits_response: Option<Duration>,
+    /// Until when its heartbeats are lost.
+    pub cut_until: Duration,
 }
 
 impl ModelServer {
@@ -71,7 +74,8 @@
             releasing: BTreeMap::new(),
             freed: BTreeSet::new(),
             highest_fence: BTreeMap::new(),
-            last_response: Duration::ZERO,
+            awaits_response: None,
+            cut_until: Duration::ZERO,
         }
     }
 
@@ -79,6 +83,11 @@
         self.draining = true;
     }
 
+    /// Leaves without reporting that it drains.
+    pub fn leave(&mut self, now: Duration) {
+        self.leaves_at = Some(now + DRAIN_TIME);
+    }
+
     pub fn has_left(&self, now: Duration) -> bool {
         self.leaves_at.is_some_and(|at| now >= at)
     }
@@ -115,7 +124,10 @@
     }
 
     pub fn heartbeat(&mut self, now: Duration) -> Option<Heartbeat> {
-        if now < self.next_heartbeat {
+        let awaits_response = self
+            .awaits_response
+            .is_some_and(|sent| now <= sent + RESPONSE_TIMEOUT);
+        if now < self.next_heartbeat || awaits_response {
             return None;
         }
         if self.draining && self.leaves_at.is_none() {
@@ -128,6 +140,7 @@
         self.next_heartbeat = now + pause;
         self.sequence += 1;
         self.sent.insert(self.sequence, now);
+        self.awaits_response = Some(now);
         let held = self.held.iter().map(|(shard, fence)| (*shard, *fence));
         let releasing = self
             .releasing
@@ -146,10 +159,10 @@
     }
 
     pub fn receive_response(&mut self, now: Duration, sent: Duration, grant: Option<Grant>) {
-        if now > sent + RESPONSE_TIMEOUT || sent < self.last_response {
+        if now > sent + RESPONSE_TIMEOUT || self.awaits_response != Some(sent) {
             return;
         }
-        self.last_response = sent;
+        self.awaits_response = None;
         self.freed.clear();
         let Some(grant) = grant else {
             return;
