A server that was silent for long is used again

Cause: silence ended a server for good, as a leave or a successor does.

Change: a ready server that falls silent is suspended, and its next heartbeat registers it again, unless another server has registered at its address or under its name, or it was draining.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -66,6 +66,9 @@
     evacuated_zones: BTreeSet<String>,
     #[serde(default)]
     quarantine: Quarantine,
+    /// Servers that are gone only because their heartbeats stopped.
+    #[serde(default)]
+    suspended: BTreeSet<InstanceId>,
 }
 
 impl Catalog {
@@ -107,10 +110,17 @@
         known.is_some_and(|known| known.state != InstanceState::Gone)
     }
 
-    /// Returns whether a server is known to have ended: it left, its heartbeats stopped, or it restarted.
+    /// Returns whether a server is known to have ended for good: it left, was replaced at its address, or
+    /// restarted. A server that is only suspended has not.
     pub fn has_ended(&self, id: &InstanceId) -> bool {
         let known = self.instance(id);
-        known.is_some_and(|known| known.state == InstanceState::Gone) || self.is_superseded(id)
+        let is_gone = known.is_some_and(|known| known.state == InstanceState::Gone);
+        (is_gone && !self.is_suspended(id)) || self.is_superseded(id)
+    }
+
+    /// Returns whether a server is gone only because its heartbeats stopped.
+    pub fn is_suspended(&self, id: &InstanceId) -> bool {
+        self.suspended.contains(id)
     }
 
     /// Returns the quarantined requests.
@@ -179,6 +189,11 @@
                     effects.instances.push(id.clone());
                 }
             }
+            Command::Suspend { id } => {
+                if self.suspend(id) {
+                    effects.instances.push(id.clone());
+                }
+            }
             Command::FreeShards {
                 service,
                 id,
@@ -275,6 +290,10 @@
         if self.has_ended(&instance.id) {
             return Vec::new();
         }
+        if self.suspended.remove(&instance.id) {
+            self.gone_order.retain(|gone| *gone != instance.id);
+            self.instances.remove(&instance.id);
+        }
         let known = self.instances.get(&instance.id);
         let mut next = instance.clone();
         if let Some(known) = known {
@@ -287,6 +306,7 @@
             Some(_) => Vec::new(),
             None => self.end_earlier_incarnations(&instance.id),
         };
+        self.end_suspended_at(&next.address);
         changed.push(next.id.clone());
         self.instances.insert(next.id.clone(), next);
         changed
@@ -303,6 +323,26 @@
             .collect()
     }
 
+    /// Ends a server whose heartbeats stopped. A draining server never returns, since it ends anyway. Returns
+    /// whether its state changed.
+    fn suspend(&mut self, id: &InstanceId) -> bool {
+        let known = self.instance(id);
+        let was_ready = known.is_some_and(|known| known.state == InstanceState::Ready);
+        if was_ready {
+            self.suspended.insert(id.clone());
+        }
+        self.set_state(id, InstanceState::Gone)
+    }
+
+    /// Ends the suspended servers at an address for good, since another server has it now.
+    fn end_suspended_at(&mut self, address: &str) {
+        let instances = &self.instances;
+        self.suspended.retain(|id| {
+            let known = instances.get(id);
+            known.is_some_and(|known| known.address != address)
+        });
+    }
+
     /// Advances a server to a later state. Returns whether its state changed.
     fn set_state(&mut self, id: &InstanceId, state: InstanceState) -> bool {
         let Some(instance) = self.instances.get_mut(id) else {
@@ -323,6 +363,7 @@
         if self.gone_order.len() > MAX_GONE_INSTANCES {
             let oldest = self.gone_order.remove(0);
             self.instances.remove(&oldest);
+            self.suspended.remove(&oldest);
         }
     }
 }
--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -31,6 +31,12 @@
         /// State to set; ignored unless it is later than the current one.
         state: InstanceState,
     },
+    /// Ends a server whose heartbeats stopped. If it was ready, its next heartbeat makes it live again, unless
+    /// another server has registered at its address or under its name by then.
+    Suspend {
+        /// Server that ends.
+        id: InstanceId,
+    },
     /// Takes shards from a server that provably no longer holds them.
     FreeShards {
         /// Name of the sharded service.
--- /dev/null
+++ b/crates/catalog/tests/suspended_servers.rs
@@ -0,0 +1,77 @@
+//! Servers whose heartbeats stopped, and which of them return.
+
+use grebepin_catalog::{Catalog, Command, Instance, InstanceId, InstanceState};
+
+fn instance(id: &InstanceId, address: &str, state: InstanceState) -> Instance {
+    Instance {
+        id: id.clone(),
+        service: "s".to_owned(),
+        address: address.to_owned(),
+        zone: "z".to_owned(),
+        slots: 4,
+        state,
+        is_cold: false,
+    }
+}
+
+/// A catalog with a server in a state, after its heartbeats have stopped.
+fn suspended(id: &InstanceId, state: InstanceState) -> Catalog {
+    let mut catalog = Catalog::default();
+    catalog.apply(&Command::Register(instance(id, "a", state)));
+    let effects = catalog.apply(&Command::Suspend { id: id.clone() });
+    assert_eq!(effects.instances.as_slice(), std::slice::from_ref(id));
+    assert!(!catalog.is_live(id));
+    catalog
+}
+
+#[test]
+fn a_server_whose_heartbeats_stopped_returns_with_its_next_registration() {
+    let id = InstanceId::new("i-1");
+    let mut catalog = suspended(&id, InstanceState::Ready);
+    assert!(!catalog.has_ended(&id));
+    let ready = instance(&id, "a", InstanceState::Ready);
+    let effects = catalog.apply(&Command::Register(ready));
+    assert_eq!(effects.instances.as_slice(), std::slice::from_ref(&id));
+    assert!(catalog.is_live(&id));
+    // It is an ordinary server again: it can be suspended once more, and ended for good.
+    catalog.apply(&Command::Suspend { id: id.clone() });
+    let gone = InstanceState::Gone;
+    catalog.apply(&Command::Register(instance(&id, "a", InstanceState::Ready)));
+    catalog.apply(&Command::SetState {
+        id: id.clone(),
+        state: gone,
+    });
+    assert!(catalog.has_ended(&id));
+}
+
+#[test]
+fn a_server_that_drained_before_its_heartbeats_stopped_does_not_return() {
+    let id = InstanceId::new("i-1");
+    let mut catalog = suspended(&id, InstanceState::Draining);
+    assert!(catalog.has_ended(&id));
+    let ready = instance(&id, "a", InstanceState::Ready);
+    assert!(catalog
+        .apply(&Command::Register(ready))
+        .instances
+        .is_empty());
+}
+
+#[test]
+fn a_server_does_not_return_once_another_has_its_address_or_its_name() {
+    let id = InstanceId::started_at("i-1", 1);
+    let successors = [
+        instance(&InstanceId::new("i-2"), "a", InstanceState::Ready),
+        instance(&InstanceId::started_at("i-1", 2), "b", InstanceState::Ready),
+    ];
+    for successor in successors {
+        let mut catalog = suspended(&id, InstanceState::Ready);
+        catalog.apply(&Command::Register(successor.clone()));
+        assert!(catalog.has_ended(&id), "{successor:?}");
+        catalog.apply(&Command::Suspend { id: successor.id });
+        let ready = instance(&id, "a", InstanceState::Ready);
+        assert!(catalog
+            .apply(&Command::Register(ready))
+            .instances
+            .is_empty());
+    }
+}
--- a/crates/directory/src/node/open_entries.rs
+++ b/crates/directory/src/node/open_entries.rs
@@ -51,8 +51,9 @@
         }
         Command::SetState { state, .. } => *state == InstanceState::Draining,
         Command::Register(instance) => instance.is_cold || instance.state != InstanceState::Ready,
-        Command::FreeShards { .. } | Command::AssignShards { .. } | Command::RecordGrant { .. } => {
-            false
-        }
+        Command::Suspend { .. }
+        | Command::FreeShards { .. }
+        | Command::AssignShards { .. }
+        | Command::RecordGrant { .. } => false,
     }
 }
--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -66,8 +66,8 @@
         let expired = self.upstreams.expired(now, is_used);
         self.load_balancer.retain(|id| table.is_live(id));
         self.stated_rates.retain(|id| table.is_live(id));
-        self.cooldowns.retain(now, |id| table.is_live(id));
-        self.leaving.retain(|id| table.is_live(id));
+        self.cooldowns.retain(now, |id| table.may_return(id));
+        self.leaving.retain(|id| table.may_return(id));
         self.reachability.retain(|id| table.is_live(id));
         for token in expired {
             self.drop_upstream(token);
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -283,6 +283,12 @@
         self.catalog.ownership(service)?.shards().get(shard)
     }
 
+    /// Whether a server instance may send responses or get requests again: it has not ended, or is only
+    /// suspended.
+    pub fn may_return(&self, id: &InstanceId) -> bool {
+        self.catalog.is_live(id) || self.catalog.is_suspended(id)
+    }
+
     /// Whether a server instance is known and has not ended.
     pub fn is_live(&self, id: &InstanceId) -> bool {
         self.catalog.is_live(id)
--- a/crates/grants/src/coordinator/expiry.rs
+++ b/crates/grants/src/coordinator/expiry.rs
@@ -1,4 +1,4 @@
-//! Expiry of leases, and removal of servers that stopped sending heartbeats.
+//! Expiry of leases, and suspension of servers that stopped sending heartbeats.
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 
 impl Coordinator {
     /// Commands that are due at `now`: freeing shards whose lease expired, and marking servers as
-    /// draining or gone.
+    /// draining, and suspending silent ones.
     pub fn tick(&mut self, now: Duration, catalog: &Catalog) -> Vec<Command> {
         for (service, ownership) in catalog.all_ownership() {
             self.record_unowned(now, service, ownership);
@@ -90,7 +90,7 @@
         }
     }
 
-    /// Marks a server as gone after a long silence.
+    /// Suspends a server after a long silence.
     fn expire_server(
         &mut self,
         now: Duration,
@@ -100,10 +100,7 @@
     ) {
         if catalog.is_live(id) {
             if self.is_timed_out(now, id) {
-                commands.push(Command::SetState {
-                    id: id.clone(),
-                    state: InstanceState::Gone,
-                });
+                commands.push(Command::Suspend { id: id.clone() });
             }
             return;
         }
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -86,6 +86,13 @@
         if catalog.has_ended(&heartbeat.id) || precedes_last_grant(catalog, heartbeat) {
             return HeartbeatOutcome::Stale;
         }
+        if catalog.is_suspended(&heartbeat.id) {
+            // Another server at the address proves that this one has ended.
+            let others = self.addresses.live_at(catalog, &heartbeat.address);
+            if !others.is_empty() {
+                return HeartbeatOutcome::Stale;
+            }
+        }
         if !self.servers.record_heartbeat(now, heartbeat) {
             return HeartbeatOutcome::Stale;
         }
--- a/crates/grants/src/registration.rs
+++ b/crates/grants/src/registration.rs
@@ -16,6 +16,7 @@
         false => InstanceState::Ready,
     };
     let known = catalog.instance(&heartbeat.id);
+    let known = known.filter(|_| !catalog.is_suspended(&heartbeat.id));
     let instance = Instance {
         id: heartbeat.id.clone(),
         service: heartbeat.service.clone(),
@@ -57,6 +58,7 @@
 /// Whether a server is draining or gone.
 pub(crate) fn is_leaving(catalog: &Catalog, heartbeat: &Heartbeat) -> bool {
     let known = catalog.instance(&heartbeat.id);
+    let known = known.filter(|_| !catalog.is_suspended(&heartbeat.id));
     heartbeat.draining || known.is_some_and(|instance| instance.state != InstanceState::Ready)
 }
 
