The leave of a server that is not registered is kept

Change: the leave is replicated before it is acknowledged, for unknown servers and for suspended ones, and the server registers as draining. It holds for that incarnation only; 1,024 are kept.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -14,6 +14,10 @@
 /// Maximum number of ended servers that are kept, so that a late heartbeat does not register one again.
 const MAX_GONE_INSTANCES: usize = 4_096;
 
+/// Maximum number of leaves that are kept of servers which are not registered. The oldest ones are dropped: a
+/// heartbeat that follows a leave comes within seconds.
+const MAX_EARLY_LEAVES: usize = 1_024;
+
 /// Changes made by one command.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Effects {
@@ -69,6 +73,9 @@
     /// Servers that are gone only because their heartbeats stopped.
     #[serde(default)]
     suspended: BTreeSet<InstanceId>,
+    /// Servers that left before they were registered, the oldest first.
+    #[serde(default)]
+    early_leaves: Vec<InstanceId>,
 }
 
 impl Catalog {
@@ -123,6 +130,11 @@
         self.suspended.contains(id)
     }
 
+    /// Returns whether a server left before it was registered or while it was suspended.
+    pub fn left_early(&self, id: &InstanceId) -> bool {
+        self.early_leave_of(id).is_some()
+    }
+
     /// Returns the quarantined requests.
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
@@ -189,6 +201,7 @@
                     effects.instances.push(id.clone());
                 }
             }
+            Command::RecordLeave { id } => effects.instances = self.record_leave(id),
             Command::Suspend { id } => {
                 if self.suspend(id) {
                     effects.instances.push(id.clone());
@@ -294,8 +307,12 @@
             self.gone_order.retain(|gone| *gone != instance.id);
             self.instances.remove(&instance.id);
         }
+        let has_left = self.take_early_leave(&instance.id);
         let known = self.instances.get(&instance.id);
         let mut next = instance.clone();
+        if has_left {
+            next.state = next.state.max(InstanceState::Draining);
+        }
         if let Some(known) = known {
             next.state = next.state.max(known.state);
         }
@@ -323,6 +340,33 @@
             .collect()
     }
 
+    /// Records the leave of a server that is not live and returns the servers that changed.
+    fn record_leave(&mut self, id: &InstanceId) -> Vec<InstanceId> {
+        if self.is_live(id) {
+            let has_changed = self.set_state(id, InstanceState::Draining);
+            return has_changed.then(|| id.clone()).into_iter().collect();
+        }
+        if !self.has_ended(id) && !self.early_leaves.contains(id) {
+            if self.early_leaves.len() >= MAX_EARLY_LEAVES {
+                self.early_leaves.remove(0);
+            }
+            self.early_leaves.push(id.clone());
+        }
+        Vec::new()
+    }
+
+    /// Removes the leave of a server that registers; returns whether there was one.
+    fn take_early_leave(&mut self, id: &InstanceId) -> bool {
+        let position = self.early_leave_of(id);
+        position.map(|at| self.early_leaves.remove(at)).is_some()
+    }
+
+    fn early_leave_of(&self, id: &InstanceId) -> Option<usize> {
+        let of_name = InstanceId::new(id.name());
+        let mut leaves = self.early_leaves.iter();
+        leaves.position(|one| one == id || *one == of_name)
+    }
+
     /// Ends a server whose heartbeats stopped. A draining server never returns, since it ends anyway. Returns
     /// whether its state changed.
     fn suspend(&mut self, id: &InstanceId) -> bool {
--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -31,6 +31,11 @@
         /// State to set; ignored unless it is later than the current one.
         state: InstanceState,
     },
+    /// Records the leave of a server that is not registered, or suspended. It drains from its registration on.
+    RecordLeave {
+        /// Server that leaves. Without a start time, the next incarnation of this name that registers.
+        id: InstanceId,
+    },
     /// Ends a server whose heartbeats stopped. If it was ready, its next heartbeat makes it live again, unless
     /// another server has registered at its address or under its name by then.
     Suspend {
--- a/crates/catalog/tests/suspended_servers.rs
+++ b/crates/catalog/tests/suspended_servers.rs
@@ -75,3 +75,49 @@
             .is_empty());
     }
 }
+
+/// Guards against a leave that is acknowledged and forgotten because it arrives before the first heartbeat.
+#[test]
+fn a_leave_before_the_registration_holds_for_that_incarnation_only() {
+    let (first, second) = (
+        InstanceId::started_at("i-1", 1),
+        InstanceId::started_at("i-1", 2),
+    );
+    for left in [first.clone(), InstanceId::new("i-1")] {
+        let mut catalog = Catalog::default();
+        catalog.apply(&Command::RecordLeave { id: left.clone() });
+        for (id, state) in [
+            (&first, InstanceState::Draining),
+            (&second, InstanceState::Ready),
+        ] {
+            let ready = instance(id, "a", InstanceState::Ready);
+            for _ in 0..2 {
+                catalog.apply(&Command::Register(ready.clone()));
+                let known = catalog.instance(id).expect("registered");
+                assert_eq!(known.state, state, "{left} {id}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_leave_while_the_heartbeats_are_missing_holds_when_they_return() {
+    let id = InstanceId::new("i-1");
+    let mut catalog = suspended(&id, InstanceState::Ready);
+    catalog.apply(&Command::RecordLeave { id: id.clone() });
+    let ready = instance(&id, "a", InstanceState::Ready);
+    catalog.apply(&Command::Register(ready));
+    let known = catalog.instance(&id).expect("registered");
+    assert_eq!(known.state, InstanceState::Draining);
+}
+
+#[test]
+fn the_leaves_of_unknown_servers_are_bounded() {
+    let mut catalog = Catalog::default();
+    for number in 0..5_000 {
+        let id = InstanceId::new(&format!("i-{number}"));
+        catalog.apply(&Command::RecordLeave { id });
+    }
+    let bytes = rmp_serde::to_vec(&catalog).expect("encoded").len();
+    assert!(bytes < 40_000, "{bytes}");
+}
--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -179,15 +179,17 @@
 
     fn handle_leave(&mut self, now: Duration, id: CallId, server: InstanceId) {
         let server = self.leaving_incarnation(server);
-        let known = self.catalog.instance(&server);
-        if known.is_none_or(|known| known.state != InstanceState::Ready)
-            && self.holds_leader_lease(now)
-        {
-            return self.reply(id, Reply::Left);
-        }
-        let command = Command::SetState {
-            id: server,
-            state: InstanceState::Draining,
+        let known = self.catalog.instance(&server).map(|known| known.state);
+        let command = match known {
+            Some(InstanceState::Ready) => Command::SetState {
+                id: server,
+                state: InstanceState::Draining,
+            },
+            // Its first heartbeat may still be on its way, or its heartbeats may be held up.
+            None => Command::RecordLeave { id: server },
+            Some(_) if self.catalog.is_suspended(&server) => Command::RecordLeave { id: server },
+            Some(_) if self.holds_leader_lease(now) => return self.reply(id, Reply::Left),
+            Some(state) => Command::SetState { id: server, state },
         };
         self.propose_for(now, vec![command], EntryWaiter::Leave(id));
     }
--- a/crates/directory/src/node/open_entries.rs
+++ b/crates/directory/src/node/open_entries.rs
@@ -51,7 +51,8 @@
         }
         Command::SetState { state, .. } => *state == InstanceState::Draining,
         Command::Register(instance) => instance.is_cold || instance.state != InstanceState::Ready,
-        Command::Suspend { .. }
+        Command::RecordLeave { .. }
+        | Command::Suspend { .. }
         | Command::FreeShards { .. }
         | Command::AssignShards { .. }
         | Command::RecordGrant { .. } => false,
--- a/crates/directory/tests/cluster/faults.rs
+++ b/crates/directory/tests/cluster/faults.rs
@@ -90,14 +90,14 @@
         }
     }
 
-    /// Resumes a suspended machine; a server's leave is the first input that its replica processes.
-    pub fn resume_with_leave(&mut self, number: usize) {
+    /// Resumes a suspended machine; the leave of `server` is the first input that its replica processes.
+    pub fn resume_with_leave(&mut self, number: usize, server: &InstanceId) {
         let replica = &mut self.replicas[number];
         replica.stalled_until = self.now;
         if !replica.clock_lag.is_zero() {
             replica.clock_lag = self.now - replica.clock_lag;
         }
-        let leave = Call::Leave(InstanceId::new("unknown"));
+        let leave = Call::Leave(server.clone());
         self.call(number, leave, Pending::ServerCall);
     }
 
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -74,7 +74,7 @@
     pub stale_reads: u32,
     /// Number of acknowledged starts and ends of evacuations.
     pub evacuations_acknowledged: u32,
-    /// Number of leaves of unknown servers that a replica acknowledged under its own lease.
+    /// Number of leaves of draining servers that a replica acknowledged under its own lease.
     pub leaves_acknowledged: u32,
     /// Rejected zones, in order.
     pub unknown_zones: Vec<String>,
--- a/crates/directory/tests/replication.rs
+++ b/crates/directory/tests/replication.rs
@@ -4,9 +4,13 @@
 #[allow(dead_code, reason = "each test file uses a part of the harness")]
 mod cluster;
 
-use cluster::{Cluster, Fault};
 use std::time::Duration;
 
+use cluster::{Cluster, Fault};
+use grebepin_catalog::InstanceId;
+use grebepin_directory::call::Call;
+use grebepin_grants::Heartbeat;
+
 const SEEDS: std::ops::Range<u64> = 0..40;
 
 fn seconds(number: f64) -> Duration {
@@ -209,17 +213,35 @@
     assert_eq!(cluster.leader(), Some(leader));
 }
 
+/// Heartbeat of a server whose leave changes nothing, so that a leader acknowledges it under its lease alone.
+fn draining_heartbeat(id: &InstanceId) -> Call {
+    Call::Heartbeat(Heartbeat {
+        id: id.clone(),
+        service: "s".to_owned(),
+        address: "10.1.0.1:80".to_owned(),
+        zone: "z0".to_owned(),
+        slots: 2,
+        draining: true,
+        warmup_left: Duration::ZERO,
+        sequence: 1,
+        holds: Vec::new(),
+        freed: Vec::new(),
+    })
+}
+
 /// Suspends a leader until the others have elected the next one. Returns the number of leaves that it
 /// acknowledges under its own lease when it resumes.
 fn acknowledged_after_suspension(suspension: Fault, seed: u64) -> u32 {
     let mut cluster = Cluster::new(seed, 3);
     cluster.run(seconds(3.0));
     cluster.change_until_acknowledged(1);
+    let server = InstanceId::new("i-1");
+    cluster.send_server_call(draining_heartbeat(&server));
     let old = cluster.leader().expect("a leader");
     cluster.inject(suspension);
     cluster.run(seconds(3.0));
     cluster.change_until_acknowledged(2);
-    cluster.resume_with_leave(old);
+    cluster.resume_with_leave(old, &server);
     cluster.leaves_acknowledged
 }
 
--- a/crates/gateway/src/undecided.rs
+++ b/crates/gateway/src/undecided.rs
@@ -57,6 +57,7 @@
             } => _ = self.quarantined.insert(*fingerprint),
             // Until these are decided, the state in force is the more careful one.
             Command::SetState { .. }
+            | Command::RecordLeave { .. }
             | Command::Suspend { .. }
             | Command::SetEvacuation { .. }
             | Command::SetQuarantine { .. }
--- a/crates/grants/src/registration.rs
+++ b/crates/grants/src/registration.rs
@@ -59,7 +59,9 @@
 pub(crate) fn is_leaving(catalog: &Catalog, heartbeat: &Heartbeat) -> bool {
     let known = catalog.instance(&heartbeat.id);
     let known = known.filter(|_| !catalog.is_suspended(&heartbeat.id));
-    heartbeat.draining || known.is_some_and(|instance| instance.state != InstanceState::Ready)
+    heartbeat.draining
+        || known.is_some_and(|instance| instance.state != InstanceState::Ready)
+        || (known.is_none() && catalog.left_early(&heartbeat.id))
 }
 
 /// Whether a server must give up its shards because it is leaving or because its zone is evacuated.
