Pipelined requests are handled in turns of the event loop

Cause: finish_response handled the next request of the connection, which ended in finish_response; reading a large response recursed the same way.

Change: connections with unused input are handled again in rounds, 16 in a turn of the event loop; unsent responses above 64 KiB hold up further requests of their connection; input left in the socket while a request was in flight is read when it ends.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -385,6 +385,8 @@
         self.finish_response(token, closes);
     }
 
+    /// Sends a response that was written. The next request of the connection is handled in another turn of the
+    /// event loop.
     pub(crate) fn finish_response(&mut self, token: Token, closes: bool) {
         let now = self.now();
         let Some(client) = self.clients.get_mut(&token) else {
@@ -395,9 +397,10 @@
         client.idle_since = now;
         let open = client.flush();
         client.connection.trim();
-        match open {
-            true => self.handle_next_request(token),
-            false => _ = self.clients.remove(&token),
+        match (open, client.has_input()) {
+            (true, true) => _ = self.unfinished.insert(token),
+            (true, false) => {}
+            (false, _) => _ = self.clients.remove(&token),
         }
     }
 }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -12,6 +12,10 @@
 /// Bytes that are buffered of pipelined requests while an earlier request is in flight.
 const BUFFER_LIMIT: usize = 256 << 10;
 
+/// Unsent bytes of responses above which no further request of the connection is handled, so that a client that
+/// does not read its responses holds a bounded amount of memory.
+const UNSENT_LIMIT: usize = 64 << 10;
+
 /// Connection of a client, or of another gateway that forwards requests of its clients.
 #[derive(Debug)]
 pub struct Client {
@@ -25,6 +29,8 @@
     pub closing: bool,
     /// When the first byte of a partly read request arrived.
     pub request_started: Option<Duration>,
+    /// Whether the last read left bytes in the socket, for which no event comes.
+    has_unread: bool,
     /// Whether it is another gateway that forwards requests of its clients.
     pub is_peer: bool,
     /// When the last response was sent, or the connection was accepted.
@@ -41,6 +47,7 @@
             keeps_alive: true,
             closing: false,
             request_started: None,
+            has_unread: false,
             is_peer,
             idle_since: now,
         }
@@ -52,10 +59,14 @@
             Some(_) => BUFFER_LIMIT,
             None => limit.max(BUFFER_LIMIT),
         };
-        !matches!(
-            self.connection.fill(limit),
-            Ok(ReadOutcome::Closed) | Err(_)
-        )
+        let outcome = self.connection.fill(limit);
+        self.has_unread = matches!(outcome, Ok(ReadOutcome::Full));
+        !matches!(outcome, Ok(ReadOutcome::Closed) | Err(_))
+    }
+
+    /// Whether received bytes may contain another request that can be handled now.
+    pub fn has_input(&self) -> bool {
+        self.request.is_none() && (self.has_unread || !self.connection.inbound.is_empty())
     }
 
     /// The next complete request; `None` while one is in flight.
@@ -67,7 +78,8 @@
         now: Duration,
         limits: RequestLimits,
     ) -> Result<Option<(Request, Duration)>, BadRequest> {
-        if self.request.is_some() || self.closing {
+        let is_blocked = self.connection.unsent() > UNSENT_LIMIT;
+        if self.request.is_some() || self.closing || is_blocked {
             return Ok(None);
         }
         if !self.connection.inbound.is_empty() {
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -56,6 +56,10 @@
 /// Longest time to block in poll, so that signals are noticed.
 const MAX_POLL_TIME: Duration = Duration::from_millis(100);
 
+/// Requests of one connection, or reads of one response, that are handled in one turn of the event loop: enough to
+/// spread the cost of polling, few enough that other connections wait for a millisecond at most.
+const ROUNDS_PER_TURN: usize = 16;
+
 /// File descriptors reserved for files and listeners, which client and server connections never use.
 const RESERVED_DESCRIPTORS: usize = 250;
 
@@ -111,6 +115,8 @@
     /// Services with a server that may accept more requests since their waiting requests were last
     /// dispatched.
     pub(crate) services_with_capacity: BTreeSet<String>,
+    /// Connections whose input is not used up, though no event may come for it.
+    pub(crate) unfinished: BTreeSet<Token>,
     pub(crate) timers: Deadlines<Timer>,
     pub(crate) table: Table,
     pub(crate) splitter: Splitter,
@@ -219,6 +225,7 @@
             peer_connections: PeerConnections::default(),
             in_flight: InFlightRequests::default(),
             services_with_capacity: BTreeSet::new(),
+            unfinished: BTreeSet::new(),
             timers: Deadlines::default(),
             table,
             splitter: Splitter::default(),
@@ -267,6 +274,7 @@
             for token in ready {
                 self.on_event(token);
             }
+            self.handle_unfinished();
             self.run_timers();
             self.dispatch_awaiting_capacity();
             self.do_housekeeping();
@@ -277,6 +285,18 @@
         }
     }
 
+    /// Handles the connections whose input is not used up, in turn, each a bounded number of times.
+    fn handle_unfinished(&mut self) {
+        for _ in 0..ROUNDS_PER_TURN {
+            if self.unfinished.is_empty() {
+                return;
+            }
+            for token in std::mem::take(&mut self.unfinished) {
+                self.on_event(token);
+            }
+        }
+    }
+
     fn is_shut_down(&self) -> bool {
         let (in_flight, clients) = (self.in_flight.len(), self.clients.len());
         let now = self.now();
@@ -289,6 +309,9 @@
     }
 
     fn poll_timeout(&self) -> Duration {
+        if !self.unfinished.is_empty() {
+            return Duration::ZERO;
+        }
         let now = self.now();
         let due = self.timers.next().unwrap_or(now + MAX_POLL_TIME);
         due.min(self.next_housekeeping)
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -100,7 +100,7 @@
     }
 
     /// Handles the next complete request of a client.
-    pub(crate) fn handle_next_request(&mut self, token: Token) {
+    fn handle_next_request(&mut self, token: Token) {
         let now = self.now();
         let limits = self.request_limits();
         let Some(client) = self.clients.get_mut(&token) else {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -306,7 +306,8 @@
                 }
                 (Ok(None), Ok(ReadOutcome::Full)) => {
                     // The buffer was drained into the response, so more bytes may be waiting.
-                    return self.on_upstream(token);
+                    self.unfinished.insert(token);
+                    return;
                 }
                 (Ok(None), Ok(ReadOutcome::Open)) => return,
                 (Ok(None), Ok(ReadOutcome::Closed)) => {
