--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -16,6 +16,9 @@
 use crate::call::{Call, GrantedKeys, GrantedRange, ItemDocument, Reply, UnavailableReason};
 use crate::crashes::CrashTracker;
 
+/// Why a heartbeat of a sharded service is rejected.
+const HOLDS_MISSING: &str = "the service is sharded, and the heartbeat does not list the keys held";
+
 /// State of an uninterrupted period of leadership.
 pub(super) struct Leadership {
     pub(super) term: Term,
@@ -148,6 +151,9 @@
                     endpoint: None,
                 },
             ),
+            HeartbeatOutcome::Incomplete => {
+                self.reply(id, Reply::Invalid(HOLDS_MISSING.to_owned()));
+            }
             HeartbeatOutcome::Fresh(commands) if commands.is_empty() => {
                 self.answer_heartbeat(now, id, &heartbeat)
             }
--- a/crates/directory/tests/replication.rs
+++ b/crates/directory/tests/replication.rs
@@ -224,7 +224,7 @@
         draining: true,
         warmup_left: Duration::ZERO,
         sequence: 1,
-        holds: Vec::new(),
+        holds: Some(Vec::new()),
         freed: Vec::new(),
     })
 }
--- a/crates/directory/tests/restarted_servers.rs
+++ b/crates/directory/tests/restarted_servers.rs
@@ -26,7 +26,7 @@
         draining: false,
         warmup_left: Duration::ZERO,
         sequence,
-        holds: Vec::new(),
+        holds: Some(Vec::new()),
         freed: Vec::new(),
     })
 }
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -28,6 +28,8 @@
     /// The heartbeat is older than one already received, by this or an earlier leader, or its server is gone. It
     /// is to be acknowledged without a grant.
     Stale,
+    /// The service is sharded and the heartbeat does not say what the server holds. It has no effect.
+    Incomplete,
     /// Commands to apply before the grant is requested.
     Fresh(Vec<Command>),
 }
@@ -83,6 +85,9 @@
         catalog: &Catalog,
         heartbeat: &Heartbeat,
     ) -> HeartbeatOutcome {
+        if heartbeat.holds.is_none() && catalog.is_sharded(&heartbeat.service) {
+            return HeartbeatOutcome::Incomplete;
+        }
         if catalog.has_ended(&heartbeat.id) || precedes_last_grant(catalog, heartbeat) {
             return HeartbeatOutcome::Stale;
         }
--- a/crates/grants/src/heartbeat.rs
+++ b/crates/grants/src/heartbeat.rs
@@ -47,8 +47,9 @@
     pub warmup_left: Duration,
     /// Increases with each heartbeat of the server.
     pub sequence: u64,
-    /// Keys that it holds or still processes requests for.
-    pub holds: Vec<HeldRange>,
+    /// Keys that it holds or still processes requests for; `None` if it does not say, which is no statement that
+    /// it holds none.
+    pub holds: Option<Vec<HeldRange>>,
     /// Keys that it released.
     pub freed: Vec<ReleasedRange>,
 }
@@ -58,7 +59,8 @@
     pub fn fence_of(&self, shard: usize) -> Option<u64> {
         let (first, last) = keys_of(shard);
         let overlaps = |row: &&HeldRange| row.from <= last && first <= row.to;
-        self.holds.iter().find(overlaps).map(|row| row.fence)
+        let holds = self.holds.as_deref().unwrap_or_default();
+        holds.iter().find(overlaps).map(|row| row.fence)
     }
 
     /// Handover text of a shard that was released as a whole; empty when there is none.
--- a/crates/grants/src/servers/tests.rs
+++ b/crates/grants/src/servers/tests.rs
@@ -24,7 +24,7 @@
         draining: false,
         warmup_left: Duration::ZERO,
         sequence,
-        holds: Vec::new(),
+        holds: Some(Vec::new()),
         freed: Vec::new(),
     }
 }
--- a/crates/grants/tests/division/mod.rs
+++ b/crates/grants/tests/division/mod.rs
@@ -36,7 +36,7 @@
 pub fn commands(outcome: HeartbeatOutcome) -> Vec<Command> {
     match outcome {
         HeartbeatOutcome::Fresh(commands) => commands,
-        HeartbeatOutcome::Stale => Vec::new(),
+        HeartbeatOutcome::Stale | HeartbeatOutcome::Incomplete => Vec::new(),
     }
 }
 
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -351,7 +351,7 @@
         };
         let outcome = leader.on_heartbeat(self.now, &self.catalog, heartbeat);
         let grant = match outcome {
-            HeartbeatOutcome::Stale => None,
+            HeartbeatOutcome::Stale | HeartbeatOutcome::Incomplete => None,
             HeartbeatOutcome::Fresh(commands) => {
                 for command in &commands {
                     self.catalog.apply(command);
--- a/crates/grants/tests/model/server.rs
+++ b/crates/grants/tests/model/server.rs
@@ -148,7 +148,7 @@
             .map(|(shard, (fence, _))| (*shard, *fence));
         Some(Heartbeat {
             draining: self.draining,
-            holds: held.chain(releasing).map(held_range).collect(),
+            holds: Some(held.chain(releasing).map(held_range).collect()),
             freed: self
                 .freed
                 .iter()
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -190,14 +190,15 @@
     };
     Heartbeat {
         zone: zone.to_owned(),
-        holds: held
-            .iter()
-            .map(|(shard, fence)| grebepin_grants::HeldRange {
-                from: u32::from(*shard) * 16,
-                to: u32::from(*shard) * 16 + 15,
-                fence: *fence,
-            })
-            .collect(),
+        holds: Some(
+            held.iter()
+                .map(|(shard, fence)| grebepin_grants::HeldRange {
+                    from: u32::from(*shard) * 16,
+                    to: u32::from(*shard) * 16 + 15,
+                    fence: *fence,
+                })
+                .collect(),
+        ),
         ..heartbeat(number, sequence)
     }
 }
--- a/crates/grants/tests/support/mod.rs
+++ b/crates/grants/tests/support/mod.rs
@@ -42,7 +42,7 @@
         draining: false,
         warmup_left: Duration::ZERO,
         sequence,
-        holds: Vec::new(),
+        holds: Some(Vec::new()),
         freed: Vec::new(),
     }
 }
