The end of a connection that came with its last bytes is read

Cause: a short read ended a round of reading. With edge-triggered events no other event follows for an end that was there already.

Change: an event that reports the end of the peer's side is noted at the connection, and its next read goes on to the end. A connection whose peer has closed it is not kept for another request.

No further system call on other connections.

--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -298,7 +298,9 @@
         connection.request = None;
         connection.idle_since = now;
         connection.connection.trim();
-        let is_reusable = keeps_alive && connection.connection.inbound.is_empty();
+        let is_reusable = keeps_alive
+            && !connection.connection.is_read_closed()
+            && connection.connection.inbound.is_empty();
         self.peers.end(peer);
         if !is_reusable {
             self.peer_connections.remove(token);
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -263,6 +263,9 @@
                 Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
+            for event in events.iter().filter(|event| event.is_read_closed()) {
+                self.note_read_closed(event.token());
+            }
             let mut ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
             if let Some(stall) = self.stall_detector.check(self.clock.now()) {
                 event!(Event::StoodStill, ms = stall.as_millis());
@@ -319,6 +322,17 @@
             .min(MAX_POLL_TIME)
     }
 
+    /// Records that the peer of a connection closed its side.
+    fn note_read_closed(&mut self, token: Token) {
+        if let Some(client) = self.clients.get_mut(&token) {
+            client.connection.note_read_closed();
+        } else if let Some(upstream) = self.upstreams.get_mut(token) {
+            upstream.connection.note_read_closed();
+        } else if let Some(peer) = self.peer_connections.get_mut(token) {
+            peer.connection.note_read_closed();
+        }
+    }
+
     fn on_event(&mut self, token: Token) {
         match token {
             CLIENT_LISTENER => self.accept_clients(),
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -340,7 +340,9 @@
             upstream.is_some_and(|one| is_attributed(&response, &names, one.reused));
         let verdict = classify(&response, &names, is_attributed);
         let reusable = upstream.is_some_and(|one| {
-            is_attributed && response.keeps_alive && one.connection.inbound.is_empty()
+            let connection = &one.connection;
+            let is_open = response.keeps_alive && !connection.is_read_closed();
+            is_attributed && is_open && connection.inbound.is_empty()
         });
         self.record_outcome(id, verdict, &server, since);
         match reusable {
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -34,6 +34,8 @@
     pub inbound: Vec<u8>,
     outbound: Vec<u8>,
     sent: usize,
+    /// Whether an event has reported that the peer closed its side.
+    read_closed: bool,
 }
 
 impl Connection {
@@ -49,6 +51,7 @@
             inbound: Vec::new(),
             outbound: Vec::new(),
             sent: 0,
+            read_closed: false,
         })
     }
 
@@ -90,6 +93,17 @@
         let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(limit));
     }
 
+    /// Records that an event has reported the end of the peer's side. No event follows for an end that came
+    /// together with the last bytes, so the next read goes on to it.
+    pub fn note_read_closed(&mut self) {
+        self.read_closed = true;
+    }
+
+    /// Whether the peer is known to have closed its side; bytes may still be unread.
+    pub fn is_read_closed(&self) -> bool {
+        self.read_closed
+    }
+
     /// Reads available bytes until the buffer holds at least `limit`.
     ///
     /// # Errors
@@ -103,11 +117,14 @@
                 return Ok(ReadOutcome::Full);
             }
             match self.stream.read(&mut bytes) {
-                Ok(0) => return Ok(ReadOutcome::Closed),
+                Ok(0) => {
+                    self.read_closed = true;
+                    return Ok(ReadOutcome::Closed);
+                }
                 Ok(count) => {
                     self.inbound.extend_from_slice(&bytes[..count]);
                     // A short read emptied the socket; later bytes cause a new event.
-                    if count < READ_BYTES {
+                    if count < READ_BYTES && !self.read_closed {
                         return Ok(ReadOutcome::Open);
                     }
                 }
--- a/crates/reactor/tests/connection.rs
+++ b/crates/reactor/tests/connection.rs
@@ -1,10 +1,10 @@
-//! Memory that a connection holds.
+//! Memory that a connection holds, and the end of its peer's side.
 
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 
 use grebepin_reactor::{Connection, ReadOutcome};
-use mio::{Poll, Token};
+use mio::{Events, Poll, Token};
 
 /// Both ends of a connection over loopback; the first is the tested one.
 fn pair(poll: &Poll) -> (Connection, TcpStream) {
@@ -48,3 +48,21 @@
     fill(&mut connection, 500);
     assert!(connection.held_bytes() <= 1_024);
 }
+
+/// Guards against an end that is not seen because it came with the last bytes: no event follows for it.
+#[test]
+fn an_end_that_came_with_the_last_bytes_is_seen() {
+    let mut poll = Poll::new().expect("a poll");
+    let (mut connection, mut other) = pair(&poll);
+    other.write_all(&[7; 500]).expect("written");
+    drop(other);
+    let mut events = Events::with_capacity(4);
+    while !events.iter().any(mio::event::Event::is_read_closed) {
+        poll.poll(&mut events, None).expect("polled");
+    }
+    connection.note_read_closed();
+    let outcome = connection.fill(1 << 20).expect("read");
+    assert_eq!(outcome, ReadOutcome::Closed);
+    assert_eq!(connection.inbound.len(), 500);
+    assert!(connection.is_read_closed());
+}
