Log lines tell by which version of a route and by a state of which age a request was sent

The lines of the incident could not tell the hypotheses apart: successes had no line, 226 and 227 named a route without its version and the state at the end of the request, and 127 did not tell which items were removed.

- 253: a request is sent to a server by a state that nothing has confirmed for 1.5 s.
A counter and a histogram of the ages cover all requests, also those that go well.
- 254: which versions of which items came into force at a gateway, and when, so that the version by which any request went is known from its time, without a line for each success.
- 127 names versions and removals.

No logic is changed. Not measured: the cost of the lines; one line for each change and gateway.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -6,8 +6,8 @@
 
 use crate::command::Command;
 use crate::instance::{Instance, InstanceId, InstanceState};
-use crate::item::{ItemKey, Service};
-use crate::items::{InvalidChange, Items};
+use crate::item::Service;
+use crate::items::{ChangedItem, InvalidChange, Items};
 use crate::ownership::ShardOwnership;
 use crate::quarantine::{Quarantine, QuarantineChange};
 
@@ -21,8 +21,8 @@
 /// Changes made by one command.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Effects {
-    /// Keys of the items set or removed.
-    pub items: Vec<ItemKey>,
+    /// Items set or removed.
+    pub items: Vec<ChangedItem>,
     /// Servers that were registered, updated or moved to another state.
     pub instances: Vec<InstanceId>,
     /// Shards that were assigned or freed.
@@ -192,7 +192,7 @@
         let mut effects = Effects::default();
         match command {
             Command::ChangeItems(change) => match self.items.apply(change) {
-                Ok(keys) => effects.items = keys,
+                Ok(changed) => effects.items = changed,
                 Err(error) => effects.refused = Some(error),
             },
             Command::Register(instance) => effects.instances = self.register(instance),
--- a/crates/catalog/src/items.rs
+++ b/crates/catalog/src/items.rs
@@ -23,6 +23,40 @@
     pub item: Option<Item>,
 }
 
+/// A version of an item that replaced an older one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangedItem {
+    /// The item.
+    pub key: ItemKey,
+    /// The version that is held now.
+    pub version: Version,
+    /// Whether that version is a removal.
+    pub is_removed: bool,
+}
+
+impl ChangedItem {
+    /// Describes the first `limit` items for a log line: their names, their versions in the same order, and the names
+    /// of those that were removed.
+    pub fn describe(changed: &[Self], limit: usize) -> (String, String, String) {
+        let named = || changed.iter().take(limit);
+        let join = |texts: Vec<String>| texts.join(",");
+        let removed = named().filter(|item| item.is_removed);
+        (
+            join(named().map(|item| item.key.name.clone()).collect()),
+            join(named().map(|item| item.version.0.to_string()).collect()),
+            join(removed.map(|item| item.key.name.clone()).collect()),
+        )
+    }
+
+    fn new(key: &ItemKey, held: &VersionedItem) -> Self {
+        Self {
+            key: key.clone(),
+            version: held.version,
+            is_removed: held.item.is_none(),
+        }
+    }
+}
+
 /// Why a change was refused. No part of a refused change is applied.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidChange {
@@ -90,6 +124,27 @@
         self.held.get(&key)?.item.as_ref()
     }
 
+    /// Returns the version of an item, removals included; `None` if it was never set or removed.
+    pub fn version(&self, kind: ItemKind, name: &str) -> Option<Version> {
+        let key = ItemKey {
+            kind,
+            name: name.to_owned(),
+        };
+        Some(self.held.get(&key)?.version)
+    }
+
+    /// Returns the items that have another version than in `older`, an earlier state of the same items.
+    pub fn changed_since(&self, older: &Self) -> Vec<ChangedItem> {
+        let is_changed = |key: &ItemKey, held: &VersionedItem| {
+            let before = older.held.get(key);
+            before.is_none_or(|before| before.version != held.version)
+        };
+        let changed = self.held.iter().filter(|(key, held)| is_changed(key, held));
+        changed
+            .map(|(key, held)| ChangedItem::new(key, held))
+            .collect()
+    }
+
     /// Returns the configuration of a service in force.
     pub fn service(&self, name: &str) -> Option<&Service> {
         match &self.get(ItemKind::Service, name)?.content {
@@ -142,17 +197,17 @@
         next.check_routes()
     }
 
-    /// Applies a committed change and returns the keys of the items that changed. A change that an earlier
-    /// log entry has made invalid is refused and changes nothing.
+    /// Applies a committed change and returns the items that changed. A change that an earlier log entry has made
+    /// invalid is refused and changes nothing.
     ///
     /// # Errors
     /// Returns the first violation found.
-    pub fn apply(&mut self, change: &ItemChange) -> Result<Vec<ItemKey>, InvalidChange> {
+    pub fn apply(&mut self, change: &ItemChange) -> Result<Vec<ChangedItem>, InvalidChange> {
         self.check(change)?;
         Ok(self.merge(change))
     }
 
-    fn merge(&mut self, change: &ItemChange) -> Vec<ItemKey> {
+    fn merge(&mut self, change: &ItemChange) -> Vec<ChangedItem> {
         let upserts = change.upserts.iter().map(|item| {
             let held = VersionedItem {
                 version: item.version,
@@ -167,15 +222,15 @@
             };
             (removal.key.clone(), held)
         });
-        let mut keys = Vec::new();
+        let mut changed = Vec::new();
         // A change may contain an item more than once; the highest version wins here as well.
         for (key, held) in upserts.chain(removals) {
             if self.is_newer(&key, held.version) {
-                keys.push(key.clone());
+                changed.push(ChangedItem::new(&key, &held));
                 self.held.insert(key, held);
             }
         }
-        keys
+        changed
     }
 
     /// Checks that routes have distinct hosts and prefixes and refer only to defined services.
--- a/crates/catalog/src/routes.rs
+++ b/crates/catalog/src/routes.rs
@@ -3,11 +3,19 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::item::{ItemContent, Route};
+use crate::item::{ItemContent, Route, Version};
 use crate::items::Items;
 
-/// Name of a route and the route itself.
-pub type NamedRoute = (String, Arc<Route>);
+/// A route in force.
+#[derive(Clone, Debug)]
+pub struct NamedRoute {
+    /// Name of the route.
+    pub name: String,
+    /// Version of the route.
+    pub version: Version,
+    /// The route itself.
+    pub route: Arc<Route>,
+}
 
 /// Routes by lower-case host, longest prefix first.
 #[derive(Clone, Debug, Default)]
@@ -22,12 +30,16 @@
         for item in items.in_force() {
             if let ItemContent::Route(route) = &item.content {
                 let host = route.host.to_ascii_lowercase();
-                let named = (item.name.clone(), Arc::new(route.clone()));
+                let named = NamedRoute {
+                    name: item.name.clone(),
+                    version: item.version,
+                    route: Arc::new(route.clone()),
+                };
                 by_host.entry(host).or_default().push(named);
             }
         }
         for routes in by_host.values_mut() {
-            routes.sort_by_key(|(_, route)| std::cmp::Reverse(route.prefix.len()));
+            routes.sort_by_key(|named| std::cmp::Reverse(named.route.prefix.len()));
         }
         Self { by_host }
     }
@@ -42,7 +54,7 @@
         };
         routes
             .iter()
-            .find(|(_, route)| path.starts_with(route.prefix.as_str()))
+            .find(|named| path.starts_with(named.route.prefix.as_str()))
     }
 }
 
--- a/crates/catalog/tests/items.rs
+++ b/crates/catalog/tests/items.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use grebepin_catalog::{
-    InvalidChange, Item, ItemChange, ItemContent, ItemKey, ItemKind, Items, Removal, RequestKind,
-    Route, RouteIndex, Service, Version, WeightedService,
+    ChangedItem, InvalidChange, Item, ItemChange, ItemContent, ItemKey, ItemKind, Items, Removal,
+    RequestKind, Route, RouteIndex, Service, Version, WeightedService,
 };
 use proptest::prelude::*;
 
@@ -186,13 +186,30 @@
         ]))
         .expect("valid");
     let index = RouteIndex::new(&items);
-    let find = |host, path| index.find(host, path).map(|(name, _)| name.as_str());
+    let find = |host, path| index.find(host, path).map(|found| found.name.as_str());
     assert_eq!(find("shop.example", "/a/b/c"), Some("deep"));
     assert_eq!(find("Shop.Example:8080", "/a/x"), Some("a"));
     assert_eq!(find("shop.example", "/z"), Some("all"));
     assert_eq!(find("other.example", "/a/"), None);
 }
 
+#[test]
+fn changed_items_are_told_with_their_versions_and_removals() {
+    let before = initial_items();
+    let mut after = before.clone();
+    after
+        .apply(&set(vec![route("deep", 3, "/a/b/", "s")]))
+        .expect("valid");
+    let applied = after.apply(&remove_route("a", 7)).expect("valid");
+    let changed = after.changed_since(&before);
+    let (names, versions, removed) = ChangedItem::describe(&changed, 10);
+    assert_eq!(applied, changed[..1]);
+    assert_eq!(
+        (names.as_str(), versions.as_str(), removed.as_str()),
+        ("a,deep", "7,3", "a")
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(300) })]
 
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -1,6 +1,6 @@
 //! Log lines for notices of the node.
 
-use grebepin_catalog::Effects;
+use grebepin_catalog::{ChangedItem, Effects};
 use grebepin_telemetry::{event, DirectoryMetrics, Event};
 
 use crate::node::Notice;
@@ -53,13 +53,14 @@
 
 fn log_items(index: u64, effects: &Effects) {
     if !effects.items.is_empty() {
-        let names = effects.items.iter().take(MAX_LOGGED_NAMES);
-        let names: Vec<&str> = names.map(|key| key.name.as_str()).collect();
+        let (names, versions, removed) = ChangedItem::describe(&effects.items, MAX_LOGGED_NAMES);
         event!(
             Event::ItemsChanged,
             index = index,
             items = effects.items.len(),
-            names = names.join(",")
+            names = names,
+            versions = versions,
+            removed = removed
         );
     }
     if let Some(error) = &effects.refused {
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -1,9 +1,8 @@
 //! First phases of a request: it is read, routed and admitted.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use grebepin_catalog::{shard_of_key, Route};
+use grebepin_catalog::{shard_of_key, NamedRoute, Route};
 use grebepin_reactor::http::Request;
 use grebepin_telemetry::{event, Event};
 use mio::Token;
@@ -13,7 +12,7 @@
 use crate::headers::HeaderNames;
 use crate::hop::{HopOutcome, HopRequest};
 use crate::http_writer::LocalResponse;
-use crate::in_flight::{InFlightRequest, InFlightState};
+use crate::in_flight::{InFlightRequest, InFlightState, RoutingState};
 use crate::refusal::Refusal;
 use crate::stopping::Stopping;
 
@@ -130,11 +129,11 @@
         }
         let (host, path) = (incoming.host(), incoming.path());
         let found = self.table.route(host, path);
-        let route = found.as_ref().map(|(name, route)| (*name, &**route));
+        let route = found.map(|found| (found.name.as_str(), &*found.route));
         if self.table.undecided().touches_request(host, path, route) {
             return self.reject(&incoming, Refusal::Undecided);
         }
-        let Some((name, route)) = found else {
+        let Some(found) = found.cloned() else {
             return match self.is_outdated() {
                 true => self.reject(&incoming, Refusal::StateOutdated),
                 false => self.reject_unrouted(&incoming),
@@ -143,11 +142,10 @@
         if self.is_quarantined(&incoming.request) {
             return self.reject(&incoming, Refusal::Quarantined);
         }
-        let name = name.to_owned();
-        let service = self.select_service(&incoming, &name, &route);
-        let is_client_retry = self.is_client_retry(&incoming, &name, now);
-        match self.admit(&incoming, &route, &service, is_client_retry, now) {
-            Ok(()) => self.accept(incoming, name, route, service, is_client_retry),
+        let service = self.select_service(&incoming, &found.name, &found.route);
+        let is_client_retry = self.is_client_retry(&incoming, &found.name, now);
+        match self.admit(&incoming, &found.route, &service, is_client_retry, now) {
+            Ok(()) => self.accept(incoming, found, service, is_client_retry),
             Err(refusal) => self.reject(&incoming, refusal),
         }
     }
@@ -229,12 +227,21 @@
     fn accept(
         &mut self,
         incoming: IncomingRequest,
-        name: String,
-        route: Arc<Route>,
+        found: NamedRoute,
         service: String,
         is_client_retry: bool,
     ) {
         let now = self.now();
+        let NamedRoute {
+            name,
+            version,
+            route,
+        } = found;
+        let routed_by = RoutingState {
+            version,
+            applied: self.table.applied(),
+            age_ms: self.state_age_ms(),
+        };
         let key = incoming.key(&self.names);
         let is_sharded = self.table.is_sharded(&service);
         let shard = is_sharded.then(|| shard_of_key(key.unwrap_or_default()));
@@ -253,6 +260,7 @@
             request_id: incoming.request_id,
             route_name: name,
             route,
+            routed_by,
             service,
             key,
             shard,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use grebepin_catalog::{InstanceId, RequestKind, Route};
+use grebepin_catalog::{InstanceId, RequestKind, Route, Version};
 use grebepin_reactor::http::Request;
 use mio::Token;
 
@@ -46,6 +46,17 @@
     },
 }
 
+/// The state by which a request was routed, for logs.
+#[derive(Clone, Copy, Debug)]
+pub struct RoutingState {
+    /// Version of the route.
+    pub version: Version,
+    /// Log index of the state.
+    pub applied: u64,
+    /// Age of the state in milliseconds; -1 if unknown.
+    pub age_ms: i64,
+}
+
 /// A request in flight.
 #[derive(Debug)]
 pub struct InFlightRequest {
@@ -57,6 +68,7 @@
     pub request_id: String,
     pub route_name: String,
     pub route: Arc<Route>,
+    pub routed_by: RoutingState,
     /// Service that executes the request.
     pub service: String,
     /// Key of the request; `None` if it carries none.
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -60,6 +60,7 @@
             server: server.id.clone(),
             since: now,
         };
+        self.note_sending_state(id, &server.id);
         self.load_balancer.begin(&server.id);
         if server.is_cold {
             self.use_warmup_turn(server, now);
--- a/crates/gateway/src/state_age.rs
+++ b/crates/gateway/src/state_age.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
+use grebepin_catalog::{ChangedItem, InstanceId};
 use grebepin_telemetry::{age_ms, event, Event};
 
 use crate::event_loop::EventLoop;
+use crate::in_flight::InFlightId;
+
+/// Maximum number of items that are named in a log line.
+const MAX_LOGGED_ITEMS: usize = 20;
 
 /// Age from which a state counts as outdated. Acknowledged changes must be in force within 2 s at the gateways
 /// that reach the directory; with a report every 500 ms to the followed replica, states are confirmed at least
@@ -23,6 +28,48 @@
         age_ms(self.directory.state_age(self.now()))
     }
 
+    /// Records by a state of which age a request is sent to a server.
+    pub(crate) fn note_sending_state(&self, id: InFlightId, server: &InstanceId) {
+        let age = self.directory.state_age(self.now());
+        self.metrics.note_sent(age);
+        if !self.is_outdated() {
+            return;
+        }
+        self.metrics.sent_by_outdated_state.inc();
+        let Some(request) = self.in_flight.get(id) else {
+            return;
+        };
+        event!(
+            Event::SentByOutdatedState,
+            id = request.request_id,
+            route = request.route_name,
+            version = request.routed_by.version.0,
+            service = request.service,
+            instance = server,
+            forwarded = request.is_forwarded,
+            routed_applied = request.routed_by.applied,
+            routed_age_ms = request.routed_by.age_ms,
+            state_age_ms = age_ms(age)
+        );
+    }
+
+    /// Logs configuration items that came into force here.
+    pub(crate) fn log_items(&self, changed: &[ChangedItem]) {
+        if changed.is_empty() {
+            return;
+        }
+        let (names, versions, removed) = ChangedItem::describe(changed, MAX_LOGGED_ITEMS);
+        event!(
+            Event::ItemsInForce,
+            applied = self.table.applied(),
+            items = changed.len(),
+            names = names,
+            versions = versions,
+            removed = removed,
+            state_age_ms = self.state_age_ms()
+        );
+    }
+
     /// Logs when the state becomes outdated or recent.
     pub(crate) fn log_state_age(&mut self) {
         let is_outdated = self.table.is_configured() && self.is_outdated();
--- a/crates/gateway/src/state_updates.rs
+++ b/crates/gateway/src/state_updates.rs
@@ -46,9 +46,11 @@
             };
             change.servers |= one.servers;
             change.owners |= one.owners;
+            change.items.extend(one.items);
             change.draining.extend(one.draining);
         }
         self.directory.note_applied(self.table.applied());
+        self.log_items(&change.items);
         if let Some(one) = self.end_undecided(now) {
             change.servers |= one.servers;
             change.owners |= one.owners;
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -3,11 +3,10 @@
 //! Invariant: log entries are applied in order, each once, and the state never goes back.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 use grebepin_catalog::{
-    Catalog, Entry, Fingerprint, Instance, InstanceId, InstanceState, ItemContent, ItemKind,
-    Limits, Route, RouteIndex, Shard,
+    Catalog, ChangedItem, Entry, Fingerprint, Instance, InstanceId, InstanceState, ItemContent,
+    ItemKind, Limits, NamedRoute, Route, RouteIndex, Shard,
 };
 use grebepin_reactor::{encode_frame, FrameError};
 
@@ -21,6 +20,8 @@
     pub servers: bool,
     /// Whether servers, evacuated zones or owners of shards changed.
     pub owners: bool,
+    /// Configuration items that changed.
+    pub items: Vec<ChangedItem>,
     /// Servers that the applied entries set to draining. Empty after a snapshot, and without those that may
     /// have been draining before.
     pub draining: Vec<InstanceId>,
@@ -73,7 +74,7 @@
         TableChange {
             servers: true,
             owners: true,
-            draining: Vec::new(),
+            ..TableChange::default()
         }
     }
 
@@ -106,17 +107,21 @@
                 false => self.set_undecided(undecided),
             };
         }
+        let items = catalog.items().changed_since(self.catalog.items());
         self.catalog = catalog;
         self.applied = index;
         self.index_routes();
-        self.set_undecided(undecided)
+        TableChange {
+            items,
+            ..self.set_undecided(undecided)
+        }
     }
 
     /// Applies log entries. Skips those that were applied before, and stops at the first gap in their
     /// indexes.
     pub fn apply(&mut self, entries: &[(u64, Entry)]) -> TableChange {
         let mut change = TableChange::default();
-        let (mut items, mut zones) = (false, false);
+        let mut zones = false;
         for (index, entry) in entries {
             if *index <= self.applied {
                 continue;
@@ -127,7 +132,7 @@
             self.applied = *index;
             for command in &entry.commands {
                 let effects = self.catalog.apply(command);
-                items |= !effects.items.is_empty();
+                change.items.extend(effects.items);
                 zones |= effects.evacuation.is_some();
                 change.servers |= !effects.instances.is_empty();
                 change.owners |= !effects.shards.is_empty();
@@ -144,7 +149,7 @@
                 }
             }
         }
-        if items {
+        if !change.items.is_empty() {
             self.index_routes();
         }
         if zones {
@@ -194,10 +199,9 @@
         }
     }
 
-    /// Name and route of a request; `None` when no route matches.
-    pub fn route(&self, host: &str, path: &str) -> Option<(&str, Arc<Route>)> {
-        let (name, route) = self.routes.find(host, path)?;
-        Some((name, Arc::clone(route)))
+    /// Route of a request; `None` when none matches.
+    pub fn route(&self, host: &str, path: &str) -> Option<&NamedRoute> {
+        self.routes.find(host, path)
     }
 
     /// Number of priority levels between a route and the route of the lowest priority.
--- a/crates/gateway/tests/undecided.rs
+++ b/crates/gateway/tests/undecided.rs
@@ -120,7 +120,7 @@
 
 fn is_undecided(table: &Table, path: &str) -> bool {
     let found = table.route(HOST, path);
-    let route = found.as_ref().map(|(name, route)| (*name, &**route));
+    let route = found.map(|found| (found.name.as_str(), &*found.route));
     table.undecided().touches_request(HOST, path, route)
 }
 
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -116,6 +116,8 @@
     PathsLost = 250, Warn, "nothing arrives from any server, or no connection is established; the paths to the servers are most likely lost";
     PathsRestored = 251, Info, "the paths to the servers work again";
     RequestForwarded = 252, Debug, "request sent through another gateway, since its server is out of reach";
+    SentByOutdatedState = 253, Info, "request sent to a server by a state that may lack changes that were acknowledged some time ago";
+    ItemsInForce = 254, Info, "configuration items changed at this gateway";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
--- a/crates/telemetry/src/metrics/gateway.rs
+++ b/crates/telemetry/src/metrics/gateway.rs
@@ -2,16 +2,20 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge};
+use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge};
 
 use super::{Metrics, MetricsError, REQUEST_SECONDS_BUCKETS};
 
+/// Upper bounds in seconds of the ages of states; acknowledged changes must be in force within 2 s.
+const STATE_AGE_SECONDS_BUCKETS: &[f64] = &[0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0];
+
 /// Metrics that a gateway records.
 #[derive(Clone, Debug)]
 pub struct GatewayMetrics {
     outcomes: IntCounterVec,
     request_seconds: HistogramVec,
     server_seconds: HistogramVec,
+    state_age_seconds: Histogram,
     retries: IntCounterVec,
     suspected: IntCounterVec,
     /// Requests in flight.
@@ -30,6 +34,8 @@
     pub directory_links: IntGauge,
     /// Estimated time in milliseconds that bytes wait for this machine's network link.
     pub link_wait_ms: IntGauge,
+    /// Requests sent to servers by a state that may lack changes that were acknowledged some time ago.
+    pub sent_by_outdated_state: IntCounter,
     /// Responses of servers that belonged to another request.
     pub foreign_answers: IntCounter,
     /// Connections to servers closed because bytes arrived on them while they were idle.
@@ -81,6 +87,15 @@
                 REQUEST_SECONDS_BUCKETS,
                 &["service"],
             )?,
+            state_age_seconds: metrics.histogram(
+                "gateway_sent_state_age_seconds",
+                "Age of the state by which requests were sent to servers, where it is known",
+                STATE_AGE_SECONDS_BUCKETS,
+            )?,
+            sent_by_outdated_state: metrics.counter(
+                "gateway_sent_by_outdated_state_total",
+                "Requests sent to servers by a state that may lack acknowledged changes",
+            )?,
             retries: metrics.counters(
                 "gateway_retries_total",
                 "Requests sent to a server once more, by what was known of the sending before",
@@ -171,6 +186,13 @@
         })
     }
 
+    /// Records the age of the state by which a request is sent to a server; `None` if it is not known.
+    pub fn note_sent(&self, state_age: Option<Duration>) {
+        if let Some(age) = state_age {
+            self.state_age_seconds.observe(age.as_secs_f64());
+        }
+    }
+
     /// Counts a response and records the time that the request took. `reason` is empty for a response of a
     /// server.
     pub fn note_answer(&self, service: &str, status: u16, reason: &str, took: Duration) {
