A gateway that a leader's changes reach serves no request by an outdated state

Cause: the age of the state was asked only where no route matched. A request whose route is known was sent whatever the age was.

Change: an outdated state refuses known routes too, once a leader's changes have reached the gateway for 1.5 s without a break. Without contact they are served on, so a gateway that is cut off serves as before. Contact is a message of a replica that receives the leader's log, or a confirmation of a later time than all before. Why it works: whatever made the state old, the request is judged by the time until which the state is known to be complete, on the gateway's own clock.

--- a/crates/directory/src/confirmed_state.rs
+++ b/crates/directory/src/confirmed_state.rs
@@ -48,13 +48,19 @@
 #[derive(Debug, Default)]
 pub struct ConfirmedState {
     confirmed_at: Option<Duration>,
+    /// Latest time that was confirmed for any log index.
+    newest: Option<Duration>,
     /// Times confirmed for log indexes that the state had not reached, in the order of the indexes.
     pending: VecDeque<(u64, Duration)>,
 }
 
 impl ConfirmedState {
-    /// Records a source's confirmation. `applied` is the log index of the own state.
-    pub fn record(&mut self, confirmation: Confirmation, applied: u64) {
+    /// Records a source's confirmation. `applied` is the log index of the own state. Returns whether the source knows
+    /// of a later time than all before.
+    pub fn record(&mut self, confirmation: Confirmation, applied: u64) -> bool {
+        let confirmed_at = Some(confirmation.confirmed_at());
+        let is_newest = confirmed_at > self.newest;
+        self.newest = self.newest.max(confirmed_at);
         let newest = self.pending.back().map_or(0, |(index, _)| *index);
         let index = confirmation.applied.max(newest);
         if self.pending.len() < MAX_PENDING {
@@ -62,6 +68,7 @@
             self.pending.push_back((index, confirmed_at));
         }
         self.update(applied);
+        is_newest
     }
 
     /// Records that the state has reached a log index.
--- a/crates/gateway/src/follow/feed.rs
+++ b/crates/gateway/src/follow/feed.rs
@@ -41,6 +41,11 @@
         })
     }
 
+    /// Whether any replica receives the leader's log and has sent a message lately.
+    pub(super) fn has_feed(&self, now: Duration) -> bool {
+        self.links.keys().any(|token| self.is_fed_link(now, *token))
+    }
+
     /// The followed link, if its replica still receives the leader's log.
     pub(super) fn fed_link(&self, now: Duration) -> Option<Token> {
         self.followed.filter(|token| self.is_fed_link(now, *token))
@@ -187,8 +192,7 @@
         now: Duration,
         applied: u64,
     ) -> Option<UndecidedChanges> {
-        let has_feed = self.links.keys().any(|token| self.is_fed_link(now, *token));
-        if has_feed {
+        if self.has_feed(now) {
             return None;
         }
         self.decided_index = None;
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -24,6 +24,7 @@
 use state::RequestedState;
 
 use crate::initial_source::InitialSource;
+use crate::leader_contact::LeaderContact;
 use crate::relays::Relays;
 use crate::replicas::Replicas;
 use crate::settings::GatewaySettings;
@@ -116,6 +117,7 @@
     /// When a replica first reported the number of gateways.
     gateways_known_since: Option<Duration>,
     confirmed_state: ConfirmedState,
+    leader_contact: LeaderContact,
     failure_log: FailureLog,
     /// When the followed replica last sent a message while it received the leader's log.
     pub last_leader_message: Option<Duration>,
@@ -140,6 +142,7 @@
             requested_state: None,
             gateways_known_since: None,
             confirmed_state: ConfirmedState::default(),
+            leader_contact: LeaderContact::default(),
             failure_log: FailureLog::default(),
             last_leader_message: None,
         }
@@ -233,6 +236,11 @@
         self.confirmed_state.age(now)
     }
 
+    /// How long a leader's changes have reached this gateway without interruption; `None` if they do not.
+    pub fn leader_contact(&self, now: Duration) -> Option<Duration> {
+        self.leader_contact.held_for(now)
+    }
+
     /// Records that the state in force has reached a log index.
     pub fn note_applied(&mut self, applied: u64) {
         self.confirmed_state.update(applied);
@@ -253,6 +261,7 @@
             self.follow_relay(token, applied);
         }
         let mut updates = Vec::new();
+        let received = !frames.is_empty();
         for frame in frames {
             match frame {
                 FromReplica::Head(head) => self.on_head(now, token, head, applied, &mut updates),
@@ -261,7 +270,10 @@
                     updates.extend(self.take_state(token, index, &state, applied));
                 }
                 FromReplica::Confirmed(confirmation) => {
-                    self.confirmed_state.record(confirmation, applied);
+                    // A source without contact repeats the time until which its state was confirmed.
+                    if self.confirmed_state.record(confirmation, applied) {
+                        self.leader_contact.note(now);
+                    }
                 }
                 FromReplica::Permit { id, permit } => updates.push(Update::Permit { id, permit }),
                 FromReplica::Relayed { .. } | FromReplica::Packed(_) | FromReplica::Fleet(_) => {}
@@ -270,6 +282,9 @@
         if self.followed == Some(token) && self.is_fed_link(now, token) {
             self.last_leader_message = Some(now);
         }
+        if received && self.is_fed_link(now, token) {
+            self.leader_contact.note(now);
+        }
         updates
     }
 
@@ -339,6 +354,9 @@
                 }
             }
             false => {
+                if !self.has_feed(now) {
+                    self.leader_contact.end();
+                }
                 if applied > 0 {
                     self.avoid_unfed_replica(now, token);
                 }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -133,6 +133,9 @@
         if self.table.undecided().touches_request(host, path, route) {
             return self.reject(&incoming, Refusal::Undecided);
         }
+        if self.lags_behind() {
+            return self.reject(&incoming, Refusal::StateOutdated);
+        }
         let Some(found) = found.cloned() else {
             return match self.is_outdated() {
                 true => self.reject(&incoming, Refusal::StateOutdated),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod http_writer;
 mod in_flight;
 pub mod initial_source;
+pub mod leader_contact;
 pub mod leaving;
 pub mod limit;
 pub mod link_queue;
--- a/crates/gateway/src/state_age.rs
+++ b/crates/gateway/src/state_age.rs
@@ -1,4 +1,4 @@
-//! Whether the state in force is recent enough to answer that a route does not exist.
+//! Whether the state in force is recent enough to serve requests by, and to answer that a route does not exist.
 
 use std::time::Duration;
 
@@ -23,6 +23,14 @@
         age.is_none_or(|age| age > OUTDATED_AFTER)
     }
 
+    /// Whether the state may lack changes that must be in force, although a leader's changes reach this gateway. Without
+    /// contact to a leader known routes are served on; one that regains contact has the time in which states are
+    /// confirmed.
+    pub(crate) fn lags_behind(&self) -> bool {
+        let contact = self.directory.leader_contact(self.now());
+        self.is_outdated() && contact.is_some_and(|held| held > OUTDATED_AFTER)
+    }
+
     /// Time in milliseconds since which acknowledged changes may be missing in the state in force; -1 if unknown.
     pub(crate) fn state_age_ms(&self) -> i64 {
         age_ms(self.directory.state_age(self.now()))
@@ -86,6 +94,7 @@
             state_age_ms = self.state_age_ms(),
             applied = self.table.applied(),
             links = self.directory.link_count(),
+            contact_ms = age_ms(self.directory.leader_contact(self.now())),
             link_wait_ms = self.link_queue.wait(self.now()).as_millis()
         );
     }
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -248,3 +248,64 @@
         )
     });
 }
+
+/// Sends a message in each step for a while; returns how long contact has lasted then.
+fn contact_after(
+    harness: &mut Harness,
+    time: Duration,
+    message: impl Fn(u64) -> FromReplica,
+) -> Option<Duration> {
+    let until = harness.started.elapsed() + time;
+    for round in 0.. {
+        if harness.started.elapsed() > until {
+            break;
+        }
+        harness.send(&message(round));
+        harness.step();
+        std::thread::sleep(POLL_TIME);
+    }
+    harness.client.leader_contact(harness.started.elapsed())
+}
+
+fn confirmation(sent_at_ms: u64) -> FromReplica {
+    FromReplica::Confirmed(Confirmation {
+        sent_at_ms,
+        age_ms: 0,
+        applied: 9,
+    })
+}
+
+fn status(is_fed: bool) -> FromReplica {
+    FromReplica::Head(SourceStatus {
+        is_fed,
+        applied: 9,
+        ..SourceStatus::default()
+    })
+}
+
+/// Guards against a gateway that hears a replica with a leader, gets no confirmation, and takes itself for cut off.
+#[test]
+fn statuses_of_a_replica_with_a_leader_are_contact() {
+    let mut harness = Harness::start(Path::new(env!("CARGO_TARGET_TMPDIR")));
+    harness.applied = 5;
+    let time = Duration::from_millis(200);
+    let with_leader = contact_after(&mut harness, time, |_| status(true));
+    let without_leader = contact_after(&mut harness, time, |_| status(false));
+    assert!(with_leader.is_some());
+    assert_eq!(without_leader, None);
+}
+
+/// Guards against gateways behind one cut that take each other's old confirmations for contact to a leader.
+#[test]
+fn only_confirmations_of_later_times_are_contact() {
+    let mut harness = Harness::start(Path::new(env!("CARGO_TARGET_TMPDIR")));
+    harness.applied = 5;
+    let time = Duration::from_millis(1_900);
+    let repeated = contact_after(&mut harness, time, |_| confirmation(7));
+    let later = contact_after(&mut harness, time, |round| confirmation(8 + round));
+    assert_eq!(repeated, None);
+    assert!(
+        later.is_some_and(|held| held > Duration::from_millis(1_500)),
+        "{later:?}"
+    );
+}
