A replica whose state is not confirmed as recent does not hand it to gateways as current

Callers: with one replica whose messages are under way for 2 s, gateways that follow it refused every request (503, state outdated) for as long as that lasted; with a slow leader all gateways did.

Cause: a replica called its state current as long as messages of a leader arrived, however old they were, so gateways stayed with it, and took its statuses for contact with a leader.

Change: a state that was not confirmed for 1 s is not handed on as current, so gateways follow another replica; if there is none they are without contact and serve on, with what may be acknowledged and is not applied as undecided.

Two ways were weighed: gateways leave a replica that lags behind another (mends one slow replica, not a slow leader), and this one.

--- a/crates/directory/src/daemon/confirming.rs
+++ b/crates/directory/src/daemon/confirming.rs
@@ -8,7 +8,24 @@
 use crate::confirmed_state::Confirmation;
 use crate::link::FromReplica;
 
+/// Age from which the applied state is not handed to gateways as current. Replicas report to the leader each 500 ms at
+/// least, and acknowledged changes must be in force at gateways within 2 s.
+const FED_STATE_LIMIT: Duration = Duration::from_millis(1_000);
+
 impl EventLoop<'_> {
+    /// Whether the applied state is handed to gateways as current: messages of a leader arrive, and what they say is not
+    /// old. Before the first confirmation after a start only the messages count.
+    pub(super) fn is_fed(&self, now: Duration) -> bool {
+        let age = self.state_age(now);
+        self.node.is_fed(now) && age.is_none_or(|age| age <= FED_STATE_LIMIT)
+    }
+
+    /// Whether messages of a leader arrive and the state is not confirmed as recent.
+    pub(super) fn awaits_confirmation(&self, now: Duration) -> bool {
+        let age = self.state_age(now);
+        self.node.is_fed(now) && age.is_none_or(|age| age > FED_STATE_LIMIT / 2)
+    }
+
     /// Time since which acknowledged changes may be missing in the applied state; `None` if it is not known.
     pub(super) fn state_age(&self, now: Duration) -> Option<Duration> {
         match self.node.holds_leader_lease(now) {
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -58,7 +58,7 @@
         let unapplied = consensus.last_index().0.saturating_sub(applied);
         metrics.unapplied_entries.set(unapplied as i64);
         metrics.followers.set(i64::from(self.followers()));
-        metrics.is_fed.set(i64::from(self.node.is_fed(now)));
+        metrics.is_fed.set(i64::from(self.is_fed(now)));
         metrics.state_age_ms.set(age_ms(self.state_age(now)));
         metrics
             .members
@@ -76,16 +76,17 @@
 
     pub(super) fn status(&self, now: Duration) -> SourceStatus {
         let leads = self.node.holds_leader_lease(now);
+        let is_fed = self.is_fed(now);
         SourceStatus {
             term: self.node.consensus().term().0,
             leads,
             applied: self.node.applied(),
             replicas: self.node.replicas(),
             gateways: self.fleet.gateways(now, leads, self.followers()),
-            is_fed: self.node.is_fed(now),
+            is_fed,
             relays: self.fleet.select_relays(status_round(now)),
             votes: self.node.votes(),
-            open_entries: self.node.open_entries(now),
+            open_entries: self.node.open_entries(is_fed),
         }
     }
 
@@ -106,7 +107,7 @@
 
     /// Reports the load and crashes collected from gateways to the leader when the report is due.
     pub(super) fn report_to_leader(&mut self, now: Duration) {
-        if !self.load_buffer.is_due(now) {
+        if !self.load_buffer.is_due(now, self.awaits_confirmation(now)) {
             return;
         }
         if self.node.holds_leader_lease(now) {
@@ -143,7 +144,7 @@
 
     pub(super) fn run_periodic_tasks(&mut self) {
         let now = self.now();
-        let is_fed = self.node.is_fed(now);
+        let is_fed = self.is_fed(now);
         if is_fed != self.announced_is_fed {
             self.log_feed_change(now, is_fed);
         }
@@ -183,7 +184,8 @@
             applied = self.node.applied(),
             committed = stated.map_or(0, |(_, committed)| committed.0),
             last = consensus.last_index().0,
-            contact_ms = age_ms(age)
+            contact_ms = age_ms(age),
+            state_age_ms = age_ms(self.state_age(now))
         );
     }
 
--- a/crates/directory/src/fleet.rs
+++ b/crates/directory/src/fleet.rs
@@ -74,9 +74,9 @@
         self.load.add(load);
     }
 
-    /// Whether the next report to the leader is due.
-    pub fn is_due(&self, now: Duration) -> bool {
-        let pause = match self.load.is_empty() {
+    /// Whether the next report to the leader is due. `is_urgent` is true while the answer to it is awaited.
+    pub fn is_due(&self, now: Duration, is_urgent: bool) -> bool {
+        let pause = match self.load.is_empty() && !is_urgent {
             true => IDLE_REPORT_INTERVAL,
             false => LOAD_REPORT_INTERVAL,
         };
--- a/crates/directory/src/node/open_entries.rs
+++ b/crates/directory/src/node/open_entries.rs
@@ -1,7 +1,5 @@
 //! The end of the log that is not applied, for gateways without contact to a leader.
 
-use std::time::Duration;
-
 use grebepin_catalog::{Command, Entry, InstanceState};
 use grebepin_reactor::decode_frame;
 use grebepin_schema::EntryPayload;
@@ -15,11 +13,11 @@
 const MAX_OPEN_BYTES: usize = 32 << 10;
 
 impl<D: Disk> Node<D> {
-    /// Commands in the log of this voter that are not applied here and may be acknowledged. Empty while the
-    /// state is fed, since it then contains every acknowledged command.
-    pub fn open_entries(&self, now: Duration) -> OpenEntries {
+    /// Commands in the log of this voter that are not applied here and may be acknowledged. Empty while the state is
+    /// handed to gateways as current, since it then contains every acknowledged command.
+    pub fn open_entries(&self, is_fed: bool) -> OpenEntries {
         let mut open = OpenEntries::default();
-        if self.is_fed(now) || !self.votes() {
+        if is_fed || !self.votes() {
             return open;
         }
         let mut bytes = 0;
--- a/crates/directory/tests/cluster/statuses.rs
+++ b/crates/directory/tests/cluster/statuses.rs
@@ -15,7 +15,7 @@
                 replicas: node.replicas(),
                 is_fed: node.is_fed(self.now),
                 votes: node.votes(),
-                open_entries: node.open_entries(self.now),
+                open_entries: node.open_entries(node.is_fed(self.now)),
                 ..SourceStatus::default()
             };
             Some((replica.address.to_string(), status))
--- a/crates/directory/tests/fleet.rs
+++ b/crates/directory/tests/fleet.rs
@@ -82,15 +82,18 @@
     load_buffer.add(&load(7, 2, 3));
     load_buffer.add(&load(7, 4, 1));
     load_buffer.add(&load(9, 1, 0));
-    assert!(!load_buffer.is_due(at(100)));
-    assert!(load_buffer.is_due(at(150)));
+    assert!(!load_buffer.is_due(at(100), false));
+    assert!(load_buffer.is_due(at(150), false));
+    let mut idle = LoadBuffer::default();
+    idle.take(at(0));
+    assert!(!idle.is_due(at(400), false) && idle.is_due(at(400), true));
     let sum = load_buffer.take(at(150));
     assert_eq!(sum.shards, [("s".to_owned(), vec![(7, 6), (9, 1)])]);
     assert_eq!(sum.servers[0].answers, 4);
     assert!((sum.servers[0].seconds - 1.5).abs() < 1e-6);
     assert!(
-        !load_buffer.is_due(at(400)),
+        !load_buffer.is_due(at(400), false),
         "nothing new: the count can wait"
     );
-    assert!(load_buffer.is_due(at(650)));
+    assert!(load_buffer.is_due(at(650), false));
 }
