A standstill of the gateway restarts its contact with the directory

Callers: a gateway that stood still for 1.04 s refused a request that waited meanwhile (503, state outdated), though it had read the change beside it and its state was confirmed 1 ms later.

Cause: contact counted through the standstill, so the last confirmation, 1.58 s old, was taken for one that should have been repeated.

Change: contact begins anew when the event loop finds that it stood still.

--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -269,6 +269,7 @@
             let mut ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
             if let Some(stall) = self.stall_detector.check(self.clock.now()) {
                 event!(Event::StoodStill, ms = stall.as_millis());
+                self.directory.note_standstill();
                 // More sockets may be ready by now than one poll returns.
                 ready.extend(self.directory.tokens());
             }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -241,6 +241,12 @@
         self.leader_contact.held_for(now)
     }
 
+    /// Records that this process did not run for some time. What waits in its links is newer than the last confirmation,
+    /// which can be repeated only from now on.
+    pub fn note_standstill(&mut self) {
+        self.leader_contact.end();
+    }
+
     /// Records that the state in force has reached a log index.
     pub fn note_applied(&mut self, applied: u64) {
         self.confirmed_state.update(applied);
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -309,3 +309,19 @@
         "{later:?}"
     );
 }
+
+/// Guards against a gateway that stood still for a second and refuses the requests that waited meanwhile, although it has
+/// read the changes that waited beside them.
+#[test]
+fn a_standstill_restarts_contact() {
+    let mut harness = Harness::start(Path::new(env!("CARGO_TARGET_TMPDIR")));
+    harness.applied = 5;
+    let time = Duration::from_millis(300);
+    let before = contact_after(&mut harness, time, |_| status(true));
+    harness.client.note_standstill();
+    let now = harness.started.elapsed();
+    assert!(before.is_some_and(|held| held > Duration::from_millis(100)));
+    assert_eq!(harness.client.leader_contact(now), None);
+    let after = contact_after(&mut harness, time / 6, |_| status(true));
+    assert!(after.is_some_and(|held| held < before.unwrap_or_default()));
+}
