A gateway whose state is outdated does not relay it as current

Callers: a gateway that is cut off from all replicas and follows such a relay gets its old state, keeps to it, and takes it for contact with a leader, so it refuses requests that it could serve, or others' newer states are not asked for.

Cause: a relay called itself fed by the arrival of messages, as replicas did.

That a caller saw it was not reproduced.

--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -429,7 +429,7 @@
         let now = self.now();
         let state = RelayedState {
             table: &self.table,
-            is_fed: self.directory.is_fed(now),
+            is_fed: self.directory.is_fed(now) && !self.is_outdated(),
             age: self.directory.state_age(now),
         };
         if let Some(relay) = &mut self.relay {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,7 +43,7 @@
 pub struct RelayedState<'a> {
     /// Configuration, servers and owners of shards.
     pub table: &'a Table,
-    /// Whether this gateway itself receives the leader's log.
+    /// Whether this gateway itself receives the leader's log, in time.
     pub is_fed: bool,
     /// Time since which acknowledged changes may be missing in the state; `None` if it is not known.
     pub age: Option<Duration>,
