An outdated gateway answers no 413 or 431 by limits that may have been raised

Callers: a request that the limits in force allow was rejected for good (413) by a gateway that had not heard that they were raised; clients do not repeat it.

Cause: same class as the routes: limits were applied by a state of any age.

Change: a request over a limit is refused as state outdated while nothing confirms the state, with or without contact: another gateway may serve it, as where no route matches.

--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::{shard_of_key, NamedRoute, Route};
-use grebepin_reactor::http::Request;
+use grebepin_reactor::http::{BadRequest, Request};
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
@@ -110,11 +110,31 @@
             Ok(Some((request, received_at))) => self.route(token, request, received_at, now),
             Err(error) => {
                 client.keeps_alive = false;
-                self.respond(token, LocalResponse::status(error.status()).closing(), "");
+                self.reject_unreadable(token, error);
             }
         }
     }
 
+    /// Rejects a request that can't be read. Its size is judged by the limits in force, which may have been raised if
+    /// the state is outdated.
+    fn reject_unreadable(&mut self, token: Token, error: BadRequest) {
+        let response = match error.is_over_limit() && self.is_outdated() {
+            true => {
+                let refusal = Refusal::StateOutdated;
+                event!(
+                    Event::RequestRefused,
+                    reason = refusal.reason(),
+                    limit = error,
+                    applied = self.table.applied(),
+                    state_age_ms = self.state_age_ms()
+                );
+                LocalResponse::not_run(refusal.retry_after(None))
+            }
+            false => LocalResponse::status(error.status()),
+        };
+        self.respond(token, response.closing(), "");
+    }
+
     /// Selects the route and service of a request, then admits or rejects it.
     fn route(&mut self, token: Token, request: Request, received_at: Duration, now: Duration) {
         let mut incoming = IncomingRequest::new(token, request, received_at, &self.names);
--- a/crates/reactor/src/http/request.rs
+++ b/crates/reactor/src/http/request.rs
@@ -53,6 +53,11 @@
             _ => 400,
         }
     }
+
+    /// Whether the request is longer than the limits allow.
+    pub fn is_over_limit(self) -> bool {
+        matches!(self, Self::HeadTooLong | Self::Body(BodyError::TooLong))
+    }
 }
 
 /// Parser of the requests on one connection.
