A relay sends a gateway that lacks recent entries only these, not its whole state

Callers: after a cut in a crowd, gateways that followed a relay were still without a confirmed state seconds later, and served or refused by the old one.

Cause: whoever followed a relay was sent the whole state first, over links that a crowd has filled; the confirmation waits behind it.

That the whole state is what held it up is by reading.

Change: a relay keeps the last 512 entries, with at most 2,048 configuration items, and sends what is missing; the whole state only where they do not reach back far enough.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,7 +49,7 @@
 pub mod rate_turns;
 pub mod reachability;
 pub mod refusal;
-mod relay;
+pub mod relay;
 pub mod relays;
 pub mod replicas;
 pub mod retry_budget;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,11 +3,11 @@
 //! Invariant: only entries and snapshots taken from the log are relayed, with their index, so that a follower
 //! reaches the same state as it would from the directory itself.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use grebepin_catalog::Entry;
+use grebepin_catalog::{Command, Entry};
 use grebepin_directory::confirmed_state::Confirmation;
 use grebepin_directory::link::{FromReplica, SourceStatus, ToReplica};
 use grebepin_reactor::{take_frame, Connection, FrameError, ReadOutcome};
@@ -29,6 +29,62 @@
 /// A follower that sends nothing for this long is disconnected.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Entries that are kept for followers: a gateway that is cut off for some seconds lacks a few hundred.
+const MAX_RECENT_ENTRIES: usize = 512;
+
+/// Configuration items in the entries that are kept; one call may change more than a thousand.
+const MAX_RECENT_ITEMS: usize = 2_048;
+
+/// The last entries of the log that were applied, without a gap up to the state in force.
+#[derive(Debug, Default)]
+struct RecentEntries {
+    entries: VecDeque<(u64, Entry)>,
+    items: usize,
+}
+
+impl RecentEntries {
+    /// Adds entries that were received. Those that the state has not reached, or that are kept already, are left out.
+    fn add(&mut self, entries: &[(u64, Entry)], applied: u64) {
+        for (index, entry) in entries.iter().filter(|(index, _)| *index <= applied) {
+            let last = self.entries.back().map(|(last, _)| *last);
+            if last.is_some_and(|last| *index <= last) {
+                continue;
+            }
+            if last.is_some_and(|last| *index > last + 1) {
+                *self = Self::default();
+            }
+            self.items += item_count(entry);
+            self.entries.push_back((*index, entry.clone()));
+            while self.entries.len() > MAX_RECENT_ENTRIES || self.items > MAX_RECENT_ITEMS {
+                let Some((_, oldest)) = self.entries.pop_front() else {
+                    return;
+                };
+                self.items -= item_count(&oldest);
+            }
+        }
+    }
+
+    /// The entries after `index` up to `applied`; `None` if not all of them are kept.
+    fn after(&self, index: u64, applied: u64) -> Option<Vec<(u64, Entry)>> {
+        let first = self.entries.front()?.0;
+        let last = self.entries.back()?.0;
+        if first > index + 1 || last != applied {
+            return None;
+        }
+        let missed = self.entries.iter().filter(|(at, _)| *at > index);
+        Some(missed.cloned().collect())
+    }
+}
+
+/// Number of configuration items that an entry sets or removes.
+fn item_count(entry: &Entry) -> usize {
+    let counts = entry.commands.iter().map(|command| match command {
+        Command::ChangeItems(change) => change.upserts.len() + change.removals.len(),
+        _ => 0,
+    });
+    counts.sum()
+}
+
 /// A gateway that follows this one.
 #[derive(Debug)]
 struct Follower {
@@ -54,6 +110,7 @@
 pub struct Relay {
     listener: TcpListener,
     followers: HashMap<Token, Follower>,
+    recent: RecentEntries,
 }
 
 impl Relay {
@@ -67,6 +124,7 @@
         Ok(Self {
             listener,
             followers: HashMap::new(),
+            recent: RecentEntries::default(),
         })
     }
 
@@ -105,7 +163,7 @@
         let is_open = match follower.take_frames() {
             Ok(frames) => frames
                 .into_iter()
-                .all(|frame| follower.on_frame(frame, state)),
+                .all(|frame| follower.on_frame(frame, state, &self.recent)),
             Err(_) => false,
         };
         if !is_open {
@@ -113,11 +171,9 @@
         }
     }
 
-    /// Sends entries that were just applied to all followers.
+    /// Sends entries that were just applied to all followers, and keeps them for later ones.
     pub fn feed(&mut self, entries: &[(u64, Entry)], table: &Table) {
-        if self.followers.is_empty() {
-            return;
-        }
+        self.recent.add(entries, table.applied());
         self.followers
             .retain(|_, follower| follower.feed(entries, table));
     }
@@ -144,7 +200,12 @@
     }
 
     /// Handles a frame; returns whether the connection is still usable.
-    fn on_frame(&mut self, frame: ToReplica, state: RelayedState<'_>) -> bool {
+    fn on_frame(
+        &mut self,
+        frame: ToReplica,
+        state: RelayedState<'_>,
+        recent: &RecentEntries,
+    ) -> bool {
         let RelayedState { table, is_fed, .. } = state;
         match frame {
             ToReplica::Follow(follow) => {
@@ -155,7 +216,7 @@
                     applied = table.applied()
                 );
                 self.sent_index = Some(follow.applied);
-                self.send_head(table, is_fed) && self.send_snapshot(table)
+                self.send_head(table, is_fed) && self.send_missing(table, recent)
             }
             ToReplica::Report(report) => {
                 self.send_head(table, is_fed) && self.confirm_state(state, report.sent_at_ms)
@@ -186,6 +247,23 @@
         self.send(&FromReplica::Confirmed(confirmation))
     }
 
+    /// Sends what a follower lacks: the entries, so that it is current as soon as they fit through its link, or a
+    /// snapshot if they are no longer kept; returns whether the connection is still usable.
+    fn send_missing(&mut self, table: &Table, recent: &RecentEntries) -> bool {
+        let sent_index = self.sent_index.unwrap_or_default();
+        let missed = match sent_index {
+            0 => None,
+            index => recent.after(index, table.applied()),
+        };
+        match missed {
+            Some(missed) if !missed.is_empty() => {
+                self.sent_index = Some(table.applied());
+                self.send(&FromReplica::Entries(missed))
+            }
+            _ => self.send_snapshot(table),
+        }
+    }
+
     /// Sends a snapshot to a follower that lacks entries; returns whether the connection is still usable.
     fn send_snapshot(&mut self, table: &Table) -> bool {
         if self
