--- a/crates/catalog/src/items.rs
+++ b/crates/catalog/src/items.rs
@@ -35,19 +35,6 @@
 }
 
 impl ChangedItem {
-    /// Describes the first `limit` items for a log line: their names, their versions in the same order, and the names
-    /// of those that were removed.
-    pub fn describe(changed: &[Self], limit: usize) -> (String, String, String) {
-        let named = || changed.iter().take(limit);
-        let join = |texts: Vec<String>| texts.join(",");
-        let removed = named().filter(|item| item.is_removed);
-        (
-            join(named().map(|item| item.key.name.clone()).collect()),
-            join(named().map(|item| item.version.0.to_string()).collect()),
-            join(removed.map(|item| item.key.name.clone()).collect()),
-        )
-    }
-
     fn new(key: &ItemKey, held: &VersionedItem) -> Self {
         Self {
             key: key.clone(),
@@ -57,6 +44,33 @@
     }
 }
 
+/// Changed items for a log line; each list is separated by commas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ItemSummary {
+    /// Names of the items.
+    pub names: String,
+    /// Their versions, in the same order.
+    pub versions: String,
+    /// Names of those that were removed.
+    pub removed: String,
+}
+
+impl ItemSummary {
+    /// Summary of the first `limit` items.
+    pub fn of(changed: &[ChangedItem], limit: usize) -> Self {
+        let changed = &changed[..changed.len().min(limit)];
+        let names = changed.iter().map(|item| item.key.name.as_str());
+        let versions = changed.iter().map(|item| item.version.0.to_string());
+        let removed = changed.iter().filter(|item| item.is_removed);
+        let removed = removed.map(|item| item.key.name.as_str());
+        Self {
+            names: names.collect::<Vec<_>>().join(","),
+            versions: versions.collect::<Vec<_>>().join(","),
+            removed: removed.collect::<Vec<_>>().join(","),
+        }
+    }
+}
+
 /// Why a change was refused. No part of a refused change is applied.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum InvalidChange {
@@ -124,15 +138,6 @@
         self.held.get(&key)?.item.as_ref()
     }
 
-    /// Returns the version of an item, removals included; `None` if it was never set or removed.
-    pub fn version(&self, kind: ItemKind, name: &str) -> Option<Version> {
-        let key = ItemKey {
-            kind,
-            name: name.to_owned(),
-        };
-        Some(self.held.get(&key)?.version)
-    }
-
     /// Returns the items that have another version than in `older`, an earlier state of the same items.
     pub fn changed_since(&self, older: &Self) -> Vec<ChangedItem> {
         let is_changed = |key: &ItemKey, held: &VersionedItem| {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -20,7 +20,7 @@
     Item, ItemChange, ItemContent, ItemKey, ItemKind, Limits, Removal, RequestKind, Route, Service,
     Version, WeightedService,
 };
-pub use items::{ChangedItem, InvalidChange, Items, VersionedItem};
+pub use items::{ChangedItem, InvalidChange, ItemSummary, Items, VersionedItem};
 pub use ownership::{shard_of_key, KeyRange, Shard, ShardOwnership, KEYS, KEYS_PER_SHARD, SHARDS};
 pub use quarantine::{Fingerprint, Quarantine, QuarantineChange};
 pub use routes::{NamedRoute, RouteIndex};
--- a/crates/catalog/tests/items.rs
+++ b/crates/catalog/tests/items.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::{
-    ChangedItem, InvalidChange, Item, ItemChange, ItemContent, ItemKey, ItemKind, Items, Removal,
+    InvalidChange, Item, ItemChange, ItemContent, ItemKey, ItemKind, ItemSummary, Items, Removal,
     RequestKind, Route, RouteIndex, Service, Version, WeightedService,
 };
 use proptest::prelude::*;
@@ -202,12 +202,11 @@
         .expect("valid");
     let applied = after.apply(&remove_route("a", 7)).expect("valid");
     let changed = after.changed_since(&before);
-    let (names, versions, removed) = ChangedItem::describe(&changed, 10);
+    let summary = ItemSummary::of(&changed, 10);
     assert_eq!(applied, changed[..1]);
-    assert_eq!(
-        (names.as_str(), versions.as_str(), removed.as_str()),
-        ("a,deep", "7,3", "a")
-    );
+    assert_eq!(summary.names, "a,deep");
+    assert_eq!(summary.versions, "7,3");
+    assert_eq!(summary.removed, "a");
 }
 
 proptest! {
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -1,6 +1,6 @@
 //! Log lines for notices of the node.
 
-use grebepin_catalog::{ChangedItem, Effects};
+use grebepin_catalog::{Effects, ItemSummary};
 use grebepin_telemetry::{event, DirectoryMetrics, Event};
 
 use crate::node::Notice;
@@ -53,14 +53,14 @@
 
 fn log_items(index: u64, effects: &Effects) {
     if !effects.items.is_empty() {
-        let (names, versions, removed) = ChangedItem::describe(&effects.items, MAX_LOGGED_NAMES);
+        let summary = ItemSummary::of(&effects.items, MAX_LOGGED_NAMES);
         event!(
             Event::ItemsChanged,
             index = index,
             items = effects.items.len(),
-            names = names,
-            versions = versions,
-            removed = removed
+            names = summary.names,
+            versions = summary.versions,
+            removed = summary.removed
         );
     }
     if let Some(error) = &effects.refused {
--- a/crates/gateway/src/state_age.rs
+++ b/crates/gateway/src/state_age.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebepin_catalog::{ChangedItem, InstanceId};
+use grebepin_catalog::{ChangedItem, InstanceId, ItemSummary};
 use grebepin_telemetry::{age_ms, event, Event};
 
 use crate::event_loop::EventLoop;
@@ -57,7 +57,8 @@
             forwarded = request.is_forwarded,
             routed_applied = request.routed_by.applied,
             routed_age_ms = request.routed_by.age_ms,
-            state_age_ms = age_ms(age)
+            state_age_ms = age_ms(age),
+            contact_ms = age_ms(self.directory.leader_contact(self.now()))
         );
     }
 
@@ -66,14 +67,14 @@
         if changed.is_empty() {
             return;
         }
-        let (names, versions, removed) = ChangedItem::describe(changed, MAX_LOGGED_ITEMS);
+        let summary = ItemSummary::of(changed, MAX_LOGGED_ITEMS);
         event!(
             Event::ItemsInForce,
             applied = self.table.applied(),
             items = changed.len(),
-            names = names,
-            versions = versions,
-            removed = removed,
+            names = summary.names,
+            versions = summary.versions,
+            removed = summary.removed,
             state_age_ms = self.state_age_ms()
         );
     }
