Log lines tell where a call to evacuate a zone came from, how long it can have waited, and what it did

The wait is bounded without a clock of the sender: an event that a poll returns occurred after the poll before it began (PollHistory), however long the process stood still. Connections that wait to be accepted are given the same bound.

--- /dev/null
+++ b/crates/directory/src/daemon/callers.rs
@@ -0,0 +1,111 @@
+//! Connections of operators and servers: accepting them, and passing their calls to the node.
+
+use std::io::ErrorKind;
+use std::time::Duration;
+
+use grebepin_reactor::Connection;
+use mio::net::TcpStream;
+use mio::Token;
+
+use super::calls::Origin;
+use super::evacuation_calls::{log_evacuation_call, CallSource};
+use super::event_loop::{EventLoop, CONNECTION_LIMIT};
+use super::http_connection::HttpConnection;
+use crate::dialect::{BadCall, HttpCall};
+use crate::node::NodeInput;
+
+/// Maximum number of HTTP connections served per iteration, so that replicas and gateways are not delayed.
+const CALLERS_PER_ROUND: usize = 16;
+
+impl EventLoop<'_> {
+    /// Serves a limited number of HTTP connections that are ready.
+    pub(super) fn serve_callers(&mut self) {
+        let now = self.now();
+        for _ in 0..CALLERS_PER_ROUND {
+            let Some(token) = self.ready_callers.pop_front() else {
+                return;
+            };
+            self.on_http(now, token);
+        }
+    }
+
+    pub(super) fn accept_callers(&mut self, now: Duration) {
+        let unaccepted_since = self.unaccepted_since.take();
+        let opened_after = unaccepted_since.unwrap_or(self.polls.before_events());
+        loop {
+            match self.control_listener.accept() {
+                Ok((stream, _)) => self.add_caller(now, stream, opened_after),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => {
+                    self.unaccepted_since = Some(opened_after);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn add_caller(&mut self, now: Duration, stream: TcpStream, opened_after: Duration) {
+        if self.http_connections.len() >= CONNECTION_LIMIT {
+            return;
+        }
+        let token = self.allocate_token();
+        if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
+            let http = HttpConnection::new(connection, now, opened_after);
+            self.http_connections.insert(token, http);
+        }
+    }
+
+    fn on_http(&mut self, now: Duration, token: Token) {
+        let Some(http) = self.http_connections.get_mut(&token) else {
+            return;
+        };
+        http.last_active = now;
+        if !http.fill() || !http.flush() {
+            self.http_connections.remove(&token);
+            return;
+        }
+        self.submit_next_call(token);
+    }
+
+    /// Passes the next request of an HTTP connection to the node.
+    pub(super) fn submit_next_call(&mut self, token: Token) {
+        let now = self.now();
+        let Some(http) = self.http_connections.get_mut(&token) else {
+            return;
+        };
+        let content_type = self.dialect.content_type();
+        let received = match http.next_call(now) {
+            Ok(None) => return,
+            Ok(Some(received)) => received,
+            Err(error) => {
+                let error = BadCall::Malformed(error.to_string());
+                self.bad_calls.record(now, "", &error, &self.metrics);
+                let reply = self.dialect.render_bad_call(&error);
+                http.refuse(&reply, content_type);
+                self.http_connections.remove(&token);
+                return;
+            }
+        };
+        let request = &received.request;
+        let parsed = self.dialect.parse(HttpCall {
+            method: &request.method,
+            target: &request.target,
+            body: &request.body,
+        });
+        match parsed {
+            Ok(call) => {
+                let id = self.calls.begin(now, Origin::Http(token));
+                log_evacuation_call(now, id, &call, &CallSource::of_caller(http, &received));
+                self.inputs.push(NodeInput::Call { id, call });
+            }
+            Err(error) => {
+                let target = &request.target;
+                self.bad_calls.record(now, target, &error, &self.metrics);
+                let reply = self.dialect.render_bad_call(&error);
+                if !http.answer(&reply, content_type) {
+                    self.http_connections.remove(&token);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/directory/src/daemon/evacuation_calls.rs
@@ -0,0 +1,64 @@
+//! Log lines for calls that begin or end evacuations: where each came from, and how long it can have waited.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use grebepin_telemetry::{event, Event};
+
+use super::http_connection::{HttpConnection, ReceivedRequest};
+use super::link_connection::LinkConnection;
+use crate::call::Call;
+use crate::node::CallId;
+
+/// Where a call came from.
+pub(super) struct CallSource {
+    caller: Option<SocketAddr>,
+    /// Number of the call at the replica that relays it; `None` for a call of an operator.
+    relayed_call: Option<u64>,
+    connected_at: Duration,
+    arrived_after: Duration,
+    is_closed: bool,
+}
+
+impl CallSource {
+    pub(super) fn of_caller(http: &HttpConnection, received: &ReceivedRequest) -> Self {
+        Self {
+            caller: http.connection.peer(),
+            relayed_call: None,
+            connected_at: http.accepted_at,
+            arrived_after: received.arrived_after,
+            is_closed: http.is_closed_by_caller(),
+        }
+    }
+
+    pub(super) fn of_replica(link: &LinkConnection, call: u64, arrived_after: Duration) -> Self {
+        Self {
+            caller: link.connection.peer(),
+            relayed_call: Some(call),
+            connected_at: link.accepted_at,
+            arrived_after,
+            is_closed: link.connection.is_read_closed(),
+        }
+    }
+}
+
+/// Logs a call if it begins or ends an evacuation.
+pub(super) fn log_evacuation_call(now: Duration, id: CallId, call: &Call, origin: &CallSource) {
+    let Call::SetEvacuation { zone, evacuated } = call else {
+        return;
+    };
+    let since = |start: Duration| now.saturating_sub(start).as_millis();
+    event!(
+        Event::EvacuationCalled,
+        call = id.0,
+        zone = zone,
+        evacuated = evacuated,
+        caller = origin.caller.map_or(String::new(), |one| one.to_string()),
+        origin = origin
+            .relayed_call
+            .map_or(-1, |call| i64::try_from(call).unwrap_or(-1)),
+        connection_ms = since(origin.connected_at),
+        waited_ms = since(origin.arrived_after),
+        closed = origin.is_closed
+    );
+}
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -47,6 +47,12 @@
                 log_servers(*index, effects);
             }
         }
+        Notice::EvacuationDecided { id, index, outcome } => event!(
+            Event::EvacuationDecided,
+            call = id.0,
+            index = index,
+            outcome = outcome.name()
+        ),
         Notice::TornTailCut { bytes } => event!(Event::TornTailCut, bytes = bytes),
     }
 }
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -1,10 +1,11 @@
 //! The event loop: accepts connections, passes inputs to the node and performs its outputs.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
-use grebepin_reactor::{Clock, Connection, StallDetector, TextServer};
+use grebepin_reactor::{Clock, Connection, PollHistory, StallDetector, TextServer};
 use grebepin_storage::RealDisk;
 use grebepin_telemetry::{event, DirectoryMetrics, Event, Metrics};
 use mio::net::TcpListener;
@@ -12,6 +13,7 @@
 
 use super::bad_calls::BadCalls;
 use super::calls::{Calls, Origin};
+use super::evacuation_calls::{log_evacuation_call, CallSource};
 use super::event_log::log_notice;
 use super::feed::Feeder;
 use super::housekeeping::SETTINGS_CHECK_INTERVAL;
@@ -25,7 +27,7 @@
 use crate::call::Reply;
 use crate::confirmed_state::ConfirmedState;
 use crate::crashes::CrashReportBuffer;
-use crate::dialect::{BadCall, Dialect, HttpCall};
+use crate::dialect::Dialect;
 use crate::fleet::{Fleet, LoadBuffer};
 use crate::link::{FromReplica, ToReplica};
 use crate::node::{Node, NodeError, NodeInput, NodeOutput};
@@ -39,9 +41,6 @@
 /// Maximum number of events per poll.
 const EVENT_BATCH: usize = 256;
 
-/// Maximum number of HTTP connections served per iteration, so that replicas and gateways are not delayed.
-const CALLERS_PER_ROUND: usize = 16;
-
 /// Maximum time of one poll, so that signals are noticed.
 const MAX_POLL_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -49,7 +48,7 @@
 const FEED_POLL_TIMEOUT: Duration = Duration::from_millis(5);
 
 /// Maximum number of open connections of each kind, HTTP and link.
-const CONNECTION_LIMIT: usize = 3_000;
+pub(super) const CONNECTION_LIMIT: usize = 3_000;
 
 /// Maximum number of rounds in which outputs lead to new inputs before the sockets are polled again.
 const MAX_NODE_ROUNDS: usize = 8;
@@ -69,6 +68,10 @@
     pub(super) node: Node<RealDisk>,
     pub(super) clock: Clock,
     pub(super) standstill: StallDetector,
+    /// Times of the polls.
+    pub(super) polls: PollHistory<Duration>,
+    /// Time after which connections were opened that wait to be accepted although no event may come for them.
+    pub(super) unaccepted_since: Option<Duration>,
     pub(super) next_token: usize,
     pub(super) http_connections: HashMap<Token, HttpConnection>,
     pub(super) ready_callers: VecDeque<Token>,
@@ -140,6 +143,8 @@
             node,
             clock,
             standstill: StallDetector::default(),
+            polls: PollHistory::new(Duration::ZERO),
+            unaccepted_since: None,
             next_token: FIRST_CONNECTION,
             http_connections: HashMap::new(),
             ready_callers: VecDeque::new(),
@@ -172,9 +177,13 @@
                 (true, false) => MAX_POLL_TIMEOUT,
             };
             let timeout = self.node.next_wake().saturating_sub(now).min(max_timeout);
-            match self.poll.poll(&mut events, Some(timeout)) {
+            self.polls.begin_poll(now);
+            let polled = self.poll.poll(&mut events, Some(timeout));
+            self.polls
+                .end_poll(polled.is_ok() && events.iter().count() < EVENT_BATCH);
+            match polled {
                 Ok(()) => {}
-                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
             if let Some(stalled_for) = self.standstill.check(self.clock.now()) {
@@ -182,9 +191,12 @@
             }
             // Connections of replicas and gateways go first: many HTTP clients must not cost the leadership.
             for ready in &events {
-                match self.http_connections.contains_key(&ready.token()) {
-                    true => self.ready_callers.push_back(ready.token()),
-                    false => self.on_event(ready.token()),
+                match self.http_connections.get_mut(&ready.token()) {
+                    Some(http) => {
+                        http.note_event(self.polls.before_events());
+                        self.ready_callers.push_back(ready.token());
+                    }
+                    None => self.on_event(ready.token()),
                 }
             }
             self.serve_callers();
@@ -199,17 +211,6 @@
         Ok(())
     }
 
-    /// Serves a limited number of HTTP connections that are ready.
-    fn serve_callers(&mut self) {
-        let now = self.now();
-        for _ in 0..CALLERS_PER_ROUND {
-            let Some(token) = self.ready_callers.pop_front() else {
-                return;
-            };
-            self.on_http(now, token);
-        }
-    }
-
     pub(super) fn now(&self) -> Duration {
         self.clock.now()
     }
@@ -243,19 +244,6 @@
         token
     }
 
-    fn accept_callers(&mut self, now: Duration) {
-        while let Ok((stream, _)) = self.control_listener.accept() {
-            if self.http_connections.len() >= CONNECTION_LIMIT {
-                continue;
-            }
-            let token = self.allocate_token();
-            if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
-                self.http_connections
-                    .insert(token, HttpConnection::new(connection, now));
-            }
-        }
-    }
-
     fn accept_links(&mut self, now: Duration) {
         while let Ok((stream, _)) = self.link_listener.accept() {
             if self.inbound_links.len() >= CONNECTION_LIMIT {
@@ -272,58 +260,6 @@
         }
     }
 
-    fn on_http(&mut self, now: Duration, token: Token) {
-        let Some(http) = self.http_connections.get_mut(&token) else {
-            return;
-        };
-        http.last_active = now;
-        if !http.fill() || !http.flush() {
-            self.http_connections.remove(&token);
-            return;
-        }
-        self.submit_next_call(token);
-    }
-
-    /// Passes the next request of an HTTP connection to the node.
-    fn submit_next_call(&mut self, token: Token) {
-        let now = self.now();
-        let Some(http) = self.http_connections.get_mut(&token) else {
-            return;
-        };
-        let content_type = self.dialect.content_type();
-        let request = match http.next_call() {
-            Ok(None) => return,
-            Ok(Some(request)) => request,
-            Err(error) => {
-                let error = BadCall::Malformed(error.to_string());
-                self.bad_calls.record(now, "", &error, &self.metrics);
-                let reply = self.dialect.render_bad_call(&error);
-                http.refuse(&reply, content_type);
-                self.http_connections.remove(&token);
-                return;
-            }
-        };
-        let parsed = self.dialect.parse(HttpCall {
-            method: &request.method,
-            target: &request.target,
-            body: &request.body,
-        });
-        match parsed {
-            Ok(call) => {
-                let id = self.calls.begin(now, Origin::Http(token));
-                self.inputs.push(NodeInput::Call { id, call });
-            }
-            Err(error) => {
-                let target = &request.target;
-                self.bad_calls.record(now, target, &error, &self.metrics);
-                let reply = self.dialect.render_bad_call(&error);
-                if !http.answer(&reply, content_type) {
-                    self.http_connections.remove(&token);
-                }
-            }
-        }
-    }
-
     fn on_link(&mut self, now: Duration, token: Token) {
         let Some(link) = self.inbound_links.get_mut(&token) else {
             return;
@@ -349,8 +285,13 @@
         let now = self.now();
         match frame {
             ToReplica::Peer(frame) => self.inputs.push(NodeInput::Peer(frame)),
-            ToReplica::Relay { id, call } => {
-                let id = self.calls.begin(now, Origin::Replica(token, id));
+            ToReplica::Relay { id: origin, call } => {
+                let id = self.calls.begin(now, Origin::Replica(token, origin));
+                if let Some(link) = self.inbound_links.get(&token) {
+                    let arrived_after = self.polls.before_events();
+                    let origin = CallSource::of_replica(link, origin, arrived_after);
+                    log_evacuation_call(now, id, &call, &origin);
+                }
                 self.inputs.push(NodeInput::Call { id, call });
             }
             ToReplica::Follow(follow) => {
--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -29,10 +29,21 @@
     ended: bool,
     /// Time of the last activity.
     pub(super) last_active: Duration,
+    pub(super) accepted_at: Duration,
+    /// Time before which no byte of the next request can have arrived; `None` while there is none.
+    unread_since: Option<Duration>,
+}
+
+/// A complete request of a connection.
+pub(super) struct ReceivedRequest {
+    pub(super) request: Request,
+    /// Time before which its first byte cannot have arrived.
+    pub(super) arrived_after: Duration,
 }
 
 impl HttpConnection {
-    pub(super) fn new(connection: Connection, now: Duration) -> Self {
+    /// A connection that was accepted at `now` and opened after `opened_after`.
+    pub(super) fn new(connection: Connection, now: Duration, opened_after: Duration) -> Self {
         Self {
             connection,
             reader: RequestReader::default(),
@@ -41,9 +52,21 @@
             closing: false,
             ended: false,
             last_active: now,
+            accepted_at: now,
+            unread_since: Some(opened_after),
         }
     }
 
+    /// Records that an event was reported which occurred after `occurred_after`.
+    pub(super) fn note_event(&mut self, occurred_after: Duration) {
+        self.unread_since.get_or_insert(occurred_after);
+    }
+
+    /// Whether the caller is known to have closed its side.
+    pub(super) fn is_closed_by_caller(&self) -> bool {
+        self.ended
+    }
+
     /// Reads available bytes. Returns whether the connection can still be used.
     pub(super) fn fill(&mut self) -> bool {
         match self.connection.fill(BUFFER_LIMIT) {
@@ -51,11 +74,17 @@
             Ok(_) => {}
             Err(_) => return false,
         }
+        if self.connection.inbound.is_empty() {
+            self.unread_since = None;
+        }
         !self.ended || self.busy || !self.connection.inbound.is_empty()
     }
 
     /// The next complete request, unless one is being processed.
-    pub(super) fn next_call(&mut self) -> Result<Option<Request>, BadRequest> {
+    pub(super) fn next_call(
+        &mut self,
+        now: Duration,
+    ) -> Result<Option<ReceivedRequest>, BadRequest> {
         if self.busy || self.closing {
             return Ok(None);
         }
@@ -63,11 +92,19 @@
         if self.reader.wants_continue() {
             self.connection.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
-        if let Some(call) = &call {
-            self.busy = true;
-            self.keeps_alive = call.keeps_alive;
+        let Some(request) = call else {
+            return Ok(None);
+        };
+        self.busy = true;
+        self.keeps_alive = request.keeps_alive;
+        let arrived_after = self.unread_since.unwrap_or(now);
+        if self.connection.inbound.is_empty() {
+            self.unread_since = None;
         }
-        Ok(call)
+        Ok(Some(ReceivedRequest {
+            request,
+            arrived_after,
+        }))
     }
 
     /// Writes a response. Returns whether the connection can still be used.
--- a/crates/directory/src/daemon/link_connection.rs
+++ b/crates/directory/src/daemon/link_connection.rs
@@ -29,6 +29,7 @@
     pub(super) relay: String,
     /// Time of the last received bytes.
     pub(super) last_received: Duration,
+    pub(super) accepted_at: Duration,
 }
 
 impl LinkConnection {
@@ -41,6 +42,7 @@
             gateway: String::new(),
             relay: String::new(),
             last_received: now,
+            accepted_at: now,
         }
     }
 
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -4,8 +4,10 @@
 //! a limit and then dropped.
 
 mod bad_calls;
+mod callers;
 mod calls;
 mod confirming;
+mod evacuation_calls;
 mod event_log;
 mod event_loop;
 mod feed;
--- a/crates/directory/src/node/messages.rs
+++ b/crates/directory/src/node/messages.rs
@@ -68,6 +68,25 @@
     Notice(Notice),
 }
 
+/// What a call to begin or end an evacuation did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvacuationOutcome {
+    /// The evacuation began or ended.
+    Changed,
+    /// It was in force already.
+    Unchanged,
+}
+
+impl EvacuationOutcome {
+    /// Value in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Changed => "changed",
+            Self::Unchanged => "unchanged",
+        }
+    }
+}
+
 /// An event worth a log line.
 #[derive(Clone, Debug)]
 pub enum Notice {
@@ -120,6 +139,15 @@
         /// so that each produces one line in the whole group.
         is_leader: bool,
     },
+    /// An entry decided a call to begin or end an evacuation.
+    EvacuationDecided {
+        /// The call.
+        id: CallId,
+        /// Log index.
+        index: u64,
+        /// What the call did.
+        outcome: EvacuationOutcome,
+    },
     /// An incomplete write was cut off the end of the log at startup.
     TornTailCut {
         /// Number of bytes removed.
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -27,7 +27,7 @@
 pub use config::{FaultTolerance, NodeConfig, NodeTiming};
 use leading::Leadership;
 use membership::Joining;
-pub use messages::{CallId, NodeInput, NodeOutput, Notice};
+pub use messages::{CallId, EvacuationOutcome, NodeInput, NodeOutput, Notice};
 use pending_calls::PendingCalls;
 
 /// Why a replica cannot continue.
--- a/crates/directory/src/node/replication.rs
+++ b/crates/directory/src/node/replication.rs
@@ -12,7 +12,7 @@
 
 use super::config::GROUP;
 use super::founding::{decode_catalog, encode_catalog};
-use super::messages::{NodeOutput, Notice};
+use super::messages::{EvacuationOutcome, NodeOutput, Notice};
 use super::pending_calls::EntryWaiter;
 use super::{Node, NodeError};
 use crate::call::{Reply, UnavailableReason};
@@ -23,6 +23,22 @@
 /// Number of applied entries that are kept for gateways that are a few entries behind.
 const RECENT_ENTRIES: usize = 4_096;
 
+/// What an entry did, for the call that waits for it.
+struct EntryOutcome {
+    /// Why a change of items was refused; `None` unless it was.
+    refused: Option<String>,
+    evacuation: EvacuationOutcome,
+}
+
+impl Default for EntryOutcome {
+    fn default() -> Self {
+        Self {
+            refused: None,
+            evacuation: EvacuationOutcome::Unchanged,
+        }
+    }
+}
+
 impl<D: Disk> Node<D> {
     pub(super) fn handle_peer_frame(&mut self, now: Duration, frame: PeerFrame) {
         match frame {
@@ -107,7 +123,7 @@
     fn apply(&mut self, now: Duration, entry: Entry) -> Result<(), NodeError> {
         self.applied = entry.index;
         let mut applied = CatalogEntry::default();
-        let mut refused = None;
+        let mut outcome = EntryOutcome::default();
         match entry.payload {
             EntryPayload::Noop => {}
             EntryPayload::Membership(membership) => {
@@ -116,12 +132,12 @@
             }
             EntryPayload::Command(bytes) => {
                 applied = decode_frame(&bytes.0)?;
-                refused = self.apply_commands(entry.index, &applied);
+                outcome = self.apply_commands(entry.index, &applied);
             }
         }
         match self.pending_calls.take_entry(entry.term, entry.index) {
             None => {}
-            Some(Ok(waiter)) => self.answer_applied(now, waiter, refused),
+            Some(Ok(waiter)) => self.answer_applied(now, entry.index, waiter, outcome),
             Some(Err(waiter)) => {
                 let reason = UnavailableReason::LostLeadership;
                 self.reply(waiter.call(), Reply::Unavailable(reason));
@@ -144,13 +160,15 @@
         }
     }
 
-    /// Applies the commands of an entry. Returns why a change of items among them was refused.
-    fn apply_commands(&mut self, index: LogIndex, entry: &CatalogEntry) -> Option<String> {
-        let mut refused = None;
+    fn apply_commands(&mut self, index: LogIndex, entry: &CatalogEntry) -> EntryOutcome {
+        let mut outcome = EntryOutcome::default();
         for command in &entry.commands {
             let effects: Effects = self.catalog.apply(command);
             if let Some(error) = &effects.refused {
-                refused = Some(error.to_string());
+                outcome.refused = Some(error.to_string());
+            }
+            if effects.evacuation.is_some() {
+                outcome.evacuation = EvacuationOutcome::Changed;
             }
             let notice = Notice::Effects {
                 index: index.0,
@@ -159,7 +177,7 @@
             };
             self.push_notice_unless_replayed(index, notice);
         }
-        refused
+        outcome
     }
 
     fn keep_recent(&mut self, index: u64, entry: CatalogEntry) {
@@ -169,13 +187,26 @@
         }
     }
 
-    fn answer_applied(&mut self, now: Duration, waiter: EntryWaiter, refused: Option<String>) {
-        match (waiter, refused) {
+    fn answer_applied(
+        &mut self,
+        now: Duration,
+        index: LogIndex,
+        waiter: EntryWaiter,
+        outcome: EntryOutcome,
+    ) {
+        match (waiter, outcome.refused) {
             (EntryWaiter::Heartbeat(id, heartbeat), _) => {
                 self.answer_heartbeat(now, id, &heartbeat)
             }
             (EntryWaiter::Leave(id), _) => self.reply(id, Reply::Left),
-            (EntryWaiter::Evacuation(id), _) => self.reply(id, Reply::EvacuationSet),
+            (EntryWaiter::Evacuation(id), _) => {
+                self.push_notice(Notice::EvacuationDecided {
+                    id,
+                    index: index.0,
+                    outcome: outcome.evacuation,
+                });
+                self.reply(id, Reply::EvacuationSet);
+            }
             (EntryWaiter::Change(id), None) => self.reply(id, Reply::Changed),
             (EntryWaiter::Change(id), Some(reason)) => self.reply(id, Reply::Invalid(reason)),
         }
--- a/crates/gateway/src/state_updates.rs
+++ b/crates/gateway/src/state_updates.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use grebepin_telemetry::{event, Event};
+use grebepin_telemetry::{age_ms, event, Event};
 use mio::Token;
 
 use crate::event_loop::EventLoop;
@@ -15,6 +15,8 @@
 impl EventLoop {
     pub(crate) fn on_directory(&mut self, token: Token) {
         let now = self.now();
+        // Taken before the updates: whatever they bring was acknowledged after this time.
+        let age_before = self.directory.state_age(now);
         let updates = self.directory.on_event(now, token, self.table.applied());
         let mut change = TableChange::default();
         let mut permits = Vec::new();
@@ -59,7 +61,7 @@
             self.leaving.note(id, now);
         }
         if change.servers {
-            self.update_evacuations(now, follows_log);
+            self.update_evacuations(now, follows_log, age_before);
             self.warmup.update(now, self.table.cold_servers());
         }
         if change.owners {
@@ -98,14 +100,20 @@
 
     /// Applies the set of evacuated zones. `follows_log` is false when a snapshot was applied, which does not
     /// show when an evacuation began.
-    fn update_evacuations(&mut self, now: Duration, follows_log: bool) {
+    fn update_evacuations(
+        &mut self,
+        now: Duration,
+        follows_log: bool,
+        age_before: Option<Duration>,
+    ) {
         let zones = self.table.evacuated_zones();
         for change in self.evacuations.update(now, zones, follows_log) {
             event!(
                 Event::EvacuationInForce,
                 zone = change.zone,
                 evacuated = change.evacuated,
-                applied = self.table.applied()
+                applied = self.table.applied(),
+                state_age_ms = age_ms(age_before)
             );
         }
     }
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -10,6 +10,7 @@
 mod deadlines;
 mod frames;
 pub mod http;
+mod poll_history;
 mod text_server;
 
 pub use clock::{Clock, StallDetector};
@@ -17,4 +18,5 @@
 pub use connection::{Connection, ReadOutcome};
 pub use deadlines::Deadlines;
 pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAX_FRAME_BYTES};
+pub use poll_history::PollHistory;
 pub use text_server::{TextResponse, TextServer};
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -75,6 +75,8 @@
     CallUnreadable = 140, Warn, "calls that can't be read were refused";
     QuarantineSet = 141, Warn, "a request was quarantined or released from quarantine";
     FeedChanged = 142, Info, "this replica began or ceased to hand its state to gateways as current";
+    EvacuationCalled = 143, Info, "a call to begin or end an evacuation was received";
+    EvacuationDecided = 144, Info, "a call to begin or end an evacuation was decided";
     // Routers and gateways.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
