An old call to start or end an evacuation no longer undoes a later one

Cause: such a call carries no version, and the last one committed won, however long it had waited: at a replica that stood still, on a link that was cut, on its way to the leader. The operator had given it up, repeated it elsewhere and ordered the opposite since.

Now each call is bound to what its receiver knew before the call can have been sent: when the connection was opened, or when the last call on it was answered, and for connections found after a standstill what was known before the poll before. The command names the last call that was known then; the state machine ignores it if it would undo a later call for its zone, and the caller is answered 503, to repeat it. A call that is in force already is acknowledged again. No clock is involved, so suspended machines, paused processes, slow disks, cut links, relays and changes of leader are covered alike, and two operators at once are ordered by the log.

Calls on connections that stay open need two responses at most. catalog/tests/evacuations.rs holds the rule itself.

The late caller that is still connected is answered 503 now, and 200 before.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::command::Command;
+use crate::evacuation::{EvacuationCalls, EvacuationChange};
 use crate::instance::{Instance, InstanceId, InstanceState};
 use crate::item::Service;
 use crate::items::{ChangedItem, InvalidChange, Items};
@@ -31,19 +32,12 @@
     pub refused: Option<InvalidChange>,
     /// Evacuation that started or ended.
     pub evacuation: Option<EvacuationChange>,
+    /// Whether a call to start or end an evacuation was ignored, since a later one for the same zone took effect before.
+    pub is_superseded: bool,
     /// Requests added to or removed from the quarantine.
     pub quarantine: Vec<QuarantineChange>,
 }
 
-/// Start or end of a zone's evacuation.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EvacuationChange {
-    /// Name of the zone.
-    pub zone: String,
-    /// True if the evacuation started, false if it ended.
-    pub evacuated: bool,
-}
-
 /// Shards that were assigned to a server or freed from it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ShardChange {
@@ -76,6 +70,8 @@
     /// Servers that left before they were registered, the oldest first.
     #[serde(default)]
     early_leaves: Vec<InstanceId>,
+    #[serde(default)]
+    evacuation_calls: EvacuationCalls,
 }
 
 impl Catalog {
@@ -145,6 +141,11 @@
         &self.evacuated_zones
     }
 
+    /// Returns the number of the last call that started or ended an evacuation.
+    pub fn last_evacuation_call(&self) -> u64 {
+        self.evacuation_calls.last()
+    }
+
     /// Returns whether a server may get new requests and shards: it is ready and its zone is not evacuated.
     pub fn is_usable(&self, instance: &Instance) -> bool {
         instance.state == InstanceState::Ready && !self.evacuated_zones.contains(&instance.zone)
@@ -253,7 +254,16 @@
                     ownership.record_grant(id, *sequence);
                 }
             }
-            Command::SetEvacuation { zone, evacuated } => {
+            Command::SetEvacuation {
+                zone,
+                evacuated,
+                known_call,
+            } => {
+                if self.undoes_later_call(zone, *evacuated, *known_call) {
+                    effects.is_superseded = true;
+                    return effects;
+                }
+                self.evacuation_calls.record(zone);
                 if self.set_evacuation(zone, *evacuated) {
                     effects.evacuation = Some(EvacuationChange {
                         zone: zone.clone(),
@@ -269,6 +279,14 @@
         effects
     }
 
+    /// Returns whether a call to start or end an evacuation would undo one that took effect after the call was sent. One
+    /// that is in force already is acknowledged again however old it is.
+    fn undoes_later_call(&self, zone: &str, evacuated: bool, known_call: Option<u64>) -> bool {
+        let is_in_force = self.evacuated_zones.contains(zone) == evacuated;
+        let calls = &self.evacuation_calls;
+        !is_in_force && known_call.is_some_and(|number| calls.has_later(zone, number))
+    }
+
     /// Starts or ends the evacuation of a zone. Returns whether anything changed.
     fn set_evacuation(&mut self, zone: &str, evacuated: bool) -> bool {
         if evacuated {
--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -79,6 +79,10 @@
         zone: String,
         /// True to start the evacuation, false to end it.
         evacuated: bool,
+        /// Number of the last such call that the receiver knew of before this call can have been sent. The command is
+        /// ignored if it would undo a later one for its zone; without a number it never is.
+        #[serde(default)]
+        known_call: Option<u64>,
     },
     /// Adds a request that crashes servers to the quarantine, or removes it. Quarantined requests are sent to
     /// no server.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod catalog;
 mod command;
+mod evacuation;
 mod instance;
 mod item;
 mod items;
@@ -13,8 +14,9 @@
 mod quarantine;
 mod routes;
 
-pub use catalog::{Catalog, Effects, EvacuationChange, ShardChange};
+pub use catalog::{Catalog, Effects, ShardChange};
 pub use command::{Command, Entry, FreedShard};
+pub use evacuation::EvacuationChange;
 pub use instance::{Instance, InstanceId, InstanceState};
 pub use item::{
     Item, ItemChange, ItemContent, ItemKey, ItemKind, Limits, Removal, RequestKind, Route, Service,
--- a/crates/catalog/tests/evacuations.rs
+++ b/crates/catalog/tests/evacuations.rs
@@ -37,6 +37,7 @@
     Command::SetEvacuation {
         zone: zone.to_owned(),
         evacuated,
+        known_call: None,
     }
 }
 
@@ -120,3 +121,63 @@
     catalog.apply(&set_evacuation("east", false));
     assert!(cold(&catalog).is_empty());
 }
+
+fn call(evacuated: bool, known_call: u64) -> Command {
+    Command::SetEvacuation {
+        zone: "east".to_owned(),
+        evacuated,
+        known_call: Some(known_call),
+    }
+}
+
+/// Guards against an old call to end an evacuation that undoes a later start.
+#[test]
+fn a_call_that_did_not_know_of_a_later_one_for_its_zone_changes_nothing() {
+    let mut catalog = catalog(None);
+    catalog.apply(&call(true, 0));
+    let known_to_late_call = catalog.last_evacuation_call();
+    catalog.apply(&call(false, known_to_late_call));
+    catalog.apply(&call(true, catalog.last_evacuation_call()));
+    let before = catalog.clone();
+    let effects = catalog.apply(&call(false, known_to_late_call));
+    assert!(effects.is_superseded);
+    assert_eq!(effects.evacuation, None);
+    assert_eq!(catalog, before);
+    let repeated = catalog.apply(&call(false, catalog.last_evacuation_call()));
+    assert!(
+        repeated.evacuation.is_some(),
+        "repeated with what is known now"
+    );
+}
+
+/// Guards against an old call that undoes a later one which changed nothing when it was acknowledged.
+#[test]
+fn a_call_that_was_in_force_already_counts_as_later_too() {
+    let mut catalog = catalog(None);
+    catalog.apply(&call(true, 0));
+    let known_to_late_call = catalog.last_evacuation_call();
+    catalog.apply(&call(true, known_to_late_call));
+    assert!(
+        catalog
+            .apply(&call(false, known_to_late_call))
+            .is_superseded
+    );
+    assert_eq!(usable(&catalog), vec!["b"]);
+}
+
+#[test]
+fn a_repeated_call_is_acknowledged_however_little_its_receiver_knew() {
+    let mut catalog = catalog(None);
+    for _ in 0..3 {
+        let effects = catalog.apply(&call(true, 0));
+        assert!(!effects.is_superseded);
+    }
+}
+
+#[test]
+fn calls_for_other_zones_supersede_nothing() {
+    let mut catalog = catalog(None);
+    catalog.apply(&set_evacuation("west", true));
+    catalog.apply(&set_evacuation("west", false));
+    assert!(catalog.apply(&call(true, 0)).evacuation.is_some());
+}
--- a/crates/directory/src/call.rs
+++ b/crates/directory/src/call.rs
@@ -26,6 +26,15 @@
     },
 }
 
+/// What the replica that received a call knew before the call can have been sent. A call may be read, relayed or
+/// committed long after its caller gave it up; it must not undo what its caller did since.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallBasis {
+    /// Number of the last call that started or ended an evacuation; `None` if the receiver did not state it.
+    #[serde(default)]
+    pub evacuation_call: Option<u64>,
+}
+
 /// A key range granted to a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantedRange {
@@ -75,6 +84,8 @@
     Changed,
     /// The start or end of the evacuation is committed.
     EvacuationSet,
+    /// A later call for the same zone took effect before this one, which changed nothing. It may be repeated.
+    Superseded,
     /// The evacuation names a zone that the deployment does not have.
     UnknownZone(String),
     /// The change violates a rule; no part of it is in force.
@@ -94,6 +105,7 @@
             Self::Left => "left",
             Self::Changed => "changed",
             Self::EvacuationSet => "evacuation",
+            Self::Superseded => "superseded",
             Self::UnknownZone(_) => "unknown_zone",
             Self::Invalid(_) => "invalid",
             Self::Items(_) => "read",
--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -10,7 +10,7 @@
 use super::calls::Origin;
 use super::evacuation_calls::{log_evacuation_call, CallSource};
 use super::event_loop::{EventLoop, CONNECTION_LIMIT};
-use super::http_connection::HttpConnection;
+use super::http_connection::{HttpConnection, KnownBefore};
 use crate::dialect::{BadCall, HttpCall};
 use crate::node::NodeInput;
 
@@ -44,7 +44,7 @@
         }
     }
 
-    fn add_caller(&mut self, now: Duration, stream: TcpStream, opened_after: Duration) {
+    fn add_caller(&mut self, now: Duration, stream: TcpStream, opened_after: KnownBefore) {
         if self.http_connections.len() >= CONNECTION_LIMIT {
             return;
         }
@@ -81,7 +81,7 @@
                 let error = BadCall::Malformed(error.to_string());
                 self.bad_calls.record(now, "", &error, &self.metrics);
                 let reply = self.dialect.render_bad_call(&error);
-                http.refuse(&reply, content_type);
+                http.refuse(&reply, content_type, self.node.call_basis());
                 self.http_connections.remove(&token);
                 return;
             }
@@ -95,14 +95,16 @@
         match parsed {
             Ok(call) => {
                 let id = self.calls.begin(now, Origin::Http(token));
-                log_evacuation_call(now, id, &call, &CallSource::of_caller(http, &received));
-                self.inputs.push(NodeInput::Call { id, call });
+                let basis = received.basis;
+                let source = CallSource::of_caller(http, &received);
+                log_evacuation_call(now, id, &call, basis, &source);
+                self.inputs.push(NodeInput::Call { id, call, basis });
             }
             Err(error) => {
                 let target = &request.target;
                 self.bad_calls.record(now, target, &error, &self.metrics);
                 let reply = self.dialect.render_bad_call(&error);
-                if !http.answer(&reply, content_type) {
+                if !http.answer(&reply, content_type, self.node.call_basis()) {
                     self.http_connections.remove(&token);
                 }
             }
--- a/crates/directory/src/daemon/evacuation_calls.rs
+++ b/crates/directory/src/daemon/evacuation_calls.rs
@@ -7,7 +7,7 @@
 
 use super::http_connection::{HttpConnection, ReceivedRequest};
 use super::link_connection::LinkConnection;
-use crate::call::Call;
+use crate::call::{Call, CallBasis};
 use crate::node::CallId;
 
 /// Where a call came from.
@@ -43,7 +43,13 @@
 }
 
 /// Logs a call if it begins or ends an evacuation.
-pub(super) fn log_evacuation_call(now: Duration, id: CallId, call: &Call, origin: &CallSource) {
+pub(super) fn log_evacuation_call(
+    now: Duration,
+    id: CallId,
+    call: &Call,
+    basis: CallBasis,
+    source: &CallSource,
+) {
     let Call::SetEvacuation { zone, evacuated } = call else {
         return;
     };
@@ -53,12 +59,15 @@
         call = id.0,
         zone = zone,
         evacuated = evacuated,
-        caller = origin.caller.map_or(String::new(), |one| one.to_string()),
-        origin = origin
+        caller = source.caller.map_or(String::new(), |one| one.to_string()),
+        origin = source
             .relayed_call
             .map_or(-1, |call| i64::try_from(call).unwrap_or(-1)),
-        connection_ms = since(origin.connected_at),
-        waited_ms = since(origin.arrived_after),
-        closed = origin.is_closed
+        connection_ms = since(source.connected_at),
+        waited_ms = since(source.arrived_after),
+        closed = source.is_closed,
+        known_call = basis
+            .evacuation_call
+            .map_or(-1, |number| i64::try_from(number).unwrap_or(-1))
     );
 }
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -17,7 +17,7 @@
 use super::event_log::log_notice;
 use super::feed::Feeder;
 use super::housekeeping::SETTINGS_CHECK_INTERVAL;
-use super::http_connection::HttpConnection;
+use super::http_connection::{HttpConnection, KnownBefore};
 use super::link_connection::LinkConnection;
 use super::opening::{modified_at, open_node};
 use super::peers::Peers;
@@ -68,10 +68,10 @@
     pub(super) node: Node<RealDisk>,
     pub(super) clock: Clock,
     pub(super) standstill: StallDetector,
-    /// Times of the polls.
-    pub(super) polls: PollHistory<Duration>,
-    /// Time after which connections were opened that wait to be accepted although no event may come for them.
-    pub(super) unaccepted_since: Option<Duration>,
+    /// What was known before the polls.
+    pub(super) polls: PollHistory<KnownBefore>,
+    /// What was known before connections were opened that wait to be accepted although no event may come for them.
+    pub(super) unaccepted_since: Option<KnownBefore>,
     pub(super) next_token: usize,
     pub(super) http_connections: HashMap<Token, HttpConnection>,
     pub(super) ready_callers: VecDeque<Token>,
@@ -119,6 +119,10 @@
         let metrics_registry = Metrics::new();
         let metrics = DirectoryMetrics::register(&metrics_registry)?;
         let node = open_node(&settings)?;
+        let known_at_start = KnownBefore {
+            at: Duration::ZERO,
+            basis: node.call_basis(),
+        };
         event!(
             Event::DirectoryStarted,
             node = settings.node,
@@ -143,7 +147,7 @@
             node,
             clock,
             standstill: StallDetector::default(),
-            polls: PollHistory::new(Duration::ZERO),
+            polls: PollHistory::new(known_at_start),
             unaccepted_since: None,
             next_token: FIRST_CONNECTION,
             http_connections: HashMap::new(),
@@ -177,7 +181,10 @@
                 (true, false) => MAX_POLL_TIMEOUT,
             };
             let timeout = self.node.next_wake().saturating_sub(now).min(max_timeout);
-            self.polls.begin_poll(now);
+            self.polls.begin_poll(KnownBefore {
+                at: now,
+                basis: self.node.call_basis(),
+            });
             let polled = self.poll.poll(&mut events, Some(timeout));
             self.polls
                 .end_poll(polled.is_ok() && events.iter().count() < EVENT_BATCH);
@@ -193,7 +200,7 @@
             for ready in &events {
                 match self.http_connections.get_mut(&ready.token()) {
                     Some(http) => {
-                        http.note_event(self.polls.before_events());
+                        http.note_event(self.polls.before_events().at);
                         self.ready_callers.push_back(ready.token());
                     }
                     None => self.on_event(ready.token()),
@@ -285,14 +292,18 @@
         let now = self.now();
         match frame {
             ToReplica::Peer(frame) => self.inputs.push(NodeInput::Peer(frame)),
-            ToReplica::Relay { id: origin, call } => {
+            ToReplica::Relay {
+                id: origin,
+                call,
+                basis,
+            } => {
                 let id = self.calls.begin(now, Origin::Replica(token, origin));
                 if let Some(link) = self.inbound_links.get(&token) {
-                    let arrived_after = self.polls.before_events();
-                    let origin = CallSource::of_replica(link, origin, arrived_after);
-                    log_evacuation_call(now, id, &call, &origin);
+                    let arrived_after = self.polls.before_events().at;
+                    let source = CallSource::of_replica(link, origin, arrived_after);
+                    log_evacuation_call(now, id, &call, basis, &source);
                 }
-                self.inputs.push(NodeInput::Call { id, call });
+                self.inputs.push(NodeInput::Call { id, call, basis });
             }
             ToReplica::Follow(follow) => {
                 event!(
@@ -377,7 +388,8 @@
                 address,
                 endpoint,
                 call,
-            } => self.relay(id, &address, endpoint, call),
+                basis,
+            } => self.relay(id, &address, endpoint, call, basis),
             NodeOutput::Applied => {}
             NodeOutput::StateReplaced => {
                 for link in self.inbound_links.values_mut() {
@@ -421,7 +433,8 @@
                     return;
                 };
                 let rendered = self.dialect.render(reply);
-                match http.answer(&rendered, self.dialect.content_type()) {
+                let basis = self.node.call_basis();
+                match http.answer(&rendered, self.dialect.content_type(), basis) {
                     true => self.submit_next_call(token),
                     false => _ = self.http_connections.remove(&token),
                 }
--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -6,6 +6,7 @@
 use grebepin_reactor::http::{BadRequest, Request, RequestLimits, RequestReader};
 use grebepin_reactor::{Connection, ReadOutcome};
 
+use crate::call::CallBasis;
 use crate::dialect::HttpReply;
 
 /// Size limits of a request.
@@ -30,6 +31,9 @@
     /// Time of the last activity.
     pub(super) last_active: Duration,
     pub(super) accepted_at: Duration,
+    /// What this replica knew before the next call on this connection can have been sent: when the connection was opened,
+    /// or when the last call was answered. Later knowledge does not count, since a network may hold a call back for long.
+    basis: CallBasis,
     /// Time before which no byte of the next request can have arrived; `None` while there is none.
     unread_since: Option<Duration>,
 }
@@ -39,11 +43,20 @@
     pub(super) request: Request,
     /// Time before which its first byte cannot have arrived.
     pub(super) arrived_after: Duration,
+    /// What this replica knew before it can have been sent.
+    pub(super) basis: CallBasis,
+}
+
+/// What a replica knew at a time.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownBefore {
+    pub(super) at: Duration,
+    pub(super) basis: CallBasis,
 }
 
 impl HttpConnection {
     /// A connection that was accepted at `now` and opened after `opened_after`.
-    pub(super) fn new(connection: Connection, now: Duration, opened_after: Duration) -> Self {
+    pub(super) fn new(connection: Connection, now: Duration, opened_after: KnownBefore) -> Self {
         Self {
             connection,
             reader: RequestReader::default(),
@@ -53,7 +66,8 @@
             ended: false,
             last_active: now,
             accepted_at: now,
-            unread_since: Some(opened_after),
+            unread_since: Some(opened_after.at),
+            basis: opened_after.basis,
         }
     }
 
@@ -104,11 +118,17 @@
         Ok(Some(ReceivedRequest {
             request,
             arrived_after,
+            basis: self.basis,
         }))
     }
 
-    /// Writes a response. Returns whether the connection can still be used.
-    pub(super) fn answer(&mut self, reply: &HttpReply, content_type: &str) -> bool {
+    /// Writes a response. `known` is what this replica knows now. Returns whether the connection can still be used.
+    pub(super) fn answer(
+        &mut self,
+        reply: &HttpReply,
+        content_type: &str,
+        known: CallBasis,
+    ) -> bool {
         let connection = match self.keeps_alive {
             true => "keep-alive",
             false => "close",
@@ -123,14 +143,23 @@
         );
         out.extend_from_slice(&reply.body);
         self.busy = false;
+        // A pipelined call was sent before this response.
+        if self.connection.inbound.is_empty() {
+            self.basis = known;
+        }
         self.closing = !self.keeps_alive;
         self.flush()
     }
 
     /// Writes the response to a request that cannot be parsed, and closes the connection.
-    pub(super) fn refuse(&mut self, reply: &HttpReply, content_type: &str) -> bool {
+    pub(super) fn refuse(
+        &mut self,
+        reply: &HttpReply,
+        content_type: &str,
+        known: CallBasis,
+    ) -> bool {
         self.keeps_alive = false;
-        self.answer(reply, content_type)
+        self.answer(reply, content_type, known)
     }
 
     /// Sends buffered bytes. Returns whether the connection can still be used.
--- a/crates/directory/src/daemon/relaying.rs
+++ b/crates/directory/src/daemon/relaying.rs
@@ -4,7 +4,7 @@
 
 use super::calls::Origin;
 use super::event_loop::EventLoop;
-use crate::call::{Call, Reply, UnavailableReason};
+use crate::call::{Call, CallBasis, Reply, UnavailableReason};
 use crate::fleet::ReplicaReport;
 use crate::link::{FromReplica, ToReplica};
 use crate::node::{CallId, NodeInput};
@@ -87,14 +87,22 @@
         self.node.catalog().instance_count() < REDIRECT_SERVER_LIMIT
     }
 
-    pub(super) fn relay(&mut self, id: CallId, address: &str, endpoint: String, call: Call) {
+    pub(super) fn relay(
+        &mut self,
+        id: CallId,
+        address: &str,
+        endpoint: String,
+        call: Call,
+        basis: CallBasis,
+    ) {
         // A call is relayed only once; a replica that does not lead answers a relayed call as unavailable.
         if let Some(Origin::Replica(..)) = self.calls.origin(id) {
             return self.reply(id, &Reply::Unavailable(UnavailableReason::NoLeader));
         }
         let now = self.now();
         self.calls.record_relay(id, now, endpoint);
-        self.send_peer(address, &ToReplica::Relay { id: id.0, call });
+        let id = id.0;
+        self.send_peer(address, &ToReplica::Relay { id, call, basis });
     }
 
     pub(super) fn send_peer(&mut self, address: &str, frame: &ToReplica) {
--- a/crates/directory/src/link.rs
+++ b/crates/directory/src/link.rs
@@ -6,7 +6,7 @@
 use grebepin_schema::PeerFrame;
 use serde::{Deserialize, Serialize};
 
-use crate::call::{Call, Reply};
+use crate::call::{Call, CallBasis, Reply};
 use crate::confirmed_state::Confirmation;
 use crate::crashes::CrashReport;
 use crate::fleet::{FleetSummary, ReplicaReport};
@@ -22,6 +22,9 @@
         id: u64,
         /// The call.
         call: Call,
+        /// What the sender knew before the call can have been sent.
+        #[serde(default)]
+        basis: CallBasis,
     },
     /// A gateway subscribes to all entries after a log index.
     Follow(Follow),
--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -13,7 +13,9 @@
 use super::messages::{CallId, NodeOutput, Notice};
 use super::pending_calls::EntryWaiter;
 use super::Node;
-use crate::call::{Call, GrantedKeys, GrantedRange, ItemDocument, Reply, UnavailableReason};
+use crate::call::{
+    Call, CallBasis, GrantedKeys, GrantedRange, ItemDocument, Reply, UnavailableReason,
+};
 use crate::crashes::CrashTracker;
 
 /// Why a heartbeat of a sharded service is rejected.
@@ -99,9 +101,9 @@
         self.report_voter_count();
     }
 
-    pub(super) fn handle_call(&mut self, now: Duration, id: CallId, call: Call) {
+    pub(super) fn handle_call(&mut self, now: Duration, id: CallId, call: Call, basis: CallBasis) {
         if self.leadership.is_none() {
-            return self.relay(id, call);
+            return self.relay(id, call, basis);
         }
         match call {
             Call::Heartbeat(heartbeat) => self.handle_heartbeat(now, id, heartbeat),
@@ -109,12 +111,12 @@
             Call::ChangeItems(change) => self.handle_change(now, id, change),
             Call::ReadItems => self.handle_read(now, id),
             Call::SetEvacuation { zone, evacuated } => {
-                self.handle_evacuation(now, id, zone, evacuated);
+                self.handle_evacuation(now, id, zone, evacuated, basis);
             }
         }
     }
 
-    fn relay(&mut self, id: CallId, call: Call) {
+    fn relay(&mut self, id: CallId, call: Call, basis: CallBasis) {
         let leader = self
             .consensus
             .leader()
@@ -127,6 +129,7 @@
                 address: member.peer_address.to_string(),
                 endpoint: member.admin_address.to_string(),
                 call,
+                basis,
             },
             None => NodeOutput::Reply {
                 id,
@@ -231,7 +234,14 @@
     /// Proposes the start or end of an evacuation even if it is already in force: the call may be a retry
     /// after a lost reply, and only a newly committed entry proves that no earlier leader's decision is
     /// stale.
-    fn handle_evacuation(&mut self, now: Duration, id: CallId, zone: String, evacuated: bool) {
+    fn handle_evacuation(
+        &mut self,
+        now: Duration,
+        id: CallId,
+        zone: String,
+        evacuated: bool,
+        basis: CallBasis,
+    ) {
         if !self.holds_leader_lease(now) {
             return self.reply(id, Reply::Unavailable(UnavailableReason::LeaseOver));
         }
@@ -241,7 +251,11 @@
         if !self.config.is_known_zone(&zone) {
             return self.reply(id, Reply::UnknownZone(zone));
         }
-        let command = Command::SetEvacuation { zone, evacuated };
+        let command = Command::SetEvacuation {
+            zone,
+            evacuated,
+            known_call: basis.evacuation_call,
+        };
         self.propose_for(now, vec![command], EntryWaiter::Evacuation(id));
     }
 
--- a/crates/directory/src/node/messages.rs
+++ b/crates/directory/src/node/messages.rs
@@ -5,7 +5,7 @@
 use grebepin_grants::LoadSample;
 use grebepin_schema::PeerFrame;
 
-use crate::call::{Call, Reply};
+use crate::call::{Call, CallBasis, Reply};
 use crate::crashes::CrashReport;
 
 /// Identifies a call until it is answered.
@@ -27,6 +27,8 @@
         id: CallId,
         /// The call.
         call: Call,
+        /// What the replica that received it knew before it can have been sent.
+        basis: CallBasis,
     },
 }
 
@@ -57,6 +59,8 @@
         endpoint: String,
         /// The call.
         call: Call,
+        /// What this replica knew before the call can have been sent.
+        basis: CallBasis,
     },
     /// Entries were applied and must be sent to the gateways that follow.
     Applied,
@@ -75,14 +79,24 @@
     Changed,
     /// It was in force already.
     Unchanged,
+    /// It was ignored, since a later call for the same zone took effect before.
+    Superseded,
 }
 
 impl EvacuationOutcome {
+    pub(super) fn reply(self) -> Reply {
+        match self {
+            Self::Changed | Self::Unchanged => Reply::EvacuationSet,
+            Self::Superseded => Reply::Superseded,
+        }
+    }
+
     /// Value in log lines.
     pub fn name(self) -> &'static str {
         match self {
             Self::Changed => "changed",
             Self::Unchanged => "unchanged",
+            Self::Superseded => "superseded",
         }
     }
 }
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -24,6 +24,7 @@
 use grebepin_schema::{LogIndex, ReplicaId};
 use grebepin_storage::{Disk, ReplicaStorage, StorageError};
 
+use crate::call::CallBasis;
 pub use config::{FaultTolerance, NodeConfig, NodeTiming};
 use leading::Leadership;
 use membership::Joining;
@@ -73,6 +74,13 @@
         &self.catalog
     }
 
+    /// What this replica knows, for calls that are sent later.
+    pub fn call_basis(&self) -> CallBasis {
+        CallBasis {
+            evacuation_call: Some(self.catalog.last_evacuation_call()),
+        }
+    }
+
     /// Highest log index that is applied.
     pub fn applied(&self) -> u64 {
         self.applied.0
@@ -157,7 +165,7 @@
     fn handle_input(&mut self, now: Duration, input: NodeInput) {
         match input {
             NodeInput::Peer(frame) => self.handle_peer_frame(now, frame),
-            NodeInput::Call { id, call } => self.handle_call(now, id, call),
+            NodeInput::Call { id, call, basis } => self.handle_call(now, id, call, basis),
             NodeInput::Crashes(reports) => {
                 if let Some(leadership) = &mut self.leadership {
                     let tracker = &mut leadership.crashes;
--- a/crates/directory/src/node/replication.rs
+++ b/crates/directory/src/node/replication.rs
@@ -169,6 +169,8 @@
             }
             if effects.evacuation.is_some() {
                 outcome.evacuation = EvacuationOutcome::Changed;
+            } else if effects.is_superseded {
+                outcome.evacuation = EvacuationOutcome::Superseded;
             }
             let notice = Notice::Effects {
                 index: index.0,
@@ -205,7 +207,7 @@
                     index: index.0,
                     outcome: outcome.evacuation,
                 });
-                self.reply(id, Reply::EvacuationSet);
+                self.reply(id, outcome.evacuation.reply());
             }
             (EntryWaiter::Change(id), None) => self.reply(id, Reply::Changed),
             (EntryWaiter::Change(id), Some(reason)) => self.reply(id, Reply::Invalid(reason)),
--- a/crates/directory/tests/cluster/calls.rs
+++ b/crates/directory/tests/cluster/calls.rs
@@ -4,6 +4,7 @@
 
 use grebepin_catalog::{Instance, InstanceId, Item, ItemChange};
 use grebepin_directory::call::Call;
+use grebepin_directory::node::CallId;
 
 use rand::Rng;
 
@@ -57,13 +58,13 @@
     }
 
     /// Sends the start or end of an evacuation to a randomly chosen replica.
-    pub fn evacuate(&mut self, zone: &str, evacuated: bool) {
+    pub fn evacuate(&mut self, zone: &str, evacuated: bool) -> CallId {
         let to = self.random.random_range(0..self.replicas.len());
         let call = Call::SetEvacuation {
             zone: zone.to_owned(),
             evacuated,
         };
-        self.call(to, call, Pending::Evacuation);
+        self.call(to, call, Pending::Evacuation)
     }
 
     /// Retries the start or end of an evacuation until it is acknowledged, as an operator does. Returns how
@@ -80,6 +81,32 @@
         panic!("the evacuation was never acknowledged");
     }
 
+    /// Sends the start or end of an evacuation to randomly chosen replicas, each for up to a second, until it is
+    /// acknowledged; returns whether it was within this number of tries. Calls that are given up go on waiting where they
+    /// are.
+    pub fn evacuate_with_patience(&mut self, zone: &str, evacuated: bool, tries: u32) -> bool {
+        for _ in 0..tries {
+            let before = self.evacuations_acknowledged;
+            let call = self.evacuate(zone, evacuated);
+            for _ in 0..20 {
+                self.run(Duration::from_millis(50));
+                if !self.calls.contains_key(&call) {
+                    break;
+                }
+            }
+            if self.evacuations_acknowledged > before && !self.calls.contains_key(&call) {
+                return true;
+            }
+            self.calls.remove(&call);
+        }
+        false
+    }
+
+    /// Whether the zone is evacuated in the catalog of the leader, if there is one.
+    pub fn evacuated_at_leader(&self, zone: &str) -> Option<bool> {
+        self.leader().map(|_| self.is_evacuated(zone))
+    }
+
     /// Whether the zone is evacuated in the leader's catalog.
     pub fn is_evacuated(&self, zone: &str) -> bool {
         let leader = self.leader().expect("a leader");
--- a/crates/directory/tests/cluster/faults.rs
+++ b/crates/directory/tests/cluster/faults.rs
@@ -90,6 +90,16 @@
         }
     }
 
+    /// Stalls each replica with a probability of a third for up to `longest`.
+    pub fn stall_some(&mut self, longest: Duration) {
+        for number in 0..self.replicas.len() {
+            if self.random.random_range(0..3) == 0 {
+                let time = longest.mul_f64(self.random.random());
+                self.replicas[number].stalled_until = self.now + time;
+            }
+        }
+    }
+
     /// Resumes a suspended machine; the leave of `server` is the first input that its replica processes.
     pub fn resume_with_leave(&mut self, number: usize, server: &InstanceId) {
         let replica = &mut self.replicas[number];
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Item, ItemContent, Limits, Version};
-use grebepin_directory::call::{Call, Reply};
+use grebepin_directory::call::{Call, CallBasis, Reply};
 use grebepin_directory::node::{
     CallId, FaultTolerance, Node, NodeConfig, NodeInput, NodeOutput, NodeTiming,
 };
@@ -74,6 +74,8 @@
     pub stale_reads: u32,
     /// Number of acknowledged starts and ends of evacuations.
     pub evacuations_acknowledged: u32,
+    /// Number of calls to start or end an evacuation that a later one superseded, given up or not.
+    pub evacuations_superseded: u32,
     /// Number of leaves of draining servers that a replica acknowledged under its own lease.
     pub leaves_acknowledged: u32,
     /// Rejected zones, in order.
@@ -145,6 +147,7 @@
             reads: Vec::new(),
             stale_reads: 0,
             evacuations_acknowledged: 0,
+            evacuations_superseded: 0,
             leaves_acknowledged: 0,
             unknown_zones: Vec::new(),
         }
@@ -292,11 +295,14 @@
         node.is_some_and(|node| held_version(node) == version)
     }
 
-    fn call(&mut self, to: usize, call: Call, pending: Pending) {
+    fn call(&mut self, to: usize, call: Call, pending: Pending) -> CallId {
         self.next_call += 1;
         let id = CallId(self.next_call);
         self.calls.insert(id, pending);
-        self.handle(to, vec![NodeInput::Call { id, call }]);
+        let node = self.replicas[to].node.as_ref();
+        let basis = node.map_or_else(CallBasis::default, Node::call_basis);
+        self.handle(to, vec![NodeInput::Call { id, call, basis }]);
+        id
     }
 
     fn restart(&mut self) {
@@ -384,8 +390,12 @@
                 self.send(from, &address, NodeInput::Peer(frame));
             }
             NodeOutput::Relay {
-                id, address, call, ..
-            } => self.send(from, &address, NodeInput::Call { id, call }),
+                id,
+                address,
+                call,
+                basis,
+                ..
+            } => self.send(from, &address, NodeInput::Call { id, call, basis }),
             NodeOutput::Reply { id, reply } => self.handle_reply(id, &reply),
             _ => {}
         }
@@ -415,6 +425,7 @@
     }
 
     fn handle_reply(&mut self, id: CallId, reply: &Reply) {
+        self.evacuations_superseded += u32::from(*reply == Reply::Superseded);
         match (self.calls.remove(&id), reply) {
             (Some(Pending::Change(version)), Reply::Changed)
                 if !self.acknowledged.contains(&version) =>
--- a/crates/directory/tests/evacuations.rs
+++ b/crates/directory/tests/evacuations.rs
@@ -74,3 +74,36 @@
     assert_eq!(cluster.unknown_zones, vec!["nowhere".to_owned()]);
     assert!(!cluster.is_evacuated("nowhere"));
 }
+
+/// Guards against a call that is read, relayed or committed after its caller gave it up and undoes a later one. Replicas
+/// stall while calls wait at them, and the operator moves on to another one.
+#[test]
+fn the_last_acknowledged_call_is_in_force_whatever_older_calls_still_wait() {
+    let (mut acknowledged, mut superseded) = (0, 0);
+    for seed in 0..60 {
+        let mut cluster = Cluster::new(seed, 3);
+        cluster.run(seconds(3.0));
+        let mut wanted = None;
+        for round in 0..12 {
+            let evacuated = round % 2 == 0;
+            cluster.stall_some(seconds(4.0));
+            if cluster.evacuate_with_patience(ZONE, evacuated, 6) {
+                wanted = Some(evacuated);
+                acknowledged += 1;
+            } else {
+                // The calls may be in force or not.
+                wanted = None;
+            }
+            if let (Some(wanted), Some(found)) = (wanted, cluster.evacuated_at_leader(ZONE)) {
+                assert_eq!(found, wanted, "seed {seed}, round {round}");
+            }
+        }
+        cluster.run(seconds(10.0));
+        if let Some(wanted) = wanted {
+            assert_eq!(cluster.is_evacuated(ZONE), wanted, "seed {seed}");
+        }
+        superseded += cluster.evacuations_superseded;
+    }
+    assert!(acknowledged > 400, "{acknowledged} calls were acknowledged");
+    assert!(superseded > 10, "{superseded} calls came too late");
+}
--- a/crates/gateway/src/undecided.rs
+++ b/crates/gateway/src/undecided.rs
@@ -50,6 +50,7 @@
             Command::SetEvacuation {
                 zone,
                 evacuated: true,
+                ..
             } => _ = self.evacuated_zones.insert(zone.clone()),
             Command::SetQuarantine {
                 fingerprint,
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -113,6 +113,7 @@
         let command = Command::SetEvacuation {
             zone: "z".to_owned(),
             evacuated: true,
+            known_call: None,
         };
         self.send(&FromReplica::Head(SourceStatus {
             applied,
--- a/crates/gateway/tests/majority_state.rs
+++ b/crates/gateway/tests/majority_state.rs
@@ -86,7 +86,14 @@
     let command = |index: &u64| {
         let zone = format!("z{index}");
         let evacuated = true;
-        (*index, Command::SetEvacuation { zone, evacuated })
+        (
+            *index,
+            Command::SetEvacuation {
+                zone,
+                evacuated,
+                known_call: None,
+            },
+        )
     };
     SourceStatus {
         open_entries: OpenEntries {
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -23,6 +23,7 @@
     let command = Command::SetEvacuation {
         zone: format!("zone-{index}"),
         evacuated: true,
+        known_call: None,
     };
     let commands = vec![command];
     (index, Entry { commands })
--- a/crates/gateway/tests/table_cost.rs
+++ b/crates/gateway/tests/table_cost.rs
@@ -77,6 +77,7 @@
     let set = |evacuated| Command::SetEvacuation {
         zone: "a".to_owned(),
         evacuated,
+        known_call: None,
     };
     let before = names(&table);
     table.apply(&[(2, entry(vec![set(true)]))]);
--- a/crates/gateway/tests/undecided.rs
+++ b/crates/gateway/tests/undecided.rs
@@ -146,6 +146,7 @@
             Command::SetEvacuation {
                 zone: "east".to_owned(),
                 evacuated: true,
+                known_call: None,
             },
             &[],
         ),
@@ -179,6 +180,7 @@
     let evacuated = Command::SetEvacuation {
         zone: "east".to_owned(),
         evacuated: true,
+        known_call: None,
     };
     assert_eq!(usable(&table(&[])), ["a1", "a2"]);
     for command in [leaves, says_so_itself, evacuated] {
@@ -234,6 +236,7 @@
         Command::SetEvacuation {
             zone: "east".to_owned(),
             evacuated: true,
+            known_call: None,
         },
     ];
     let mut table = table(&commands);
--- a/crates/grants/tests/placement.rs
+++ b/crates/grants/tests/placement.rs
@@ -276,6 +276,7 @@
         self.catalog.apply(&Command::SetEvacuation {
             zone: zone.to_owned(),
             evacuated,
+            known_call: None,
         });
     }
 
