Calls behind a rejected one on a connection of the directory are answered

After a rejection nobody took the next call from the buffer, and after an answer it was taken by recursion, as deep as the caller's pipeline of calls that are answered at once.

Now the next call of a connection is handled in another turn of the event loop, as gateways do.

--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -11,7 +11,7 @@
 use super::evacuation_calls::{log_evacuation_call, CallSource};
 use super::event_loop::{EventLoop, CONNECTION_LIMIT};
 use super::http_connection::{HttpConnection, KnownBefore};
-use crate::dialect::{BadCall, HttpCall};
+use crate::dialect::{BadCall, HttpCall, HttpReply};
 use crate::node::NodeInput;
 
 /// Maximum number of HTTP connections served per iteration, so that replicas and gateways are not delayed.
@@ -67,8 +67,22 @@
         self.submit_next_call(token);
     }
 
+    /// Answers a call. The next call of the connection is handled in another turn, so that a long pipeline neither
+    /// delays other callers nor deepens the stack.
+    pub(super) fn answer_caller(&mut self, token: Token, reply: &HttpReply) {
+        let Some(http) = self.http_connections.get_mut(&token) else {
+            return;
+        };
+        let is_open = http.answer(reply, self.dialect.content_type(), self.node.call_basis());
+        match (is_open, http.has_input()) {
+            (true, true) => self.ready_callers.push_back(token),
+            (true, false) => {}
+            (false, _) => _ = self.http_connections.remove(&token),
+        }
+    }
+
     /// Passes the next request of an HTTP connection to the node.
-    pub(super) fn submit_next_call(&mut self, token: Token) {
+    fn submit_next_call(&mut self, token: Token) {
         let now = self.now();
         let Some(http) = self.http_connections.get_mut(&token) else {
             return;
@@ -104,9 +118,7 @@
                 let target = &request.target;
                 self.bad_calls.record(now, target, &error, &self.metrics);
                 let reply = self.dialect.render_bad_call(&error);
-                if !http.answer(&reply, content_type, self.node.call_basis()) {
-                    self.http_connections.remove(&token);
-                }
+                self.answer_caller(token, &reply);
             }
         }
     }
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -429,15 +429,8 @@
                 }
             }
             Origin::Http(token) => {
-                let Some(http) = self.http_connections.get_mut(&token) else {
-                    return;
-                };
                 let rendered = self.dialect.render(reply);
-                let basis = self.node.call_basis();
-                match http.answer(&rendered, self.dialect.content_type(), basis) {
-                    true => self.submit_next_call(token),
-                    false => _ = self.http_connections.remove(&token),
-                }
+                self.answer_caller(token, &rendered);
             }
         }
     }
--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -122,6 +122,11 @@
         }))
     }
 
+    /// Whether received bytes may contain a call that can be handled now.
+    pub(super) fn has_input(&self) -> bool {
+        !self.busy && !self.connection.inbound.is_empty()
+    }
+
     /// Writes a response. `known` is what this replica knows now. Returns whether the connection can still be used.
     pub(super) fn answer(
         &mut self,
