A call to evacuate a zone is not carried out once its caller has given it up

An operator who gave such a call up, and changed his mind without another call, found the zone opened or closed minutes later, when the replica that had the call in its socket ran on. Both his connection and the wait were visible there, and nobody looked.

A replica now answers a call that waited unread for more than a second and whose caller has closed the connection as unavailable (132, reason GivenUp), and so does the leader with a relayed one that waited longer than the relaying replica does. The directory notices the end of a connection that comes together with its last bytes, as gateways do; a caller that only closes its own side is still answered. Other calls state versions or facts, which hold however late they are read.

--- a/crates/directory/src/call.rs
+++ b/crates/directory/src/call.rs
@@ -127,6 +127,8 @@
     LeaderSilent,
     /// Too many proposals are waiting for a majority.
     Overloaded,
+    /// The call waited unread for so long that its caller has given it up.
+    GivenUp,
     /// A group that is being founded does not have enough voters yet.
     FewVoters,
 }
--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -8,11 +8,12 @@
 use mio::Token;
 
 use super::calls::Origin;
-use super::evacuation_calls::{log_evacuation_call, CallSource};
+use super::evacuation_calls::{is_given_up, log_evacuation_call, CallSource};
 use super::event_loop::{EventLoop, CONNECTION_LIMIT};
 use super::http_connection::{HttpConnection, KnownBefore};
+use crate::call::{Call, CallBasis, Reply, UnavailableReason};
 use crate::dialect::{BadCall, HttpCall, HttpReply};
-use crate::node::NodeInput;
+use crate::node::{CallId, NodeInput};
 
 /// Maximum number of HTTP connections served per iteration, so that replicas and gateways are not delayed.
 const CALLERS_PER_ROUND: usize = 16;
@@ -60,11 +61,15 @@
             return;
         };
         http.last_active = now;
-        if !http.fill() || !http.flush() {
+        if !http.fill() {
             self.http_connections.remove(&token);
             return;
         }
         self.submit_next_call(token);
+        let http = self.http_connections.get_mut(&token);
+        if http.is_some_and(|http| !http.flush()) {
+            self.http_connections.remove(&token);
+        }
     }
 
     /// Answers a call. The next call of the connection is handled in another turn, so that a long pipeline neither
@@ -111,8 +116,7 @@
                 let id = self.calls.begin(now, Origin::Http(token));
                 let basis = received.basis;
                 let source = CallSource::of_caller(http, &received);
-                log_evacuation_call(now, id, &call, basis, &source);
-                self.inputs.push(NodeInput::Call { id, call, basis });
+                self.submit_call(now, id, call, basis, &source);
             }
             Err(error) => {
                 let target = &request.target;
@@ -122,4 +126,19 @@
             }
         }
     }
+    /// Passes a call to the node unless its caller has given it up.
+    pub(super) fn submit_call(
+        &mut self,
+        now: Duration,
+        id: CallId,
+        call: Call,
+        basis: CallBasis,
+        source: &CallSource,
+    ) {
+        log_evacuation_call(now, id, &call, basis, source);
+        match is_given_up(now, &call, source) {
+            true => self.reply(id, &Reply::Unavailable(UnavailableReason::GivenUp)),
+            false => self.inputs.push(NodeInput::Call { id, call, basis }),
+        }
+    }
 }
--- a/crates/directory/src/daemon/calls.rs
+++ b/crates/directory/src/daemon/calls.rs
@@ -8,7 +8,7 @@
 use crate::node::CallId;
 
 /// Time within which the leader must answer a relayed call.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
+pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Where a call came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/directory/src/daemon/evacuation_calls.rs
+++ b/crates/directory/src/daemon/evacuation_calls.rs
@@ -1,10 +1,12 @@
-//! Log lines for calls that begin or end evacuations: where each came from, and how long it can have waited.
+//! Calls that begin or end evacuations: where each came from, how long it can have waited, and whether its caller has
+//! given it up.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use grebepin_telemetry::{event, Event};
 
+use super::calls::RELAY_TIMEOUT;
 use super::http_connection::{HttpConnection, ReceivedRequest};
 use super::link_connection::LinkConnection;
 use crate::call::{Call, CallBasis};
@@ -42,6 +44,21 @@
     }
 }
 
+/// Time after which an operator without a response closes the connection and sends the call to another replica.
+const CALLER_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Whether a call begins or ends an evacuation and its caller had given it up when it was read: the operator has closed the
+/// connection, or the replica that relayed it has answered that the leader is silent. Other calls state versions or
+/// facts, which hold however late they are read.
+pub(super) fn is_given_up(now: Duration, call: &Call, source: &CallSource) -> bool {
+    let waited = now.saturating_sub(source.arrived_after);
+    let is_given_up = match source.relayed_call {
+        None => source.is_closed && waited > CALLER_PATIENCE,
+        Some(_) => waited > RELAY_TIMEOUT,
+    };
+    is_given_up && matches!(call, Call::SetEvacuation { .. })
+}
+
 /// Logs a call if it begins or ends an evacuation.
 pub(super) fn log_evacuation_call(
     now: Duration,
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -13,7 +13,7 @@
 
 use super::bad_calls::BadCalls;
 use super::calls::{Calls, Origin};
-use super::evacuation_calls::{log_evacuation_call, CallSource};
+use super::evacuation_calls::CallSource;
 use super::event_log::log_notice;
 use super::feed::Feeder;
 use super::housekeeping::SETTINGS_CHECK_INTERVAL;
@@ -200,7 +200,7 @@
             for ready in &events {
                 match self.http_connections.get_mut(&ready.token()) {
                     Some(http) => {
-                        http.note_event(self.polls.before_events().at);
+                        http.note_event(self.polls.before_events().at, ready.is_read_closed());
                         self.ready_callers.push_back(ready.token());
                     }
                     None => self.on_event(ready.token()),
@@ -297,13 +297,13 @@
                 call,
                 basis,
             } => {
+                let Some(link) = self.inbound_links.get(&token) else {
+                    return;
+                };
+                let arrived_after = self.polls.before_events().at;
+                let source = CallSource::of_replica(link, origin, arrived_after);
                 let id = self.calls.begin(now, Origin::Replica(token, origin));
-                if let Some(link) = self.inbound_links.get(&token) {
-                    let arrived_after = self.polls.before_events().at;
-                    let source = CallSource::of_replica(link, origin, arrived_after);
-                    log_evacuation_call(now, id, &call, basis, &source);
-                }
-                self.inputs.push(NodeInput::Call { id, call, basis });
+                self.submit_call(now, id, call, basis, &source);
             }
             ToReplica::Follow(follow) => {
                 event!(
--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -71,9 +71,13 @@
         }
     }
 
-    /// Records that an event was reported which occurred after `occurred_after`.
-    pub(super) fn note_event(&mut self, occurred_after: Duration) {
+    /// Records that an event was reported which occurred after `occurred_after`, and whether it reports that the caller
+    /// closed its side.
+    pub(super) fn note_event(&mut self, occurred_after: Duration, is_read_closed: bool) {
         self.unread_since.get_or_insert(occurred_after);
+        if is_read_closed {
+            self.connection.note_read_closed();
+        }
     }
 
     /// Whether the caller is known to have closed its side.
