A gateway that reads an evacuation or a drain late ends the use of its servers in time

A gateway counted the time in which owners of an evacuated zone, or a draining server, are still used from when it read the entry. Since relays send entries in place of a whole state, entries may be read any time after their acknowledgement, behind a cut or through relays; the invariant that evacuations.rs states did not hold then.

Now the time ends 0.7 of the bound after reading, as before, and at the latest 0.9 of the bound after the last moment at which the state is known to have lacked nothing: the age of the state before the entry, which is known since confirmations. In usual operation (states of up to 1 s for evacuations, 0.4 s for drains of 2 s) nothing changes.

Reach in the users' case: none is shown; only owners of keys are concerned, whose leases end the use by themselves after some seconds.

--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -2,24 +2,23 @@
 //!
 //! Servers without shards get none from the moment at which this gateway learns of the evacuation. An owner
 //! keeps its shards until other servers take them over, and no other server can run requests for them; so
-//! requests go to it for a fraction of the time that the deployment allows for an evacuation.
+//! requests go to it for a fraction of the time that the deployment allows for an evacuation (see
+//! [`crate::change_time`]). Shards move within 0.3 of that time and about two heartbeats.
 //!
-//! Invariant: no request is sent into an evacuated zone after that time, nor at any time if this gateway did
-//! not observe the start of the evacuation and so can't tell how long ago it started.
+//! Invariant: no request is sent into an evacuated zone after that time, counted from the earliest moment at which the
+//! evacuation can have been acknowledged, nor at any time if that is not known.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use grebepin_catalog::EvacuationChange;
 
-/// Fraction of the allowed time in which owners still get requests. Shards move within 0.3 of it and about
-/// two heartbeats; the rest covers the delay until this gateway learns of the change.
-const OWNER_FRACTION: f64 = 0.7;
+use crate::change_time::ChangeTime;
 
 /// The evacuated zones, and until when their owners get requests.
 #[derive(Debug)]
 pub struct Evacuations {
-    owner_time: Duration,
+    bound: Duration,
     /// By zone, the time after which its owners get no requests.
     owners_until: BTreeMap<String, Duration>,
 }
@@ -29,19 +28,13 @@
     /// zone's servers must get no requests.
     pub fn new(bound: Duration) -> Self {
         Self {
-            owner_time: bound.mul_f64(OWNER_FRACTION),
+            bound,
             owners_until: BTreeMap::new(),
         }
     }
 
-    /// Sets the evacuated zones and returns the changes. `observed_start` is true if this gateway followed
-    /// the log, so that an evacuation that is new to it has just started.
-    pub fn update(
-        &mut self,
-        now: Duration,
-        zones: &BTreeSet<String>,
-        observed_start: bool,
-    ) -> Vec<EvacuationChange> {
+    /// Sets the evacuated zones, of which the new ones were evacuated at `time`, and returns the changes.
+    pub fn update(&mut self, time: ChangeTime, zones: &BTreeSet<String>) -> Vec<EvacuationChange> {
         let ended = self.owners_until.keys();
         let ended: Vec<String> = ended
             .filter(|zone| !zones.contains(*zone))
@@ -59,10 +52,7 @@
             if self.owners_until.contains_key(zone) {
                 continue;
             }
-            let until = match observed_start {
-                true => now + self.owner_time,
-                false => now,
-            };
+            let until = time.end_of_use(self.bound);
             self.owners_until.insert(zone.clone(), until);
             changes.push(EvacuationChange {
                 zone: zone.clone(),
--- a/crates/gateway/src/leaving.rs
+++ b/crates/gateway/src/leaving.rs
@@ -5,22 +5,21 @@
 //! a fraction of the drain time: no other server may run requests for its keys until they have moved, and
 //! requests sent within that time still complete before the server stops.
 //!
-//! Invariant: a server gets no requests once that fraction of the drain time has passed since this gateway
-//! first learnt that it is leaving. An instance that is leaving never returns.
+//! Invariant: a server gets no requests once that fraction of the drain time (see [`crate::change_time`]) has passed
+//! since this gateway first learnt that it is leaving, or since that can have been acknowledged. An instance that is
+//! leaving never returns.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
 
-/// Fraction of the drain time in which a leaving server gets requests. The rest is for requests that are held
-/// or in flight.
-const USED_FRACTION: f64 = 0.7;
+use crate::change_time::ChangeTime;
 
 /// The servers that are leaving, and until when they are used.
 #[derive(Debug)]
 pub struct LeavingServers {
-    used_for: Duration,
+    drain: Duration,
     used_until: HashMap<InstanceId, Duration>,
 }
 
@@ -28,17 +27,18 @@
     /// Starts without leaving servers. `drain` is the time after which a leaving server must get no requests.
     pub fn new(drain: Duration) -> Self {
         Self {
-            used_for: drain.mul_f64(USED_FRACTION),
+            drain,
             used_until: HashMap::new(),
         }
     }
 
-    /// Records that a server is leaving; returns whether that is new.
-    pub fn note(&mut self, id: &InstanceId, now: Duration) -> bool {
+    /// Records that a server has been leaving since `time`; returns whether that is new.
+    pub fn note(&mut self, id: &InstanceId, time: ChangeTime) -> bool {
         if self.used_until.contains_key(id) {
             return false;
         }
-        self.used_until.insert(id.clone(), now + self.used_for);
+        self.used_until
+            .insert(id.clone(), time.end_of_use(self.drain));
         true
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod answering;
 pub mod backoff;
+pub mod change_time;
 pub mod client_retries;
 mod clients;
 pub mod connecting;
--- a/crates/gateway/src/state_updates.rs
+++ b/crates/gateway/src/state_updates.rs
@@ -6,6 +6,7 @@
 use grebepin_telemetry::{age_ms, event, Event};
 use mio::Token;
 
+use crate::change_time::ChangeTime;
 use crate::event_loop::EventLoop;
 use crate::follow::Update;
 use crate::in_flight::InFlightId;
@@ -17,6 +18,7 @@
         let now = self.now();
         // Taken before the updates: whatever they bring was acknowledged after this time.
         let age_before = self.directory.state_age(now);
+        let acknowledged_after = age_before.map(|age| now.saturating_sub(age));
         let updates = self.directory.on_event(now, token, self.table.applied());
         let mut change = TableChange::default();
         let mut permits = Vec::new();
@@ -58,10 +60,19 @@
             change.owners |= one.owners;
         }
         for id in &change.draining {
-            self.leaving.note(id, now);
+            let time = ChangeTime {
+                read_at: now,
+                acknowledged_after,
+            };
+            self.leaving.note(id, time);
         }
         if change.servers {
-            self.update_evacuations(now, follows_log, age_before);
+            // A snapshot, or changes that were undecided, do not show when an evacuation began.
+            let acknowledged_after = acknowledged_after.filter(|_| follows_log);
+            self.update_evacuations(ChangeTime {
+                read_at: now,
+                acknowledged_after,
+            });
             self.warmup.update(now, self.table.cold_servers());
         }
         if change.owners {
@@ -98,22 +109,19 @@
         Some(self.table.end_undecided())
     }
 
-    /// Applies the set of evacuated zones. `follows_log` is false when a snapshot was applied, which does not
-    /// show when an evacuation began.
-    fn update_evacuations(
-        &mut self,
-        now: Duration,
-        follows_log: bool,
-        age_before: Option<Duration>,
-    ) {
+    /// Applies the set of evacuated zones, of which the new ones were evacuated at `time`.
+    fn update_evacuations(&mut self, time: ChangeTime) {
         let zones = self.table.evacuated_zones();
-        for change in self.evacuations.update(now, zones, follows_log) {
+        for change in self.evacuations.update(time, zones) {
             event!(
                 Event::EvacuationInForce,
                 zone = change.zone,
                 evacuated = change.evacuated,
                 applied = self.table.applied(),
-                state_age_ms = age_ms(age_before)
+                state_age_ms = age_ms(
+                    time.acknowledged_after
+                        .map(|after| time.read_at.saturating_sub(after))
+                )
             );
         }
     }
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -6,6 +6,7 @@
 use grebepin_reactor::http::Response;
 use grebepin_telemetry::{event, Event};
 
+use crate::change_time::ChangeTime;
 use crate::event_loop::EventLoop;
 use crate::statement::{RateStatement, ServerStatement};
 
@@ -35,7 +36,8 @@
     /// Reports a leaving server with each such response until the directory marks the server as draining,
     /// since one report may be lost with its replica.
     fn apply_leaving(&mut self, server: &InstanceId) {
-        if self.leaving.note(server, self.now()) {
+        let time = ChangeTime::immediate(self.now());
+        if self.leaving.note(server, time) {
             self.load.note_overload();
             event!(Event::ServerLeaves, instance = server);
         }
--- a/crates/gateway/tests/zones_and_warmup.rs
+++ b/crates/gateway/tests/zones_and_warmup.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::InstanceId;
+use grebepin_gateway::change_time::ChangeTime;
 use grebepin_gateway::evacuations::Evacuations;
 use grebepin_gateway::warmup::WarmupTurns;
 
@@ -107,26 +108,59 @@
     names.iter().map(ToString::to_string).collect()
 }
 
+/// An entry that is read `delay` after the state was last known to lack none.
+fn read_after(read_at: u64, delay: u64) -> ChangeTime {
+    ChangeTime {
+        read_at: ms(read_at),
+        acknowledged_after: Some(ms(read_at - delay)),
+    }
+}
+
 #[test]
 fn owners_in_an_evacuated_zone_get_requests_for_a_fraction_of_the_time_only() {
     let mut evacuations = Evacuations::new(ms(5_000));
     assert!(evacuations.owner_may_serve("east", ms(0)));
-    let changes = evacuations.update(ms(1_000), &zones(&["east"]), true);
+    let changes = evacuations.update(read_after(1_000, 100), &zones(&["east"]));
     assert_eq!(changes.len(), 1);
     assert!(evacuations
-        .update(ms(2_000), &zones(&["east"]), true)
+        .update(read_after(2_000, 100), &zones(&["east"]))
         .is_empty());
     assert!(evacuations.owner_may_serve("east", ms(4_000)));
     assert!(!evacuations.owner_may_serve("east", ms(4_600)));
     assert!(evacuations.owner_may_serve("west", ms(4_600)));
-    let changes = evacuations.update(ms(9_000), &zones(&[]), true);
+    let changes = evacuations.update(read_after(9_000, 100), &zones(&[]));
     assert!(changes.iter().all(|one| !one.evacuated) && changes.len() == 1);
     assert!(evacuations.owner_may_serve("east", ms(9_000)));
 }
 
+/// Guards against a gateway that reads an evacuation long after its acknowledgement, behind a cut or through relays,
+/// and gives its owners the same time as if it had just begun.
+#[test]
+fn an_evacuation_that_is_read_late_is_in_force_in_time_for_owners_too() {
+    for delay in [0, 500, 1_500, 3_000, 5_000, 60_000] {
+        let mut evacuations = Evacuations::new(ms(5_000));
+        let read_at = 100_000;
+        evacuations.update(read_after(read_at, delay), &zones(&["east"]));
+        let bound = read_at - delay + 5_000;
+        for at in (read_at..read_at + 10_000)
+            .step_by(50)
+            .filter(|at| *at >= bound)
+        {
+            assert!(
+                !evacuations.owner_may_serve("east", ms(at)),
+                "{delay}, {at}"
+            );
+        }
+    }
+}
+
 #[test]
-fn a_gateway_that_did_not_observe_the_start_of_an_evacuation_sends_no_requests_there() {
+fn a_gateway_that_cannot_tell_the_age_of_an_evacuation_sends_no_requests_there() {
     let mut evacuations = Evacuations::new(ms(5_000));
-    evacuations.update(ms(1_000), &zones(&["east"]), false);
+    let time = ChangeTime {
+        read_at: ms(1_000),
+        acknowledged_after: None,
+    };
+    evacuations.update(time, &zones(&["east"]));
     assert!(!evacuations.owner_may_serve("east", ms(1_000)));
 }
