A gateway that stood still counts the time that requests waited for it

A client's unsafe request whose time was up while a gateway stood still (frozen process, suspended machine) was executed seconds later: the time that a request has left counted from when it was read. Its client may have tried elsewhere, or not expect it any more.

After a standstill of a second or more, all that may have waited counts as if it had arrived when the standstill began, on connections that were open and on those that are accepted then, until everything that was ready has been read: the next complete poll, or as many as the sockets need. What has no time left is refused as not run (503, at once); what has some goes on with the rest. Forwarded requests of other gateways go the same way. Standstills below a second are not told from slow turns of the event loop: such requests may be a second late, as before.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -27,8 +27,10 @@
     pub keeps_alive: bool,
     /// Whether the connection is closed once all output is sent.
     pub closing: bool,
-    /// When the first byte of a partly read request arrived.
+    /// When the first byte of a partly read request arrived, or the earliest time at which it can have.
     pub request_started: Option<Duration>,
+    /// Since when unread bytes may have waited, if the process stood still since.
+    waiting_since: Option<Duration>,
     /// Whether the last read left bytes in the socket, for which no event comes.
     has_unread: bool,
     /// Whether it is another gateway that forwards requests of its clients.
@@ -47,12 +49,18 @@
             keeps_alive: true,
             closing: false,
             request_started: None,
+            waiting_since: None,
             has_unread: false,
             is_peer,
             idle_since: now,
         }
     }
 
+    /// Records that unread bytes may have waited since a time.
+    pub fn note_waiting(&mut self, since: Duration) {
+        self.waiting_since.get_or_insert(since);
+    }
+
     /// Reads available bytes; returns whether the connection is still open.
     pub fn fill(&mut self, limit: usize) -> bool {
         let limit = match self.request {
@@ -61,6 +69,9 @@
         };
         let outcome = self.connection.fill(limit);
         self.has_unread = matches!(outcome, Ok(ReadOutcome::Full));
+        if self.connection.inbound.is_empty() {
+            self.waiting_since = None;
+        }
         !matches!(outcome, Ok(ReadOutcome::Closed) | Err(_))
     }
 
@@ -83,7 +94,8 @@
             return Ok(None);
         }
         if !self.connection.inbound.is_empty() {
-            self.request_started.get_or_insert(now);
+            let arrived_at = self.waiting_since.unwrap_or(now);
+            self.request_started.get_or_insert(arrived_at);
         }
         let request = self.reader.take(&mut self.connection.inbound, limits)?;
         if self.reader.wants_continue() {
@@ -93,6 +105,9 @@
         let Some(request) = request else {
             return Ok(None);
         };
+        if self.connection.inbound.is_empty() {
+            self.waiting_since = None;
+        }
         self.keeps_alive = request.keeps_alive;
         let received_at = self.request_started.take().unwrap_or(now);
         Ok(Some((request, received_at)))
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -36,6 +36,7 @@
 use crate::relay::{Relay, RelayedState};
 use crate::retry_budget::{RetryBudgetBound, RetryBudgets};
 use crate::settings::GatewaySettings;
+use crate::standstill::Standstill;
 use crate::stated_rate::StatedRates;
 use crate::stopping::Stopping;
 use crate::table::{Splitter, Table};
@@ -106,6 +107,7 @@
     pub(crate) metrics: GatewayMetrics,
     clock: Clock,
     stall_detector: StallDetector,
+    pub(crate) standstill: Standstill,
     pub(crate) next_token: usize,
     pub(crate) clients: Clients,
     pub(crate) upstreams: Upstreams,
@@ -218,6 +220,7 @@
             metrics,
             clock: Clock::start(),
             stall_detector: StallDetector::default(),
+            standstill: Standstill::default(),
             next_token: FIRST_CONNECTION,
             clients: Clients::new(),
             upstreams: Upstreams::default(),
@@ -258,18 +261,19 @@
         let mut events = Events::with_capacity(EVENT_CAPACITY);
         loop {
             let timeout = self.poll_timeout();
-            match self.poll.poll(&mut events, Some(timeout)) {
-                Ok(()) => {}
-                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => {}
+            let was_interrupted = match self.poll.poll(&mut events, Some(timeout)) {
+                Ok(()) => false,
+                Err(error) if error.kind() == std::io::ErrorKind::Interrupted => true,
                 Err(error) => return Err(error.into()),
-            }
+            };
             for event in events.iter().filter(|event| event.is_read_closed()) {
                 self.note_read_closed(event.token());
             }
             let mut ready: Vec<Token> = events.iter().map(|event| event.token()).collect();
-            if let Some(stall) = self.stall_detector.check(self.clock.now()) {
-                event!(Event::StoodStill, ms = stall.as_millis());
-                self.directory.note_standstill();
+            let is_complete = !was_interrupted && ready.len() < EVENT_CAPACITY;
+            let stall = self.stall_detector.check(self.clock.now());
+            if let Some(stall) = stall {
+                self.note_stall(stall);
                 // More sockets may be ready by now than one poll returns.
                 ready.extend(self.directory.tokens());
             }
@@ -278,6 +282,9 @@
             for token in ready {
                 self.on_event(token);
             }
+            if stall.is_none() {
+                self.standstill.end_turn(is_complete);
+            }
             self.handle_unfinished();
             self.run_timers();
             self.dispatch_awaiting_capacity();
@@ -289,6 +296,15 @@
         }
     }
 
+    /// Handles the end of a standstill of this length.
+    fn note_stall(&mut self, stall: Duration) {
+        event!(Event::StoodStill, ms = stall.as_millis());
+        self.directory.note_standstill();
+        let since = self.now().saturating_sub(stall);
+        let sockets = self.connection_count();
+        self.standstill.note(since, sockets, EVENT_CAPACITY);
+    }
+
     /// Handles the connections whose input is not used up, in turn, each a bounded number of times.
     fn handle_unfinished(&mut self) {
         for _ in 0..ROUNDS_PER_TURN {
@@ -389,8 +405,11 @@
         let now = self.now();
         let token = self.allocate_token();
         if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
-            self.clients
-                .insert(token, Client::new(connection, now, is_peer));
+            let mut client = Client::new(connection, now, is_peer);
+            if let Some(since) = self.standstill.waiting_since() {
+                client.note_waiting(since);
+            }
+            self.clients.insert(token, client);
         }
     }
 
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -25,7 +25,7 @@
     request_id: String,
     /// How long the client waits from `received_at` on; `None` if it did not say.
     stated_timeout: Option<Duration>,
-    /// When the first byte arrived.
+    /// When the first byte arrived, or the earliest time at which it can have.
     received_at: Duration,
     /// What another gateway decided that forwards the request; `None` for a request of a client.
     hop: Option<HopRequest>,
@@ -80,6 +80,9 @@
         let Some(client) = self.clients.get_mut(&token) else {
             return;
         };
+        if let Some(since) = self.standstill.waiting_since() {
+            client.note_waiting(since);
+        }
         let open = client.fill(limit) && client.flush();
         if !open {
             return self.drop_client(token);
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -77,7 +77,7 @@
     pub shard: Option<usize>,
     /// Whether the client most likely retries a request that was refused before.
     pub is_client_retry: bool,
-    /// When the first byte arrived.
+    /// When the first byte arrived, or the earliest time at which it can have.
     pub received_at: Duration,
     /// When the client stops waiting.
     pub deadline: Duration,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
 mod sending;
 pub mod server_index;
 mod settings;
+pub mod standstill;
 mod state_age;
 mod state_updates;
 pub mod stated_rate;
