A server that sends bytes without end no longer keeps a gateway busy

Requests to sound servers waited 0.3 to 0.8 s beside eight such answers (debug build), and the requests themselves until their deadline: - interim responses, and complete responses to other requests, were skipped one by one for ever, each at the cost of moving a buffer of up to 1 MiB; - lines of a trailer were dropped for ever; - connections with more input were read 16 times 1 MiB each before other connections and timers came.

Now 32 interim responses, 8 responses to other requests, and 64 KiB of a trailer are the most that a response may cost; a turn begins no further round of such connections after a millisecond; and 128 KiB are read at once, more than the largest head, so that a head without an end is still recognised (with 64 KiB it was not: a test of an earlier form waited for the deadline).

--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -57,10 +57,14 @@
 /// Longest time to block in poll, so that signals are noticed.
 const MAX_POLL_TIME: Duration = Duration::from_millis(100);
 
-/// Requests of one connection, or reads of one response, that are handled in one turn of the event loop: enough to
-/// spread the cost of polling, few enough that other connections wait for a millisecond at most.
+/// Requests of one connection, or reads of one response, that are handled in one turn of the event loop, to spread the
+/// cost of polling.
 const ROUNDS_PER_TURN: usize = 16;
 
+/// Time after which a turn of the event loop begins no further round, so that other connections and timers do not wait
+/// for many connections that always have more input.
+const MAX_ROUNDS_TIME: Duration = Duration::from_millis(1);
+
 /// File descriptors reserved for files and listeners, which client and server connections never use.
 const RESERVED_DESCRIPTORS: usize = 250;
 
@@ -307,8 +311,12 @@
 
     /// Handles the connections whose input is not used up, in turn, each a bounded number of times.
     fn handle_unfinished(&mut self) {
+        if self.unfinished.is_empty() {
+            return;
+        }
+        let started = self.now();
         for _ in 0..ROUNDS_PER_TURN {
-            if self.unfinished.is_empty() {
+            if self.unfinished.is_empty() || self.now() > started + MAX_ROUNDS_TIME {
                 return;
             }
             for token in std::mem::take(&mut self.unfinished) {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Instance, InstanceId};
-use grebepin_reactor::http::{Response, ResponseReader};
+use grebepin_reactor::http::{Response, ResponseReader, MAX_RESPONSE_HEAD_BYTES};
 use grebepin_reactor::{Connection, ReadOutcome};
 use grebepin_telemetry::{event, Event};
 use mio::Token;
@@ -29,8 +29,13 @@
 /// Largest response that is buffered, in bytes.
 pub(crate) const MAX_RESPONSE_BYTES: u64 = 64 << 20;
 
-/// Bytes of a response that are read at once.
-pub(crate) const READ_LIMIT: usize = 1 << 20;
+/// Bytes of a response that are read at once, more than a head may have. Other connections are served before the next ones
+/// are read.
+pub(crate) const READ_LIMIT: usize = 2 * MAX_RESPONSE_HEAD_BYTES;
+
+/// Largest number of responses to other requests in place of the awaited one. A connection carries one request at a time,
+/// so a server owes few of them.
+const MAX_FOREIGN_RESPONSES: u32 = 8;
 
 /// Send time assumed for a response that belongs to no request here. The real time is unknown, so the
 /// response overrides nothing that the server stated since.
@@ -133,6 +138,7 @@
             request: None,
             crash_probe: None,
             reader: ResponseReader::default(),
+            foreign_responses: 0,
             idle_since: now,
             idle_timeout: CONNECT_TIMEOUT,
         };
@@ -302,8 +308,13 @@
                         id = request.request_id,
                         instance = upstream.server
                     );
+                    upstream.foreign_responses += 1;
+                    let is_endless = upstream.foreign_responses > MAX_FOREIGN_RESPONSES;
                     let server = upstream.server.clone();
                     self.apply_statement(&server, UNKNOWN_SEND_TIME, &response);
+                    if is_endless {
+                        return self.fail_connection(token, "too many responses to other requests");
+                    }
                 }
                 (Ok(None), Ok(ReadOutcome::Full)) => {
                     // The buffer was drained into the response, so more bytes may be waiting.
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -34,6 +34,8 @@
     /// server failed.
     pub crash_probe: Option<Fingerprint>,
     pub reader: ResponseReader,
+    /// Number of responses to other requests that were received in place of the current request's.
+    pub foreign_responses: u32,
     /// When the connection was opened or last became idle.
     pub idle_since: Duration,
     /// Longest idle time after which the connection is used again.
@@ -107,6 +109,7 @@
         if let Some(upstream) = self.connections.get_mut(&token) {
             upstream.request = None;
             upstream.reused = true;
+            upstream.foreign_responses = 0;
             upstream.idle_since = now;
             upstream.idle_timeout = stated.map_or(DEFAULT_IDLE_TIMEOUT, |stated| {
                 stated.saturating_sub(IDLE_TIMEOUT_MARGIN)
--- a/crates/gateway/src/upstreams/tests.rs
+++ b/crates/gateway/src/upstreams/tests.rs
@@ -15,6 +15,7 @@
         request: None,
         crash_probe: None,
         reader: ResponseReader::default(),
+        foreign_responses: 0,
         idle_since: Duration::ZERO,
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
     }
--- a/crates/reactor/src/http/body.rs
+++ b/crates/reactor/src/http/body.rs
@@ -3,6 +3,10 @@
 /// Longest line of a chunk size or a trailer.
 const MAX_LINE_BYTES: usize = 4_096;
 
+/// Largest size of all lines of a trailer. They are dropped, and without a limit a sender could keep its receiver busy
+/// for ever.
+const MAX_TRAILER_BYTES: usize = 64 << 10;
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -40,6 +44,7 @@
     framing: Framing,
     chunk: Chunk,
     limit: u64,
+    trailer_bytes: usize,
     /// The part of the body that was read so far.
     pub body: Vec<u8>,
 }
@@ -51,6 +56,7 @@
             framing,
             chunk: Chunk::Size,
             limit,
+            trailer_bytes: 0,
             body: Vec::new(),
         }
     }
@@ -144,6 +150,10 @@
                     if line.is_empty() {
                         return Ok(true);
                     }
+                    self.trailer_bytes += line.len();
+                    if self.trailer_bytes > MAX_TRAILER_BYTES {
+                        return Err(BodyError::TooLong);
+                    }
                 }
             }
         }
--- a/crates/reactor/src/http/mod.rs
+++ b/crates/reactor/src/http/mod.rs
@@ -12,4 +12,4 @@
 pub use body::{BodyError, BodyReader, Framing};
 pub use fields::{is_connection_field, Fields};
 pub use request::{BadRequest, Request, RequestLimits, RequestReader};
-pub use response::{BadResponse, Response, ResponseReader};
+pub use response::{BadResponse, Response, ResponseReader, MAX_RESPONSE_HEAD_BYTES};
--- a/crates/reactor/src/http/response.rs
+++ b/crates/reactor/src/http/response.rs
@@ -4,8 +4,12 @@
 use super::fields::{Fields, MAX_FIELDS};
 use super::request::stated_length;
 
-/// Largest head of a response in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest head of a response in bytes. A head without an end is rejected once more bytes than that are buffered.
+pub const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
+
+/// Largest number of interim responses before a response. A server that sends them without end keeps its caller busy and
+/// never answers.
+const MAX_INTERIM_RESPONSES: u32 = 32;
 
 /// A complete response.
 #[derive(Clone, Debug)]
@@ -29,6 +33,9 @@
     /// The length of the body is stated more than once or in an unsupported way.
     #[error("ambiguous length")]
     AmbiguousLength,
+    /// More interim responses came than a server has reason to send.
+    #[error("too many interim responses")]
+    TooManyInterim,
     /// The connection was closed before the response was complete.
     #[error("answer was cut off")]
     CutOff,
@@ -41,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct ResponseReader {
     partial: Option<(Response, BodyReader)>,
+    /// Number of interim responses since the last response.
+    interim: u32,
 }
 
 impl ResponseReader {
@@ -59,7 +68,12 @@
             match take_head(buffer, has_body, limit)? {
                 None => return Ok(None),
                 // An interim response says nothing about the outcome of the request.
-                Some((head, _)) if (100..200).contains(&head.status) => {}
+                Some((head, _)) if (100..200).contains(&head.status) => {
+                    self.interim += 1;
+                    if self.interim > MAX_INTERIM_RESPONSES {
+                        return Err(BadResponse::TooManyInterim);
+                    }
+                }
                 head => self.partial = head,
             }
         }
@@ -86,12 +100,19 @@
         }
     }
 
+    /// Number of bytes of an incomplete body that are held.
+    pub fn held_bytes(&self) -> usize {
+        let partial = self.partial.as_ref();
+        partial.map_or(0, |(_, body)| body.body.len())
+    }
+
     /// Whether the head of a response was read and its body is incomplete.
     pub fn is_partial(&self) -> bool {
         self.partial.is_some()
     }
 
     fn finish(&mut self) -> Option<Response> {
+        self.interim = 0;
         self.partial.take().map(|(mut response, body)| {
             if body.ends_with_connection() {
                 response.keeps_alive = false;
@@ -117,7 +138,7 @@
         .map_err(|_| BadResponse::MalformedHead)?;
     let length = match status {
         httparse::Status::Complete(length) => length,
-        httparse::Status::Partial if buffer.len() <= MAX_HEAD_BYTES => return Ok(None),
+        httparse::Status::Partial if buffer.len() <= MAX_RESPONSE_HEAD_BYTES => return Ok(None),
         httparse::Status::Partial => return Err(BadResponse::MalformedHead),
     };
     let fields = Fields::from_parsed(parsed.headers);
--- a/crates/reactor/tests/http.rs
+++ b/crates/reactor/tests/http.rs
@@ -2,7 +2,7 @@
 
 use grebepin_reactor::http::{
     BadRequest, BadResponse, BodyError, Request, RequestLimits, RequestReader, Response,
-    ResponseReader,
+    ResponseReader, MAX_RESPONSE_HEAD_BYTES,
 };
 use proptest::prelude::*;
 
@@ -160,3 +160,33 @@
         let _ = read_response(&bytes);
     }
 }
+
+/// Guards against a reader that goes on for ever over bytes that lead to no response.
+#[test]
+fn a_response_that_never_begins_or_ends_is_rejected() {
+    let mut reader = ResponseReader::default();
+    let mut interim = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(1_000);
+    assert!(reader.take(&mut interim, true, 1_000).is_err());
+    let mut reader = ResponseReader::default();
+    let mut trailer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n".to_vec();
+    trailer.extend(b"X: 1\r\n".repeat(20_000));
+    assert!(reader.take(&mut trailer, true, 1_000).is_err());
+    for head in ["x", "HTTP/1.1 200 OK\r\nX: "] {
+        let mut reader = ResponseReader::default();
+        let mut bytes = head.as_bytes().to_vec();
+        bytes.extend(vec![b'x'; MAX_RESPONSE_HEAD_BYTES]);
+        assert!(reader.take(&mut bytes, true, 1_000).is_err(), "{head}");
+    }
+}
+
+#[test]
+fn interim_responses_of_one_response_do_not_count_for_the_next() {
+    let mut reader = ResponseReader::default();
+    let one = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(20)
+        + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let mut bytes = one.repeat(5).into_bytes();
+    for _ in 0..5 {
+        let response = reader.take(&mut bytes, true, 1_000);
+        assert_eq!(response.expect("valid").map(|one| one.status), Some(200));
+    }
+}
