Responses that are being received share a bound on the memory of a gateway

Bodies without an end filled a gateway's memory: each response could grow to 64 MiB, whatever others held at the same time, and a deployment gives a gateway 160 MiB.

Incomplete responses hold at most 0.2 of it together, and none is larger; one that grows beyond is given up (502, its connection closed). Their buffers double, so they take twice as much. A stated length beyond the bound is rejected at its head.

Open, by reading: complete responses that slow clients do not read are not counted; one of each connection, as before.

--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -19,7 +19,7 @@
 use crate::in_flight::{InFlightId, InFlightState};
 use crate::peer_connections::PeerConnection;
 use crate::refusal::Refusal;
-use crate::sending::{MAX_RESPONSE_BYTES, READ_LIMIT, UNACKED_TIMEOUT};
+use crate::sending::{READ_LIMIT, UNACKED_TIMEOUT};
 
 /// Timeout for establishing a connection to another gateway: a few round trips between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -199,6 +199,7 @@
     }
 
     fn read_from_peer(&mut self, token: Token) {
+        let limit = self.settings.response_memory();
         loop {
             let Some(connection) = self.peer_connections.get_mut(token) else {
                 return;
@@ -218,9 +219,7 @@
                 .get(id)
                 .is_none_or(|request| request.message.method != "HEAD");
             let inbound = &mut connection.connection.inbound;
-            let taken = connection
-                .reader
-                .take(inbound, has_body, MAX_RESPONSE_BYTES);
+            let taken = connection.reader.take(inbound, has_body, limit);
             match (taken, outcome) {
                 (Ok(Some(response)), _) => return self.on_peer_response(token, id, &response),
                 (Ok(None), Ok(ReadOutcome::Full)) => {}
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -26,8 +26,9 @@
 /// Connections that may fail for one request before it is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
-/// Largest response that is buffered, in bytes.
-pub(crate) const MAX_RESPONSE_BYTES: u64 = 64 << 20;
+/// Size in bytes from which an incomplete response counts towards the memory of all. Smaller ones are bounded by the
+/// number of connections.
+const LARGE_RESPONSE_BYTES: usize = 256 << 10;
 
 /// Bytes of a response that are read at once, more than a head may have. Other connections are served before the next ones
 /// are read.
@@ -290,8 +291,9 @@
                 return;
             };
             let has_body = request.message.method != "HEAD";
+            let limit = self.settings.response_memory();
             let inbound = &mut upstream.connection.inbound;
-            let mut taken = upstream.reader.take(inbound, has_body, MAX_RESPONSE_BYTES);
+            let mut taken = upstream.reader.take(inbound, has_body, limit);
             if matches!((&taken, &outcome), (Ok(None), Ok(ReadOutcome::Closed))) {
                 taken = upstream.reader.end(&upstream.connection.inbound);
             }
@@ -316,6 +318,9 @@
                         return self.fail_connection(token, "too many responses to other requests");
                     }
                 }
+                (Ok(None), Ok(_)) if self.is_over_memory(token) => {
+                    return self.fail_connection(token, "responses use too much memory");
+                }
                 (Ok(None), Ok(ReadOutcome::Full)) => {
                     // The buffer was drained into the response, so more bytes may be waiting.
                     self.unfinished.insert(token);
@@ -331,6 +336,17 @@
         }
     }
 
+    /// Whether a response has grown while the incomplete responses together hold more than they may.
+    fn is_over_memory(&self, token: Token) -> bool {
+        let held = |one: &Upstream| one.reader.held_bytes();
+        let grown = self.upstreams.get(token).map_or(0, held);
+        if grown < LARGE_RESPONSE_BYTES {
+            return false;
+        }
+        let all = self.upstreams.iter().map(|(_, one)| held(one));
+        all.sum::<usize>() as u64 > self.settings.response_memory()
+    }
+
     /// Handles a complete response.
     pub(crate) fn on_response(&mut self, token: Token, id: InFlightId, response: Response) {
         let now = self.now();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -44,6 +44,9 @@
     /// because of the link.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in mebibytes.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
     /// Maximum number of file descriptors of the process.
     #[serde(default = "default_descriptors")]
     pub maximum_descriptors: usize,
@@ -83,6 +86,14 @@
     }
 }
 
+fn default_memory() -> f64 {
+    256.0
+}
+
+/// Fraction of the memory that incomplete responses may hold together. Their buffers double when they grow, so they
+/// take up to twice as much; the rest is for the state, connections and complete responses.
+const RESPONSE_MEMORY_FRACTION: f64 = 0.2;
+
 fn default_descriptors() -> usize {
     4_096
 }
@@ -103,6 +114,7 @@
         check_positive("bounds.drain_s", self.bounds.drain_s)?;
         check_positive("bounds.budget_window_s", self.bounds.budget_window_s)?;
         check_optional("link_mbps", self.link_mbps)?;
+        check_positive("memory_mb", self.memory_mb)?;
         check_positive("bounds.evacuation_s", self.bounds.evacuation_s)?;
         if self.seeds.is_empty() {
             let (field, rule) = ("seeds", "must not be empty");
@@ -156,6 +168,11 @@
         Duration::from_secs_f64(self.bounds.drain_s)
     }
 
+    /// Number of bytes that incomplete responses may hold together, and so the largest response.
+    pub fn response_memory(&self) -> u64 {
+        (self.memory_mb * RESPONSE_MEMORY_FRACTION * 1_048_576.0) as u64
+    }
+
     /// Time between a shutdown request and the end of the process.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.grace_s)
