Crash reports that a replica read or sent on late no longer put crashes of one moment at several times

A report states how long ago a server crashed. A replica that buffered it for up to half a second, or stood still before it read it, sent it on with that age, and the first age that the leader heard of a crash stood for ever. Servers that fail together could so count as failing at different times, and three of them quarantine the ordinary requests that they were executing.

Reports age while a replica buffers them, the earliest time that any report gives a crash counts, and reports that may have waited for more than a second are dropped; gateways send them again each second. crashes.rs: two tests, which fail without.

The bound on the wait was wrong for a poll that returns as many events as it may, again and again: it grew without end, and calls to evacuate a zone would have been taken for given up in a crowd.

--- a/crates/directory/src/crashes.rs
+++ b/crates/directory/src/crashes.rs
@@ -19,6 +19,10 @@
 /// Minimum time between two crashes that both count.
 const MIN_CRASH_SPACING: Duration = Duration::from_millis(250);
 
+/// Time that reports may have waited unread. Later ones, as after a standstill, would put crashes of one moment at
+/// different times; they are dropped, and gateways send them again each second.
+pub const MAX_REPORT_WAIT: Duration = Duration::from_secs(1);
+
 /// How long a crash counts after its last report; gateways report each second.
 const CRASH_REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
@@ -46,20 +50,28 @@
 /// Crash reports that a replica buffers for its next report to the leader.
 #[derive(Debug, Default)]
 pub struct CrashReportBuffer {
-    reports: Vec<CrashReport>,
+    /// The reports with the times at which they were received.
+    reports: Vec<(Duration, CrashReport)>,
 }
 
 impl CrashReportBuffer {
-    /// Adds the reports of a gateway. Reports beyond the limit per message are dropped; gateways send them
-    /// again.
-    pub fn add(&mut self, reports: &[CrashReport]) {
+    /// Adds the reports of a gateway that are received at `now`. Reports beyond the limit per message are dropped; gateways
+    /// send them again.
+    pub fn add(&mut self, now: Duration, reports: &[CrashReport]) {
         let room = MAX_REPORTS_PER_MESSAGE.saturating_sub(self.reports.len());
-        self.reports.extend(reports.iter().take(room).cloned());
+        let added = reports.iter().take(room).cloned();
+        self.reports.extend(added.map(|report| (now, report)));
     }
 
-    /// Removes and returns the buffered reports.
-    pub fn take(&mut self) -> Vec<CrashReport> {
-        std::mem::take(&mut self.reports)
+    /// Removes and returns the buffered reports, with the ages that the crashes have at `now`.
+    pub fn take(&mut self, now: Duration) -> Vec<CrashReport> {
+        let reports = std::mem::take(&mut self.reports).into_iter();
+        reports
+            .map(|(received_at, report)| CrashReport {
+                age: report.age + now.saturating_sub(received_at),
+                ..report
+            })
+            .collect()
     }
 }
 
@@ -87,10 +99,13 @@
         if !self.crashes.contains_key(&key) && self.crashes.len() >= MAX_CRASHES {
             return;
         }
+        let at_ms = now.as_millis() as i64 - report.age.as_millis() as i64;
         let crash = self.crashes.entry(key).or_insert(Crash {
-            at_ms: now.as_millis() as i64 - report.age.as_millis() as i64,
+            at_ms,
             last_reported: now,
         });
+        // A report that was under way for longer makes the crash seem later.
+        crash.at_ms = crash.at_ms.min(at_ms);
         crash.last_reported = now;
     }
 
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -26,7 +26,7 @@
 use super::DirectoryError;
 use crate::call::Reply;
 use crate::confirmed_state::ConfirmedState;
-use crate::crashes::CrashReportBuffer;
+use crate::crashes::{CrashReportBuffer, MAX_REPORT_WAIT};
 use crate::dialect::Dialect;
 use crate::fleet::{Fleet, LoadBuffer};
 use crate::link::{FromReplica, ToReplica};
@@ -147,7 +147,7 @@
             node,
             clock,
             standstill: StallDetector::default(),
-            polls: PollHistory::new(known_at_start),
+            polls: PollHistory::new(known_at_start, EVENT_BATCH),
             unaccepted_since: None,
             next_token: FIRST_CONNECTION,
             http_connections: HashMap::new(),
@@ -181,13 +181,15 @@
                 (true, false) => MAX_POLL_TIMEOUT,
             };
             let timeout = self.node.next_wake().saturating_sub(now).min(max_timeout);
-            self.polls.begin_poll(KnownBefore {
+            let known = KnownBefore {
                 at: now,
                 basis: self.node.call_basis(),
-            });
+            };
+            let sockets = self.http_connections.len() + self.inbound_links.len();
+            self.polls.begin_poll(known, sockets);
             let polled = self.poll.poll(&mut events, Some(timeout));
-            self.polls
-                .end_poll(polled.is_ok() && events.iter().count() < EVENT_BATCH);
+            let returned = polled.is_ok().then(|| events.iter().count());
+            self.polls.end_poll(returned);
             match polled {
                 Ok(()) => {}
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -326,7 +328,9 @@
             ToReplica::Report(report) => {
                 self.identify_gateway(token, report.node, report.relay);
                 self.load_buffer.add(&report.load);
-                self.crash_reports.add(&report.crashes);
+                if !self.may_have_waited(MAX_REPORT_WAIT) {
+                    self.crash_reports.add(now, &report.crashes);
+                }
                 self.confirm_state(token, report.sent_at_ms);
             }
             ToReplica::ReplicaReport(report) => self.on_replica_report(token, report),
@@ -334,6 +338,11 @@
         }
     }
 
+    /// Whether what is read now may have waited for longer than `limit`, as after a standstill.
+    pub(super) fn may_have_waited(&self, limit: Duration) -> bool {
+        self.now().saturating_sub(self.polls.before_events().at) > limit
+    }
+
     /// Records which gateway a link belongs to. A gateway that was unknown so far is sent the current status
     /// at once: the one it received on connecting may be outdated.
     fn identify_gateway(&mut self, token: Token, gateway: String, relay: String) {
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -115,7 +115,7 @@
             if !load.is_empty() {
                 self.inputs.push(NodeInput::Load(load));
             }
-            let crashes = self.crash_reports.take();
+            let crashes = self.crash_reports.take(now);
             if !crashes.is_empty() {
                 self.inputs.push(NodeInput::Crashes(crashes));
             }
@@ -129,7 +129,7 @@
             gateways: self.followers(),
             relays: self.connected_relays(now),
             load: self.load_buffer.take(now),
-            crashes: self.crash_reports.take(),
+            crashes: self.crash_reports.take(now),
             sent_at_ms: report_time(now),
         };
         self.send_peer(&leader, &ToReplica::ReplicaReport(report));
--- a/crates/directory/src/daemon/relaying.rs
+++ b/crates/directory/src/daemon/relaying.rs
@@ -5,6 +5,7 @@
 use super::calls::Origin;
 use super::event_loop::EventLoop;
 use crate::call::{Call, CallBasis, Reply, UnavailableReason};
+use crate::crashes::MAX_REPORT_WAIT;
 use crate::fleet::ReplicaReport;
 use crate::link::{FromReplica, ToReplica};
 use crate::node::{CallId, NodeInput};
@@ -58,7 +59,7 @@
         if !report.load.is_empty() {
             self.inputs.push(NodeInput::Load(report.load));
         }
-        if !report.crashes.is_empty() {
+        if !report.crashes.is_empty() && !self.may_have_waited(MAX_REPORT_WAIT) {
             self.inputs.push(NodeInput::Crashes(report.crashes));
         }
         let summary = self.fleet_summary(now, report.sent_at_ms);
--- a/crates/directory/tests/crashes.rs
+++ b/crates/directory/tests/crashes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use grebepin_catalog::{Catalog, Command, Fingerprint, InstanceId};
-use grebepin_directory::crashes::{CrashReport, CrashTracker};
+use grebepin_directory::crashes::{CrashReport, CrashReportBuffer, CrashTracker};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -169,3 +169,42 @@
         }
     }
 }
+
+/// Guards against crashes of one moment that count as several because a replica held some of their reports back before
+/// it sent them on.
+#[test]
+fn reports_age_while_a_replica_buffers_them() {
+    let mut tracker = CrashTracker::default();
+    let mut catalog = Catalog::default();
+    let crashed_at = ms(10_000);
+    for (server, held) in [(1, ms(0)), (2, ms(250)), (3, ms(500))] {
+        let mut buffer = CrashReportBuffer::default();
+        buffer.add(crashed_at, &[crash(1, server, ms(0))]);
+        let now = crashed_at + held;
+        let reports = buffer.take(now);
+        assert_eq!(report_crashes(&mut tracker, &mut catalog, now, &reports), 0);
+    }
+}
+
+/// Guards against a crash whose first report was read late and that counts as a later one for ever.
+#[test]
+fn a_later_report_corrects_the_time_of_a_crash() {
+    let mut tracker = CrashTracker::default();
+    let mut catalog = Catalog::default();
+    let late = [crash(1, 1, ms(0))];
+    assert_eq!(
+        report_crashes(&mut tracker, &mut catalog, ms(10_300), &late),
+        0
+    );
+    // All three crashed at 10.0 s or at 12.0 s.
+    let repeated = [crash(1, 1, ms(1_000)), crash(1, 2, ms(1_000))];
+    assert_eq!(
+        report_crashes(&mut tracker, &mut catalog, ms(11_000), &repeated),
+        0
+    );
+    let third = [crash(1, 3, ms(0))];
+    assert_eq!(
+        report_crashes(&mut tracker, &mut catalog, ms(12_000), &third),
+        0
+    );
+}
