--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -68,7 +68,8 @@
 /// File descriptors reserved for files and listeners, which client and server connections never use.
 const RESERVED_DESCRIPTORS: usize = 250;
 
-/// Largest request body that is buffered; the configuration can only lower this limit.
+/// Largest head and largest body of a request that are buffered; the configuration can only lower these limits.
+const MAX_HEAD_BYTES: u64 = 32 << 20;
 const MAX_BODY_BYTES: u64 = 32 << 20;
 
 /// Limit on request heads until the first configuration arrives.
@@ -434,7 +435,7 @@
     pub(crate) fn request_limits(&self) -> RequestLimits {
         match self.table.limits() {
             Some(limits) => RequestLimits {
-                head_bytes: limits.header_bytes as usize,
+                head_bytes: limits.header_bytes.min(MAX_HEAD_BYTES) as usize,
                 body_bytes: limits.body_bytes.min(MAX_BODY_BYTES),
             },
             None => RequestLimits {
