The source of a call is looked up only for calls that begin or end an evacuation

Read as a newcomer: each heartbeat asked the kernel for its caller's address, for a line that only calls for evacuations get. The decision whether a caller has given a call up belongs to the source of the call; which calls it applies to is said once.

--- a/crates/directory/src/call.rs
+++ b/crates/directory/src/call.rs
@@ -26,6 +26,13 @@
     },
 }
 
+impl Call {
+    /// Whether the call starts or ends an evacuation.
+    pub fn is_evacuation(&self) -> bool {
+        matches!(self, Self::SetEvacuation { .. })
+    }
+}
+
 /// What the replica that received a call knew before the call can have been sent. A call may be read, relayed or
 /// committed long after its caller gave it up; it must not undo what its caller did since.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -8,7 +8,7 @@
 use mio::Token;
 
 use super::calls::Origin;
-use super::evacuation_calls::{is_given_up, log_evacuation_call, CallSource};
+use super::evacuation_calls::{log_evacuation_call, CallSource};
 use super::event_loop::{EventLoop, CONNECTION_LIMIT};
 use super::http_connection::{HttpConnection, KnownBefore};
 use crate::call::{Call, CallBasis, Reply, UnavailableReason};
@@ -115,8 +115,10 @@
             Ok(call) => {
                 let id = self.calls.begin(now, Origin::Http(token));
                 let basis = received.basis;
-                let source = CallSource::of_caller(http, &received);
-                self.submit_call(now, id, call, basis, &source);
+                let source = call
+                    .is_evacuation()
+                    .then(|| CallSource::of_caller(http, &received));
+                self.submit_call(id, call, basis, source);
             }
             Err(error) => {
                 let target = &request.target;
@@ -126,19 +128,23 @@
             }
         }
     }
-    /// Passes a call to the node unless its caller has given it up.
+
+    /// Passes a call to the node unless its caller has given it up. `source` is where a call that begins or ends an
+    /// evacuation came from. Other calls have none: they state versions or facts, which hold however late they are read.
     pub(super) fn submit_call(
         &mut self,
-        now: Duration,
         id: CallId,
         call: Call,
         basis: CallBasis,
-        source: &CallSource,
+        source: Option<CallSource>,
     ) {
-        log_evacuation_call(now, id, &call, basis, source);
-        match is_given_up(now, &call, source) {
-            true => self.reply(id, &Reply::Unavailable(UnavailableReason::GivenUp)),
-            false => self.inputs.push(NodeInput::Call { id, call, basis }),
+        if let Some(source) = source {
+            let now = self.now();
+            log_evacuation_call(now, id, &call, basis, &source);
+            if source.has_given_up(now) {
+                return self.reply(id, &Reply::Unavailable(UnavailableReason::GivenUp));
+            }
         }
+        self.inputs.push(NodeInput::Call { id, call, basis });
     }
 }
--- a/crates/directory/src/daemon/evacuation_calls.rs
+++ b/crates/directory/src/daemon/evacuation_calls.rs
@@ -12,6 +12,9 @@
 use crate::call::{Call, CallBasis};
 use crate::node::CallId;
 
+/// Time after which an operator without a response closes the connection and sends the call to another replica.
+const CALLER_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Where a call came from.
 pub(super) struct CallSource {
     caller: Option<SocketAddr>,
@@ -42,24 +45,19 @@
             is_closed: link.connection.is_read_closed(),
         }
     }
-}
-
-/// Time after which an operator without a response closes the connection and sends the call to another replica.
-const CALLER_PATIENCE: Duration = Duration::from_secs(1);
 
-/// Whether a call begins or ends an evacuation and its caller had given it up when it was read: the operator has closed the
-/// connection, or the replica that relayed it has answered that the leader is silent. Other calls state versions or
-/// facts, which hold however late they are read.
-pub(super) fn is_given_up(now: Duration, call: &Call, source: &CallSource) -> bool {
-    let waited = now.saturating_sub(source.arrived_after);
-    let is_given_up = match source.relayed_call {
-        None => source.is_closed && waited > CALLER_PATIENCE,
-        Some(_) => waited > RELAY_TIMEOUT,
-    };
-    is_given_up && matches!(call, Call::SetEvacuation { .. })
+    /// Whether the caller had given the call up when it was read: the operator has closed the connection, or the replica
+    /// that relayed the call has answered that the leader is silent.
+    pub(super) fn has_given_up(&self, now: Duration) -> bool {
+        let waited = now.saturating_sub(self.arrived_after);
+        match self.relayed_call {
+            None => self.is_closed && waited > CALLER_PATIENCE,
+            Some(_) => waited > RELAY_TIMEOUT,
+        }
+    }
 }
 
-/// Logs a call if it begins or ends an evacuation.
+/// Logs a call that begins or ends an evacuation.
 pub(super) fn log_evacuation_call(
     now: Duration,
     id: CallId,
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -303,9 +303,11 @@
                     return;
                 };
                 let arrived_after = self.polls.before_events().at;
-                let source = CallSource::of_replica(link, origin, arrived_after);
+                let source = call
+                    .is_evacuation()
+                    .then(|| CallSource::of_replica(link, origin, arrived_after));
                 let id = self.calls.begin(now, Origin::Replica(token, origin));
-                self.submit_call(now, id, call, basis, &source);
+                self.submit_call(id, call, basis, source);
             }
             ToReplica::Follow(follow) => {
                 event!(
