Requests that are being received share a bound on the memory of a gateway

Twelve clients that each sent 20 MiB of a body of 30 MiB, within the limits of the configuration, took a gateway to 323 MB, where a deployment gives it 160 MiB: the process ends, and all requests on it. The requests of others waited 0.9 s meanwhile (debug build), since a body was read to its end in one turn of the event loop.

Requests, complete or not, hold at most 0.2 of memory_mb together; one that grows beyond it is refused as not run (503, reason no memory) and its connection closed, and what fits is still read. No body is larger than that: 32 MiB of 160, as before, and more where there is more memory. Clients' connections are read 256 KiB at a time, in turn with others.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -61,11 +61,12 @@
         self.waiting_since.get_or_insert(since);
     }
 
-    /// Reads available bytes; returns whether the connection is still open.
-    pub fn fill(&mut self, limit: usize) -> bool {
+    /// Reads available bytes, a part of them if there are many; returns whether the connection is still open. More than
+    /// the largest head is read, so that a head beyond its limit is recognised.
+    pub fn fill(&mut self, head_limit: usize) -> bool {
         let limit = match self.request {
             Some(_) => BUFFER_LIMIT,
-            None => limit.max(BUFFER_LIMIT),
+            None => BUFFER_LIMIT.max(head_limit + 1),
         };
         let outcome = self.connection.fill(limit);
         self.has_unread = matches!(outcome, Ok(ReadOutcome::Full));
@@ -75,6 +76,17 @@
         !matches!(outcome, Ok(ReadOutcome::Closed) | Err(_))
     }
 
+    /// Whether a request is being read whose next bytes are in the socket, for which no event comes.
+    pub fn awaits_reading(&self) -> bool {
+        let is_blocked = self.connection.unsent() > UNSENT_LIMIT;
+        self.has_unread && self.request.is_none() && !self.closing && !is_blocked
+    }
+
+    /// Number of received bytes that are held for requests which are not handled yet.
+    pub fn held_bytes(&self) -> usize {
+        self.reader.held_bytes() + self.connection.inbound.len()
+    }
+
     /// Whether received bytes may contain another request that can be handled now.
     pub fn has_input(&self) -> bool {
         self.request.is_none() && (self.has_unread || !self.connection.inbound.is_empty())
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -199,7 +199,7 @@
     }
 
     fn read_from_peer(&mut self, token: Token) {
-        let limit = self.settings.response_memory();
+        let limit = self.settings.message_memory();
         loop {
             let Some(connection) = self.peer_connections.get_mut(token) else {
                 return;
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -68,9 +68,8 @@
 /// File descriptors reserved for files and listeners, which client and server connections never use.
 const RESERVED_DESCRIPTORS: usize = 250;
 
-/// Largest head and largest body of a request that are buffered; the configuration can only lower these limits.
+/// Largest head of a request that is buffered; the configuration can only lower this limit.
 const MAX_HEAD_BYTES: u64 = 32 << 20;
-const MAX_BODY_BYTES: u64 = 32 << 20;
 
 /// Limit on request heads until the first configuration arrives.
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
@@ -433,14 +432,15 @@
     }
 
     pub(crate) fn request_limits(&self) -> RequestLimits {
+        let memory = self.settings.message_memory();
         match self.table.limits() {
             Some(limits) => RequestLimits {
                 head_bytes: limits.header_bytes.min(MAX_HEAD_BYTES) as usize,
-                body_bytes: limits.body_bytes.min(MAX_BODY_BYTES),
+                body_bytes: limits.body_bytes.min(memory),
             },
             None => RequestLimits {
                 head_bytes: DEFAULT_HEAD_BYTES,
-                body_bytes: MAX_BODY_BYTES,
+                body_bytes: memory,
             },
         }
     }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -7,6 +7,7 @@
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
+use crate::clients::Client;
 use crate::crash_history::fingerprint;
 use crate::event_loop::{EventLoop, Timer};
 use crate::headers::HeaderNames;
@@ -16,6 +17,10 @@
 use crate::refusal::Refusal;
 use crate::stopping::Stopping;
 
+/// Size from which an incomplete request counts towards the memory of all. Smaller ones are bounded by the number of
+/// connections.
+const LARGE_REQUEST_BYTES: usize = 256 << 10;
+
 /// A request that was read and is not yet admitted.
 struct IncomingRequest {
     /// Connection of the client.
@@ -76,20 +81,43 @@
     /// Handles an event on a client connection.
     pub(crate) fn on_client(&mut self, token: Token) {
         let limits = self.request_limits();
-        let limit = limits.head_bytes + limits.body_bytes as usize;
         let Some(client) = self.clients.get_mut(&token) else {
             return;
         };
         if let Some(since) = self.standstill.waiting_since() {
             client.note_waiting(since);
         }
-        let open = client.fill(limit) && client.flush();
+        let open = client.fill(limits.head_bytes) && client.flush();
         if !open {
             return self.drop_client(token);
         }
         self.handle_next_request(token);
     }
 
+    /// Handles a request of which more bytes are to come: it is refused if the requests that are held use too much
+    /// memory.
+    fn continue_reading(&mut self, token: Token) {
+        let Some(client) = self.clients.get(&token) else {
+            return;
+        };
+        let is_large = client.held_bytes() >= LARGE_REQUEST_BYTES;
+        if is_large && self.held_request_bytes() > self.settings.message_memory() {
+            let refusal = Refusal::NoMemory;
+            event!(Event::RequestRefused, reason = refusal.reason());
+            let response = LocalResponse::not_run(refusal.retry_after(None));
+            return self.respond(token, response.closing(), "");
+        }
+        if client.awaits_reading() {
+            self.unfinished.insert(token);
+        }
+    }
+
+    /// Number of bytes that are held of all requests, complete or not.
+    fn held_request_bytes(&self) -> u64 {
+        let reading: usize = self.clients.values().map(Client::held_bytes).sum();
+        (reading + self.in_flight.body_bytes()) as u64
+    }
+
     /// Drops a client that closed its connection, and cancels its request.
     fn drop_client(&mut self, token: Token) {
         let Some(client) = self.clients.remove(&token) else {
@@ -109,7 +137,7 @@
             return;
         };
         match client.next_request(now, limits) {
-            Ok(None) => {}
+            Ok(None) => self.continue_reading(token),
             Ok(Some((request, received_at))) => self.route(token, request, received_at, now),
             Err(error) => {
                 client.keeps_alive = false;
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -128,7 +128,7 @@
             | Refusal::Undecided
             | Refusal::StateOutdated
             | Refusal::Stopping => Self::Unavailable,
-            Refusal::LinkFull => Self::Overloaded,
+            Refusal::LinkFull | Refusal::NoMemory => Self::Overloaded,
             _ => Self::Refused,
         }
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -12,7 +12,7 @@
 /// Delay before a client retries at another gateway because this one is stopping.
 const STOPPING_DELAY: Duration = Duration::from_millis(20);
 
-/// Delay before a client retries at another gateway because this one's link is full or its state is outdated. The
+/// Delay before a client retries at another gateway because this one's link or memory is full or its state is outdated. The
 /// links of other gateways most likely have capacity; where they don't, the requests ahead have been answered by
 /// then. Other gateways most likely know the newest state.
 const OTHER_GATEWAY_DELAY: Duration = Duration::from_millis(100);
@@ -74,6 +74,8 @@
     },
     /// Its deadline expired before it was sent.
     DeadlineExpired,
+    /// The requests that this gateway holds use all memory that they may.
+    NoMemory,
 }
 
 impl Refusal {
@@ -98,6 +100,7 @@
             Self::NotRun { .. } => "server did not run it",
             Self::BudgetSpent { .. } => "server did not run it, retry budget spent",
             Self::DeadlineExpired => "no time left",
+            Self::NoMemory => "no memory",
         }
     }
 
@@ -114,7 +117,7 @@
     fn delay(self, left: Option<Duration>) -> Duration {
         match (self, left) {
             (Self::Stopping, _) => STOPPING_DELAY,
-            (Self::LinkFull | Self::StateOutdated, Some(left)) => {
+            (Self::LinkFull | Self::StateOutdated | Self::NoMemory, Some(left)) => {
                 OTHER_GATEWAY_DELAY.min(left.mul_f64(RETRY_FRACTION))
             }
             // A client that can't wait that long may retry earlier: the key may have moved to another owner
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -291,7 +291,7 @@
                 return;
             };
             let has_body = request.message.method != "HEAD";
-            let limit = self.settings.response_memory();
+            let limit = self.settings.message_memory();
             let inbound = &mut upstream.connection.inbound;
             let mut taken = upstream.reader.take(inbound, has_body, limit);
             if matches!((&taken, &outcome), (Ok(None), Ok(ReadOutcome::Closed))) {
@@ -344,7 +344,7 @@
             return false;
         }
         let all = self.upstreams.iter().map(|(_, one)| held(one));
-        all.sum::<usize>() as u64 > self.settings.response_memory()
+        all.sum::<usize>() as u64 > self.settings.message_memory()
     }
 
     /// Handles a complete response.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -90,9 +90,10 @@
     256.0
 }
 
-/// Fraction of the memory that incomplete responses may hold together. Their buffers double when they grow, so they
-/// take up to twice as much; the rest is for the state, connections and complete responses.
-const RESPONSE_MEMORY_FRACTION: f64 = 0.2;
+/// Fraction of the memory that incomplete responses may hold together, and fraction for requests. Their buffers double
+/// when they grow, and a request is held a second time while it is sent, so they take up to twice as much; the rest is
+/// for the state, connections and complete responses.
+const MESSAGE_MEMORY_FRACTION: f64 = 0.2;
 
 fn default_descriptors() -> usize {
     4_096
@@ -168,9 +169,9 @@
         Duration::from_secs_f64(self.bounds.drain_s)
     }
 
-    /// Number of bytes that incomplete responses may hold together, and so the largest response.
-    pub fn response_memory(&self) -> u64 {
-        (self.memory_mb * RESPONSE_MEMORY_FRACTION * 1_048_576.0) as u64
+    /// Number of bytes that incomplete responses may hold together, and so the largest response; the same for requests.
+    pub fn message_memory(&self) -> u64 {
+        (self.memory_mb * MESSAGE_MEMORY_FRACTION * 1_048_576.0) as u64
     }
 
     /// Time between a shutdown request and the end of the process.
--- a/crates/reactor/src/http/request.rs
+++ b/crates/reactor/src/http/request.rs
@@ -93,6 +93,12 @@
         }))
     }
 
+    /// Number of bytes of an incomplete body that are held.
+    pub fn held_bytes(&self) -> usize {
+        let partial = self.partial.as_ref();
+        partial.map_or(0, |(_, body)| body.body.len())
+    }
+
     /// Whether a request was read in part.
     pub fn is_partial(&self) -> bool {
         self.partial.is_some()
