--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -20,6 +20,8 @@
     pub address: String,
     /// Size of its answers in bytes.
     answer_bytes: usize,
+    /// How long it works on a request.
+    pub work_ms: AtomicU64,
     sequence: AtomicU64,
     /// Ids of the requests that it ran, in order.
     pub runs: Mutex<Vec<String>>,
@@ -41,6 +43,7 @@
             service: service.to_owned(),
             address,
             answer_bytes,
+            work_ms: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             runs: Mutex::default(),
             run_times: Mutex::default(),
@@ -152,6 +155,7 @@
         deployment.record.note(&format!("server {id} of {service}: runs {request_id}: {line}"));
         self.runs.lock().unwrap().push(request_id.to_owned());
         self.run_times.lock().unwrap().push(Instant::now());
+        thread::sleep(Duration::from_millis(self.work_ms.load(Ordering::Relaxed)));
         let mut answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {request_id}\r\nServer-Signature: {id}.{request_id}\r\nContent-Length: {}\r\n\r\n",
             self.answer_bytes
