--- a/review/standins-2/src/cases/unread_answers.rs
+++ b/review/standins-2/src/cases/unread_answers.rs
@@ -18,7 +18,7 @@
 const ANSWER_BYTES: usize = 30 << 20;
 
 /// Bytes a second that a slow client reads, and how long it waits for its answer.
-const SLOW_BYTES: usize = 256 << 10;
+const SLOW_BYTES: usize = 640 << 10;
 const DEADLINE: Duration = Duration::from_secs(60);
 
 /// Clients with a large answer at each gateway at a time.
