A body is held once while it is sent, so that the largest of a configuration is served

What callers saw: with a max_body_bytes of 40 MiB at a gateway of 160 MiB, one body of 40 MiB less a byte, in calm, got 413 (or a reset connection), with a length and in chunks.

Cause: a body was copied into the output of the connection to its server, and its buffer doubled as it grew, so it cost up to four times its size; the limit in force was therefore 0.2 of memory_mb.

Change: the output of a connection holds a large body by reference (Outbound), for requests and responses; a body of known length gets a buffer of just that size, one in chunks grows by a quarter. A message is now up to 0.3 of memory_mb, which admits a quarter of the memory with room for its head. Bodies carry a charge to an account of memory, which nothing bounds yet.

--- a/crates/gateway/examples/fingerprint_cost.rs
+++ b/crates/gateway/examples/fingerprint_cost.rs
@@ -23,7 +23,7 @@
         method: "POST".to_owned(),
         target: "/orders/1234".to_owned(),
         fields,
-        body: vec![7; BODY_BYTES],
+        body: vec![7; BODY_BYTES].into(),
         keeps_alive: true,
     };
     let started = Instant::now();
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::MIN_TIME_LEFT;
 use crate::event_loop::{EventLoop, Timer};
 use crate::hop::{AnsweringGateway, HopOutcome};
-use crate::http_writer::{write_local_response, write_response, LocalResponse};
+use crate::http_writer::{queue_response, write_local_response, LocalResponse};
 use crate::in_flight::{InFlightId, InFlightRequest, InFlightState};
 use crate::refusal::Refusal;
 use crate::verdict::{may_retry, Verdict};
@@ -305,7 +305,7 @@
             zone: &self.settings.zone,
             attempts: request.attempts,
         });
-        write_response(client.connection.outbound(), response, closes, gateway);
+        queue_response(&mut client.connection, response, closes, gateway);
         self.finish_response(request.client, closes);
     }
 
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -84,7 +84,7 @@
 
     /// Number of received bytes that are held for requests which are not handled yet.
     pub fn held_bytes(&self) -> usize {
-        self.reader.held_bytes() + self.connection.inbound.len()
+        self.reader.charged_bytes() + self.connection.inbound.len()
     }
 
     /// Whether received bytes may contain another request that can be handled now.
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -15,7 +15,7 @@
 use crate::dispatch::MIN_TIME_LEFT;
 use crate::event_loop::{EventLoop, Timer};
 use crate::hop::{HopAnswer, HopOutcome, HopRequest};
-use crate::http_writer::write_forwarded_request;
+use crate::http_writer::queue_forwarded_request;
 use crate::in_flight::{InFlightId, InFlightState};
 use crate::peer_connections::PeerConnection;
 use crate::refusal::Refusal;
@@ -160,8 +160,8 @@
             only_if_heard: !self.reachability.is_lost(&request.service),
         };
         let left = request.expires.saturating_sub(now + ANSWER_MARGIN);
-        let out = connection.connection.outbound();
-        write_forwarded_request(out, &request.message, &names, left, &hop);
+        let out = &mut connection.connection;
+        queue_forwarded_request(out, &request.message, &names, left, &hop);
         let unsent = connection.connection.unsent();
         if connection.connection.flush().is_ok() {
             return;
--- a/crates/gateway/src/http_writer.rs
+++ b/crates/gateway/src/http_writer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use grebepin_reactor::http::{Request, Response};
+use grebepin_reactor::Connection;
 
 use crate::headers::HeaderNames;
 use crate::hop::{is_hop_field, write_answer_fields, AnsweringGateway, HopOutcome, HopRequest};
@@ -80,47 +81,62 @@
     let _ = write!(out, "Content-Length: 0\r\nConnection: {connection}\r\n\r\n");
 }
 
-/// Writes a server's response, without its hop-by-hop header fields. `gateway` is this one if the response goes to
+/// Queues a server's response, without its hop-by-hop header fields. `gateway` is this one if the response goes to
 /// another gateway.
-pub fn write_response(
-    out: &mut Vec<u8>,
+pub fn queue_response(
+    connection: &mut Connection,
     response: &Response,
     closes: bool,
     gateway: Option<AnsweringGateway<'_>>,
 ) {
+    let out = connection.outbound();
+    out.reserve(512);
     let reason = reason_phrase(response.status);
-    out.reserve(response.body.len() + 512);
     let _ = write!(out, "HTTP/1.1 {} {reason}\r\n", response.status);
     let fields = response.fields.end_to_end();
     write_fields(out, fields.filter(|(name, _)| !is_hop_field(name)));
     if let Some(gateway) = gateway {
         write_answer_fields(out, None, gateway);
     }
-    let connection = connection_value(closes);
+    let value = connection_value(closes);
     if response.status != 204 && response.status != 304 {
         let _ = write!(out, "Content-Length: {}\r\n", response.body.len());
     }
-    let _ = write!(out, "Connection: {connection}\r\n\r\n");
-    out.extend_from_slice(&response.body);
+    let _ = write!(out, "Connection: {value}\r\n\r\n");
+    connection.queue_body(&response.body);
 }
 
-/// Writes a request to a server. The deadline and the expected instance replace the client's own header
+/// Queues a request to a server. The deadline and the expected instance replace the client's own header
 /// fields of these names.
-pub fn write_request(
-    out: &mut Vec<u8>,
+pub fn queue_request(
+    connection: &mut Connection,
     request: &Request,
     names: &HeaderNames,
     time_left: Duration,
     instance: &str,
 ) {
+    let out = connection.outbound();
     write_head(out, request, names, time_left, |_| true);
     let _ = write!(out, "{}: {instance}\r\n", names.expected_instance);
-    write_body(out, request);
+    end_head(out, request);
+    connection.queue_body(&request.body);
 }
 
-/// Writes a request to another gateway. The deadline and the fields between gateways replace the client's own header
-/// fields of these names.
-pub fn write_forwarded_request(
+/// Queues a request to another gateway.
+pub fn queue_forwarded_request(
+    connection: &mut Connection,
+    request: &Request,
+    names: &HeaderNames,
+    time_left: Duration,
+    hop: &HopRequest,
+) {
+    write_forwarded_head(connection.outbound(), request, names, time_left, hop);
+    connection.queue_body(&request.body);
+}
+
+/// Writes the head of a request to another gateway. The deadline and the fields between gateways replace the client's
+/// own header fields of these names.
+pub fn write_forwarded_head(
     out: &mut Vec<u8>,
     request: &Request,
     names: &HeaderNames,
@@ -129,7 +145,7 @@
 ) {
     write_head(out, request, names, time_left, |name| !is_hop_field(name));
     hop.write(out);
-    write_body(out, request);
+    end_head(out, request);
 }
 
 /// Writes the request line, the client's fields that `is_kept` selects, and the deadline.
@@ -140,7 +156,7 @@
     time_left: Duration,
     is_kept: impl Fn(&str) -> bool,
 ) {
-    out.reserve(request.body.len() + 512);
+    out.reserve(512);
     let _ = write!(out, "{} {} HTTP/1.1\r\n", request.method, request.target);
     let own = |name: &str| {
         name.eq_ignore_ascii_case(names.deadline_ms)
@@ -152,13 +168,13 @@
     let _ = write!(out, "{}: {milliseconds}\r\n", names.deadline_ms);
 }
 
-fn write_body(out: &mut Vec<u8>, request: &Request) {
+/// Writes the length of the body, if there is one, and the end of the head.
+fn end_head(out: &mut Vec<u8>, request: &Request) {
     let has_body = !request.body.is_empty() || !matches!(request.method.as_str(), "GET" | "HEAD");
     if has_body {
         let _ = write!(out, "Content-Length: {}\r\n", request.body.len());
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&request.body);
 }
 
 fn write_fields<'a>(out: &mut Vec<u8>, fields: impl Iterator<Item = (&'a str, &'a [u8])>) {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -10,7 +10,7 @@
 
 use crate::crash_history::fingerprint;
 use crate::event_loop::{EventLoop, Timer};
-use crate::http_writer::write_request;
+use crate::http_writer::queue_request;
 use crate::in_flight::{InFlightId, InFlightState};
 use crate::reachability::ConnectFailure;
 use crate::refusal::Refusal;
@@ -168,8 +168,9 @@
             return;
         };
         let left = request.expires.saturating_sub(now);
-        let out = upstream.connection.outbound();
-        write_request(out, &request.message, &names, left, upstream.server.name());
+        let instance = upstream.server.name();
+        let out = &mut upstream.connection;
+        queue_request(out, &request.message, &names, left, instance);
         let unsent = upstream.connection.unsent();
         if upstream.connection.flush().is_ok() {
             return;
@@ -338,7 +339,7 @@
 
     /// Whether a response has grown while the incomplete responses together hold more than they may.
     fn is_over_memory(&self, token: Token) -> bool {
-        let held = |one: &Upstream| one.reader.held_bytes();
+        let held = |one: &Upstream| one.reader.charged_bytes();
         let grown = self.upstreams.get(token).map_or(0, held);
         if grown < LARGE_RESPONSE_BYTES {
             return false;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -90,10 +90,9 @@
     256.0
 }
 
-/// Fraction of the memory that incomplete responses may hold together, and fraction for requests. Their buffers double
-/// when they grow, and a request is held a second time while it is sent, so they take up to twice as much; the rest is
-/// for the state, connections and complete responses.
-const MESSAGE_MEMORY_FRACTION: f64 = 0.2;
+/// Fraction of the memory that incomplete responses may hold together, and fraction for requests, and so the largest body:
+/// configurations allow bodies of a quarter of it. The rest is for the state, connections and complete responses.
+const MESSAGE_MEMORY_FRACTION: f64 = 0.3;
 
 fn default_descriptors() -> usize {
     4_096
--- a/crates/gateway/tests/crash_history.rs
+++ b/crates/gateway/tests/crash_history.rs
@@ -22,7 +22,7 @@
         method: method.to_owned(),
         target: target.to_owned(),
         fields: list,
-        body: body.as_bytes().to_vec(),
+        body: body.as_bytes().to_vec().into(),
         keeps_alive: true,
     }
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use grebepin_gateway::hop::{is_hop_field, HopOutcome, HopRequest};
-use grebepin_gateway::http_writer::write_forwarded_request;
+use grebepin_gateway::http_writer::write_forwarded_head;
 use grebepin_gateway::peers::Peers;
 use grebepin_gateway::refusal::Refusal;
 use grebepin_reactor::http::{Fields, Request, RequestLimits, RequestReader};
@@ -178,7 +178,7 @@
         method: "GET".to_owned(),
         target: "/x".to_owned(),
         fields: all,
-        body: Vec::new(),
+        body: Vec::new().into(),
         keeps_alive: true,
     }
 }
@@ -186,7 +186,7 @@
 /// The request as the other gateway reads it.
 fn received(message: &Request, hop: &HopRequest) -> Request {
     let mut bytes = Vec::new();
-    write_forwarded_request(&mut bytes, message, &NAMES, ms(500), hop);
+    write_forwarded_head(&mut bytes, message, &NAMES, ms(500), hop);
     let limits = RequestLimits {
         head_bytes: 4_096,
         body_bytes: 0,
--- a/crates/gateway/tests/statement.rs
+++ b/crates/gateway/tests/statement.rs
@@ -18,7 +18,7 @@
     let response = Response {
         status,
         fields: list,
-        body: Vec::new(),
+        body: Vec::new().into(),
         keeps_alive: true,
     };
     ServerStatement::of(&response, &NAMES)
--- a/crates/gateway/tests/verdict.rs
+++ b/crates/gateway/tests/verdict.rs
@@ -17,7 +17,7 @@
     Response {
         status,
         fields: list,
-        body: Vec::new(),
+        body: Vec::new().into(),
         keeps_alive: true,
     }
 }
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -1,6 +1,6 @@
 //! A non-blocking TCP connection with its buffers, registered for edge-triggered events.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Read};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -8,6 +8,10 @@
 use mio::{Interest, Registry, Token};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
+use crate::http::Body;
+use crate::memory::{MemoryAccount, MemoryCharge};
+use crate::outbound::Outbound;
+
 /// Bytes that are requested in one read.
 const READ_BYTES: usize = 16 << 10;
 
@@ -32,8 +36,9 @@
     stream: TcpStream,
     /// Received bytes that were not consumed yet.
     pub inbound: Vec<u8>,
-    outbound: Vec<u8>,
-    sent: usize,
+    outbound: Outbound,
+    /// Capacity of the buffers.
+    charge: MemoryCharge,
     /// Whether an event has reported that the peer closed its side.
     read_closed: bool,
 }
@@ -49,12 +54,22 @@
         Ok(Self {
             stream,
             inbound: Vec::new(),
-            outbound: Vec::new(),
-            sent: 0,
+            outbound: Outbound::default(),
+            charge: MemoryCharge::default(),
             read_closed: false,
         })
     }
 
+    /// Charges the connection's buffers to an account.
+    pub fn charge_to(&mut self, account: &MemoryAccount) {
+        self.charge = MemoryCharge::new(account.clone());
+        self.update_charge();
+    }
+
+    fn update_charge(&mut self) {
+        self.charge.set(self.held_bytes());
+    }
+
     /// Starts to connect, from the address `source` if it is given, and registers the connection under
     /// `token`.
     ///
@@ -109,6 +124,12 @@
     /// # Errors
     /// The connection was reset or timed out.
     pub fn fill(&mut self, limit: usize) -> io::Result<ReadOutcome> {
+        let outcome = self.read(limit);
+        self.update_charge();
+        outcome
+    }
+
+    fn read(&mut self, limit: usize) -> io::Result<ReadOutcome> {
         // Reads into a buffer on the stack, so that the connection's own buffer grows only by what was
         // received.
         let mut bytes = [0; READ_BYTES];
@@ -142,29 +163,33 @@
         if self.inbound.is_empty() && self.inbound.capacity() > KEPT_CAPACITY {
             self.inbound = Vec::new();
         }
-        if self.outbound.is_empty() && self.outbound.capacity() > KEPT_CAPACITY {
-            self.outbound = Vec::new();
-        }
+        self.outbound.trim(KEPT_CAPACITY);
+        self.update_charge();
     }
 
-    /// Capacity of both buffers in bytes.
+    /// Capacity of both buffers in bytes, without large bodies that are being sent.
     pub fn held_bytes(&self) -> usize {
         self.inbound.capacity() + self.outbound.capacity()
     }
 
     /// Appends bytes to the output; [`Connection::flush`] sends them.
     pub fn queue(&mut self, bytes: &[u8]) {
-        self.outbound.extend_from_slice(bytes);
+        self.outbound.buffer().extend_from_slice(bytes);
+    }
+
+    /// Appends a body to the output. A large one is not copied.
+    pub fn queue_body(&mut self, body: &Body) {
+        self.outbound.push_body(body);
     }
 
     /// The output buffer, for writing in place.
     pub fn outbound(&mut self) -> &mut Vec<u8> {
-        &mut self.outbound
+        self.outbound.buffer()
     }
 
     /// Bytes of output that were not yet written to the socket.
     pub fn unsent(&self) -> usize {
-        self.outbound.len() - self.sent
+        self.outbound.unsent()
     }
 
     /// Writes as much output as the socket accepts; returns whether all of it was written.
@@ -172,19 +197,9 @@
     /// # Errors
     /// The connection was reset or timed out.
     pub fn flush(&mut self) -> io::Result<bool> {
-        while self.sent < self.outbound.len() {
-            match self.stream.write(&self.outbound[self.sent..]) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => self.sent += count,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
-                Err(error) if error.kind() == ErrorKind::NotConnected => return Ok(false),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
-            }
-        }
-        self.outbound.clear();
-        self.sent = 0;
-        Ok(true)
+        let outcome = self.outbound.write_to(&mut self.stream);
+        self.update_charge();
+        outcome
     }
 
     /// Shuts the sending side down, so that the peer sees an orderly end after the bytes that were sent.
--- a/crates/reactor/src/http/body.rs
+++ b/crates/reactor/src/http/body.rs
@@ -1,4 +1,10 @@
 //! Message bodies: with a length, chunked, or delimited by the end of the connection.
+//!
+//! Invariant: a body is charged as soon as its length is known, before its bytes come, so that one that begins is not
+//! ended later for those that began after it.
+
+use super::message_body::Body;
+use crate::memory::MemoryCharge;
 
 /// Longest line of a chunk size or a trailer.
 const MAX_LINE_BYTES: usize = 4_096;
@@ -7,6 +13,11 @@
 /// for ever.
 const MAX_TRAILER_BYTES: usize = 64 << 10;
 
+/// Bytes by which the buffer of a body of unknown length grows at least, and the fraction of its length by which it grows
+/// otherwise. A buffer that doubled would take up to twice the body.
+const MIN_GROWTH_BYTES: usize = 1 << 10;
+const GROWTH_DIVISOR: usize = 4;
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -46,31 +57,57 @@
     limit: u64,
     trailer_bytes: usize,
     /// The part of the body that was read so far.
-    pub body: Vec<u8>,
+    body: Vec<u8>,
+    /// The memory that the message takes: its head, and its body, with the part that has not come if the length is known.
+    charge: MemoryCharge,
+    head_bytes: usize,
 }
 
 impl BodyReader {
-    /// Creates a reader of a body of at most `limit` bytes.
-    pub fn new(framing: Framing, limit: u64) -> Self {
+    /// Creates a reader of a body of at most `limit` bytes. The message, whose head takes `head_bytes`, is charged to
+    /// `charge`.
+    pub fn new(framing: Framing, limit: u64, charge: MemoryCharge, head_bytes: usize) -> Self {
         Self {
             framing,
             chunk: Chunk::Size,
             limit,
             trailer_bytes: 0,
             body: Vec::new(),
+            charge,
+            head_bytes,
         }
     }
 
+    /// The body that was read.
+    pub fn finish(self) -> Body {
+        Body::new(self.body, self.charge)
+    }
+
+    /// Bytes that are charged for the message.
+    pub fn charged_bytes(&self) -> usize {
+        self.charge.bytes()
+    }
+
     /// Consumes the bytes in the buffer that belong to the body; returns whether the body is complete.
     ///
     /// # Errors
     /// The body is too long or malformed; the connection is unusable.
     pub fn take(&mut self, buffer: &mut Vec<u8>) -> Result<bool, BodyError> {
+        let is_complete = self.take_bytes(buffer);
+        self.charge.set(self.head_bytes + self.body.capacity());
+        is_complete
+    }
+
+    fn take_bytes(&mut self, buffer: &mut Vec<u8>) -> Result<bool, BodyError> {
         match self.framing {
             Framing::Length(length) if length > self.limit => Err(BodyError::TooLong),
             Framing::Length(length) => Ok(self.take_up_to(length, buffer)),
             Framing::UntilClose => {
-                self.body.append(buffer);
+                match self.body.is_empty() {
+                    true => self.body = std::mem::take(buffer),
+                    false => self.append(buffer),
+                }
+                buffer.clear();
                 self.check_length()?;
                 Ok(false)
             }
@@ -93,14 +130,26 @@
     fn take_up_to(&mut self, length: u64, buffer: &mut Vec<u8>) -> bool {
         let missing = length - self.body.len() as u64;
         let count = missing.min(buffer.len() as u64) as usize;
-        if self.body.is_empty() && count == buffer.len() {
+        if count as u64 == length && count == buffer.len() {
             self.body = std::mem::take(buffer);
         } else {
+            // The system provides memory only for the part that has been written.
+            self.body.reserve_exact(missing as usize);
             self.body.extend(buffer.drain(..count));
         }
         self.body.len() as u64 == length
     }
 
+    /// Appends bytes to a body of unknown length.
+    fn append(&mut self, bytes: &[u8]) {
+        let needed = self.body.len() + bytes.len();
+        if needed > self.body.capacity() {
+            let growth = MIN_GROWTH_BYTES.max(self.body.len() / GROWTH_DIVISOR);
+            self.body.reserve_exact(bytes.len().max(growth));
+        }
+        self.body.extend_from_slice(bytes);
+    }
+
     fn take_chunks(&mut self, buffer: &mut Vec<u8>) -> Result<bool, BodyError> {
         let mut used = 0;
         let result = self.take_chunks_from(buffer, &mut used);
@@ -126,7 +175,7 @@
                         return Ok(false);
                     }
                     let count = size.min(rest.len() as u64) as usize;
-                    self.body.extend_from_slice(&rest[..count]);
+                    self.append(&rest[..count]);
                     self.check_length()?;
                     *used += count;
                     self.chunk = match size - count as u64 {
--- a/crates/reactor/src/http/mod.rs
+++ b/crates/reactor/src/http/mod.rs
@@ -6,10 +6,12 @@
 
 mod body;
 mod fields;
+mod message_body;
 mod request;
 mod response;
 
 pub use body::{BodyError, BodyReader, Framing};
 pub use fields::{is_connection_field, Fields};
+pub use message_body::Body;
 pub use request::{BadRequest, Request, RequestLimits, RequestReader};
 pub use response::{BadResponse, Response, ResponseReader, MAX_RESPONSE_HEAD_BYTES};
--- a/crates/reactor/src/http/request.rs
+++ b/crates/reactor/src/http/request.rs
@@ -2,6 +2,8 @@
 
 use super::body::{BodyError, BodyReader, Framing};
 use super::fields::{Fields, MAX_FIELDS};
+use super::message_body::Body;
+use crate::memory::{MemoryAccount, MemoryCharge};
 
 /// Limits on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,7 +24,7 @@
     /// Header fields of the request.
     pub fields: Fields,
     /// Body without its transfer coding.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// Whether the client keeps the connection open for another request.
     pub keeps_alive: bool,
 }
@@ -65,9 +67,18 @@
 pub struct RequestReader {
     partial: Option<(Request, BodyReader)>,
     continue_reported: bool,
+    account: MemoryAccount,
 }
 
 impl RequestReader {
+    /// A reader whose requests are charged to an account, until they are dropped.
+    pub fn new(account: MemoryAccount) -> Self {
+        Self {
+            account,
+            ..Self::default()
+        }
+    }
+
     /// Removes the next complete request from the buffer; `None` while it is incomplete.
     ///
     /// # Errors
@@ -78,7 +89,7 @@
         limits: RequestLimits,
     ) -> Result<Option<Request>, BadRequest> {
         if self.partial.is_none() {
-            self.partial = take_head(buffer, limits)?;
+            self.partial = take_head(buffer, limits, &self.account)?;
         }
         let Some((_, body)) = &mut self.partial else {
             return Ok(None);
@@ -88,15 +99,15 @@
         }
         self.continue_reported = false;
         Ok(self.partial.take().map(|(mut request, body)| {
-            request.body = body.body;
+            request.body = body.finish();
             request
         }))
     }
 
-    /// Number of bytes of an incomplete body that are held.
-    pub fn held_bytes(&self) -> usize {
+    /// Bytes that are charged for an incomplete request, with the part that has not come if its length is known.
+    pub fn charged_bytes(&self) -> usize {
         let partial = self.partial.as_ref();
-        partial.map_or(0, |(_, body)| body.body.len())
+        partial.map_or(0, |(_, body)| body.charged_bytes())
     }
 
     /// Whether a request was read in part.
@@ -117,6 +128,7 @@
 fn take_head(
     buffer: &mut Vec<u8>,
     limits: RequestLimits,
+    account: &MemoryAccount,
 ) -> Result<Option<(Request, BodyReader)>, BadRequest> {
     if buffer.is_empty() {
         return Ok(None);
@@ -144,11 +156,13 @@
         method: parsed.method.unwrap_or_default().to_owned(),
         target: parsed.path.unwrap_or_default().to_owned(),
         fields,
-        body: Vec::new(),
+        body: Body::default(),
         keeps_alive,
     };
     buffer.drain(..length);
-    Ok(Some((request, BodyReader::new(framing, limits.body_bytes))))
+    let charge = MemoryCharge::new(account.clone());
+    let body = BodyReader::new(framing, limits.body_bytes, charge, length);
+    Ok(Some((request, body)))
 }
 
 fn framing(fields: &Fields) -> Result<Framing, BadRequest> {
--- a/crates/reactor/src/http/response.rs
+++ b/crates/reactor/src/http/response.rs
@@ -2,7 +2,9 @@
 
 use super::body::{BodyError, BodyReader, Framing};
 use super::fields::{Fields, MAX_FIELDS};
+use super::message_body::Body;
 use super::request::stated_length;
+use crate::memory::{MemoryAccount, MemoryCharge};
 
 /// Largest head of a response in bytes. A head without an end is rejected once more bytes than that are buffered.
 pub const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
@@ -19,7 +21,7 @@
     /// Header fields of the response.
     pub fields: Fields,
     /// Body without its transfer coding.
-    pub body: Vec<u8>,
+    pub body: Body,
     /// Whether the server keeps the connection open for another request.
     pub keeps_alive: bool,
 }
@@ -50,9 +52,18 @@
     partial: Option<(Response, BodyReader)>,
     /// Number of interim responses since the last response.
     interim: u32,
+    account: MemoryAccount,
 }
 
 impl ResponseReader {
+    /// A reader whose responses are charged to an account, until they are dropped.
+    pub fn new(account: MemoryAccount) -> Self {
+        Self {
+            account,
+            ..Self::default()
+        }
+    }
+
     /// Removes the next complete response from the buffer; `None` while it is incomplete. `has_body` is false
     /// for the response to a request whose method has none.
     ///
@@ -65,7 +76,7 @@
         limit: u64,
     ) -> Result<Option<Response>, BadResponse> {
         while self.partial.is_none() {
-            match take_head(buffer, has_body, limit)? {
+            match take_head(buffer, has_body, limit, &self.account)? {
                 None => return Ok(None),
                 // An interim response says nothing about the outcome of the request.
                 Some((head, _)) if (100..200).contains(&head.status) => {
@@ -100,10 +111,10 @@
         }
     }
 
-    /// Number of bytes of an incomplete body that are held.
-    pub fn held_bytes(&self) -> usize {
+    /// Bytes that are charged for an incomplete response, with the part that has not come if its length is known.
+    pub fn charged_bytes(&self) -> usize {
         let partial = self.partial.as_ref();
-        partial.map_or(0, |(_, body)| body.body.len())
+        partial.map_or(0, |(_, body)| body.charged_bytes())
     }
 
     /// Whether the head of a response was read and its body is incomplete.
@@ -117,7 +128,7 @@
             if body.ends_with_connection() {
                 response.keeps_alive = false;
             }
-            response.body = body.body;
+            response.body = body.finish();
             response
         })
     }
@@ -127,6 +138,7 @@
     buffer: &mut Vec<u8>,
     has_body: bool,
     limit: u64,
+    account: &MemoryAccount,
 ) -> Result<Option<(Response, BodyReader)>, BadResponse> {
     if buffer.is_empty() {
         return Ok(None);
@@ -155,11 +167,15 @@
     let response = Response {
         status: code,
         fields,
-        body: Vec::new(),
+        body: Body::default(),
         keeps_alive,
     };
     buffer.drain(..length);
-    Ok(Some((response, BodyReader::new(framing, limit))))
+    let charge = MemoryCharge::new(account.clone());
+    Ok(Some((
+        response,
+        BodyReader::new(framing, limit, charge, length),
+    )))
 }
 
 fn framing(fields: &Fields) -> Result<Framing, BadResponse> {
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -10,6 +10,8 @@
 mod deadlines;
 mod frames;
 pub mod http;
+mod memory;
+mod outbound;
 mod poll_history;
 mod text_server;
 
@@ -18,5 +20,6 @@
 pub use connection::{Connection, ReadOutcome};
 pub use deadlines::Deadlines;
 pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAX_FRAME_BYTES};
+pub use memory::{MemoryAccount, MemoryCharge};
 pub use poll_history::PollHistory;
 pub use text_server::{TextResponse, TextServer};
--- a/crates/reactor/tests/http.rs
+++ b/crates/reactor/tests/http.rs
@@ -141,7 +141,7 @@
             buffer.extend_from_slice(piece);
             rest = later;
             while let Some(request) = reader.take(&mut buffer, LIMITS).expect("well formed") {
-                seen.push((request.target, request.body));
+                seen.push((request.target, request.body.to_vec()));
             }
         }
         let wanted: Vec<(String, Vec<u8>)> = vec![
