A rejection reaches a client that is still sending

What callers saw: a client whose body of 3 MiB is over the limit of 1 MiB got no 413 in ten of ten tries, but a reset connection, which promises nothing; the same holds for a 503 to a request that is not read to its end.

Cause: the connection was closed as soon as the response was written. Closing a socket with unread bytes resets it, and the reset makes the client's system drop the response that it has not read yet.

Change: a connection that is closed before its request was read to the end is shut down for sending, and what still comes is dropped until the client closes, for two seconds at most, 256 KiB in a turn of the event loop. Nothing of it is held. Connections on which nothing is unread are closed at once, as before.

--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -401,7 +401,7 @@
         client.request = None;
         client.closing = closes;
         client.idle_since = now;
-        let open = client.flush();
+        let open = client.flush(now);
         client.connection.trim();
         match (open, client.has_input()) {
             (true, true) => _ = self.unfinished.insert(token),
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -130,13 +130,20 @@
         self.request.is_none() && self.request_started.is_none() && self.connection.unsent() == 0
     }
 
+    /// Ends the output; returns whether the connection is kept to drop the rest of a request that was not read.
+    fn begin_close(&mut self, now: Duration) -> bool {
+        let is_unread =
+            self.has_unread || self.reader.is_partial() || !self.connection.inbound.is_empty();
+        self.reader.abandon();
+        self.request_started = None;
+        self.connection.begin_close(now);
+        is_unread && !self.connection.is_read_closed()
+    }
+
     /// Sends buffered output; returns whether the connection is still usable.
-    pub fn flush(&mut self) -> bool {
+    pub fn flush(&mut self, now: Duration) -> bool {
         match self.connection.flush() {
-            Ok(true) if self.closing => {
-                self.connection.shut_down_write();
-                false
-            }
+            Ok(true) if self.closing => self.begin_close(now),
             Ok(_) => true,
             Err(_) => false,
         }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -4,6 +4,7 @@
 
 use grebepin_catalog::{shard_of_key, NamedRoute, Route};
 use grebepin_reactor::http::{BadRequest, Request};
+use grebepin_reactor::ReadOutcome;
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
@@ -80,20 +81,34 @@
 impl EventLoop {
     /// Handles an event on a client connection.
     pub(crate) fn on_client(&mut self, token: Token) {
+        let now = self.now();
         let limits = self.request_limits();
         let Some(client) = self.clients.get_mut(&token) else {
             return;
         };
+        if client.connection.is_closing() {
+            return self.discard_input(now, token);
+        }
         if let Some(since) = self.standstill.waiting_since() {
             client.note_waiting(since);
         }
-        let open = client.fill(limits.head_bytes) && client.flush();
+        let open = client.fill(limits.head_bytes) && client.flush(now);
         if !open {
             return self.drop_client(token);
         }
         self.handle_next_request(token);
     }
 
+    /// Drops what a client still sends whose connection is being closed.
+    fn discard_input(&mut self, now: Duration, token: Token) {
+        let client = self.clients.get_mut(&token);
+        match client.map(|client| client.connection.discard_input(now)) {
+            Some(ReadOutcome::Full) => _ = self.unfinished.insert(token),
+            Some(ReadOutcome::Open) => {}
+            Some(ReadOutcome::Closed) | None => self.drop_client(token),
+        }
+    }
+
     /// Handles a request of which more bytes are to come: it is refused if the requests that are held use too much
     /// memory.
     fn continue_reading(&mut self, token: Token) {
--- a/crates/gateway/src/housekeeping.rs
+++ b/crates/gateway/src/housekeeping.rs
@@ -87,7 +87,7 @@
                 && client
                     .request_started
                     .is_some_and(|started| now > started + header * 4);
-            !is_expired && !stalled
+            !is_expired && !stalled && !client.connection.is_close_due(now)
         });
         self.readiness_server.close_idle(now);
         if let Some(metrics) = &mut self.metrics_server {
--- a/crates/reactor/src/connection.rs
+++ b/crates/reactor/src/connection.rs
@@ -19,6 +19,13 @@
 /// has some hundred connections and a replica more than a thousand, most of them idle.
 const KEPT_CAPACITY: usize = 1 << 10;
 
+/// Longest time for which the input of a connection is dropped that is being closed: enough for a peer that writes a
+/// whole request before it reads, and no more, since a peer may send without end.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
+
+/// Bytes of input that are dropped at once.
+const DISCARDED_BYTES: usize = 256 << 10;
+
 /// Result of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -39,6 +46,8 @@
     outbound: Outbound,
     /// Capacity of the buffers.
     charge: MemoryCharge,
+    /// When the connection is closed whatever the peer still sends.
+    closes_at: Option<Duration>,
     /// Whether an event has reported that the peer closed its side.
     read_closed: bool,
 }
@@ -56,6 +65,7 @@
             inbound: Vec::new(),
             outbound: Outbound::default(),
             charge: MemoryCharge::default(),
+            closes_at: None,
             read_closed: false,
         })
     }
@@ -129,6 +139,37 @@
         outcome
     }
 
+    /// Ends the output, of which everything was sent. What the peer still sends is dropped for some time by
+    /// [`Connection::discard_input`], since closing a connection with unread bytes resets it, and a reset destroys a
+    /// response that the peer has not read.
+    pub fn begin_close(&mut self, now: Duration) {
+        self.shut_down_write();
+        self.inbound = Vec::new();
+        self.closes_at.get_or_insert(now + CLOSE_TIME);
+        self.trim();
+    }
+
+    /// Whether [`Connection::begin_close`] was called.
+    pub fn is_closing(&self) -> bool {
+        self.closes_at.is_some()
+    }
+
+    /// Whether the time for which input is dropped is over.
+    pub fn is_close_due(&self, now: Duration) -> bool {
+        self.closes_at.is_some_and(|at| now >= at)
+    }
+
+    /// Drops input of a connection that is being closed, a part of it if there is much. The connection can be dropped
+    /// once it is closed or has failed.
+    pub fn discard_input(&mut self, now: Duration) -> ReadOutcome {
+        if self.is_close_due(now) {
+            return ReadOutcome::Closed;
+        }
+        let outcome = self.read(DISCARDED_BYTES);
+        self.inbound = Vec::new();
+        outcome.unwrap_or(ReadOutcome::Closed)
+    }
+
     fn read(&mut self, limit: usize) -> io::Result<ReadOutcome> {
         // Reads into a buffer on the stack, so that the connection's own buffer grows only by what was
         // received.
--- a/crates/reactor/src/http/request.rs
+++ b/crates/reactor/src/http/request.rs
@@ -110,6 +110,11 @@
         partial.map_or(0, |(_, body)| body.charged_bytes())
     }
 
+    /// Drops a request that was read in part.
+    pub fn abandon(&mut self) {
+        self.partial = None;
+    }
+
     /// Whether a request was read in part.
     pub fn is_partial(&self) -> bool {
         self.partial.is_some()
