Requests of any size and number share a bound on memory, and those that stand still give way

What callers saw: a gateway's memory grew by what clients sent, at no cost to them, until the process ended with all requests on it: with 64 MiB, 400 bodies of 256 KiB less a byte took 143 MB (132 MB at the port of other gateways), 600 pieces of 120 KiB 160 MB, 240 KiB in chunks 203 MB, 400 whole bodies before slow servers 86 MB, 400 pipelines of 240 KiB 109 MB. Where the bound did hold, bodies that stood still kept all others from sending a large one (503 to each of 40 tries).

Cause: only requests of 256 KiB or more counted, by their lengths and not by what their buffers took; pipelined requests were read ahead up to 256 KiB on each connection; and a request that was refused was the one that grew, not the one that stood still. The sum over all connections was made at each read, whose cost is the square of a crowd.

Change: one account of what is held for requests, charged where a buffer grows and given back when it is dropped (reactor::MemoryAccount). A body of known length is charged with it as soon as its head is read, so that one that can't be received is refused before it is sent and one that was begun is not ended later. What does not fit is refused as not run with a short Retry-After; before that, incomplete requests without a byte for half a second are ended, the longest first. 16 KiB are read ahead on a connection.

Event 255 tells what was ended.

Weighed: refusing the largest, or the request that grows (as before): either ends bodies of ordinary clients that are nearly complete for others that will never end. Passing bodies on while they are read would need less memory, but a retry needs the whole body.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -4,13 +4,18 @@
 use std::time::Duration;
 
 use grebepin_reactor::http::{BadRequest, Request, RequestLimits, RequestReader};
-use grebepin_reactor::{Connection, ReadOutcome};
+use grebepin_reactor::{Connection, PeerMemory, ReadOutcome};
 use mio::Token;
 
+use crate::held_memory::HeldMemory;
 use crate::in_flight::InFlightId;
 
-/// Bytes that are buffered of pipelined requests while an earlier request is in flight.
-const BUFFER_LIMIT: usize = 256 << 10;
+/// Bytes that are read ahead of requests, which may be pipelined: a head of the usual limit, or more if the configuration
+/// allows longer ones.
+const READ_AHEAD_BYTES: usize = 16 << 10;
+
+/// Bytes of a body that are read in one turn of the event loop.
+const BODY_READ_BYTES: usize = 256 << 10;
 
 /// Unsent bytes of responses above which no further request of the connection is handled, so that a client that
 /// does not read its responses holds a bounded amount of memory.
@@ -37,14 +42,23 @@
     pub is_peer: bool,
     /// When the last response was sent, or the connection was accepted.
     pub idle_since: Duration,
+    /// When bytes were last received or sent.
+    progressed_at: Duration,
 }
 
 impl Client {
     /// A connection that was accepted at `now`, from another gateway if `is_peer` is true.
-    pub fn new(connection: Connection, now: Duration, is_peer: bool) -> Self {
+    pub fn new(
+        mut connection: Connection,
+        now: Duration,
+        is_peer: bool,
+        memory: &HeldMemory,
+    ) -> Self {
+        connection.charge_to(&memory.requests);
         Self {
             connection,
-            reader: RequestReader::default(),
+            reader: RequestReader::new(memory.requests.clone()),
+            progressed_at: now,
             request: None,
             keeps_alive: true,
             closing: false,
@@ -63,12 +77,17 @@
 
     /// Reads available bytes, a part of them if there are many; returns whether the connection is still open. More than
     /// the largest head is read, so that a head beyond its limit is recognised.
-    pub fn fill(&mut self, head_limit: usize) -> bool {
-        let limit = match self.request {
-            Some(_) => BUFFER_LIMIT,
-            None => BUFFER_LIMIT.max(head_limit + 1),
+    pub fn fill(&mut self, now: Duration, head_limit: usize) -> bool {
+        let limit = match (self.request, self.reader.is_partial()) {
+            (Some(_), _) => READ_AHEAD_BYTES,
+            (None, true) => BODY_READ_BYTES,
+            (None, false) => READ_AHEAD_BYTES.max(head_limit + 1),
         };
+        let received = self.connection.inbound.len();
         let outcome = self.connection.fill(limit);
+        if self.connection.inbound.len() > received {
+            self.progressed_at = now;
+        }
         self.has_unread = matches!(outcome, Ok(ReadOutcome::Full));
         if self.connection.inbound.is_empty() {
             self.waiting_since = None;
@@ -82,9 +101,18 @@
         self.has_unread && self.request.is_none() && !self.closing && !is_blocked
     }
 
-    /// Number of received bytes that are held for requests which are not handled yet.
-    pub fn held_bytes(&self) -> usize {
-        self.reader.charged_bytes() + self.connection.inbound.len()
+    /// Memory that the connection takes, without a request in flight.
+    pub fn memory(&self) -> PeerMemory {
+        PeerMemory {
+            stalled_since: self.is_reading_request().then_some(self.progressed_at),
+            held_bytes: self.reader.charged_bytes() + self.connection.held_bytes(),
+        }
+    }
+
+    /// Whether a request was received in part.
+    pub fn is_reading_request(&self) -> bool {
+        let has_begun = self.reader.is_partial() || !self.connection.inbound.is_empty();
+        self.request.is_none() && !self.closing && has_begun
     }
 
     /// Whether received bytes may contain another request that can be handled now.
@@ -115,6 +143,7 @@
             let _ = self.connection.flush();
         }
         let Some(request) = request else {
+            self.connection.trim();
             return Ok(None);
         };
         if self.connection.inbound.is_empty() {
@@ -142,7 +171,12 @@
 
     /// Sends buffered output; returns whether the connection is still usable.
     pub fn flush(&mut self, now: Duration) -> bool {
-        match self.connection.flush() {
+        let unsent = self.connection.unsent();
+        let outcome = self.connection.flush();
+        if self.connection.unsent() < unsent {
+            self.progressed_at = now;
+        }
+        match outcome {
             Ok(true) if self.closing => self.begin_close(now),
             Ok(_) => true,
             Err(_) => false,
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -199,7 +199,7 @@
     }
 
     fn read_from_peer(&mut self, token: Token) {
-        let limit = self.settings.message_memory();
+        let limit = self.settings.memory_bounds().message as u64;
         loop {
             let Some(connection) = self.peer_connections.get_mut(token) else {
                 return;
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, SystemTime};
 
 use grebepin_reactor::http::RequestLimits;
-use grebepin_reactor::{Clock, Connection, Deadlines, StallDetector, TextServer};
+use grebepin_reactor::{Clock, Connection, Deadlines, StallDetector, StallSearch, TextServer};
 use grebepin_telemetry::{event, Event, GatewayMetrics, Metrics};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
@@ -24,6 +24,7 @@
 use crate::evacuations::Evacuations;
 use crate::follow::DirectoryClient;
 use crate::headers::HeaderNames;
+use crate::held_memory::HeldMemory;
 use crate::housekeeping::{modified_at, SETTINGS_CHECK_INTERVAL};
 use crate::in_flight::{InFlightId, InFlightRequests};
 use crate::leaving::LeavingServers;
@@ -114,6 +115,8 @@
     pub(crate) standstill: Standstill,
     pub(crate) next_token: usize,
     pub(crate) clients: Clients,
+    pub(crate) held_memory: HeldMemory,
+    pub(crate) stall_search: StallSearch,
     pub(crate) upstreams: Upstreams,
     pub(crate) peers: Peers,
     pub(crate) peer_connections: PeerConnections,
@@ -227,6 +230,8 @@
             standstill: Standstill::default(),
             next_token: FIRST_CONNECTION,
             clients: Clients::new(),
+            held_memory: HeldMemory::default(),
+            stall_search: StallSearch::default(),
             upstreams: Upstreams::default(),
             peers,
             peer_connections: PeerConnections::default(),
@@ -413,7 +418,7 @@
         let now = self.now();
         let token = self.allocate_token();
         if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
-            let mut client = Client::new(connection, now, is_peer);
+            let mut client = Client::new(connection, now, is_peer, &self.held_memory);
             if let Some(since) = self.standstill.waiting_since() {
                 client.note_waiting(since);
             }
@@ -432,7 +437,7 @@
     }
 
     pub(crate) fn request_limits(&self) -> RequestLimits {
-        let memory = self.settings.message_memory();
+        let memory = self.settings.memory_bounds().message as u64;
         match self.table.limits() {
             Some(limits) => RequestLimits {
                 head_bytes: limits.header_bytes.min(MAX_HEAD_BYTES) as usize,
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -18,10 +18,6 @@
 use crate::refusal::Refusal;
 use crate::stopping::Stopping;
 
-/// Size from which an incomplete request counts towards the memory of all. Smaller ones are bounded by the number of
-/// connections.
-const LARGE_REQUEST_BYTES: usize = 256 << 10;
-
 /// A request that was read and is not yet admitted.
 struct IncomingRequest {
     /// Connection of the client.
@@ -92,7 +88,7 @@
         if let Some(since) = self.standstill.waiting_since() {
             client.note_waiting(since);
         }
-        let open = client.fill(limits.head_bytes) && client.flush(now);
+        let open = client.fill(now, limits.head_bytes) && client.flush(now);
         if !open {
             return self.drop_client(token);
         }
@@ -115,26 +111,17 @@
         let Some(client) = self.clients.get(&token) else {
             return;
         };
-        let is_large = client.held_bytes() >= LARGE_REQUEST_BYTES;
-        if is_large && self.held_request_bytes() > self.settings.message_memory() {
-            let refusal = Refusal::NoMemory;
-            event!(Event::RequestRefused, reason = refusal.reason());
-            let response = LocalResponse::not_run(refusal.retry_after(None));
-            return self.respond(token, response.closing(), "");
+        if client.is_reading_request() && !self.has_memory_for_request(client.memory().held_bytes) {
+            return self.refuse_incomplete(token);
         }
-        if client.awaits_reading() {
+        let client = self.clients.get(&token);
+        if client.is_some_and(Client::awaits_reading) {
             self.unfinished.insert(token);
         }
     }
 
-    /// Number of bytes that are held of all requests, complete or not.
-    fn held_request_bytes(&self) -> u64 {
-        let reading: usize = self.clients.values().map(Client::held_bytes).sum();
-        (reading + self.in_flight.body_bytes()) as u64
-    }
-
-    /// Drops a client that closed its connection, and cancels its request.
-    fn drop_client(&mut self, token: Token) {
+    /// Drops a client whose connection is closed, and cancels its request.
+    pub(crate) fn drop_client(&mut self, token: Token) {
         let Some(client) = self.clients.remove(&token) else {
             return;
         };
@@ -190,6 +177,9 @@
                 return self.respond(token, LocalResponse::status(400).closing(), "");
             }
         }
+        if !self.has_memory_for_request(incoming.request.body.charged_bytes()) {
+            return self.reject(&incoming, Refusal::NoMemory);
+        }
         if !self.table.is_configured() {
             return self.reject(&incoming, Refusal::Unconfigured);
         }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -147,12 +147,6 @@
         self.requests.remove(&id)
     }
 
-    /// Number of bytes of all bodies.
-    pub fn body_bytes(&self) -> usize {
-        let requests = self.requests.values();
-        requests.map(|request| request.message.body.len()).sum()
-    }
-
     pub fn len(&self) -> usize {
         self.requests.len()
     }
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -26,8 +26,8 @@
 /// Connections that may fail for one request before it is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
-/// Size in bytes from which an incomplete response counts towards the memory of all. Smaller ones are bounded by the
-/// number of connections.
+/// Size in bytes from which an incomplete response is given up if there is no memory for it. Smaller ones are bounded by
+/// the number of connections to servers.
 const LARGE_RESPONSE_BYTES: usize = 256 << 10;
 
 /// Bytes of a response that are read at once, more than a head may have. Other connections are served before the next ones
@@ -292,7 +292,7 @@
                 return;
             };
             let has_body = request.message.method != "HEAD";
-            let limit = self.settings.message_memory();
+            let limit = self.settings.memory_bounds().message as u64;
             let inbound = &mut upstream.connection.inbound;
             let mut taken = upstream.reader.take(inbound, has_body, limit);
             if matches!((&taken, &outcome), (Ok(None), Ok(ReadOutcome::Closed))) {
@@ -345,7 +345,7 @@
             return false;
         }
         let all = self.upstreams.iter().map(|(_, one)| held(one));
-        all.sum::<usize>() as u64 > self.settings.message_memory()
+        all.sum::<usize>() > self.settings.memory_bounds().message
     }
 
     /// Handles a complete response.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,8 @@
 use grebepin_directory::SettingsError;
 use serde::Deserialize;
 
+use crate::held_memory::MemoryBounds;
+
 /// Settings of a gateway, as they stand in its file.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct GatewaySettings {
@@ -90,10 +92,6 @@
     256.0
 }
 
-/// Fraction of the memory that incomplete responses may hold together, and fraction for requests, and so the largest body:
-/// configurations allow bodies of a quarter of it. The rest is for the state, connections and complete responses.
-const MESSAGE_MEMORY_FRACTION: f64 = 0.3;
-
 fn default_descriptors() -> usize {
     4_096
 }
@@ -168,9 +166,9 @@
         Duration::from_secs_f64(self.bounds.drain_s)
     }
 
-    /// Number of bytes that incomplete responses may hold together, and so the largest response; the same for requests.
-    pub fn message_memory(&self) -> u64 {
-        (self.memory_mb * MESSAGE_MEMORY_FRACTION * 1_048_576.0) as u64
+    /// How much memory requests and responses may hold.
+    pub fn memory_bounds(&self) -> MemoryBounds {
+        MemoryBounds::of(self.memory_mb * 1_048_576.0)
     }
 
     /// Time between a shutdown request and the end of the process.
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod outbound;
 mod poll_history;
+mod reclaim;
 mod text_server;
 
 pub use clock::{Clock, StallDetector};
@@ -22,4 +23,5 @@
 pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAX_FRAME_BYTES};
 pub use memory::{MemoryAccount, MemoryCharge};
 pub use poll_history::PollHistory;
+pub use reclaim::{PeerMemory, StallSearch};
 pub use text_server::{TextResponse, TextServer};
--- /dev/null
+++ b/crates/reactor/tests/reclaim.rs
@@ -0,0 +1,44 @@
+//! The search for peers that stand still.
+
+use std::time::Duration;
+
+use grebepin_reactor::{PeerMemory, StallSearch};
+
+const KIB: usize = 1 << 10;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn peer(name: char, since_ms: Option<u64>, held_bytes: usize) -> (char, PeerMemory) {
+    let stalled_since = since_ms.map(ms);
+    (
+        name,
+        PeerMemory {
+            stalled_since,
+            held_bytes,
+        },
+    )
+}
+
+#[test]
+fn those_that_have_stood_longest_come_first() {
+    let peers = [
+        peer('a', Some(900), 64 * KIB),
+        peer('b', Some(100), 64 * KIB),
+        peer('c', None, 64 * KIB),
+        peer('d', Some(100), KIB),
+        peer('e', Some(1_600), 64 * KIB),
+    ];
+    let found = StallSearch::default().find(ms(2_000), peers.into_iter());
+    assert_eq!(found, [(ms(100), 'b'), (ms(900), 'a')]);
+}
+
+#[test]
+fn a_search_that_found_nothing_is_not_repeated_at_once() {
+    let mut search = StallSearch::default();
+    let peers = || [peer('a', Some(1_480), 64 * KIB)].into_iter();
+    assert_eq!(search.find(ms(1_960), peers()), []);
+    assert_eq!(search.find(ms(1_990), peers()), []);
+    assert_eq!(search.find(ms(2_020), peers()), [(ms(1_480), 'a')]);
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -120,6 +120,7 @@
     RequestForwarded = 252, Debug, "request sent through another gateway, since its server is out of reach";
     SentByOutdatedState = 253, Info, "request sent to a server by a state that may lack changes that were acknowledged some time ago";
     ItemsInForce = 254, Info, "configuration items changed at this gateway";
+    StalledClientEnded = 255, Info, "a message of a client that stands still was ended to make room in memory";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
