Responses count as held until they are sent, and unread ones give way

What callers saw: 40 clients that asked for 8 MiB each, one after the other, and read nothing took a gateway of 64 MiB to 354 MB; where the machine's memory is bounded the process ends, with the requests of all others on it.

Cause: responses were counted while they were received and no longer once they were complete; each connection held one for as long as its client liked.

Change: responses are charged to an account until their last byte is sent, with the buffers of connections to servers and other gateways.

Not mended: of large responses that come faster than unread ones can be ended, some are lost (502).

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -101,11 +101,13 @@
         self.has_unread && self.request.is_none() && !self.closing && !is_blocked
     }
 
-    /// Memory that the connection takes, without a request in flight.
+    /// Memory that the connection takes, with the response that is being sent, but without a request in flight.
     pub fn memory(&self) -> PeerMemory {
+        let unsent = self.connection.unsent();
+        let owes_bytes = self.is_reading_request() || unsent > 0;
         PeerMemory {
-            stalled_since: self.is_reading_request().then_some(self.progressed_at),
-            held_bytes: self.reader.charged_bytes() + self.connection.held_bytes(),
+            stalled_since: owes_bytes.then_some(self.progressed_at),
+            held_bytes: self.reader.charged_bytes() + self.connection.held_bytes() + unsent,
         }
     }
 
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -96,17 +96,18 @@
         let token = self.allocate_token();
         let source = self.settings.bind_ip;
         let connection = Connection::connect(peer, source, self.poll.registry(), token);
-        let Ok(connection) = connection else {
+        let Ok(mut connection) = connection else {
             self.peers.failed(now, peer);
             return None;
         };
+        connection.charge_to(&self.held_memory.responses);
         connection.set_unacked_timeout(UNACKED_TIMEOUT);
         let connection = PeerConnection {
             connection,
             peer,
             connected: false,
             request: None,
-            reader: ResponseReader::default(),
+            reader: ResponseReader::new(self.held_memory.responses.clone()),
             idle_since: now,
         };
         self.peer_connections.add(token, connection);
--- a/crates/gateway/src/held_memory.rs
+++ b/crates/gateway/src/held_memory.rs
@@ -1,7 +1,7 @@
-//! Memory that is held for the requests of clients, and how much of it each kind may take.
+//! Memory that is held for clients, servers and other gateways, and how much of it each kind of message may take.
 //!
-//! Invariant: large requests leave room for small ones, so that clients that send large bodies keep no ordinary client
-//! from being served.
+//! Invariant: large requests leave room for responses, and both leave room for small requests, so that clients that
+//! send large bodies keep no ordinary client from being served.
 
 use grebepin_reactor::MemoryAccount;
 
--- a/crates/gateway/src/reclaim.rs
+++ b/crates/gateway/src/reclaim.rs
@@ -1,13 +1,14 @@
 //! Admission of messages to the memory that they share, and reclaiming it from clients that stand still.
 //!
-//! A request that is read completely is never ended for others: its server may be running it. An incomplete one certainly
-//! did not run.
+//! A request that is read completely is never ended for others: its server may be running it. What can be reclaimed is
+//! an incomplete request, of which the gateway knows that it did not run, and a response that its client does not read.
 
 use std::time::Duration;
 
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
+use crate::clients::Client;
 use crate::event_loop::EventLoop;
 use crate::http_writer::LocalResponse;
 use crate::refusal::Refusal;
@@ -24,15 +25,29 @@
         self.held_memory.fits_request(bounds, bytes)
     }
 
+    /// The same for the responses that are being received.
+    pub(crate) fn has_memory_for_responses(&mut self) -> bool {
+        let bounds = self.settings.memory_bounds();
+        if self.held_memory.fits_responses(bounds) {
+            return true;
+        }
+        self.reclaim_memory(0);
+        self.held_memory.fits_responses(bounds)
+    }
+
     /// Ends messages of clients that stand still, those that have stood longest first, until a request that takes `bytes`
-    /// fits.
+    /// fits. Responses go last: their servers have done the work.
     fn reclaim_memory(&mut self, bytes: usize) {
         let now = self.now();
         let bounds = self.settings.memory_bounds();
         let clients = self.clients.iter();
         let clients = clients.map(|(token, client)| (*token, client.memory()));
         let stalled = self.stall_search.find(now, clients);
-        for (since, token) in stalled {
+        let is_reading = |client: &Client| client.is_reading_request();
+        let (requests, responses): (Vec<_>, Vec<_>) = stalled
+            .into_iter()
+            .partition(|(_, token)| self.clients.get(token).is_some_and(is_reading));
+        for (since, token) in requests.into_iter().chain(responses) {
             if self.held_memory.is_reclaimed(bounds, bytes) {
                 return;
             }
@@ -40,17 +55,22 @@
         }
     }
 
-    /// Refuses a client's incomplete request.
+    /// Refuses a client's incomplete request, or closes the connection of a client that does not read its response.
     fn end_stalled_message(&mut self, token: Token, stalled_for: Duration) {
         let Some(client) = self.clients.get(&token) else {
             return;
         };
         event!(
             Event::StalledClientEnded,
+            reading = client.is_reading_request(),
             held = client.memory().held_bytes,
+            unsent = client.connection.unsent(),
             stalled_ms = stalled_for.as_millis()
         );
-        self.refuse_incomplete(token);
+        match client.is_reading_request() && client.connection.unsent() == 0 {
+            true => self.refuse_incomplete(token),
+            false => self.drop_client(token),
+        }
     }
 
     /// Refuses a request of which more bytes are to come, since there is no memory for it.
@@ -59,7 +79,8 @@
         event!(
             Event::RequestRefused,
             reason = refusal.reason(),
-            requests = self.held_memory.requests.held()
+            requests = self.held_memory.requests.held(),
+            responses = self.held_memory.responses.held()
         );
         let response = LocalResponse::not_run(refusal.retry_after(None));
         self.respond(token, response.closing(), "");
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -126,9 +126,10 @@
         }
         let address = server.address.parse().ok()?;
         let token = self.allocate_token();
-        let connection =
-            Connection::connect(address, self.settings.bind_ip, self.poll.registry(), token)
-                .ok()?;
+        let source = self.settings.bind_ip;
+        let registry = self.poll.registry();
+        let mut connection = Connection::connect(address, source, registry, token).ok()?;
+        connection.charge_to(&self.held_memory.responses);
         connection.set_unacked_timeout(UNACKED_TIMEOUT);
         self.load_balancer.connection_opened(server);
         let upstream = Upstream {
@@ -138,7 +139,7 @@
             reused: false,
             request: None,
             crash_probe: None,
-            reader: ResponseReader::default(),
+            reader: ResponseReader::new(self.held_memory.responses.clone()),
             foreign_responses: 0,
             idle_since: now,
             idle_timeout: CONNECT_TIMEOUT,
@@ -337,15 +338,11 @@
         }
     }
 
-    /// Whether a response has grown while the incomplete responses together hold more than they may.
-    fn is_over_memory(&self, token: Token) -> bool {
+    /// Whether a response has grown large while there is no memory for it.
+    fn is_over_memory(&mut self, token: Token) -> bool {
         let held = |one: &Upstream| one.reader.charged_bytes();
         let grown = self.upstreams.get(token).map_or(0, held);
-        if grown < LARGE_RESPONSE_BYTES {
-            return false;
-        }
-        let all = self.upstreams.iter().map(|(_, one)| held(one));
-        all.sum::<usize>() > self.settings.memory_bounds().message
+        grown >= LARGE_RESPONSE_BYTES && !self.has_memory_for_responses()
     }
 
     /// Handles a complete response.
