Calls that are being read share a bound on a replica's memory

What callers saw: 40 calls of 4 MiB less a byte took a replica of 64 MiB to 273 MB, 40 whole ones of white space to 149 MB. With a core machine's 256 MB a few dozen connections end the process, and the same on all replicas ends acknowledgements and leases.

Cause: each of up to 3,000 connections buffered up to 17 MiB, read in one turn of the event loop; nothing counted over all, and the replica did not know how much memory it has.

What connections hold is charged to one account; a call of over 48 KiB is read while all take 0.2 of the memory at most, which is three of the largest in 256 MiB. Otherwise callers that have not moved for half a second are ended, the longest first, then the call is answered 503 at once and its rest dropped. A heartbeat that arrives whole is never refused for memory. A body is read 256 KiB at a turn, in turn with other callers.

The time before which a call cannot have arrived is no longer forgotten between two reads of one call.

Not bounded: what connections between replicas and gateways hold.

--- a/crates/directory/src/call.rs
+++ b/crates/directory/src/call.rs
@@ -138,4 +138,6 @@
     GivenUp,
     /// A group that is being founded does not have enough voters yet.
     FewVoters,
+    /// The calls that this replica is reading use all memory that they may.
+    NoMemory,
 }
--- /dev/null
+++ b/crates/directory/src/daemon/caller_memory.rs
@@ -0,0 +1,85 @@
+//! Admission of calls to the memory that they share, and reclaiming it from callers that stand still.
+
+use std::time::Duration;
+
+use grebepin_telemetry::{event, Event};
+use mio::Token;
+
+use super::event_loop::EventLoop;
+use crate::call::{Reply, UnavailableReason};
+
+impl EventLoop<'_> {
+    /// Handles a call of which more bytes are to come: it is refused if there is no memory for it.
+    pub(super) fn continue_reading(&mut self, token: Token) {
+        let Some(http) = self.http_connections.get(&token) else {
+            return;
+        };
+        let is_reading = http.is_reading_call();
+        let bytes = http.memory().held_bytes;
+        if http.awaits_reading() {
+            self.ready_callers.push_back(token);
+        }
+        if is_reading && !self.has_memory_for_call(bytes) {
+            self.refuse_without_memory(token, bytes, Duration::ZERO);
+        }
+    }
+
+    /// Whether a call that takes `bytes`, which are counted already, fits into the memory, after memory was reclaimed if
+    /// necessary.
+    pub(super) fn has_memory_for_call(&mut self, bytes: usize) -> bool {
+        let bounds = self.settings.call_memory();
+        if bounds.fits(self.call_memory.held(), bytes) {
+            return true;
+        }
+        self.reclaim_memory(bytes);
+        bounds.fits(self.call_memory.held(), bytes)
+    }
+
+    /// Ends messages of callers that stand still, those that have stood longest first, until a call that takes `bytes`
+    /// fits.
+    fn reclaim_memory(&mut self, bytes: usize) {
+        let now = self.now();
+        let bounds = self.settings.call_memory();
+        let callers = self.http_connections.iter();
+        let callers = callers.map(|(token, http)| (*token, http.memory()));
+        let stalled = self.stall_search.find(now, callers);
+        for (since, token) in stalled {
+            if bounds.fits(self.call_memory.held(), bytes) {
+                return;
+            }
+            self.end_stalled_message(token, now.saturating_sub(since));
+        }
+    }
+
+    /// Refuses a caller's incomplete call, or closes the connection of a caller that does not read its reply.
+    fn end_stalled_message(&mut self, token: Token, stalled_for: Duration) {
+        let Some(http) = self.http_connections.get(&token) else {
+            return;
+        };
+        let bytes = http.memory().held_bytes;
+        match http.is_reading_call() && http.connection.unsent() == 0 {
+            true => self.refuse_without_memory(token, bytes, stalled_for),
+            false => {
+                self.log_ended(false, bytes, stalled_for);
+                self.http_connections.remove(&token);
+            }
+        }
+    }
+
+    fn refuse_without_memory(&mut self, token: Token, bytes: usize, stalled_for: Duration) {
+        self.log_ended(true, bytes, stalled_for);
+        let reply = Reply::Unavailable(UnavailableReason::NoMemory);
+        let reply = self.dialect.render(&reply);
+        self.refuse_caller(token, &reply);
+    }
+
+    fn log_ended(&self, is_reading: bool, bytes: usize, stalled_for: Duration) {
+        event!(
+            Event::CallerEnded,
+            reading = is_reading,
+            held = bytes,
+            all = self.call_memory.held(),
+            stalled_ms = stalled_for.as_millis()
+        );
+    }
+}
--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
-use grebepin_reactor::Connection;
+use grebepin_reactor::{Connection, ReadOutcome};
 use mio::net::TcpStream;
 use mio::Token;
 
@@ -51,7 +51,7 @@
         }
         let token = self.allocate_token();
         if let Ok(connection) = Connection::register(stream, self.poll.registry(), token) {
-            let http = HttpConnection::new(connection, now, opened_after);
+            let http = HttpConnection::new(connection, now, opened_after, &self.call_memory);
             self.http_connections.insert(token, http);
         }
     }
@@ -61,24 +61,41 @@
             return;
         };
         http.last_active = now;
-        if !http.fill() {
+        if http.connection.is_closing() {
+            return self.discard_input(now, token);
+        }
+        if !http.fill(now) {
             self.http_connections.remove(&token);
             return;
         }
         self.submit_next_call(token);
-        let http = self.http_connections.get_mut(&token);
-        if http.is_some_and(|http| !http.flush()) {
+        let Some(http) = self.http_connections.get_mut(&token) else {
+            return;
+        };
+        if !http.connection.is_closing() && !http.flush(now) {
             self.http_connections.remove(&token);
         }
     }
 
+    /// Drops what a caller still sends whose connection is being closed.
+    fn discard_input(&mut self, now: Duration, token: Token) {
+        let http = self.http_connections.get_mut(&token);
+        match http.map(|http| http.connection.discard_input(now)) {
+            Some(ReadOutcome::Full) => self.ready_callers.push_back(token),
+            Some(ReadOutcome::Open) => {}
+            Some(ReadOutcome::Closed) | None => _ = self.http_connections.remove(&token),
+        }
+    }
+
     /// Answers a call. The next call of the connection is handled in another turn, so that a long pipeline neither
     /// delays other callers nor deepens the stack.
     pub(super) fn answer_caller(&mut self, token: Token, reply: &HttpReply) {
         let Some(http) = self.http_connections.get_mut(&token) else {
             return;
         };
-        let is_open = http.answer(reply, self.dialect.content_type(), self.node.call_basis());
+        let known = self.node.call_basis();
+        let now = self.clock.now();
+        let is_open = http.answer(reply, self.dialect.content_type(), known, now);
         match (is_open, http.has_input()) {
             (true, true) => self.ready_callers.push_back(token),
             (true, false) => {}
@@ -92,17 +109,14 @@
         let Some(http) = self.http_connections.get_mut(&token) else {
             return;
         };
-        let content_type = self.dialect.content_type();
         let received = match http.next_call(now) {
-            Ok(None) => return,
+            Ok(None) => return self.continue_reading(token),
             Ok(Some(received)) => received,
             Err(error) => {
                 let error = BadCall::Malformed(error.to_string());
                 self.bad_calls.record(now, "", &error, &self.metrics);
                 let reply = self.dialect.render_bad_call(&error);
-                http.refuse(&reply, content_type, self.node.call_basis());
-                self.http_connections.remove(&token);
-                return;
+                return self.refuse_caller(token, &reply);
             }
         };
         let request = &received.request;
@@ -113,12 +127,9 @@
         });
         match parsed {
             Ok(call) => {
-                let id = self.calls.begin(now, Origin::Http(token));
-                let basis = received.basis;
-                let source = call
-                    .is_evacuation()
-                    .then(|| CallSource::of_caller(http, &received));
-                self.submit_call(id, call, basis, source);
+                let is_evacuation = call.is_evacuation();
+                let source = is_evacuation.then(|| CallSource::of_caller(http, &received));
+                self.admit_call(token, call, received.basis, source);
             }
             Err(error) => {
                 let target = &request.target;
@@ -129,6 +140,30 @@
         }
     }
 
+    /// Begins a call.
+    fn admit_call(
+        &mut self,
+        token: Token,
+        call: Call,
+        basis: CallBasis,
+        source: Option<CallSource>,
+    ) {
+        let id = self.calls.begin(self.now(), Origin::Http(token));
+        self.submit_call(id, call, basis, source);
+    }
+
+    /// Answers a call that is not read to its end, and closes the connection.
+    pub(super) fn refuse_caller(&mut self, token: Token, reply: &HttpReply) {
+        let (now, known) = (self.now(), self.node.call_basis());
+        let Some(http) = self.http_connections.get_mut(&token) else {
+            return;
+        };
+        match http.refuse(reply, self.dialect.content_type(), known, now) {
+            true => self.ready_callers.push_back(token),
+            false => _ = self.http_connections.remove(&token),
+        }
+    }
+
     /// Passes a call to the node unless its caller has given it up. `source` is where a call that begins or ends an
     /// evacuation came from. Other calls have none: they state versions or facts, which hold however late they are read.
     pub(super) fn submit_call(
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -5,7 +5,9 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
-use grebepin_reactor::{Clock, Connection, PollHistory, StallDetector, TextServer};
+use grebepin_reactor::{
+    Clock, Connection, MemoryAccount, PollHistory, StallDetector, StallSearch, TextServer,
+};
 use grebepin_storage::RealDisk;
 use grebepin_telemetry::{event, DirectoryMetrics, Event, Metrics};
 use mio::net::TcpListener;
@@ -74,6 +76,9 @@
     pub(super) unaccepted_since: Option<KnownBefore>,
     pub(super) next_token: usize,
     pub(super) http_connections: HashMap<Token, HttpConnection>,
+    /// Memory that HTTP connections take, with the calls and replies on them.
+    pub(super) call_memory: MemoryAccount,
+    pub(super) stall_search: StallSearch,
     pub(super) ready_callers: VecDeque<Token>,
     pub(super) inbound_links: HashMap<Token, LinkConnection>,
     /// Inbound links with frames that are not yet written to the socket.
@@ -151,6 +156,8 @@
             unaccepted_since: None,
             next_token: FIRST_CONNECTION,
             http_connections: HashMap::new(),
+            call_memory: MemoryAccount::default(),
+            stall_search: StallSearch::default(),
             ready_callers: VecDeque::new(),
             inbound_links: HashMap::new(),
             unsent_links: BTreeSet::new(),
@@ -213,8 +220,9 @@
             self.run_periodic_tasks();
         }
         event!(Event::StopRequested);
+        let now = self.now();
         for http in self.http_connections.values_mut() {
-            http.flush();
+            http.flush(now);
         }
         event!(Event::Stopped);
         Ok(())
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -159,7 +159,8 @@
             let relays = self.connected_relays(now);
             self.fleet.record_relays(now, &relays);
             let idle = |http: &HttpConnection| !http.busy && now > http.last_active + IDLE_TIMEOUT;
-            self.http_connections.retain(|_, http| !idle(http));
+            let is_over = |http: &HttpConnection| idle(http) || http.connection.is_close_due(now);
+            self.http_connections.retain(|_, http| !is_over(http));
         }
         for id in self.calls.overdue(now) {
             self.reply(id, &Reply::Unavailable(UnavailableReason::LeaderSilent));
--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use grebepin_reactor::http::{BadRequest, Request, RequestLimits, RequestReader};
-use grebepin_reactor::{Connection, ReadOutcome};
+use grebepin_reactor::{Connection, MemoryAccount, PeerMemory, ReadOutcome};
 
 use crate::call::CallBasis;
 use crate::dialect::HttpReply;
@@ -15,8 +15,11 @@
     body_bytes: 16 << 20,
 };
 
-/// Maximum number of bytes buffered before a request must be complete.
-const BUFFER_LIMIT: usize = 17 << 20;
+/// Bytes that are read ahead of calls, which may be pipelined: more than a head may have.
+const READ_AHEAD_BYTES: usize = LIMITS.head_bytes + 1;
+
+/// Bytes of a body that are read in one turn of the event loop.
+const BODY_READ_BYTES: usize = 256 << 10;
 
 /// HTTP connection of a client.
 #[derive(Debug)]
@@ -28,6 +31,10 @@
     keeps_alive: bool,
     closing: bool,
     ended: bool,
+    /// Whether the last read left bytes in the socket, for which no event comes.
+    has_unread: bool,
+    /// When bytes were last received or sent.
+    progressed_at: Duration,
     /// Time of the last activity.
     pub(super) last_active: Duration,
     pub(super) accepted_at: Duration,
@@ -56,14 +63,22 @@
 
 impl HttpConnection {
     /// A connection that was accepted at `now` and opened after `opened_after`.
-    pub(super) fn new(connection: Connection, now: Duration, opened_after: KnownBefore) -> Self {
+    pub(super) fn new(
+        mut connection: Connection,
+        now: Duration,
+        opened_after: KnownBefore,
+        memory: &MemoryAccount,
+    ) -> Self {
+        connection.charge_to(memory);
         Self {
             connection,
-            reader: RequestReader::default(),
+            reader: RequestReader::new(memory.clone()),
             busy: false,
             keeps_alive: true,
             closing: false,
             ended: false,
+            has_unread: false,
+            progressed_at: now,
             last_active: now,
             accepted_at: now,
             unread_since: Some(opened_after.at),
@@ -85,14 +100,24 @@
         self.ended
     }
 
-    /// Reads available bytes. Returns whether the connection can still be used.
-    pub(super) fn fill(&mut self) -> bool {
-        match self.connection.fill(BUFFER_LIMIT) {
+    /// Reads available bytes, a part of them if there are many. Returns whether the connection can still be used.
+    pub(super) fn fill(&mut self, now: Duration) -> bool {
+        let limit = match !self.busy && self.reader.is_partial() {
+            true => BODY_READ_BYTES,
+            false => READ_AHEAD_BYTES,
+        };
+        let received = self.connection.inbound.len();
+        let outcome = self.connection.fill(limit);
+        if self.connection.inbound.len() > received {
+            self.progressed_at = now;
+        }
+        self.has_unread = matches!(outcome, Ok(ReadOutcome::Full));
+        match outcome {
             Ok(ReadOutcome::Closed) => self.ended = true,
             Ok(_) => {}
             Err(_) => return false,
         }
-        if self.connection.inbound.is_empty() {
+        if self.connection.inbound.is_empty() && !self.reader.is_partial() {
             self.unread_since = None;
         }
         !self.ended || self.busy || !self.connection.inbound.is_empty()
@@ -111,6 +136,7 @@
             self.connection.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
         let Some(request) = call else {
+            self.connection.trim();
             return Ok(None);
         };
         self.busy = true;
@@ -128,7 +154,27 @@
 
     /// Whether received bytes may contain a call that can be handled now.
     pub(super) fn has_input(&self) -> bool {
-        !self.busy && !self.connection.inbound.is_empty()
+        !self.busy && (self.has_unread || !self.connection.inbound.is_empty())
+    }
+
+    /// Whether a call is being read whose next bytes are in the socket, for which no event comes.
+    pub(super) fn awaits_reading(&self) -> bool {
+        self.has_unread && !self.busy && !self.closing
+    }
+
+    /// Whether a call was received in part.
+    pub(super) fn is_reading_call(&self) -> bool {
+        let has_begun = self.reader.is_partial() || !self.connection.inbound.is_empty();
+        has_begun && !self.busy && !self.closing
+    }
+
+    /// Memory that the connection takes, with the call that is being read.
+    pub(super) fn memory(&self) -> PeerMemory {
+        let owes_bytes = self.is_reading_call() || self.connection.unsent() > 0;
+        PeerMemory {
+            stalled_since: owes_bytes.then_some(self.progressed_at),
+            held_bytes: self.reader.charged_bytes() + self.connection.held_bytes(),
+        }
     }
 
     /// Writes a response. `known` is what this replica knows now. Returns whether the connection can still be used.
@@ -137,6 +183,7 @@
         reply: &HttpReply,
         content_type: &str,
         known: CallBasis,
+        now: Duration,
     ) -> bool {
         let connection = match self.keeps_alive {
             true => "keep-alive",
@@ -157,31 +204,50 @@
             self.basis = known;
         }
         self.closing = !self.keeps_alive;
-        self.flush()
+        let is_open = self.flush(now);
+        self.connection.trim();
+        is_open
     }
 
-    /// Writes the response to a request that cannot be parsed, and closes the connection.
+    /// Writes the response to a call that is not read to its end, and closes the connection.
     pub(super) fn refuse(
         &mut self,
         reply: &HttpReply,
         content_type: &str,
         known: CallBasis,
+        now: Duration,
     ) -> bool {
         self.keeps_alive = false;
-        self.answer(reply, content_type, known)
+        self.answer(reply, content_type, known, now)
     }
 
     /// Sends buffered bytes. Returns whether the connection can still be used.
-    pub(super) fn flush(&mut self) -> bool {
-        match self.connection.flush() {
-            Ok(true) if self.closing => {
-                self.connection.shut_down_write();
-                false
-            }
+    pub(super) fn flush(&mut self, now: Duration) -> bool {
+        match self.send(now) {
+            Ok(true) if self.closing => self.begin_close(now),
             Ok(_) => !(self.ended && !self.busy && self.connection.unsent() == 0),
             Err(_) => false,
         }
     }
+
+    /// Sends buffered bytes; returns whether all were sent.
+    pub(super) fn send(&mut self, now: Duration) -> std::io::Result<bool> {
+        let unsent = self.connection.unsent();
+        let outcome = self.connection.flush();
+        if self.connection.unsent() < unsent {
+            self.progressed_at = now;
+        }
+        outcome
+    }
+
+    /// Ends the output; returns whether the connection is kept to drop the rest of a call that was not read.
+    fn begin_close(&mut self, now: Duration) -> bool {
+        let is_unread =
+            self.has_unread || self.reader.is_partial() || !self.connection.inbound.is_empty();
+        self.reader.abandon();
+        self.connection.begin_close(now);
+        is_unread && !self.ended
+    }
 }
 
 fn reason_phrase(status: u16) -> &'static str {
--- a/crates/directory/src/daemon/mod.rs
+++ b/crates/directory/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! a limit and then dropped.
 
 mod bad_calls;
+mod caller_memory;
 mod callers;
 mod calls;
 mod confirming;
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -6,6 +6,7 @@
 //! so that each deployment defines its own paths and body formats.
 
 pub mod call;
+pub mod call_memory;
 pub mod confirmed_state;
 pub mod crashes;
 mod daemon;
--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 
+use crate::call_memory::CallMemoryBounds;
 use crate::node::FaultTolerance;
 
 /// Maximum lease duration in seconds, unless the settings set another.
@@ -99,6 +100,9 @@
     /// Capacity of the machine's link in megabits per second.
     #[serde(default = "default_link")]
     pub link_mbps: f64,
+    /// Memory that the process may use, in mebibytes.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
     /// Limits set by the deployment.
     #[serde(default)]
     pub bounds: Bounds,
@@ -127,6 +131,10 @@
     true
 }
 
+fn default_memory() -> f64 {
+    256.0
+}
+
 fn default_link() -> f64 {
     DEFAULT_LINK_MBPS
 }
@@ -147,6 +155,7 @@
         check_optional("lease_s", self.lease_s)?;
         check_optional("bounds.evacuation_s", self.bounds.evacuation_s)?;
         check_positive("link_mbps", self.link_mbps)?;
+        check_positive("memory_mb", self.memory_mb)?;
         if self.fault_tolerance.wanted_voters() > MAX_VOTERS {
             return Err(value(
                 "fault_tolerance",
@@ -188,6 +197,11 @@
         Duration::from_secs_f64(lease.min(limit))
     }
 
+    /// How much memory calls may hold.
+    pub fn call_memory(&self) -> CallMemoryBounds {
+        CallMemoryBounds::of(self.memory_mb * 1_048_576.0)
+    }
+
     /// Time in which the servers of an evacuated zone release their shards.
     pub fn evacuation_window(&self) -> Duration {
         let bound = self.bounds.evacuation_s.unwrap_or(DEFAULT_EVACUATION_S);
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -77,6 +77,7 @@
     FeedChanged = 142, Info, "this replica began or ceased to hand its state to gateways as current";
     EvacuationCalled = 143, Info, "a call to begin or end an evacuation was received";
     EvacuationDecided = 144, Info, "a call to begin or end an evacuation was decided";
+    CallerEnded = 145, Info, "a message of a caller was ended, since there was no memory for it or others needed it";
     // Routers and gateways.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
