Replies that callers do not read are bounded at a replica

What callers saw: ten callers that each sent 300 reads of the configuration (200 routes) on one connection and read nothing took a replica of 64 MiB to 88 MB; the size is theirs to choose.

Cause: the next call of a connection was handled however much of its replies waited to be sent, as gateways do not.

Change: no call is handled while over 64 KiB of replies wait on its connection.

--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -64,7 +64,8 @@
         if http.connection.is_closing() {
             return self.discard_input(now, token);
         }
-        if !http.fill(now) {
+        // What is sent now makes room for the reply to the next call.
+        if !http.fill(now) || http.send(now).is_err() {
             self.http_connections.remove(&token);
             return;
         }
@@ -140,7 +141,7 @@
         }
     }
 
-    /// Begins a call.
+    /// Begins a call, unless it reads the items while there is no memory for their copy.
     fn admit_call(
         &mut self,
         token: Token,
@@ -148,6 +149,10 @@
         basis: CallBasis,
         source: Option<CallSource>,
     ) {
+        if call == Call::ReadItems && !self.has_memory_for_call(0) {
+            let reply = Reply::Unavailable(UnavailableReason::NoMemory);
+            return self.answer_caller(token, &self.dialect.render(&reply));
+        }
         let id = self.calls.begin(self.now(), Origin::Http(token));
         self.submit_call(id, call, basis, source);
     }
--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -21,6 +21,10 @@
 /// Bytes of a body that are read in one turn of the event loop.
 const BODY_READ_BYTES: usize = 256 << 10;
 
+/// Unsent bytes of replies above which no further call of the connection is handled, so that a caller that sends calls
+/// and does not read holds a bounded amount of memory.
+const UNSENT_LIMIT: usize = 64 << 10;
+
 /// HTTP connection of a client.
 #[derive(Debug)]
 pub(super) struct HttpConnection {
@@ -128,7 +132,7 @@
         &mut self,
         now: Duration,
     ) -> Result<Option<ReceivedRequest>, BadRequest> {
-        if self.busy || self.closing {
+        if self.busy || self.closing || self.connection.unsent() > UNSENT_LIMIT {
             return Ok(None);
         }
         let call = self.reader.take(&mut self.connection.inbound, LIMITS)?;
