--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::time::Duration;
 
+use grebepin_reactor::http::{BadRequest, BodyError};
 use grebepin_reactor::{Connection, ReadOutcome};
 use mio::net::TcpStream;
 use mio::Token;
@@ -114,7 +115,10 @@
             Ok(None) => return self.continue_reading(token),
             Ok(Some(received)) => received,
             Err(error) => {
-                let error = BadCall::Malformed(error.to_string());
+                let error = match error {
+                    BadRequest::Body(BodyError::TooLong) => BadCall::TooLarge,
+                    error => BadCall::Malformed(error.to_string()),
+                };
                 self.bad_calls.record(now, "", &error, &self.metrics);
                 let reply = self.dialect.render_bad_call(&error);
                 return self.refuse_caller(token, &reply);
--- a/crates/directory/src/dialect.rs
+++ b/crates/directory/src/dialect.rs
@@ -28,6 +28,9 @@
     /// Method and path match no known call.
     #[error("unknown call")]
     Unknown,
+    /// The body is longer than the limit.
+    #[error("body is over the limit")]
+    TooLarge,
     /// The body does not have the format of the call, or violates one of its rules.
     #[error("{0}")]
     Malformed(String),
@@ -38,6 +41,7 @@
     pub fn cause(&self) -> &'static str {
         match self {
             Self::Unknown => "unknown call",
+            Self::TooLarge => "too large",
             Self::Malformed(_) => "malformed",
         }
     }
