Connections that rest make room for new ones

What callers saw: 200 connections that send nothing at a gateway that may have 100, or 3,100 at a replica (which takes 3,000), and each ordinary connection was closed without an answer (40 of 40 tries) until an idle timeout ended some, 15 s or 30 s later; a server whose heartbeats find no replica loses its lease meanwhile.

Cause: a new connection was dropped when the limit was reached, whoever held the others and however long they had been idle.

Change: at the limit up to 16 connections are closed that have not been used for half a second or more: incomplete requests first, then idle ones, the longest idle first. A connection with a request in flight, or a call that is being processed, stays. Searches are limited as those for memory are. Events 146 and 256. A client whose idle connection is closed connects again; its request was not read.

--- a/crates/directory/src/daemon/caller_memory.rs
+++ b/crates/directory/src/daemon/caller_memory.rs
@@ -1,13 +1,16 @@
-//! Admission of calls to the memory that they share, and reclaiming it from callers that stand still.
+//! Admission of calls to the memory that they share, and reclaiming memory and connections from callers that stand still.
 
 use std::time::Duration;
 
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
-use super::event_loop::EventLoop;
+use super::event_loop::{EventLoop, CONNECTION_LIMIT};
 use crate::call::{Reply, UnavailableReason};
 
+/// Connections that are closed at once to make room for new ones, so that not each new one causes a search of all.
+const CLOSED_AT_ONCE: usize = 16;
+
 impl EventLoop<'_> {
     /// Handles a call of which more bytes are to come: it is refused if there is no memory for it.
     pub(super) fn continue_reading(&mut self, token: Token) {
@@ -41,7 +44,7 @@
         let now = self.now();
         let bounds = self.settings.call_memory();
         let callers = self.http_connections.iter();
-        let callers = callers.map(|(token, http)| (*token, http.memory()));
+        let callers = callers.map(|(token, http)| (*token, http.memory().reclaimable_since()));
         let stalled = self.stall_search.find(now, callers);
         for (since, token) in stalled {
             if bounds.fits(self.call_memory.held(), bytes) {
@@ -51,6 +54,30 @@
         }
     }
 
+    /// Closes the connections of callers that have rested longest if there are [`CONNECTION_LIMIT`] already. Those whose
+    /// calls are being processed stay.
+    pub(super) fn reclaim_connections(&mut self) {
+        if self.http_connections.len() < CONNECTION_LIMIT {
+            return;
+        }
+        let now = self.now();
+        let callers = self.http_connections.iter();
+        let callers = callers.map(|(token, http)| (*token, http.rests_since()));
+        let resting = self.rest_search.find(now, callers);
+        if resting.is_empty() {
+            return;
+        }
+        let closed = resting.len().min(CLOSED_AT_ONCE);
+        event!(
+            Event::RestingCallersClosed,
+            closed = closed,
+            connections = self.http_connections.len()
+        );
+        for (_, token) in resting.into_iter().take(closed) {
+            self.http_connections.remove(&token);
+        }
+    }
+
     /// Refuses a caller's incomplete call, or closes the connection of a caller that does not read its reply.
     fn end_stalled_message(&mut self, token: Token, stalled_for: Duration) {
         let Some(http) = self.http_connections.get(&token) else {
--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -36,7 +36,10 @@
         let opened_after = unaccepted_since.unwrap_or(self.polls.before_events());
         loop {
             match self.control_listener.accept() {
-                Ok((stream, _)) => self.add_caller(now, stream, opened_after),
+                Ok((stream, _)) => {
+                    self.reclaim_connections();
+                    self.add_caller(now, stream, opened_after);
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => {
                     self.unaccepted_since = Some(opened_after);
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -79,6 +79,8 @@
     /// Memory that HTTP connections take, with the calls and replies on them.
     pub(super) call_memory: MemoryAccount,
     pub(super) stall_search: StallSearch,
+    /// The search for connections that can be closed to make room for others.
+    pub(super) rest_search: StallSearch,
     pub(super) ready_callers: VecDeque<Token>,
     pub(super) inbound_links: HashMap<Token, LinkConnection>,
     /// Inbound links with frames that are not yet written to the socket.
@@ -158,6 +160,7 @@
             http_connections: HashMap::new(),
             call_memory: MemoryAccount::default(),
             stall_search: StallSearch::default(),
+            rest_search: StallSearch::default(),
             ready_callers: VecDeque::new(),
             inbound_links: HashMap::new(),
             unsent_links: BTreeSet::new(),
--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -181,6 +181,11 @@
         }
     }
 
+    /// When the connection was last used; `None` while a call is being processed.
+    pub(super) fn rests_since(&self) -> Option<Duration> {
+        (!self.busy).then_some(self.last_active)
+    }
+
     /// Writes a response. `known` is what this replica knows now. Returns whether the connection can still be used.
     pub(super) fn answer(
         &mut self,
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// When the connection was last used; `None` while a request is in flight.
+    pub fn rests_since(&self) -> Option<Duration> {
+        let last_used = self.idle_since.max(self.progressed_at);
+        self.request.is_none().then_some(last_used)
+    }
+
     /// Whether a request was received in part.
     pub fn is_reading_request(&self) -> bool {
         let has_begun = self.reader.is_partial() || !self.connection.inbound.is_empty();
--- a/crates/gateway/src/event_loop.rs
+++ b/crates/gateway/src/event_loop.rs
@@ -117,6 +117,8 @@
     pub(crate) clients: Clients,
     pub(crate) held_memory: HeldMemory,
     pub(crate) stall_search: StallSearch,
+    /// The search for connections that can be closed to make room for others.
+    pub(crate) rest_search: StallSearch,
     pub(crate) upstreams: Upstreams,
     pub(crate) peers: Peers,
     pub(crate) peer_connections: PeerConnections,
@@ -232,6 +234,7 @@
             clients: Clients::new(),
             held_memory: HeldMemory::default(),
             stall_search: StallSearch::default(),
+            rest_search: StallSearch::default(),
             upstreams: Upstreams::default(),
             peers,
             peer_connections: PeerConnections::default(),
@@ -397,6 +400,7 @@
     fn accept_clients(&mut self) {
         let limit = self.connection_capacity();
         while let Ok((stream, _)) = self.client_listener.accept() {
+            self.reclaim_connections(limit);
             self.add_client(stream, limit, false);
         }
     }
@@ -432,7 +436,7 @@
         descriptors.saturating_sub(RESERVED_DESCRIPTORS)
     }
 
-    fn connection_count(&self) -> usize {
+    pub(crate) fn connection_count(&self) -> usize {
         self.clients.len() + self.upstreams.len() + self.peer_connections.len()
     }
 
--- a/crates/gateway/src/reclaim.rs
+++ b/crates/gateway/src/reclaim.rs
@@ -1,4 +1,5 @@
-//! Admission of messages to the memory that they share, and reclaiming it from clients that stand still.
+//! Admission of messages to the memory that they share, and reclaiming memory and connections from clients that stand
+//! still.
 //!
 //! A request that is read completely is never ended for others: its server may be running it. What can be reclaimed is
 //! an incomplete request, of which the gateway knows that it did not run, and a response that its client does not read.
@@ -13,6 +14,9 @@
 use crate::http_writer::LocalResponse;
 use crate::refusal::Refusal;
 
+/// Connections that are closed at once to make room for new ones, so that not each new one causes a search of all.
+const CLOSED_AT_ONCE: usize = 16;
+
 impl EventLoop {
     /// Whether a request that takes `bytes`, which are counted already, fits into the memory, after memory was reclaimed
     /// if necessary.
@@ -41,13 +45,9 @@
         let now = self.now();
         let bounds = self.settings.memory_bounds();
         let clients = self.clients.iter();
-        let clients = clients.map(|(token, client)| (*token, client.memory()));
+        let clients = clients.map(|(token, client)| (*token, client.memory().reclaimable_since()));
         let stalled = self.stall_search.find(now, clients);
-        let is_reading = |client: &Client| client.is_reading_request();
-        let (requests, responses): (Vec<_>, Vec<_>) = stalled
-            .into_iter()
-            .partition(|(_, token)| self.clients.get(token).is_some_and(is_reading));
-        for (since, token) in requests.into_iter().chain(responses) {
+        for (since, token) in self.requests_first(stalled) {
             if self.held_memory.is_reclaimed(bounds, bytes) {
                 return;
             }
@@ -55,6 +55,45 @@
         }
     }
 
+    /// Closes connections that rest, incomplete requests before those of idle clients, if there are `limit` connections
+    /// already. Clients that wait for a response are never closed.
+    pub(crate) fn reclaim_connections(&mut self, limit: usize) {
+        if self.connection_count() < limit {
+            return;
+        }
+        let now = self.now();
+        let clients = self.clients.iter();
+        let clients = clients.map(|(token, client)| (*token, client.rests_since()));
+        let resting = self.rest_search.find(now, clients);
+        let closed = self.requests_first(resting).take(CLOSED_AT_ONCE);
+        let closed: Vec<Token> = closed.map(|(_, token)| token).collect();
+        if closed.is_empty() {
+            return;
+        }
+        event!(
+            Event::RestingClientsClosed,
+            closed = closed.len(),
+            connections = self.connection_count(),
+            limit = limit
+        );
+        for token in closed {
+            self.drop_client(token);
+        }
+    }
+
+    /// The same clients in order, those whose requests are incomplete before the others.
+    fn requests_first(
+        &self,
+        clients: Vec<(Duration, Token)>,
+    ) -> impl Iterator<Item = (Duration, Token)> + use<> {
+        let is_reading = |(_, token): &(Duration, Token)| {
+            let client = self.clients.get(token);
+            client.is_some_and(Client::is_reading_request)
+        };
+        let (requests, others): (Vec<_>, Vec<_>) = clients.into_iter().partition(is_reading);
+        requests.into_iter().chain(others)
+    }
+
     /// Refuses a client's incomplete request, or closes the connection of a client that does not read its response.
     fn end_stalled_message(&mut self, token: Token, stalled_for: Duration) {
         let Some(client) = self.clients.get(&token) else {
--- a/crates/reactor/src/reclaim.rs
+++ b/crates/reactor/src/reclaim.rs
@@ -1,9 +1,9 @@
-//! Search for peers that stand still in the middle of a message, whose memory others need.
+//! Search for peers that stand still, whose memory or connections others need.
 
 use std::time::Duration;
 
-/// Time without progress after which a peer's message may be ended. Peers send a message in one go; what they wait for
-/// on the way is a lost packet.
+/// Time without progress after which a peer's message or connection may be ended. Peers send a message in one go; what
+/// they wait for on the way is a lost packet.
 const STALLED_AFTER: Duration = Duration::from_millis(500);
 
 /// Smallest amount of memory for which a message is ended.
@@ -22,27 +22,32 @@
     pub held_bytes: usize,
 }
 
-/// Finds the peers whose messages can be ended, and limits how often it looks for them.
+impl PeerMemory {
+    /// When the peer began to stand still with memory that is worth reclaiming; `None` otherwise.
+    pub fn reclaimable_since(self) -> Option<Duration> {
+        let is_worth_it = self.held_bytes >= MIN_RECLAIMED_BYTES;
+        self.stalled_since.filter(|_| is_worth_it)
+    }
+}
+
+/// Finds the peers that stand still, and limits how often it looks for them.
 #[derive(Debug, Default)]
 pub struct StallSearch {
     next: Duration,
 }
 
 impl StallSearch {
-    /// Peers that stand still with the time since which they do, those that have stood longest first.
+    /// Of peers with the time since which each stands still, if it does, those that can be ended, the longest first.
     pub fn find<T: Ord>(
         &mut self,
         now: Duration,
-        peers: impl Iterator<Item = (T, PeerMemory)>,
+        peers: impl Iterator<Item = (T, Option<Duration>)>,
     ) -> Vec<(Duration, T)> {
         if now < self.next {
             return Vec::new();
         }
-        let stalled = peers.filter_map(|(peer, memory)| {
-            let since = memory.stalled_since?;
-            let is_due = now >= since + STALLED_AFTER && memory.held_bytes >= MIN_RECLAIMED_BYTES;
-            is_due.then_some((since, peer))
-        });
+        let stalled = peers.filter_map(|(peer, since)| Some((since?, peer)));
+        let stalled = stalled.filter(|(since, _)| now >= *since + STALLED_AFTER);
         let mut stalled: Vec<(Duration, T)> = stalled.collect();
         stalled.sort_unstable();
         if stalled.is_empty() {
--- a/crates/reactor/tests/reclaim.rs
+++ b/crates/reactor/tests/reclaim.rs
@@ -10,15 +10,12 @@
     Duration::from_millis(count)
 }
 
-fn peer(name: char, since_ms: Option<u64>, held_bytes: usize) -> (char, PeerMemory) {
-    let stalled_since = since_ms.map(ms);
-    (
-        name,
-        PeerMemory {
-            stalled_since,
-            held_bytes,
-        },
-    )
+fn peer(name: char, since_ms: Option<u64>, held_bytes: usize) -> (char, Option<Duration>) {
+    let memory = PeerMemory {
+        stalled_since: since_ms.map(ms),
+        held_bytes,
+    };
+    (name, memory.reclaimable_since())
 }
 
 #[test]
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -78,6 +78,7 @@
     EvacuationCalled = 143, Info, "a call to begin or end an evacuation was received";
     EvacuationDecided = 144, Info, "a call to begin or end an evacuation was decided";
     CallerEnded = 145, Info, "a message of a caller was ended, since there was no memory for it or others needed it";
+    RestingCallersClosed = 146, Info, "connections of callers that rest were closed to make room for new ones";
     // Routers and gateways.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
@@ -122,6 +123,7 @@
     SentByOutdatedState = 253, Info, "request sent to a server by a state that may lack changes that were acknowledged some time ago";
     ItemsInForce = 254, Info, "configuration items changed at this gateway";
     StalledClientEnded = 255, Info, "a message of a client that stands still was ended to make room in memory";
+    RestingClientsClosed = 256, Info, "connections of clients that rest were closed to make room for new ones";
     // Stand-ins.
     BackEndStarted = 300, Info, "stand-in back end started";
     HistoryNotWritten = 301, Error, "a record of the history could not be written";
