Idle connections at the readiness port do not hide that a gateway is ready

What callers saw: 100 idle connections at the address of readiness checks, of which 64 are kept, and no check was answered (40 of 40 tries): the gateway gets no new connections for as long as others come back, every 15 s. The same port serves metrics at replicas and gateways.

Cause: at the largest number of connections a new one was closed, whatever the others did.

Change: the new one takes the place of the one that was used longest ago.

Evidence: crowds/idle_connections_at_the_readiness_port_do_not_hide_a_ready_gateway and a test of the server by itself, both new, failed before and pass. crowds/readiness_checks_whose_answers_are_not_read_stay_within_memory, new as well, held before (11 MB of 64 MiB).

--- a/crates/reactor/src/text_server.rs
+++ b/crates/reactor/src/text_server.rs
@@ -13,7 +13,8 @@
 use crate::connection::{Connection, ReadOutcome};
 use crate::http::{RequestLimits, RequestReader};
 
-/// Largest number of connections; further ones are closed at once.
+/// Largest number of connections; a further one takes the place of the one that was used longest ago, so that
+/// connections that send nothing do not keep others out.
 const MAX_CONNECTIONS: usize = 64;
 
 /// Idle time after which a connection is closed.
@@ -112,7 +113,7 @@
     fn accept(&mut self, now: Duration, registry: &Registry, next_token: &mut usize) {
         while let Ok((stream, _)) = self.listener.accept() {
             if self.clients.len() >= MAX_CONNECTIONS {
-                continue;
+                self.close_least_recently_used();
             }
             let token = Token(*next_token);
             *next_token += 1;
@@ -127,6 +128,14 @@
         }
     }
 
+    fn close_least_recently_used(&mut self) {
+        let clients = self.clients.iter();
+        let oldest = clients.min_by_key(|(_, client)| client.last_active);
+        if let Some(token) = oldest.map(|(token, _)| *token) {
+            self.clients.remove(&token);
+        }
+    }
+
     /// Answers the complete requests of a connection; returns whether it is still usable.
     fn serve(&mut self, now: Duration, token: Token, respond: impl Fn() -> TextResponse) -> bool {
         let Some(client) = self.clients.get_mut(&token) else {
