Requests for readiness and metrics wait while their answers are not read

What callers saw: nothing yet. A client that sends requests for metrics one after the other and does not read makes the process write a response of some 20 kB for each 18 bytes: in a test of the server by itself, all of 20 responses of 8 MiB were made for a client that had read none.

Cause: all requests that were read were answered into the output of the connection, however much of it was unsent.

Change: no further request of a connection is handled while over 64 KiB of its responses are unsent.

Evidence: reactor/tests/text_server.rs failed before (20 of 20 handled) and passes (5 at most, all in the end).

--- a/crates/reactor/src/text_server.rs
+++ b/crates/reactor/src/text_server.rs
@@ -17,6 +17,9 @@
 /// connections that send nothing do not keep others out.
 const MAX_CONNECTIONS: usize = 64;
 
+/// Unsent bytes of responses above which no further request of a connection is handled.
+const UNSENT_LIMIT: usize = 64 << 10;
+
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -144,6 +147,14 @@
         client.last_active = now;
         let outcome = client.connection.fill(BUFFER_LIMIT);
         loop {
+            if client.connection.unsent() > UNSENT_LIMIT {
+                match client.connection.flush() {
+                    Ok(true) => {}
+                    // The next event tells that the client has read.
+                    Ok(false) => break,
+                    Err(_) => return false,
+                }
+            }
             match client.reader.take(&mut client.connection.inbound, LIMITS) {
                 Ok(None) => break,
                 Ok(Some(_)) => {
--- a/crates/reactor/tests/text_server.rs
+++ b/crates/reactor/tests/text_server.rs
@@ -3,13 +3,17 @@
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use grebepin_reactor::{TextResponse, TextServer};
 use mio::{Events, Poll, Token};
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
 
+/// More than the system buffers of a connection that is not read.
+const BODY_BYTES: usize = 8 << 20;
+const REQUESTS: usize = 20;
+
 const PATIENCE: Duration = Duration::from_secs(10);
 
 struct Served {
@@ -66,6 +70,35 @@
     }
 }
 
+/// Guards against a server whose memory is used up by a client that sends requests and does not read.
+#[test]
+fn requests_of_a_client_that_does_not_read_wait() {
+    let mut served = Served::start("x".repeat(BODY_BYTES));
+    let mut client = TcpStream::connect(served.address).expect("connected");
+    client.write_all(&REQUEST.repeat(REQUESTS)).expect("sent");
+    served.settle(Duration::ZERO);
+    let unread = served.handled.get();
+    assert!(
+        unread <= REQUESTS / 4,
+        "{unread} of {REQUESTS} were handled"
+    );
+    client.set_nonblocking(true).expect("set");
+    let started = Instant::now();
+    let mut received = 0;
+    let mut piece = vec![0; 1 << 20];
+    while received < REQUESTS * BODY_BYTES && started.elapsed() < PATIENCE {
+        served.settle(Duration::ZERO);
+        while let Ok(count @ 1..) = client.read(&mut piece) {
+            received += count;
+        }
+    }
+    assert_eq!(
+        served.handled.get(),
+        REQUESTS,
+        "all are answered in the end"
+    );
+}
+
 /// Guards against a readiness check that finds no connection because others hold all and send nothing.
 #[test]
 fn a_new_connection_takes_the_place_of_the_one_that_was_used_longest_ago() {
