A response whose status is below 100 is no response

What callers saw: a server in trouble answered HTTP/1.1 000 X, and the client got HTTP/1.1 0 Status (099: 99 Status), which no HTTP client can parse. The router's own stack took it for an interim answer and waited until the caller's time was up.

Cause: the parser library takes any three digits, and neither of the two readers asked whether they are a status code.

Change: below 100 the response is rejected like any that can't be read: a request that may be repeated goes to another server, another gets 502 and the server is avoided for a time. Codes that nobody has defined (299, 600, 999) are handed on as they are, as the servers' answers. 101 and 199 end as 502, as before.

--- a/crates/reactor/src/http/response.rs
+++ b/crates/reactor/src/http/response.rs
@@ -13,6 +13,9 @@
 /// never answers.
 const MAX_INTERIM_RESPONSES: u32 = 32;
 
+/// Smallest status code.
+const MIN_STATUS: u16 = 100;
+
 /// A complete response.
 #[derive(Clone, Debug)]
 pub struct Response {
@@ -32,6 +35,9 @@
     /// The head is not valid HTTP/1.
     #[error("malformed head")]
     MalformedHead,
+    /// The status code is below 100, so that no client could read the response (RFC 9110, section 15).
+    #[error("status code is below 100")]
+    InvalidStatus,
     /// The length of the body is stated more than once or in an unsupported way.
     #[error("ambiguous length")]
     AmbiguousLength,
@@ -155,6 +161,9 @@
     };
     let fields = Fields::from_parsed(parsed.headers);
     let code = parsed.code.unwrap_or_default();
+    if code < MIN_STATUS {
+        return Err(BadResponse::InvalidStatus);
+    }
     let bodiless = !has_body || code == 204 || code == 304 || (100..200).contains(&code);
     let framing = match bodiless {
         true => Framing::Length(0),
--- a/crates/reactor/tests/http.rs
+++ b/crates/reactor/tests/http.rs
@@ -91,6 +91,25 @@
     assert!(!response.keeps_alive);
 }
 
+/// Guards against a response that no client can read.
+#[test]
+fn a_response_whose_status_is_below_100_is_rejected() {
+    let read = |status: &str| {
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+        ResponseReader::default().take(&mut head.into_bytes(), true, 100)
+    };
+    for status in ["000", "001", "099"] {
+        assert_eq!(
+            read(status).expect_err("rejected"),
+            BadResponse::InvalidStatus
+        );
+    }
+    for status in [200, 600, 999] {
+        let response = read(&status.to_string()).expect("well formed");
+        assert_eq!(response.map(|one| one.status), Some(status));
+    }
+}
+
 #[test]
 fn a_truncated_response_is_rejected() {
     let mut buffer = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc".to_vec();
--- a/crates/router/src/http/head.rs
+++ b/crates/router/src/http/head.rs
@@ -8,6 +8,9 @@
 /// Maximum number of header lines in one head.
 const MAX_HEADERS: usize = 64;
 
+/// Smallest status code (RFC 9110, section 15). One below it is not an interim answer that another follows.
+const MIN_STATUS: u16 = 100;
+
 /// Headers that concern a single connection and are never forwarded.
 const CONNECTION_HEADERS: [&str; 9] = [
     "connection",
@@ -178,6 +181,9 @@
             Err(_) => return Err(HttpError::Malformed),
         };
         let status = response.code.unwrap_or_default();
+        if status < MIN_STATUS {
+            return Err(HttpError::Malformed);
+        }
         let headers = Headers::from_parsed(response.headers);
         let declared_length = headers.body_length()?.unwrap_or(BodyLength::UntilClose);
         let without_body = method == "HEAD" || status < 200 || status == 204 || status == 304;
