The request that is being handled is not ended to make room for itself

What callers saw: nothing yet; found by reading. While memory is reclaimed for a request, its own client could be among those that stand still: a pipelined request whose client has not read the response before it. Its connection was closed and the request then sent to a server all the same, or it got two answers.

Cause: the search looked at all clients. Change: the one whose request is being handled is left out, at gateways and replicas.

--- a/crates/directory/src/daemon/caller_memory.rs
+++ b/crates/directory/src/daemon/caller_memory.rs
@@ -22,28 +22,30 @@
         if http.awaits_reading() {
             self.ready_callers.push_back(token);
         }
-        if is_reading && !self.has_memory_for_call(bytes) {
+        if is_reading && !self.has_memory_for_call(token, bytes) {
             self.refuse_without_memory(token, bytes, Duration::ZERO);
         }
     }
 
-    /// Whether a call that takes `bytes`, which are counted already, fits into the memory, after memory was reclaimed if
-    /// necessary.
-    pub(super) fn has_memory_for_call(&mut self, bytes: usize) -> bool {
+    /// Whether the call of a caller that takes `bytes`, which are counted already, fits into the memory, after memory was
+    /// reclaimed from other callers if necessary.
+    pub(super) fn has_memory_for_call(&mut self, token: Token, bytes: usize) -> bool {
         let bounds = self.settings.call_memory();
         if bounds.fits(self.call_memory.held(), bytes) {
             return true;
         }
-        self.reclaim_memory(bytes);
+        self.reclaim_memory(bytes, token);
         bounds.fits(self.call_memory.held(), bytes)
     }
 
     /// Ends messages of callers that stand still, those that have stood longest first, until a call that takes `bytes`
-    /// fits.
-    fn reclaim_memory(&mut self, bytes: usize) {
+    /// fits. The caller `spared` is the one whose call is being handled: if it were refused here as well, it would get two
+    /// answers.
+    fn reclaim_memory(&mut self, bytes: usize, spared: Token) {
         let now = self.now();
         let bounds = self.settings.call_memory();
         let callers = self.http_connections.iter();
+        let callers = callers.filter(|(token, _)| **token != spared);
         let callers = callers.map(|(token, http)| (*token, http.memory().reclaimable_since()));
         let stalled = self.stall_search.find(now, callers);
         for (since, token) in stalled {
--- a/crates/directory/src/daemon/callers.rs
+++ b/crates/directory/src/daemon/callers.rs
@@ -156,7 +156,7 @@
         basis: CallBasis,
         source: Option<CallSource>,
     ) {
-        if call == Call::ReadItems && !self.has_memory_for_call(0) {
+        if call == Call::ReadItems && !self.has_memory_for_call(token, 0) {
             let reply = Reply::Unavailable(UnavailableReason::NoMemory);
             return self.answer_caller(token, &self.dialect.render(&reply));
         }
--- a/crates/gateway/src/forwarding.rs
+++ b/crates/gateway/src/forwarding.rs
@@ -111,7 +111,9 @@
         let Some(client) = self.clients.get(&token) else {
             return;
         };
-        if client.is_reading_request() && !self.has_memory_for_request(client.memory().held_bytes) {
+        if client.is_reading_request()
+            && !self.has_memory_for_request(token, client.memory().held_bytes)
+        {
             return self.refuse_incomplete(token);
         }
         let client = self.clients.get(&token);
@@ -177,7 +179,7 @@
                 return self.respond(token, LocalResponse::status(400).closing(), "");
             }
         }
-        if !self.has_memory_for_request(incoming.request.body.charged_bytes()) {
+        if !self.has_memory_for_request(token, incoming.request.body.charged_bytes()) {
             return self.reject(&incoming, Refusal::NoMemory);
         }
         if !self.table.is_configured() {
--- a/crates/gateway/src/reclaim.rs
+++ b/crates/gateway/src/reclaim.rs
@@ -18,14 +18,14 @@
 const CLOSED_AT_ONCE: usize = 16;
 
 impl EventLoop {
-    /// Whether a request that takes `bytes`, which are counted already, fits into the memory, after memory was reclaimed
-    /// if necessary.
-    pub(crate) fn has_memory_for_request(&mut self, bytes: usize) -> bool {
+    /// Whether the request of a client that takes `bytes`, which are counted already, fits into the memory, after memory
+    /// was reclaimed from other clients if necessary.
+    pub(crate) fn has_memory_for_request(&mut self, token: Token, bytes: usize) -> bool {
         let bounds = self.settings.memory_bounds();
         if self.held_memory.fits_request(bounds, bytes) {
             return true;
         }
-        self.reclaim_memory(bytes);
+        self.reclaim_memory(bytes, Some(token));
         self.held_memory.fits_request(bounds, bytes)
     }
 
@@ -35,16 +35,18 @@
         if self.held_memory.fits_responses(bounds) {
             return true;
         }
-        self.reclaim_memory(0);
+        self.reclaim_memory(0, None);
         self.held_memory.fits_responses(bounds)
     }
 
     /// Ends messages of clients that stand still, those that have stood longest first, until a request that takes `bytes`
-    /// fits. Responses go last: their servers have done the work.
-    fn reclaim_memory(&mut self, bytes: usize) {
+    /// fits. Responses go last: their servers have done the work. The client `spared` is the one whose request is being
+    /// handled: if it were refused here as well, it would get two answers.
+    fn reclaim_memory(&mut self, bytes: usize, spared: Option<Token>) {
         let now = self.now();
         let bounds = self.settings.memory_bounds();
         let clients = self.clients.iter();
+        let clients = clients.filter(|(token, _)| Some(**token) != spared);
         let clients = clients.map(|(token, client)| (*token, client.memory().reclaimable_since()));
         let stalled = self.stall_search.find(now, clients);
         for (since, token) in self.requests_first(stalled) {
