Clients that send a byte now and then stand still

What callers saw: clients that hold the memory for large requests and send one byte of their bodies each 100 ms kept all others from sending a large one: 503 to each of 40 tries, for as long as header_timeout_s allows (four times it).

Cause: any byte counted as progress, so that these requests were never among those that give way.

Change: progress is 4 KiB or more of a message, or its beginning (reactor::Progress), for what is received and for what is sent, at gateways and replicas. Slower than 8 KiB/s is still served while there is memory; only what others need is taken from it.

--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use grebepin_reactor::http::{BadRequest, Request, RequestLimits, RequestReader};
-use grebepin_reactor::{Connection, MemoryAccount, PeerMemory, ReadOutcome};
+use grebepin_reactor::{Connection, MemoryAccount, PeerMemory, Progress, ReadOutcome};
 
 use crate::call::CallBasis;
 use crate::dialect::HttpReply;
@@ -37,8 +37,8 @@
     ended: bool,
     /// Whether the last read left bytes in the socket, for which no event comes.
     has_unread: bool,
-    /// When bytes were last received or sent.
-    progressed_at: Duration,
+    /// Of the call that is being received, or of the reply that is being sent.
+    progress: Progress,
     /// Time of the last activity.
     pub(super) last_active: Duration,
     pub(super) accepted_at: Duration,
@@ -82,7 +82,7 @@
             closing: false,
             ended: false,
             has_unread: false,
-            progressed_at: now,
+            progress: Progress::begin(now),
             last_active: now,
             accepted_at: now,
             unread_since: Some(opened_after.at),
@@ -110,10 +110,12 @@
             true => BODY_READ_BYTES,
             false => READ_AHEAD_BYTES,
         };
-        let received = self.connection.inbound.len();
+        let held = self.connection.inbound.len();
         let outcome = self.connection.fill(limit);
-        if self.connection.inbound.len() > received {
-            self.progressed_at = now;
+        match self.connection.inbound.len() - held {
+            0 => {}
+            _ if held == 0 && !self.reader.is_partial() => self.progress = Progress::begin(now),
+            received => self.progress.note(now, received),
         }
         self.has_unread = matches!(outcome, Ok(ReadOutcome::Full));
         match outcome {
@@ -176,7 +178,7 @@
     pub(super) fn memory(&self) -> PeerMemory {
         let owes_bytes = self.is_reading_call() || self.connection.unsent() > 0;
         PeerMemory {
-            stalled_since: owes_bytes.then_some(self.progressed_at),
+            stalled_since: owes_bytes.then_some(self.progress.at()),
             held_bytes: self.reader.charged_bytes() + self.connection.held_bytes(),
         }
     }
@@ -208,6 +210,7 @@
         );
         out.extend_from_slice(&reply.body);
         self.busy = false;
+        self.progress = Progress::begin(now);
         // A pipelined call was sent before this response.
         if self.connection.inbound.is_empty() {
             self.basis = known;
@@ -243,9 +246,8 @@
     pub(super) fn send(&mut self, now: Duration) -> std::io::Result<bool> {
         let unsent = self.connection.unsent();
         let outcome = self.connection.flush();
-        if self.connection.unsent() < unsent {
-            self.progressed_at = now;
-        }
+        let sent = unsent - self.connection.unsent();
+        self.progress.note(now, sent);
         outcome
     }
 
--- a/crates/gateway/src/answering.rs
+++ b/crates/gateway/src/answering.rs
@@ -398,9 +398,8 @@
         let Some(client) = self.clients.get_mut(&token) else {
             return;
         };
-        client.request = None;
+        client.begin_response(now);
         client.closing = closes;
-        client.idle_since = now;
         let open = client.flush(now);
         client.connection.trim();
         match (open, client.has_input()) {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use grebepin_reactor::http::{BadRequest, Request, RequestLimits, RequestReader};
-use grebepin_reactor::{Connection, PeerMemory, ReadOutcome};
+use grebepin_reactor::{Connection, PeerMemory, Progress, ReadOutcome};
 use mio::Token;
 
 use crate::held_memory::HeldMemory;
@@ -42,8 +42,8 @@
     pub is_peer: bool,
     /// When the last response was sent, or the connection was accepted.
     pub idle_since: Duration,
-    /// When bytes were last received or sent.
-    progressed_at: Duration,
+    /// Of the request that is being received, or of the response that is being sent.
+    progress: Progress,
 }
 
 impl Client {
@@ -58,7 +58,7 @@
         Self {
             connection,
             reader: RequestReader::new(memory.requests.clone()),
-            progressed_at: now,
+            progress: Progress::begin(now),
             request: None,
             keeps_alive: true,
             closing: false,
@@ -83,10 +83,12 @@
             (None, true) => BODY_READ_BYTES,
             (None, false) => READ_AHEAD_BYTES.max(head_limit + 1),
         };
-        let received = self.connection.inbound.len();
+        let held = self.connection.inbound.len();
         let outcome = self.connection.fill(limit);
-        if self.connection.inbound.len() > received {
-            self.progressed_at = now;
+        match self.connection.inbound.len() - held {
+            0 => {}
+            _ if held == 0 && !self.reader.is_partial() => self.progress = Progress::begin(now),
+            received => self.progress.note(now, received),
         }
         self.has_unread = matches!(outcome, Ok(ReadOutcome::Full));
         if self.connection.inbound.is_empty() {
@@ -106,14 +108,14 @@
         let unsent = self.connection.unsent();
         let owes_bytes = self.is_reading_request() || unsent > 0;
         PeerMemory {
-            stalled_since: owes_bytes.then_some(self.progressed_at),
+            stalled_since: owes_bytes.then_some(self.progress.at()),
             held_bytes: self.reader.charged_bytes() + self.connection.held_bytes() + unsent,
         }
     }
 
     /// When the connection was last used; `None` while a request is in flight.
     pub fn rests_since(&self) -> Option<Duration> {
-        let last_used = self.idle_since.max(self.progressed_at);
+        let last_used = self.idle_since.max(self.progress.at());
         self.request.is_none().then_some(last_used)
     }
 
@@ -167,6 +169,13 @@
         self.request.is_none() && self.request_started.is_none() && self.connection.unsent() == 0
     }
 
+    /// Records that the response to the request in flight was written to the output.
+    pub fn begin_response(&mut self, now: Duration) {
+        self.request = None;
+        self.idle_since = now;
+        self.progress = Progress::begin(now);
+    }
+
     /// Ends the output; returns whether the connection is kept to drop the rest of a request that was not read.
     fn begin_close(&mut self, now: Duration) -> bool {
         let is_unread =
@@ -181,9 +190,8 @@
     pub fn flush(&mut self, now: Duration) -> bool {
         let unsent = self.connection.unsent();
         let outcome = self.connection.flush();
-        if self.connection.unsent() < unsent {
-            self.progressed_at = now;
-        }
+        let sent = unsent - self.connection.unsent();
+        self.progress.note(now, sent);
         match outcome {
             Ok(true) if self.closing => self.begin_close(now),
             Ok(_) => true,
--- a/crates/reactor/src/lib.rs
+++ b/crates/reactor/src/lib.rs
@@ -23,5 +23,5 @@
 pub use frames::{decode_frame, encode_frame, take_frame, FrameError, MAX_FRAME_BYTES};
 pub use memory::{MemoryAccount, MemoryCharge};
 pub use poll_history::PollHistory;
-pub use reclaim::{PeerMemory, StallSearch};
+pub use reclaim::{PeerMemory, Progress, StallSearch};
 pub use text_server::{TextResponse, TextServer};
--- a/crates/reactor/src/reclaim.rs
+++ b/crates/reactor/src/reclaim.rs
@@ -6,6 +6,10 @@
 /// they wait for on the way is a lost packet.
 const STALLED_AFTER: Duration = Duration::from_millis(500);
 
+/// Bytes that a peer must send or take within [`STALLED_AFTER`]: one that sends a byte now and then stands still as well.
+/// This is 8 KiB/s, less than any network on which a message of that size makes sense.
+const MIN_PROGRESS_BYTES: usize = 4 << 10;
+
 /// Smallest amount of memory for which a message is ended.
 const MIN_RECLAIMED_BYTES: usize = 2 << 10;
 
@@ -13,10 +17,38 @@
 /// connections with each of its reads.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 
+/// When a peer last made progress with a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    at: Duration,
+    /// Bytes since then.
+    bytes: usize,
+}
+
+impl Progress {
+    /// Of a message that begins.
+    pub fn begin(now: Duration) -> Self {
+        Self { at: now, bytes: 0 }
+    }
+
+    /// Records bytes that were received or sent.
+    pub fn note(&mut self, now: Duration, bytes: usize) {
+        self.bytes += bytes;
+        if self.bytes >= MIN_PROGRESS_BYTES {
+            *self = Self::begin(now);
+        }
+    }
+
+    /// Time of the last progress.
+    pub fn at(&self) -> Duration {
+        self.at
+    }
+}
+
 /// What a peer holds and owes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PeerMemory {
-    /// When the peer last sent a byte of an incomplete message or took one of a message to it; `None` if it owes neither.
+    /// When the peer last made progress with an incomplete message or one that is sent to it; `None` if there is neither.
     pub stalled_since: Option<Duration>,
     /// Memory that its messages take, in bytes.
     pub held_bytes: usize,
--- a/crates/reactor/tests/reclaim.rs
+++ b/crates/reactor/tests/reclaim.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use grebepin_reactor::{PeerMemory, StallSearch};
+use grebepin_reactor::{PeerMemory, Progress, StallSearch};
 
 const KIB: usize = 1 << 10;
 
@@ -31,6 +31,22 @@
     assert_eq!(found, [(ms(100), 'b'), (ms(900), 'a')]);
 }
 
+/// Guards against peers that keep memory by sending a byte now and then.
+#[test]
+fn single_bytes_are_no_progress() {
+    let mut progress = Progress::begin(ms(100));
+    for at in 200..300 {
+        progress.note(ms(at), 1);
+    }
+    assert_eq!(progress.at(), ms(100));
+    progress.note(ms(300), 4 * KIB);
+    assert_eq!(progress.at(), ms(300));
+    progress.note(ms(400), 3 * KIB);
+    assert_eq!(progress.at(), ms(300));
+    progress.note(ms(500), KIB);
+    assert_eq!(progress.at(), ms(500));
+}
+
 #[test]
 fn a_search_that_found_nothing_is_not_repeated_at_once() {
     let mut search = StallSearch::default();
