--- a/crates/gateway/src/reclaim.rs
+++ b/crates/gateway/src/reclaim.rs
@@ -58,7 +58,7 @@
     }
 
     /// Closes connections that rest, incomplete requests before those of idle clients, if there are `limit` connections
-    /// already. Clients that wait for a response are never closed.
+    /// already. Those with a request in flight are never closed.
     pub(crate) fn reclaim_connections(&mut self, limit: usize) {
         if self.connection_count() < limit {
             return;
