A replica no longer spins while callers do not read their replies

What callers saw: nothing yet; a replica used a whole core (100 ticks of 100 a second, for all of the eight seconds looked at) while ten callers with 2,000 pipelined reads of the configuration each took no reply. Others were still answered.

No call is handled while over 64 KiB of replies are unsent, but the connection was queued again at once since bytes of further calls lay in its socket. Gateways ask both questions in one place; the copy here asked one only.

Change: one check (is_blocked) for both. The event that tells that the caller has read queues the connection.

No test looks at processor time, so none is added.

--- a/crates/directory/src/daemon/http_connection.rs
+++ b/crates/directory/src/daemon/http_connection.rs
@@ -134,7 +134,7 @@
         &mut self,
         now: Duration,
     ) -> Result<Option<ReceivedRequest>, BadRequest> {
-        if self.busy || self.closing || self.connection.unsent() > UNSENT_LIMIT {
+        if self.busy || self.closing || self.is_blocked() {
             return Ok(None);
         }
         let call = self.reader.take(&mut self.connection.inbound, LIMITS)?;
@@ -165,7 +165,12 @@
 
     /// Whether a call is being read whose next bytes are in the socket, for which no event comes.
     pub(super) fn awaits_reading(&self) -> bool {
-        self.has_unread && !self.busy && !self.closing
+        self.has_unread && !self.busy && !self.closing && !self.is_blocked()
+    }
+
+    /// Whether the caller must read replies before another of its calls is handled.
+    fn is_blocked(&self) -> bool {
+        self.connection.unsent() > UNSENT_LIMIT
     }
 
     /// Whether a call was received in part.
