--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -46,6 +46,8 @@
     handed_to_storage: LogIndex,
     /// Last entry known to be durable on this replica.
     durable: LogIndex,
+    /// Size of all entries, in bytes.
+    bytes: usize,
 }
 
 impl Log {
@@ -72,6 +74,7 @@
             delivered: base_index,
             handed_to_storage: base_index,
             durable: base_index,
+            bytes: 0,
         };
         for entry in entries.into_iter().filter(|entry| entry.index > base_index) {
             assert_eq!(
@@ -79,11 +82,11 @@
                 log.last_index().0 + 1,
                 "gap in the stored log"
             );
-            log.entries.push_back(entry);
+            log.push_back(entry);
         }
         log.handed_to_storage = log.last_index();
         log.durable = log.last_index();
-        log.commit = commit.clamp(base_index, log.last_index());
+        log.commit_to(commit);
         log
     }
 
@@ -117,6 +120,11 @@
         self.snapshot.as_ref()
     }
 
+    /// Returns the size of all entries, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the term of the entry at an index; `None` if the index is before `base_index` or after the
     /// last entry.
     pub fn term_at(&self, index: LogIndex) -> Option<Term> {
@@ -173,7 +181,7 @@
     /// Appends an entry proposed by this replica as leader and returns its index.
     pub fn append(&mut self, term: Term, payload: EntryPayload) -> LogIndex {
         let index = LogIndex(self.last_index().0 + 1);
-        self.entries.push_back(Entry {
+        self.push_back(Entry {
             index,
             term,
             payload,
@@ -181,18 +189,24 @@
         index
     }
 
+    fn push_back(&mut self, entry: Entry) {
+        self.bytes += entry_size(&entry);
+        self.entries.push_back(entry);
+    }
+
     /// Appends an entry received from a leader. It is ignored unless its index follows the last one.
     pub fn push(&mut self, entry: Entry) {
         if entry.index.0 == self.last_index().0 + 1 {
-            self.entries.push_back(entry);
+            self.push_back(entry);
         }
     }
 
     /// Removes uncommitted entries from `index` on.
     pub fn truncate_from(&mut self, index: LogIndex) {
         let first = index.0.max(self.commit.0 + 1);
-        let kept = first.saturating_sub(self.base_index.0 + 1);
-        self.entries.truncate(kept as usize);
+        let kept = first.saturating_sub(self.base_index.0 + 1) as usize;
+        let removed = self.entries.drain(kept.min(self.entries.len())..);
+        self.bytes -= removed.map(|entry| entry_size(&entry)).sum::<usize>();
         self.handed_to_storage = self.handed_to_storage.min(self.last_index());
         self.durable = self.durable.min(self.last_index());
     }
@@ -200,11 +214,11 @@
     /// Raises the commit index to `index`, at most to the last entry. Returns whether it changed.
     pub fn commit_to(&mut self, index: LogIndex) -> bool {
         let index = index.min(self.last_index());
-        let raised = index > self.commit;
-        if raised {
-            self.commit = index;
+        if index <= self.commit {
+            return false;
         }
-        raised
+        self.commit = index;
+        true
     }
 
     /// Returns the entries that were not yet returned for storage.
@@ -237,6 +251,7 @@
         self.base_index = snapshot.meta.index;
         self.base_term = snapshot.meta.term;
         self.entries.clear();
+        self.bytes = 0;
         self.commit = self.base_index;
         self.delivered = self.base_index;
         self.handed_to_storage = self.base_index;
@@ -249,7 +264,8 @@
         let keep_after = keep_after.clamp(self.base_index, snapshot.meta.index);
         if let Some(term) = self.term_at(keep_after) {
             let dropped = keep_after.0 - self.base_index.0;
-            self.entries.drain(..dropped as usize);
+            let dropped = self.entries.drain(..dropped as usize);
+            self.bytes -= dropped.map(|entry| entry_size(&entry)).sum::<usize>();
             self.base_index = keep_after;
             self.base_term = term;
         }
--- a/crates/consensus/src/status.rs
+++ b/crates/consensus/src/status.rs
@@ -55,6 +55,11 @@
         self.log.entries_from(LogIndex(index.0 + 1))
     }
 
+    /// Returns the size of the log after its start, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
     /// Returns the current term.
     pub fn term(&self) -> Term {
         self.term
--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -53,6 +53,9 @@
             index = index,
             outcome = outcome.name()
         ),
+        Notice::SnapshotSaved { index, bytes } => {
+            event!(Event::SnapshotSaved, index = index, bytes = bytes);
+        }
         Notice::TornTailCut { bytes } => event!(Event::TornTailCut, bytes = bytes),
     }
 }
--- a/crates/directory/src/node/messages.rs
+++ b/crates/directory/src/node/messages.rs
@@ -162,6 +162,13 @@
         /// What the call did.
         outcome: EvacuationOutcome,
     },
+    /// A snapshot was saved, or installed from the leader.
+    SnapshotSaved {
+        /// Index of the last entry that it covers.
+        index: u64,
+        /// Size in bytes.
+        bytes: usize,
+    },
     /// An incomplete write was cut off the end of the log at startup.
     TornTailCut {
         /// Number of bytes removed.
--- a/crates/directory/src/node/replication.rs
+++ b/crates/directory/src/node/replication.rs
@@ -115,6 +115,7 @@
     fn install_snapshot(&mut self, meta: &SnapshotMeta, data: &[u8]) -> Result<(), NodeError> {
         self.catalog = decode_catalog(data)?;
         self.applied = meta.index;
+        self.push_snapshot_notice(meta, data);
         self.recent_entries.clear();
         self.outputs.push(NodeOutput::StateReplaced);
         Ok(())
@@ -238,10 +239,18 @@
         };
         let data = encode_catalog(&self.catalog)?;
         self.storage.save_snapshot(&meta, &data)?;
+        self.push_snapshot_notice(&meta, &data);
         self.consensus.compact(meta, data);
         Ok(())
     }
 
+    fn push_snapshot_notice(&mut self, meta: &SnapshotMeta, data: &[u8]) {
+        self.push_notice(Notice::SnapshotSaved {
+            index: meta.index.0,
+            bytes: data.len(),
+        });
+    }
+
     /// Complete state for a gateway, with its log index, without the operators' documents.
     ///
     /// # Errors
--- a/crates/telemetry/src/metrics/directory.rs
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -25,6 +25,8 @@
     pub applied_index: IntGauge,
     /// Log entries that are not applied yet.
     pub unapplied_entries: IntGauge,
+    /// Memory that the log takes in bytes.
+    pub log_bytes: IntGauge,
     /// Gateways that follow this replica.
     pub followers: IntGauge,
     /// 1 while the applied state is fresh enough to be sent to gateways, else 0.
@@ -82,6 +84,10 @@
                 "directory_unapplied_entries",
                 "Entries in the log that are not applied",
             )?,
+            log_bytes: metrics.gauge(
+                "directory_log_bytes",
+                "Memory that the log takes, without the snapshot",
+            )?,
             followers: metrics.gauge("directory_followers", "Gateways that follow")?,
             is_fed: metrics.gauge(
                 "directory_is_fed",
