Entries that are kept for gateways are bounded by their size

After some 140 changes of all routes every replica was over its memory and was killed.

Cause: a replica kept the last 4,096 applied entries for gateways that lack a few, decoded and with the operator's documents, whatever they took. A gateway that relays the state bounded the same list by changed items, whose names have any length.

Change: one list for both, RecentEntries, bounded by the number of entries and by their estimated size (8 MiB at a replica, 1 MiB at a gateway). Documents are dropped before an entry is kept. A reader that lacks more gets the complete state, as before.

--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -102,14 +102,12 @@
 }
 
 impl Entry {
-    /// Returns a copy without the item documents, for readers that never return them to an operator.
-    pub fn without_documents(&self) -> Self {
-        let commands = self.commands.iter().map(|command| match command {
-            Command::ChangeItems(change) => Command::ChangeItems(change.without_documents()),
-            other => other.clone(),
-        });
-        Self {
-            commands: commands.collect(),
+    /// Clears the item documents, for readers that never return them to an operator.
+    pub fn drop_documents(&mut self) {
+        for command in &mut self.commands {
+            if let Command::ChangeItems(change) = command {
+                change.drop_documents();
+            }
         }
     }
 }
--- a/crates/catalog/src/item.rs
+++ b/crates/catalog/src/item.rs
@@ -159,12 +159,10 @@
 }
 
 impl ItemChange {
-    /// Returns a copy without the item documents, for readers that never return them to an operator.
-    pub fn without_documents(&self) -> Self {
-        let mut change = self.clone();
-        for item in &mut change.upserts {
+    /// Clears the item documents.
+    pub(crate) fn drop_documents(&mut self) {
+        for item in &mut self.upserts {
             item.document = String::new();
         }
-        change
     }
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod catalog;
 mod command;
+mod entry_size;
 mod evacuation;
 mod instance;
 mod item;
 mod items;
 mod ownership;
 mod quarantine;
+mod recent_entries;
 mod routes;
 
 pub use catalog::{Catalog, Effects, ShardChange};
@@ -25,4 +27,5 @@
 pub use items::{ChangedItem, InvalidChange, ItemSummary, Items, VersionedItem};
 pub use ownership::{shard_of_key, KeyRange, Shard, ShardOwnership, KEYS, KEYS_PER_SHARD, SHARDS};
 pub use quarantine::{Fingerprint, Quarantine, QuarantineChange};
+pub use recent_entries::RecentEntries;
 pub use routes::{NamedRoute, RouteIndex};
--- a/crates/directory/src/daemon/housekeeping.rs
+++ b/crates/directory/src/daemon/housekeeping.rs
@@ -57,7 +57,9 @@
         metrics.applied_index.set(applied as i64);
         let unapplied = consensus.last_index().0.saturating_sub(applied);
         metrics.unapplied_entries.set(unapplied as i64);
-        metrics.log_bytes.set(consensus.log_bytes() as i64);
+        let held = self.node.held_bytes();
+        metrics.log_bytes.set(held.log as i64);
+        metrics.recent_entry_bytes.set(held.recent_entries as i64);
         metrics.followers.set(i64::from(self.followers()));
         metrics.is_fed.set(i64::from(self.is_fed(now)));
         metrics.state_age_ms.set(age_ms(self.state_age(now)));
--- a/crates/directory/src/node/founding.rs
+++ b/crates/directory/src/node/founding.rs
@@ -4,11 +4,10 @@
 //! system. Any other empty data folder gets a new identity, so that a replica that lost its votes never
 //! returns under the identity that cast them.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use grebepin_catalog::Catalog;
+use grebepin_catalog::{Catalog, RecentEntries};
 use grebepin_consensus::{Consensus, Restored};
 use grebepin_reactor::{decode_frame, FrameError};
 use grebepin_replica::LogWriter;
@@ -24,6 +23,13 @@
 use super::pending_calls::PendingCalls;
 use super::{Node, NodeError};
 
+/// Number of applied entries that are kept for gateways that are a few entries behind.
+const MAX_RECENT_ENTRIES: usize = 4_096;
+
+/// Size in memory of those entries, in bytes. A gateway that lacks more gets the complete state, which is as large after
+/// a few changes of all items.
+const MAX_RECENT_BYTES: usize = 8 << 20;
+
 /// Log index of the founding membership, the same on every founder.
 const FOUNDING_INDEX: LogIndex = LogIndex(1);
 
@@ -63,7 +69,7 @@
             catalog,
             applied,
             replay_until,
-            recent_entries: VecDeque::new(),
+            recent_entries: RecentEntries::new(MAX_RECENT_ENTRIES, MAX_RECENT_BYTES),
             log_writer,
             leadership: None,
             pending_calls: PendingCalls::default(),
--- a/crates/directory/src/node/mod.rs
+++ b/crates/directory/src/node/mod.rs
@@ -15,10 +15,9 @@
 mod replication;
 mod voters;
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use grebepin_catalog::{Catalog, Entry};
+use grebepin_catalog::{Catalog, Entry, RecentEntries};
 use grebepin_consensus::Consensus;
 use grebepin_replica::LogWriter;
 use grebepin_schema::{LogIndex, ReplicaId};
@@ -52,8 +51,8 @@
     applied: LogIndex,
     /// Highest index known to be committed at startup. Entries up to it are replayed without log lines.
     replay_until: LogIndex,
-    /// The most recently applied entries, for gateways that are a few entries behind.
-    recent_entries: VecDeque<(u64, Entry)>,
+    /// The most recently applied entries, without the items' documents, for gateways that are a few entries behind.
+    recent_entries: RecentEntries,
     log_writer: LogWriter,
     leadership: Option<Leadership>,
     pending_calls: PendingCalls,
@@ -63,6 +62,15 @@
     outputs: Vec<NodeOutput>,
 }
 
+/// Estimated memory that a replica's log and what is kept of it takes, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldBytes {
+    /// Entries of the log that no snapshot covers, or that are retained for followers.
+    pub log: usize,
+    /// Applied entries that are kept for gateways.
+    pub recent_entries: usize,
+}
+
 /// How long a replica's state counts as fresh after the last contact with a leader: two lost leader
 /// heartbeats of 60 ms each, an election of 250 ms, and a margin. A gateway has 2 s to learn of a change from
 /// another source.
@@ -91,27 +99,26 @@
         &self.consensus
     }
 
+    /// Memory that the log and what is kept of it takes.
+    pub fn held_bytes(&self) -> HeldBytes {
+        HeldBytes {
+            log: self.consensus.log_bytes(),
+            recent_entries: self.recent_entries.bytes(),
+        }
+    }
+
     /// Returns the disk so that a node can be reopened on it.
     pub fn into_disk(self) -> D {
         self.storage.into_disk()
     }
 
-    /// Applied entries after a log index. `None` if they are no longer kept, so that the complete state must
+    /// Applied entries after a log index, without the items' documents. `None` if they are no longer kept, so that the complete state must
     /// be sent.
     pub fn entries_after(&self, index: u64) -> Option<Vec<(u64, Entry)>> {
         if index >= self.applied.0 {
             return Some(Vec::new());
         }
-        let first = self.recent_entries.front()?.0;
-        if first > index + 1 {
-            return None;
-        }
-        let missed = self.recent_entries.iter().filter(|(at, _)| *at > index);
-        Some(
-            missed
-                .map(|(at, entry)| (*at, entry.without_documents()))
-                .collect(),
-        )
+        self.recent_entries.after(index)
     }
 
     /// Processes a batch of inputs and returns the actions to perform. `clock` returns the current time; it
--- a/crates/directory/src/node/open_entries.rs
+++ b/crates/directory/src/node/open_entries.rs
@@ -27,12 +27,12 @@
             };
             bytes += frame.0.len();
             let decoded = decode_frame::<Entry>(&frame.0);
-            let (true, Ok(decoded)) = (bytes <= MAX_OPEN_BYTES, decoded) else {
+            let (true, Ok(mut decoded)) = (bytes <= MAX_OPEN_BYTES, decoded) else {
                 open.is_truncated = true;
                 break;
             };
-            let commands = decoded.without_documents().commands.into_iter();
-            let binding = commands.filter(binds_gateways);
+            decoded.drop_documents();
+            let binding = decoded.commands.into_iter().filter(binds_gateways);
             open.commands
                 .extend(binding.map(|command| (entry.index.0, command)));
         }
--- a/crates/directory/src/node/replication.rs
+++ b/crates/directory/src/node/replication.rs
@@ -20,9 +20,6 @@
 /// Maximum number of rounds in one call, so that a node that keeps generating work for itself still returns.
 const MAX_ADVANCE_ROUNDS: usize = 8;
 
-/// Number of applied entries that are kept for gateways that are a few entries behind.
-const RECENT_ENTRIES: usize = 4_096;
-
 /// What an entry did, for the call that waits for it.
 struct EntryOutcome {
     /// Why a change of items was refused; `None` unless it was.
@@ -144,7 +141,8 @@
                 self.reply(waiter.call(), Reply::Unavailable(reason));
             }
         }
-        self.keep_recent(entry.index.0, applied);
+        applied.drop_documents();
+        self.recent_entries.push(entry.index.0, applied);
         if self.applied == self.replay_until {
             self.push_notice(Notice::Replayed {
                 index: self.applied.0,
@@ -183,13 +181,6 @@
         outcome
     }
 
-    fn keep_recent(&mut self, index: u64, entry: CatalogEntry) {
-        self.recent_entries.push_back((index, entry));
-        if self.recent_entries.len() > RECENT_ENTRIES {
-            self.recent_entries.pop_front();
-        }
-    }
-
     fn answer_applied(
         &mut self,
         now: Duration,
--- a/crates/directory/tests/feeding.rs
+++ b/crates/directory/tests/feeding.rs
@@ -41,10 +41,11 @@
         upserts: (0..1_200).map(route).collect(),
         removals: Vec::new(),
     };
-    let entry = Entry {
+    let mut entry = Entry {
         commands: vec![Command::ChangeItems(change)],
     };
-    let frame = FromReplica::Entries(vec![(9, entry.without_documents())]);
+    entry.drop_documents();
+    let frame = FromReplica::Entries(vec![(9, entry)]);
     let bytes = frame.encode().expect("encodes");
     let seconds = bytes.len() as f64 * GATEWAYS / FED_PER_SECOND;
     assert!(seconds < 1.2, "{} bytes take {seconds:.2} s", bytes.len());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,11 +3,11 @@
 //! Invariant: only entries and snapshots taken from the log are relayed, with their index, so that a follower
 //! reaches the same state as it would from the directory itself.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use grebepin_catalog::{Command, Entry};
+use grebepin_catalog::{Entry, RecentEntries};
 use grebepin_directory::confirmed_state::Confirmation;
 use grebepin_directory::link::{FromReplica, SourceStatus, ToReplica};
 use grebepin_reactor::{take_frame, Connection, FrameError, ReadOutcome};
@@ -32,58 +32,8 @@
 /// Entries that are kept for followers: a gateway that is cut off for some seconds lacks a few hundred.
 const MAX_RECENT_ENTRIES: usize = 512;
 
-/// Configuration items in the entries that are kept; one call may change more than a thousand.
-const MAX_RECENT_ITEMS: usize = 2_048;
-
-/// The last entries of the log that were applied, without a gap up to the state in force.
-#[derive(Debug, Default)]
-struct RecentEntries {
-    entries: VecDeque<(u64, Entry)>,
-    items: usize,
-}
-
-impl RecentEntries {
-    /// Adds entries that were received. Those that the state has not reached, or that are kept already, are left out.
-    fn add(&mut self, entries: &[(u64, Entry)], applied: u64) {
-        for (index, entry) in entries.iter().filter(|(index, _)| *index <= applied) {
-            let last = self.entries.back().map(|(last, _)| *last);
-            if last.is_some_and(|last| *index <= last) {
-                continue;
-            }
-            if last.is_some_and(|last| *index > last + 1) {
-                *self = Self::default();
-            }
-            self.items += item_count(entry);
-            self.entries.push_back((*index, entry.clone()));
-            while self.entries.len() > MAX_RECENT_ENTRIES || self.items > MAX_RECENT_ITEMS {
-                let Some((_, oldest)) = self.entries.pop_front() else {
-                    return;
-                };
-                self.items -= item_count(&oldest);
-            }
-        }
-    }
-
-    /// The entries after `index` up to `applied`; `None` if not all of them are kept.
-    fn after(&self, index: u64, applied: u64) -> Option<Vec<(u64, Entry)>> {
-        let first = self.entries.front()?.0;
-        let last = self.entries.back()?.0;
-        if first > index + 1 || last != applied {
-            return None;
-        }
-        let missed = self.entries.iter().filter(|(at, _)| *at > index);
-        Some(missed.cloned().collect())
-    }
-}
-
-/// Number of configuration items that an entry sets or removes.
-fn item_count(entry: &Entry) -> usize {
-    let counts = entry.commands.iter().map(|command| match command {
-        Command::ChangeItems(change) => change.upserts.len() + change.removals.len(),
-        _ => 0,
-    });
-    counts.sum()
-}
+/// Size in memory of the entries that are kept, in bytes: some two thousand changed items.
+const MAX_RECENT_BYTES: usize = 1 << 20;
 
 /// A gateway that follows this one.
 #[derive(Debug)]
@@ -124,7 +74,7 @@
         Ok(Self {
             listener,
             followers: HashMap::new(),
-            recent: RecentEntries::default(),
+            recent: RecentEntries::new(MAX_RECENT_ENTRIES, MAX_RECENT_BYTES),
         })
     }
 
@@ -173,7 +123,12 @@
 
     /// Sends entries that were just applied to all followers, and keeps them for later ones.
     pub fn feed(&mut self, entries: &[(u64, Entry)], table: &Table) {
-        self.recent.add(entries, table.applied());
+        let applied = entries
+            .iter()
+            .filter(|(index, _)| *index <= table.applied());
+        for (index, entry) in applied {
+            self.recent.push(*index, entry.clone());
+        }
         self.followers
             .retain(|_, follower| follower.feed(entries, table));
     }
@@ -253,7 +208,9 @@
         let sent_index = self.sent_index.unwrap_or_default();
         let missed = match sent_index {
             0 => None,
-            index => recent.after(index, table.applied()),
+            // Without entries up to the state in force there is a gap, after a complete state was received.
+            _ if recent.last_index() != Some(table.applied()) => None,
+            index => recent.after(index),
         };
         match missed {
             Some(missed) if !missed.is_empty() => {
--- a/crates/telemetry/src/metrics/directory.rs
+++ b/crates/telemetry/src/metrics/directory.rs
@@ -27,6 +27,8 @@
     pub unapplied_entries: IntGauge,
     /// Memory that the log takes in bytes.
     pub log_bytes: IntGauge,
+    /// Memory that the applied entries kept for gateways take in bytes.
+    pub recent_entry_bytes: IntGauge,
     /// Gateways that follow this replica.
     pub followers: IntGauge,
     /// 1 while the applied state is fresh enough to be sent to gateways, else 0.
@@ -88,6 +90,10 @@
                 "directory_log_bytes",
                 "Memory that the log takes, without the snapshot",
             )?,
+            recent_entry_bytes: metrics.gauge(
+                "directory_recent_entry_bytes",
+                "Memory that the applied entries kept for gateways take",
+            )?,
             followers: metrics.gauge("directory_followers", "Gateways that follow")?,
             is_fed: metrics.gauge(
                 "directory_is_fed",
