Uncommitted entries and entries in flight are bounded by their size

Cause: a leader accepted 8,192 uncommitted entries of up to 8 MiB each while a majority was away, and sent 16 batches to each follower without a response, each of which may be one large entry.

Change: uncommitted entries take at most 16 MiB; a command beyond that is refused as unavailable. Commands of 16 KiB and less have 2 MiB more, so that large changes that cannot be committed do not keep out heartbeats. No further batch is sent to a follower while 4 MiB are unacknowledged.

--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -12,8 +12,9 @@
 use crate::core::{Consensus, State};
 use crate::error::{MembershipError, ProposeError};
 use crate::limits::{
-    MAX_COMMAND_BYTES, MAX_PENDING_READS, MAX_UNCOMMITTED_ENTRIES, RETAINED_BYTES,
-    RETAINED_DURING_TRANSFER, RETAINED_DURING_TRANSFER_BYTES, RETAINED_ENTRIES,
+    MAX_COMMAND_BYTES, MAX_PENDING_READS, MAX_UNCOMMITTED_BYTES, MAX_UNCOMMITTED_ENTRIES,
+    RETAINED_BYTES, RETAINED_DURING_TRANSFER, RETAINED_DURING_TRANSFER_BYTES, RETAINED_ENTRIES,
+    SMALL_COMMANDS_RESERVE_BYTES, SMALL_COMMAND_BYTES,
 };
 use crate::membership::{check_change, is_member};
 use crate::progress::{PendingRemoval, Progress, SendState};
@@ -229,6 +230,7 @@
                 limit: MAX_COMMAND_BYTES,
             });
         }
+        self.check_uncommitted_bytes(command.len())?;
         let payload = EntryPayload::Command(Bytes(command));
         Ok((self.term, self.log.append(self.term, payload)))
     }
@@ -242,6 +244,19 @@
         Ok(())
     }
 
+    /// Checks that a command of `bytes` may wait in memory together with the uncommitted entries.
+    fn check_uncommitted_bytes(&self, bytes: usize) -> Result<(), ProposeError> {
+        let limit = match bytes <= SMALL_COMMAND_BYTES {
+            true => MAX_UNCOMMITTED_BYTES + SMALL_COMMANDS_RESERVE_BYTES,
+            false => MAX_UNCOMMITTED_BYTES,
+        };
+        if self.log.uncommitted_bytes().saturating_add(bytes) > limit {
+            let waiting = (self.log.last_index().0 - self.log.commit().0) as usize;
+            return Err(ProposeError::Overloaded { waiting });
+        }
+        Ok(())
+    }
+
     fn leadership(&self) -> Result<&Leadership, ProposeError> {
         match &self.state {
             State::Leader(leadership) => Ok(leadership),
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -29,6 +29,6 @@
 pub use crate::config::{Config, Guard, Guards};
 pub use crate::core::Consensus;
 pub use crate::error::{MembershipError, ProposeError};
-pub use crate::limits::MAX_COMMAND_BYTES;
+pub use crate::limits::{MAX_COMMAND_BYTES, MAX_UNCOMMITTED_BYTES};
 pub use crate::log::entry_size;
 pub use crate::ready::{ReadId, Ready, Restored, Role};
--- a/crates/consensus/src/limits.rs
+++ b/crates/consensus/src/limits.rs
@@ -15,6 +15,10 @@
 /// Maximum number of append requests with entries that may be unacknowledged by one follower.
 pub(crate) const MAX_IN_FLIGHT_BATCHES: usize = 16;
 
+/// Maximum size of the entries that may be unacknowledged by one follower, in bytes, unless there is only one batch.
+/// Batches with a single large entry exceed [`MAX_BATCH_BYTES`], and the leader holds a copy of each until it is sent.
+pub(crate) const MAX_IN_FLIGHT_BYTES: usize = MAX_IN_FLIGHT_BATCHES * MAX_BATCH_BYTES;
+
 /// Maximum number of committed entries that a learner may lack and still count as caught up, while it is sent
 /// batches: a busy leader commits some entries during one round trip. A quarter of [`RETAINED_ENTRIES`].
 pub(crate) const MAX_CAUGHT_UP_LAG: u64 = 64;
@@ -36,6 +40,16 @@
 /// Maximum number of uncommitted entries on a leader; further proposals are refused.
 pub(crate) const MAX_UNCOMMITTED_ENTRIES: usize = 8192;
 
+/// Maximum size of the uncommitted entries on a leader, in bytes; a proposal that would exceed it is refused.
+pub const MAX_UNCOMMITTED_BYTES: usize = 2 * MAX_COMMAND_BYTES;
+
+/// Further bytes for commands of at most [`SMALL_COMMAND_BYTES`], so that large commands which cannot be committed
+/// do not keep out the commands of heartbeats.
+pub(crate) const SMALL_COMMANDS_RESERVE_BYTES: usize = 2 << 20;
+
+/// Maximum size of a small command, in bytes.
+pub(crate) const SMALL_COMMAND_BYTES: usize = 16 << 10;
+
 /// Maximum size of the committed entries that are returned for the state machine at once, in bytes. A replica that
 /// starts with a long log would otherwise hold a copy of all of it.
 pub(crate) const MAX_COMMITTED_BATCH_BYTES: usize = 4 << 20;
@@ -48,7 +62,7 @@
 pub(crate) const RETAINED_ENTRIES: u64 = 256;
 
 /// Maximum size of those entries, in bytes: what may be in flight to a follower.
-pub(crate) const RETAINED_BYTES: usize = MAX_IN_FLIGHT_BATCHES * MAX_BATCH_BYTES;
+pub(crate) const RETAINED_BYTES: usize = MAX_IN_FLIGHT_BYTES;
 
 /// Number of entries before a snapshot that a leader retains while it transfers an earlier snapshot to a
 /// follower, so that the follower can continue with the log afterwards.
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -48,6 +48,8 @@
     durable: LogIndex,
     /// Size of all entries, in bytes.
     bytes: usize,
+    /// Size of the entries after `commit`, in bytes.
+    uncommitted_bytes: usize,
 }
 
 impl Log {
@@ -75,6 +77,7 @@
             handed_to_storage: base_index,
             durable: base_index,
             bytes: 0,
+            uncommitted_bytes: 0,
         };
         for entry in entries.into_iter().filter(|entry| entry.index > base_index) {
             assert_eq!(
@@ -125,6 +128,11 @@
         self.bytes
     }
 
+    /// Returns the size of the entries that are not known to be committed, in bytes.
+    pub fn uncommitted_bytes(&self) -> usize {
+        self.uncommitted_bytes
+    }
+
     /// Returns the lowest index after which the entries up to `index` have a total size of at most `max_bytes`.
     pub fn index_before_bytes(&self, index: LogIndex, max_bytes: usize) -> LogIndex {
         let count = index.0.saturating_sub(self.base_index.0) as usize;
@@ -202,7 +210,9 @@
     }
 
     fn push_back(&mut self, entry: Entry) {
-        self.bytes += entry_size(&entry);
+        let bytes = entry_size(&entry);
+        self.bytes += bytes;
+        self.uncommitted_bytes += bytes;
         self.entries.push_back(entry);
     }
 
@@ -218,7 +228,9 @@
         let first = index.0.max(self.commit.0 + 1);
         let kept = first.saturating_sub(self.base_index.0 + 1) as usize;
         let removed = self.entries.drain(kept.min(self.entries.len())..);
-        self.bytes -= removed.map(|entry| entry_size(&entry)).sum::<usize>();
+        let removed_bytes = removed.map(|entry| entry_size(&entry)).sum::<usize>();
+        self.bytes -= removed_bytes;
+        self.uncommitted_bytes -= removed_bytes;
         self.handed_to_storage = self.handed_to_storage.min(self.last_index());
         self.durable = self.durable.min(self.last_index());
     }
@@ -229,6 +241,10 @@
         if index <= self.commit {
             return false;
         }
+        let newly_committed = (index.0 - self.commit.0) as usize;
+        let entries = self.entries_from(LogIndex(self.commit.0 + 1));
+        let bytes: usize = entries.take(newly_committed).map(entry_size).sum();
+        self.uncommitted_bytes -= bytes;
         self.commit = index;
         true
     }
@@ -260,6 +276,7 @@
         self.base_term = snapshot.meta.term;
         self.entries.clear();
         self.bytes = 0;
+        self.uncommitted_bytes = 0;
         self.commit = self.base_index;
         self.delivered = self.base_index;
         self.handed_to_storage = self.base_index;
--- a/crates/consensus/src/progress.rs
+++ b/crates/consensus/src/progress.rs
@@ -1,7 +1,7 @@
 //! Replication progress of one member, as tracked by the leader, and flow control of the messages to it.
 //!
 //! Invariant: `matched` never decreases, and `next` is above it. At most [`MAX_IN_FLIGHT_BATCHES`] batches
-//! are unacknowledged.
+//! are unacknowledged, and no further one is sent while they have [`MAX_IN_FLIGHT_BYTES`] or more.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 
 use grebepin_schema::LogIndex;
 
-use crate::limits::{BULK_ACK_TIMEOUT, MAX_IN_FLIGHT_BATCHES, MIN_BULK_BYTES};
+use crate::limits::{BULK_ACK_TIMEOUT, MAX_IN_FLIGHT_BATCHES, MAX_IN_FLIGHT_BYTES, MIN_BULK_BYTES};
 use crate::log::{Log, Snapshot};
 
 /// Mode in which a leader sends to a member.
@@ -20,12 +20,21 @@
         /// Whether a request of this round is unanswered.
         awaiting_response: bool,
     },
-    /// Pipelined batches. `in_flight` has the last index of each unacknowledged batch.
-    Replicate { in_flight: VecDeque<LogIndex> },
+    /// Pipelined batches, of which `in_flight` are unacknowledged.
+    Replicate { in_flight: VecDeque<SentBatch> },
     /// Chunks of a snapshot, one at a time.
     Snapshot(SnapshotTransfer),
 }
 
+/// Entries that were sent in one append request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SentBatch {
+    /// Index of the last entry.
+    pub last: LogIndex,
+    /// Size of the entries, in bytes.
+    pub bytes: usize,
+}
+
 /// Progress of an outgoing snapshot transfer.
 #[derive(Debug)]
 pub(crate) struct SnapshotTransfer {
@@ -103,7 +112,7 @@
         self.matched = self.matched.max(index);
         self.next = self.next.max(LogIndex(self.matched.0 + 1));
         match &mut self.send_state {
-            SendState::Replicate { in_flight } => in_flight.retain(|last| *last > index),
+            SendState::Replicate { in_flight } => in_flight.retain(|batch| batch.last > index),
             SendState::Probe { .. } => self.start_replicating(),
             SendState::Snapshot(transfer) => {
                 if self.matched >= base_index.min(transfer.snapshot.meta.index) {
@@ -177,18 +186,21 @@
     pub fn may_send_batch(&self) -> bool {
         match &self.send_state {
             SendState::Probe { awaiting_response } => !awaiting_response || self.round_due,
-            SendState::Replicate { in_flight } => in_flight.len() < MAX_IN_FLIGHT_BATCHES,
+            SendState::Replicate { in_flight } => {
+                let bytes: usize = in_flight.iter().map(|batch| batch.bytes).sum();
+                in_flight.len() < MAX_IN_FLIGHT_BATCHES && bytes < MAX_IN_FLIGHT_BYTES
+            }
             SendState::Snapshot(_) => false,
         }
     }
 
-    /// Records that entries up to `last` were sent. While probing, this does not advance `next`.
-    pub fn on_sent(&mut self, last: LogIndex) {
+    /// Records that a batch was sent. While probing, this does not advance `next`.
+    pub fn on_sent(&mut self, batch: SentBatch) {
         match &mut self.send_state {
             SendState::Probe { awaiting_response } => *awaiting_response = true,
-            SendState::Replicate { in_flight } if last >= self.next => {
-                in_flight.push_back(last);
-                self.next = LogIndex(last.0 + 1);
+            SendState::Replicate { in_flight } if batch.last >= self.next => {
+                in_flight.push_back(batch);
+                self.next = LogIndex(batch.last.0 + 1);
             }
             _ => {}
         }
--- a/crates/consensus/src/replication.rs
+++ b/crates/consensus/src/replication.rs
@@ -11,8 +11,8 @@
 
 use crate::core::{Consensus, State};
 use crate::limits::{BULK_RETRY_INTERVAL, MAX_BATCH_BYTES, MAX_BATCH_ENTRIES, MAX_BULK_TRANSFERS};
-use crate::log::Log;
-use crate::progress::{BulkTransfer, Progress, SendState, SnapshotTransfer};
+use crate::log::{entry_size, Log};
+use crate::progress::{BulkTransfer, Progress, SendState, SentBatch, SnapshotTransfer};
 use crate::snapshot::next_chunk;
 
 impl Consensus {
@@ -151,9 +151,10 @@
         let Some(request) = append_request(log, progress, entries, round) else {
             break;
         };
-        progress.on_sent(LogIndex(
-            request.previous_index.0 + request.entries.len() as u64,
-        ));
+        progress.on_sent(SentBatch {
+            last: LogIndex(request.previous_index.0 + request.entries.len() as u64),
+            bytes: request.entries.iter().map(entry_size).sum(),
+        });
         progress.commit_sent = request.commit;
         progress.round_due = false;
         bodies.push(PeerBody::AppendRequest(request));
--- a/crates/consensus/tests/large_entries.rs
+++ b/crates/consensus/tests/large_entries.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use grebepin_consensus::{Consensus, Guards, ProposeError, Ready, Restored};
+use grebepin_consensus::{Consensus, Guards, ProposeError, Ready, Restored, MAX_UNCOMMITTED_BYTES};
 use grebepin_schema::{
     AppendResponse, Bytes, Entry, EntryPayload, HardState, LogIndex, PeerBody, PeerMessage,
     ReplicaId, SnapshotMeta, Term, VoteResponse,
@@ -107,6 +107,16 @@
     }
 }
 
+fn bytes_to(ready: &Ready, follower: u64) -> usize {
+    let messages = ready.messages.iter();
+    let to_follower = messages.filter(|message| message.to == ReplicaId(follower));
+    let entries = to_follower.flat_map(|message| match &message.body {
+        PeerBody::AppendRequest(request) => request.entries.as_slice(),
+        _ => &[],
+    });
+    entries.map(bytes_of).sum()
+}
+
 fn bytes_of(entry: &Entry) -> usize {
     match &entry.payload {
         EntryPayload::Command(command) => command.0.len(),
@@ -114,6 +124,69 @@
     }
 }
 
+/// Guards against a leader whose memory fills with changes that it cannot commit, while a majority is away.
+#[test]
+fn uncommitted_entries_are_bounded_by_their_size() {
+    let mut leader = Leader::elected();
+    let mut accepted = 0;
+    while leader.propose(LARGE).is_ok() {
+        accepted += LARGE;
+    }
+    assert!(accepted > MAX_UNCOMMITTED_BYTES - 2 * LARGE, "{accepted}");
+    assert!(accepted <= MAX_UNCOMMITTED_BYTES, "{accepted}");
+    let refused = leader.propose(LARGE);
+    assert!(matches!(refused, Err(ProposeError::Overloaded { .. })));
+    // A heartbeat's command is small, and the lease of its server depends on it.
+    for _ in 0..1_000 {
+        leader.propose(1_000).expect("a small command is accepted");
+    }
+    while leader.propose(1_000).is_ok() {
+        accepted += 1_000;
+    }
+    assert!(accepted < MAX_UNCOMMITTED_BYTES + 4 * MIB, "{accepted}");
+    assert!(leader.replica.log_bytes() < MAX_UNCOMMITTED_BYTES + 4 * MIB);
+}
+
+#[test]
+fn large_entries_are_accepted_again_once_earlier_ones_are_committed() {
+    let mut leader = Leader::elected();
+    let mut last = LogIndex(0);
+    while let Ok(index) = leader.propose(LARGE) {
+        last = index;
+    }
+    process(&mut leader.replica, leader.now);
+    leader.acknowledge(2, last);
+    leader.propose(LARGE).expect("accepted");
+}
+
+/// Guards against sixteen copies of the largest entries on their way to each follower.
+#[test]
+fn entries_in_flight_are_bounded_by_their_size() {
+    let mut leader = Leader::elected();
+    let first = leader.propose(LARGE).expect("accepted");
+    for _ in 0..10 {
+        leader.propose(LARGE).expect("accepted");
+    }
+    let ready = process(&mut leader.replica, leader.now);
+    for follower in [2, 3] {
+        let sent = bytes_to(&ready, follower);
+        assert!((LARGE..=WINDOW).contains(&sent), "{sent} bytes in flight");
+    }
+    let ready = leader.acknowledge(2, LogIndex(first.0 + 1));
+    assert_eq!(bytes_to(&ready, 2), 2 * LARGE, "two acknowledged, two sent");
+    assert_eq!(bytes_to(&ready, 3), 0);
+}
+
+/// Guards against a follower that never gets an entry larger than what may be in flight.
+#[test]
+fn an_entry_larger_than_the_window_is_sent_alone() {
+    let mut leader = Leader::elected();
+    leader.propose(WINDOW + MIB).expect("accepted");
+    leader.propose(LARGE).expect("accepted");
+    let ready = process(&mut leader.replica, leader.now);
+    assert_eq!(bytes_to(&ready, 2), WINDOW + MIB);
+}
+
 /// Guards against a leader that keeps 256 entries of any size for a follower that is slightly behind.
 #[test]
 fn entries_retained_for_a_follower_are_bounded_by_their_size() {
