A change that is held already is acknowledged without a log entry

Cause: a leader logged every valid change in full, newer versions or not.

Change: a change without a newer version of any item is acknowledged at once. The leader's state holds committed entries only and versions never decrease, so it is in force whatever else is under way. The lease of the leader and the number of voters are checked as before.

--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -224,6 +224,10 @@
         if let Err(error) = self.catalog.items().check(&change) {
             return self.reply(id, Reply::Invalid(error.to_string()));
         }
+        // All of it is committed, as when an operator repeats a change whose reply was lost.
+        if !self.catalog.items().has_newer_versions(&change) {
+            return self.reply(id, Reply::Changed);
+        }
         self.propose_for(
             now,
             vec![Command::ChangeItems(change)],
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -310,6 +310,12 @@
         running.map(|(number, _)| number).collect()
     }
 
+    /// Highest log index that a replica has applied.
+    pub fn applied(&self, number: usize) -> u64 {
+        let node = self.replicas[number].node.as_ref();
+        node.expect("runs").applied()
+    }
+
     /// What a replica holds in memory for its log, and the size of its files.
     pub fn held(&self, number: usize) -> Held {
         let replica = &self.replicas[number];
--- a/crates/directory/tests/large_changes.rs
+++ b/crates/directory/tests/large_changes.rs
@@ -87,3 +87,23 @@
         }
     }
 }
+
+/// Guards against an operator who repeats a change whose replies are lost and fills the log with it.
+#[test]
+fn a_repeated_change_is_acknowledged_without_a_further_entry() {
+    let mut cluster = after_large_changes(3);
+    let leader = cluster.leader().expect("a leader");
+    let applied = cluster.applied(leader);
+    for replica in [0, 1, 2, leader] {
+        for version in [3, 2] {
+            cluster.acknowledged.clear();
+            cluster.change_of_bytes(replica, version, CHANGE_BYTES);
+            cluster.run(Duration::from_millis(200));
+            assert_eq!(cluster.acknowledged, [version], "replica {replica}");
+        }
+    }
+    assert_eq!(cluster.applied(leader), applied, "no entry was added");
+    cluster.read();
+    cluster.run(Duration::from_millis(200));
+    assert_eq!(cluster.reads.last(), Some(&3));
+}
