A heartbeat takes no address from a server that is heard

One heartbeat of another writer for each server's address, and all requests were refused with 503 from then on, after a restart of everything as well, while the servers ran and had their heartbeats acknowledged.

Cause: a heartbeat of an unknown server took the address that it names on its word, and the server registered there was ended for good.

Change: a server keeps its address while its heartbeats keep coming. Another one takes it over once the holder has been silent for one and a half heartbeat intervals; a new leader counts from its own start. A server of a service that is not configured takes none from one that is, and gives its own up to it. A later incarnation of the same name replaces the earlier one at once, as before.

Why it works: neither another writer nor a late heartbeat of an earlier server keeps the real server from sending.

--- a/crates/directory/src/daemon/event_log.rs
+++ b/crates/directory/src/daemon/event_log.rs
@@ -53,6 +53,15 @@
             index = index,
             outcome = outcome.name()
         ),
+        Notice::AddressClaimed(decision) => event!(
+            Event::AddressClaimed,
+            address = decision.address,
+            claimant = decision.claimant,
+            holder = decision.holder,
+            holder_silent_ms = decision.holder_silence.as_millis(),
+            taken_over = decision.is_taken_over,
+            refused = decision.refused
+        ),
         Notice::SnapshotSaved { index, bytes } => {
             event!(Event::SnapshotSaved, index = index, bytes = bytes);
         }
--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -143,10 +143,12 @@
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        match leadership
-            .coordinator
-            .on_heartbeat(now, &self.catalog, &heartbeat)
-        {
+        let coordinator = &mut leadership.coordinator;
+        let outcome = coordinator.on_heartbeat(now, &self.catalog, &heartbeat);
+        for decision in coordinator.take_address_decisions() {
+            self.push_notice(Notice::AddressClaimed(decision));
+        }
+        match outcome {
             HeartbeatOutcome::Stale => self.reply(
                 id,
                 Reply::Heartbeat {
--- a/crates/directory/src/node/messages.rs
+++ b/crates/directory/src/node/messages.rs
@@ -2,7 +2,7 @@
 
 use grebepin_catalog::Effects;
 use grebepin_consensus::ProposeError;
-use grebepin_grants::LoadSample;
+use grebepin_grants::{AddressDecision, LoadSample};
 use grebepin_schema::PeerFrame;
 
 use crate::call::{Call, CallBasis, Reply};
@@ -162,6 +162,8 @@
         /// What the call did.
         outcome: EvacuationOutcome,
     },
+    /// A server sent a heartbeat with the address of another one.
+    AddressClaimed(AddressDecision),
     /// A snapshot was saved, or installed from the leader.
     SnapshotSaved {
         /// Index of the last entry that it covers.
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -9,6 +9,7 @@
 
 use grebepin_catalog::{Catalog, Command, FreedShard, InstanceId};
 
+use crate::address_claims::AddressReports;
 use crate::addresses::AddressIndex;
 use crate::division::Division;
 use crate::heartbeat::{Grant, Heartbeat};
@@ -25,8 +26,8 @@
 /// Result of a heartbeat.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HeartbeatOutcome {
-    /// The heartbeat is older than one already received, by this or an earlier leader, or its server is gone. It
-    /// is to be acknowledged without a grant.
+    /// The heartbeat is older than one already received, by this or an earlier leader, its server is gone, or another
+    /// server has its address. It is to be acknowledged without a grant.
     Stale,
     /// The service is sharded and the heartbeat does not say what the server holds. It has no effect.
     Incomplete,
@@ -37,10 +38,11 @@
 /// Manages the leases while one replica leads.
 #[derive(Debug)]
 pub struct Coordinator {
-    timing: Timing,
-    leader_since: Duration,
-    servers: Servers,
-    addresses: AddressIndex,
+    pub(crate) timing: Timing,
+    pub(crate) leader_since: Duration,
+    pub(crate) servers: Servers,
+    pub(crate) addresses: AddressIndex,
+    pub(crate) address_reports: AddressReports,
     /// Time of the first heartbeat for each service.
     first_heartbeats: BTreeMap<String, Duration>,
     /// Time since which some shard of a service has had no owner.
@@ -66,6 +68,7 @@
             leader_since,
             servers: Servers::default(),
             addresses: AddressIndex::default(),
+            address_reports: AddressReports::default(),
             first_heartbeats: BTreeMap::new(),
             unowned_since: BTreeMap::new(),
             load: LoadTracker::default(),
@@ -98,13 +101,19 @@
                 return HeartbeatOutcome::Stale;
             }
         }
+        let Ok(replaced) = self.claim_address(now, catalog, heartbeat) else {
+            return HeartbeatOutcome::Stale;
+        };
         if !self.servers.record_heartbeat(now, heartbeat) {
             return HeartbeatOutcome::Stale;
         }
         if !self.first_heartbeats.contains_key(&heartbeat.service) {
             self.first_heartbeats.insert(heartbeat.service.clone(), now);
         }
-        let mut commands = registration_commands(catalog, &mut self.addresses, heartbeat);
+        let mut commands = registration_commands(catalog, heartbeat, replaced);
+        if !commands.is_empty() {
+            self.addresses.record(&heartbeat.address, &heartbeat.id);
+        }
         if catalog.is_sharded(&heartbeat.service) {
             self.release(now, catalog, heartbeat, &mut commands);
             if !must_release(catalog, heartbeat) {
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -10,6 +10,7 @@
 //! monotonic clock. Changes of the replicated state are returned as
 //! [`Command`](grebepin_catalog::Command)s, and a grant is computed only after these are applied.
 
+mod address_claims;
 mod addresses;
 mod coordinator;
 mod division;
@@ -26,6 +27,7 @@
 mod timing;
 mod transfer;
 
+pub use address_claims::AddressDecision;
 pub use coordinator::{Coordinator, HeartbeatOutcome};
 pub use heartbeat::{Grant, Heartbeat, HeldRange, ReleasedRange};
 pub use load::{LoadSample, LoadSum, ServerSample};
--- a/crates/grants/src/registration.rs
+++ b/crates/grants/src/registration.rs
@@ -1,15 +1,16 @@
 //! Registration of servers from their heartbeats, and whether a server has to give up its shards.
 
-use grebepin_catalog::{Catalog, Command, FreedShard, Instance, InstanceState, ShardOwnership};
+use grebepin_catalog::{
+    Catalog, Command, FreedShard, Instance, InstanceId, InstanceState, ShardOwnership,
+};
 
-use crate::addresses::AddressIndex;
 use crate::heartbeat::Heartbeat;
 
-/// Commands that register the server and mark earlier servers at its address as gone.
+/// Commands that register the server and end those that it replaces at its address.
 pub(crate) fn registration_commands(
     catalog: &Catalog,
-    addresses: &mut AddressIndex,
     heartbeat: &Heartbeat,
+    replaced: Vec<InstanceId>,
 ) -> Vec<Command> {
     let state = match heartbeat.draining {
         true => InstanceState::Draining,
@@ -31,14 +32,10 @@
     if known == Some(&instance) {
         return commands;
     }
-    if known.is_none() {
-        let replaced = addresses.live_at(catalog, &heartbeat.address).into_iter();
-        commands.extend(replaced.map(|id| Command::SetState {
-            id,
-            state: InstanceState::Gone,
-        }));
-    }
-    addresses.record(&heartbeat.address, &heartbeat.id);
+    commands.extend(replaced.into_iter().map(|id| Command::SetState {
+        id,
+        state: InstanceState::Gone,
+    }));
     commands.push(Command::Register(instance));
     commands
 }
--- a/crates/grants/src/timing.rs
+++ b/crates/grants/src/timing.rs
@@ -44,6 +44,12 @@
         RESPONSE_LIFETIME
     }
 
+    /// Silence after which another server that sends heartbeats with the same address replaces a server there. It exceeds
+    /// the heartbeat interval, so that a live server keeps its address.
+    pub(crate) fn takeover_silence(&self) -> Duration {
+        self.heartbeat_interval * 3 / 2
+    }
+
     /// Longest time since its last heartbeat for which a server may be assigned shards.
     pub(crate) fn max_silence(&self) -> Duration {
         self.heartbeat_interval * 5 / 2
--- a/crates/grants/tests/exclusive.rs
+++ b/crates/grants/tests/exclusive.rs
@@ -107,6 +107,26 @@
     }
 }
 
+#[test]
+fn heartbeats_of_other_writers_give_no_shard_two_holders() {
+    assert_exclusive(Settings::other_writers());
+}
+
+/// Guards against a heartbeat with the address of a live server that ends this server for good.
+#[test]
+fn heartbeats_of_other_writers_take_no_shards_from_live_servers() {
+    for seed in SEEDS.take(10) {
+        let mut fleet = Fleet::new(seed, Settings::stable_with_other_writers());
+        fleet.run(RUN_TIME);
+        assert_eq!(fleet.overlaps, Vec::new(), "seed {seed}");
+        assert!(
+            fleet.held_fraction() > 0.97,
+            "seed {seed}: {}",
+            fleet.held_fraction()
+        );
+    }
+}
+
 /// Checks the checker: without each safeguard of the model's leader, some shard gets two holders.
 #[test]
 fn each_disabled_safeguard_is_detected() {
--- a/crates/grants/tests/model/mod.rs
+++ b/crates/grants/tests/model/mod.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use server::ModelServer;
 
-use crate::support::{sharded_service, timing, SERVICE};
+use crate::support::{heartbeat, sharded_service, timing, SERVICE};
 
 const STEP: Duration = Duration::from_millis(20);
 const TICK: Duration = Duration::from_millis(100);
@@ -44,6 +44,8 @@
     cut_every: Duration,
     /// Mean time between two servers that gateways report as leaving; zero for none.
     leave_every: Duration,
+    /// Mean time between two heartbeats of other writers with the address of a server; zero for none.
+    claims_every: Duration,
     /// Whether gateways report load that is uneven among shards and servers.
     pub skewed_load: bool,
     /// Whether a new leader takes leases of earlier leaders into account.
@@ -65,6 +67,7 @@
             copies: 0.0,
             cut_every: Duration::ZERO,
             leave_every: Duration::ZERO,
+            claims_every: Duration::ZERO,
             skewed_load: false,
             bounds_earlier_leases: true,
             two_leaders: false,
@@ -131,6 +134,25 @@
         }
     }
 
+    /// Other writers send heartbeats with the servers' addresses.
+    pub fn stable_with_other_writers() -> Self {
+        Self {
+            claims_every: Duration::from_millis(100),
+            ..Self::stable()
+        }
+    }
+
+    /// Other writers send heartbeats with the servers' addresses, besides all other faults.
+    pub fn other_writers() -> Self {
+        Self {
+            claims_every: Duration::from_millis(100),
+            cut_every: Duration::from_secs(1),
+            copies: 0.2,
+            skewed_load: true,
+            ..Self::default()
+        }
+    }
+
     pub fn moving_load() -> Self {
         Self {
             skewed_load: true,
@@ -320,10 +342,28 @@
             self.servers[number].leave(self.now);
             self.start_server();
         }
+        if self.happens(self.settings.claims_every) {
+            self.claim_address();
+        }
         let now = self.now;
         self.servers.retain(|server| !server.has_left(now));
     }
 
+    /// Sends a heartbeat of another writer with the address of a server, for the same service or for one that is not
+    /// configured.
+    fn claim_address(&mut self) {
+        self.started += 1;
+        let number = self.random.random_range(0..self.servers.len());
+        let id = InstanceId::new(&format!("other-{}", self.started));
+        let mut heartbeat = heartbeat(&id, self.servers[number].number, 1);
+        heartbeat.sequence = self.random.random_range(1..1_000);
+        heartbeat.draining = self.random.random();
+        if self.random.random() {
+            heartbeat.service = "not-configured".to_owned();
+        }
+        self.network.push((self.now, Message::Heartbeat(heartbeat)));
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.network)
--- a/crates/grants/tests/model/server.rs
+++ b/crates/grants/tests/model/server.rs
@@ -25,7 +25,7 @@
 #[derive(Debug)]
 pub struct ModelServer {
     pub id: InstanceId,
-    number: u64,
+    pub number: u64,
     /// Number of its starts under this name.
     starts: u64,
     /// Rate of its clock, 1 at most.
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -79,6 +79,7 @@
     EvacuationDecided = 144, Info, "a call to begin or end an evacuation was decided";
     CallerEnded = 145, Info, "a message of a caller was ended, since there was no memory for it or others needed it";
     RestingCallersClosed = 146, Info, "connections of callers that rest were closed to make room for new ones";
+    AddressClaimed = 147, Info, "a server sent a heartbeat with the address of another server";
     // Routers and gateways.
     RouterStarted = 200, Info, "router started";
     TableInForce = 201, Info, "routing table of another bundle in force";
