A server whose address was taken over while it was silent may return

After a cut between servers and directory during which another writer names each server's address, nothing was served any more.

Change: a server whose address is taken over is suspended, and returns when its heartbeats keep coming and those of the other one do not.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -64,7 +64,7 @@
     evacuated_zones: BTreeSet<String>,
     #[serde(default)]
     quarantine: Quarantine,
-    /// Servers that are gone only because their heartbeats stopped.
+    /// Servers that are gone only because their heartbeats stopped or another server took over their address.
     #[serde(default)]
     suspended: BTreeSet<InstanceId>,
     /// Servers that left before they were registered, the oldest first.
@@ -113,15 +113,16 @@
         known.is_some_and(|known| known.state != InstanceState::Gone)
     }
 
-    /// Returns whether a server is known to have ended for good: it left, was replaced at its address, or
-    /// restarted. A server that is only suspended has not.
+    /// Returns whether a server is known to have ended for good: it left, or restarted. A server that is only
+    /// suspended has not, even if another server has its address now: the heartbeat of that one may come from another
+    /// writer.
     pub fn has_ended(&self, id: &InstanceId) -> bool {
         let known = self.instance(id);
         let is_gone = known.is_some_and(|known| known.state == InstanceState::Gone);
         (is_gone && !self.is_suspended(id)) || self.is_superseded(id)
     }
 
-    /// Returns whether a server is gone only because its heartbeats stopped.
+    /// Returns whether a server is gone only because its heartbeats stopped, or another server took over its address.
     pub fn is_suspended(&self, id: &InstanceId) -> bool {
         self.suspended.contains(id)
     }
@@ -341,7 +342,6 @@
             Some(_) => Vec::new(),
             None => self.end_earlier_incarnations(&instance.id),
         };
-        self.end_suspended_at(&next.address);
         changed.push(next.id.clone());
         self.instances.insert(next.id.clone(), next);
         changed
@@ -385,7 +385,7 @@
         leaves.position(|one| one == id || *one == of_name)
     }
 
-    /// Ends a server whose heartbeats stopped. A draining server never returns, since it ends anyway. Returns
+    /// Ends a server whose heartbeats stopped or whose address another server took over. A draining server never returns, since it ends anyway. Returns
     /// whether its state changed.
     fn suspend(&mut self, id: &InstanceId) -> bool {
         let known = self.instance(id);
@@ -396,15 +396,6 @@
         self.set_state(id, InstanceState::Gone)
     }
 
-    /// Ends the suspended servers at an address for good, since another server has it now.
-    fn end_suspended_at(&mut self, address: &str) {
-        let instances = &self.instances;
-        self.suspended.retain(|id| {
-            let known = instances.get(id);
-            known.is_some_and(|known| known.address != address)
-        });
-    }
-
     /// Advances a server to a later state. Returns whether its state changed.
     fn set_state(&mut self, id: &InstanceId, state: InstanceState) -> bool {
         let Some(instance) = self.instances.get_mut(id) else {
--- a/crates/catalog/src/command.rs
+++ b/crates/catalog/src/command.rs
@@ -36,8 +36,8 @@
         /// Server that leaves. Without a start time, the next incarnation of this name that registers.
         id: InstanceId,
     },
-    /// Ends a server whose heartbeats stopped. If it was ready, its next heartbeat makes it live again, unless
-    /// another server has registered at its address or under its name by then.
+    /// Ends a server whose heartbeats stopped, or whose address another server took over. If it was ready, its next
+    /// registration makes it live again, unless a later incarnation has registered by then.
     Suspend {
         /// Server that ends.
         id: InstanceId,
--- a/crates/catalog/src/instance.rs
+++ b/crates/catalog/src/instance.rs
@@ -121,7 +121,7 @@
     Ready,
     /// Completes the requests it has and accepts no new ones.
     Draining,
-    /// Ended. This identity never becomes active again, unless it ended only because its heartbeats stopped.
+    /// Ended. This identity never becomes active again, unless it is only suspended.
     Gone,
 }
 
--- a/crates/grants/src/address_claims.rs
+++ b/crates/grants/src/address_claims.rs
@@ -3,7 +3,8 @@
 //! A heartbeat does not prove that its sender runs at the address: it may come from another writer, or from an earlier
 //! server there, held up by a partition. What a live server has and these lack is that its heartbeats keep coming.
 //!
-//! Invariant: a server of a configured service whose heartbeats keep coming keeps its address. Who holds a shard never depends on
+//! Invariant: a server of a configured service whose heartbeats keep coming keeps its address, and a server that loses its
+//! address returns when its heartbeats keep coming and those of the other one do not. Who holds a shard never depends on
 //! the address, only on leases and fences.
 
 use std::time::Duration;
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -94,13 +94,6 @@
         if catalog.has_ended(&heartbeat.id) || precedes_last_grant(catalog, heartbeat) {
             return HeartbeatOutcome::Stale;
         }
-        if catalog.is_suspended(&heartbeat.id) {
-            // Another server at the address proves that this one has ended.
-            let others = self.addresses.live_at(catalog, &heartbeat.address);
-            if !others.is_empty() {
-                return HeartbeatOutcome::Stale;
-            }
-        }
         let Ok(replaced) = self.claim_address(now, catalog, heartbeat) else {
             return HeartbeatOutcome::Stale;
         };
--- a/crates/grants/src/registration.rs
+++ b/crates/grants/src/registration.rs
@@ -6,7 +6,8 @@
 
 use crate::heartbeat::Heartbeat;
 
-/// Commands that register the server and end those that it replaces at its address.
+/// Commands that register the server and suspend those that it replaces at its address. These may return: a heartbeat
+/// does not prove that they have ended.
 pub(crate) fn registration_commands(
     catalog: &Catalog,
     heartbeat: &Heartbeat,
@@ -32,10 +33,7 @@
     if known == Some(&instance) {
         return commands;
     }
-    commands.extend(replaced.into_iter().map(|id| Command::SetState {
-        id,
-        state: InstanceState::Gone,
-    }));
+    commands.extend(replaced.into_iter().map(|id| Command::Suspend { id }));
     commands.push(Command::Register(instance));
     commands
 }
--- a/crates/grants/tests/address_claims.rs
+++ b/crates/grants/tests/address_claims.rs
@@ -242,6 +242,45 @@
     assert_eq!(leader.owned_by(&successor), SHARDS);
 }
 
+/// Guards against a server that was cut off from the directory while another writer claimed its address, and that never
+/// returned: the same cause by way of its silence.
+#[test]
+fn a_silent_server_that_lost_its_address_returns() {
+    for silence in [ms(2_500), ms(6_000), ms(20_000)] {
+        for changes_leader in [false, true] {
+            for foreign in foreign_heartbeats() {
+                let server = id("server");
+                let mut leader = Leader::with_server(&server);
+                leader.pass(silence);
+                leader.receive(&foreign);
+                if changes_leader {
+                    leader.change_leader();
+                }
+                leader.run(&server, ms(20_000));
+                let when = format!("{silence:?}, {changes_leader}, {foreign:?}");
+                assert!(leader.is_live(&server), "{when}");
+                assert_eq!(leader.owned_by(&server), SHARDS, "{when}");
+                assert!(!leader.is_live(&foreign.id), "{when}");
+            }
+        }
+    }
+}
+
+/// Guards against a server that cannot register, since another writer has sent heartbeats with its address before.
+#[test]
+fn a_server_registers_although_another_writer_was_there_first() {
+    for foreign in foreign_heartbeats() {
+        let server = id("server");
+        let mut leader = Leader::new();
+        leader.receive(&foreign);
+        leader.pass(ms(100));
+        let is_unknown = foreign.service == UNKNOWN_SERVICE;
+        assert_eq!(leader.beat(&server), is_unknown, "{foreign:?}");
+        leader.run(&server, ms(20_000));
+        assert_eq!(leader.owned_by(&server), SHARDS, "{foreign:?}");
+    }
+}
+
 /// Servers may send heartbeats before their service is configured.
 #[test]
 fn a_service_may_be_configured_after_its_servers_began_to_send_heartbeats() {
