A heartbeat under a server's name does not move it to an unknown service

Cause: a heartbeat under the name of a live server, or with a later start of it, was registered for whatever service it names.

Change: it has no effect while the service that the server is registered for is configured and the one that it names is not.

Evidence: grants/tests/address_claims.rs: a_heartbeat_under_a_servers_name_for_an_unknown_service_has_no_effect failed before.

--- a/crates/grants/src/address_claims.rs
+++ b/crates/grants/src/address_claims.rs
@@ -140,6 +140,18 @@
     }
 }
 
+/// Returns whether a heartbeat names a service that is not configured although its server, or an earlier incarnation of
+/// it, is registered for one that is. It comes from another writer.
+pub(crate) fn names_unknown_service(catalog: &Catalog, heartbeat: &Heartbeat) -> bool {
+    let registered = catalog.latest_incarnation(&heartbeat.id);
+    let other_service = registered.filter(|instance| instance.service != heartbeat.service);
+    other_service.is_some_and(|instance| {
+        catalog.is_live(&instance.id)
+            && catalog.service(&instance.service).is_some()
+            && catalog.service(&heartbeat.service).is_none()
+    })
+}
+
 /// Returns whether the sender of a heartbeat is live and registered with its address.
 fn has_address(catalog: &Catalog, heartbeat: &Heartbeat) -> bool {
     let registered = catalog.instance(&heartbeat.id);
--- a/crates/grants/src/coordinator/mod.rs
+++ b/crates/grants/src/coordinator/mod.rs
@@ -9,7 +9,7 @@
 
 use grebepin_catalog::{Catalog, Command, FreedShard, InstanceId};
 
-use crate::address_claims::AddressReports;
+use crate::address_claims::{names_unknown_service, AddressReports};
 use crate::addresses::AddressIndex;
 use crate::division::Division;
 use crate::heartbeat::{Grant, Heartbeat};
@@ -94,6 +94,9 @@
         if catalog.has_ended(&heartbeat.id) || precedes_last_grant(catalog, heartbeat) {
             return HeartbeatOutcome::Stale;
         }
+        if names_unknown_service(catalog, heartbeat) {
+            return HeartbeatOutcome::Stale;
+        }
         let Ok(replaced) = self.claim_address(now, catalog, heartbeat) else {
             return HeartbeatOutcome::Stale;
         };
--- a/crates/grants/tests/address_claims.rs
+++ b/crates/grants/tests/address_claims.rs
@@ -303,6 +303,25 @@
     assert_eq!(leader.owned_by(&server), SHARDS);
 }
 
+/// Guards against a heartbeat under the server's own name that moves it to a service which nobody has configured.
+#[test]
+fn a_heartbeat_under_a_servers_name_for_an_unknown_service_has_no_effect() {
+    for started_ms in [5, 6] {
+        let server = InstanceId::started_at("server", 5);
+        let mut leader = Leader::with_server(&server);
+        leader.pass(interval());
+        let foreign = Heartbeat {
+            id: InstanceId::started_at("server", started_ms),
+            service: UNKNOWN_SERVICE.to_owned(),
+            ..support::heartbeat(&server, HOST, 9_000)
+        };
+        assert!(!leader.receive(&foreign));
+        assert!(leader.beat(&server));
+        leader.run(&server, ms(20_000));
+        assert_eq!(leader.owned_by(&server), SHARDS, "{started_ms}");
+    }
+}
+
 #[test]
 fn a_restarted_server_replaces_its_earlier_incarnation_at_once() {
     let incarnation = |started_ms| InstanceId::started_at("server", started_ms);
