Replies with all items are written only if there is memory for them

Cause: a read of the configuration was admitted without regard to its reply, and all reads that were confirmed together were answered at once, each with a copy of all items, before the process's account of memory saw any. Reads relayed by other replicas had no account at all.

Change: the items are copied once for all reads answered together. A reply with them is written if it fits into the memory for calls and replies, after reclaiming from callers that stand still, or to another replica while its link holds at most 8 MiB; else the read is answered as unavailable.

--- a/crates/directory/src/call.rs
+++ b/crates/directory/src/call.rs
@@ -75,6 +75,13 @@
     pub document: String,
 }
 
+impl ItemDocument {
+    /// Size of the texts, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.host.len() + self.document.len()
+    }
+}
+
 /// Outcome of a call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
@@ -138,6 +145,6 @@
     GivenUp,
     /// A group that is being founded does not have enough voters yet.
     FewVoters,
-    /// The calls that this replica is reading use all memory that they may.
+    /// The calls and replies of this replica use all memory that they may.
     NoMemory,
 }
--- a/crates/directory/src/daemon/caller_memory.rs
+++ b/crates/directory/src/daemon/caller_memory.rs
@@ -5,12 +5,17 @@
 use grebepin_telemetry::{event, Event};
 use mio::Token;
 
+use super::calls::Origin;
 use super::event_loop::{EventLoop, CONNECTION_LIMIT};
-use crate::call::{Reply, UnavailableReason};
+use crate::call::{ItemDocument, Reply, UnavailableReason};
 
 /// Connections that are closed at once to make room for new ones, so that not each new one causes a search of all.
 const CLOSED_AT_ONCE: usize = 16;
 
+/// Unsent bytes that a link to another replica may have with the items in a reply to a relayed read. Further reads are
+/// answered as unavailable, and may be repeated.
+const RELAYED_ITEMS_LIMIT: usize = 8 << 20;
+
 impl EventLoop<'_> {
     /// Handles a call of which more bytes are to come: it is refused if there is no memory for it.
     pub(super) fn continue_reading(&mut self, token: Token) {
@@ -30,18 +35,40 @@
     /// Whether the call of a caller that takes `bytes`, which are counted already, fits into the memory, after memory was
     /// reclaimed from other callers if necessary.
     pub(super) fn has_memory_for_call(&mut self, token: Token, bytes: usize) -> bool {
+        self.has_memory(token, bytes, 0)
+    }
+
+    /// Whether the items fit into the memory for a caller, or into what a link may hold for another replica. Other replies
+    /// are small. Many reads may be answered at the same moment, before any of the replies is sent.
+    pub(super) fn has_memory_for_reply(&mut self, origin: Origin, reply: &Reply) -> bool {
+        let Reply::Items(items) = reply else {
+            return true;
+        };
+        let bytes = items.iter().map(ItemDocument::bytes).sum();
+        match origin {
+            Origin::Http(token) => self.has_memory(token, bytes, bytes),
+            Origin::Replica(token, _) => {
+                let link = self.inbound_links.get(&token);
+                link.is_none_or(|link| link.connection.unsent() + bytes <= RELAYED_ITEMS_LIMIT)
+            }
+        }
+    }
+
+    /// Whether a message of `bytes`, of which `uncounted` are not held yet, fits into the memory, after memory was
+    /// reclaimed from other callers than that of `token` if necessary.
+    fn has_memory(&mut self, token: Token, bytes: usize, uncounted: usize) -> bool {
         let bounds = self.settings.call_memory();
-        if bounds.fits(self.call_memory.held(), bytes) {
+        if bounds.fits(self.call_memory.held() + uncounted, bytes) {
             return true;
         }
-        self.reclaim_memory(bytes, token);
-        bounds.fits(self.call_memory.held(), bytes)
+        self.reclaim_memory(bytes, uncounted, token);
+        bounds.fits(self.call_memory.held() + uncounted, bytes)
     }
 
     /// Ends messages of callers that stand still, those that have stood longest first, until a call that takes `bytes`
     /// fits. The caller `spared` is the one whose call is being handled: if it were refused here as well, it would get two
     /// answers.
-    fn reclaim_memory(&mut self, bytes: usize, spared: Token) {
+    fn reclaim_memory(&mut self, bytes: usize, uncounted: usize, spared: Token) {
         let now = self.now();
         let bounds = self.settings.call_memory();
         let callers = self.http_connections.iter();
@@ -49,7 +76,7 @@
         let callers = callers.map(|(token, http)| (*token, http.memory().reclaimable_since()));
         let stalled = self.stall_search.find(now, callers);
         for (since, token) in stalled {
-            if bounds.fits(self.call_memory.held(), bytes) {
+            if bounds.fits(self.call_memory.held() + uncounted, bytes) {
                 return;
             }
             self.end_stalled_message(token, now.saturating_sub(since));
--- a/crates/directory/src/daemon/event_loop.rs
+++ b/crates/directory/src/daemon/event_loop.rs
@@ -26,13 +26,13 @@
 use super::permit_relay::PermitRelay;
 use super::signals::Signals;
 use super::DirectoryError;
-use crate::call::Reply;
+use crate::call::{Reply, UnavailableReason};
 use crate::confirmed_state::ConfirmedState;
 use crate::crashes::{CrashReportBuffer, MAX_REPORT_WAIT};
 use crate::dialect::Dialect;
 use crate::fleet::{Fleet, LoadBuffer};
 use crate::link::{FromReplica, ToReplica};
-use crate::node::{Node, NodeError, NodeInput, NodeOutput};
+use crate::node::{CallId, Node, NodeError, NodeInput, NodeOutput};
 use crate::settings::DirectorySettings;
 
 const CONTROL_LISTENER: Token = Token(0);
@@ -405,6 +405,10 @@
                 self.send_peer(&address, &ToReplica::Peer(frame));
             }
             NodeOutput::Reply { id, reply } => self.reply(id, &reply),
+            NodeOutput::Items { calls, items } => {
+                let reply = Reply::Items(items);
+                calls.into_iter().for_each(|id| self.reply(id, &reply));
+            }
             NodeOutput::Relay {
                 id,
                 address,
@@ -426,17 +430,19 @@
         }
     }
 
-    pub(super) fn reply(&mut self, id: crate::node::CallId, reply: &Reply) {
-        if let Reply::Unavailable(reason) = reply {
-            event!(
-                Event::CallUnanswered,
-                call = id.0,
-                reason = format!("{reason:?}")
-            );
-        }
+    pub(super) fn reply(&mut self, id: CallId, reply: &Reply) {
+        log_if_unavailable(id, reply);
         let Some((origin, started_at)) = self.calls.end(id) else {
             return;
         };
+        let no_memory = Reply::Unavailable(UnavailableReason::NoMemory);
+        let reply = match self.has_memory_for_reply(origin, reply) {
+            true => reply,
+            false => {
+                log_if_unavailable(id, &no_memory);
+                &no_memory
+            }
+        };
         let took = self.now().saturating_sub(started_at);
         self.metrics.note_call(reply.name(), took);
         match origin {
@@ -464,3 +470,13 @@
         }
     }
 }
+
+fn log_if_unavailable(id: CallId, reply: &Reply) {
+    if let Reply::Unavailable(reason) = reply {
+        event!(
+            Event::CallUnanswered,
+            call = id.0,
+            reason = format!("{reason:?}")
+        );
+    }
+}
--- a/crates/directory/src/node/leading.rs
+++ b/crates/directory/src/node/leading.rs
@@ -273,10 +273,12 @@
     }
 
     pub(super) fn answer_reads(&mut self) {
-        for call in self.pending_calls.take_confirmed(self.applied) {
-            let items = self.catalog.items().in_force().map(document).collect();
-            self.reply(call, Reply::Items(items));
+        let calls = self.pending_calls.take_confirmed(self.applied);
+        if calls.is_empty() {
+            return;
         }
+        let items = self.catalog.items().in_force().map(document).collect();
+        self.outputs.push(NodeOutput::Items { calls, items });
     }
 
     fn propose_for(&mut self, now: Duration, commands: Vec<Command>, waiter: EntryWaiter) {
--- a/crates/directory/src/node/messages.rs
+++ b/crates/directory/src/node/messages.rs
@@ -5,7 +5,7 @@
 use grebepin_grants::{AddressDecision, LoadSample};
 use grebepin_schema::PeerFrame;
 
-use crate::call::{Call, CallBasis, Reply};
+use crate::call::{Call, CallBasis, ItemDocument, Reply};
 use crate::crashes::CrashReport;
 
 /// Identifies a call until it is answered.
@@ -49,6 +49,13 @@
         /// The outcome.
         reply: Reply,
     },
+    /// Answer reads with all items in force, which are held once for all of them.
+    Items {
+        /// Identifies the calls.
+        calls: Vec<CallId>,
+        /// The items.
+        items: Vec<ItemDocument>,
+    },
     /// Relay a call to the leader.
     Relay {
         /// Identifies the call.
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -434,6 +434,12 @@
                 ..
             } => self.send(from, &address, NodeInput::Call { id, call, basis }),
             NodeOutput::Reply { id, reply } => self.handle_reply(id, &reply),
+            NodeOutput::Items { calls, items } => {
+                let reply = Reply::Items(items);
+                calls
+                    .into_iter()
+                    .for_each(|id| self.handle_reply(id, &reply));
+            }
             _ => {}
         }
     }
