--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -385,8 +385,8 @@
         leaves.position(|one| one == id || *one == of_name)
     }
 
-    /// Ends a server whose heartbeats stopped or whose address another server took over. A draining server never returns, since it ends anyway. Returns
-    /// whether its state changed.
+    /// Ends a server whose heartbeats stopped or whose address another server took over. A draining server never returns,
+    /// since it ends anyway. Returns whether its state changed.
     fn suspend(&mut self, id: &InstanceId) -> bool {
         let known = self.instance(id);
         let was_ready = known.is_some_and(|known| known.state == InstanceState::Ready);
