--- a/crates/control/tests/support/bundles.rs
+++ b/crates/control/tests/support/bundles.rs
@@ -33,6 +33,23 @@
     signed(bundle)
 }
 
+/// A bundle of one service with this many servers.
+pub fn bundle_of_servers(version: u64, parent: Option<Digest>, count: u16) -> SignedBundle {
+    let names: Vec<String> = (0..count)
+        .map(|number| format!("ledger-{number}"))
+        .collect();
+    let address = |number: usize| SocketAddr::from(([127, 0, 0, 1], 10_000 + number as u16));
+    let servers: Vec<(&str, SocketAddr)> = names
+        .iter()
+        .enumerate()
+        .map(|(number, name)| (name.as_str(), address(number)))
+        .collect();
+    let mut bundle = unsigned(4, &servers);
+    bundle.version = version;
+    bundle.parent = parent;
+    signed(bundle)
+}
+
 /// A bundle of version 1 of one service with these servers.
 pub fn bundle_of(shards: u32, servers: &[(&str, SocketAddr)]) -> SignedBundle {
     signed(unsigned(shards, servers))
