Items larger than what may wait on a link are still sent to other replicas

A configuration of over 8 MiB could not have been read through a replica that does not lead, even while nothing waits on its link.

Change: items are written while less than 8 MiB wait, so that one reply may exceed it.

Evidence: by reading; platform/tests/large_changes.rs passes (32 MiB at most of 64 beside 900 readers).

--- a/crates/directory/src/daemon/caller_memory.rs
+++ b/crates/directory/src/daemon/caller_memory.rs
@@ -12,8 +12,8 @@
 /// Connections that are closed at once to make room for new ones, so that not each new one causes a search of all.
 const CLOSED_AT_ONCE: usize = 16;
 
-/// Unsent bytes that a link to another replica may have with the items in a reply to a relayed read. Further reads are
-/// answered as unavailable, and may be repeated.
+/// Unsent bytes of a link to another replica from which on no items are written to it. Relayed reads are then answered as
+/// unavailable, and may be repeated. Items larger than this are written while the link has less.
 const RELAYED_ITEMS_LIMIT: usize = 8 << 20;
 
 impl EventLoop<'_> {
@@ -44,12 +44,14 @@
         let Reply::Items(items) = reply else {
             return true;
         };
-        let bytes = items.iter().map(ItemDocument::bytes).sum();
         match origin {
-            Origin::Http(token) => self.has_memory(token, bytes, bytes),
+            Origin::Http(token) => {
+                let bytes = items.iter().map(ItemDocument::bytes).sum();
+                self.has_memory(token, bytes, bytes)
+            }
             Origin::Replica(token, _) => {
                 let link = self.inbound_links.get(&token);
-                link.is_none_or(|link| link.connection.unsent() + bytes <= RELAYED_ITEMS_LIMIT)
+                link.is_none_or(|link| link.connection.unsent() < RELAYED_ITEMS_LIMIT)
             }
         }
     }
