--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -114,8 +114,8 @@
     }
 
     /// Returns whether a server is known to have ended for good: it left, or restarted. A server that is only
-    /// suspended has not, even if another server has its address now: the heartbeat of that one may come from another
-    /// writer.
+    /// suspended has not, even if another server has registered with its address since: a heartbeat does not prove that
+    /// its sender runs there.
     pub fn has_ended(&self, id: &InstanceId) -> bool {
         let known = self.instance(id);
         let is_gone = known.is_some_and(|known| known.state == InstanceState::Gone);
--- a/crates/grants/src/address_claims.rs
+++ b/crates/grants/src/address_claims.rs
@@ -1,7 +1,7 @@
 //! Decides which server an address belongs to when several servers send heartbeats with it.
 //!
-//! A heartbeat does not prove that its sender runs at the address: it may come from another writer, or from an earlier
-//! server there, held up by a partition. What a live server has and these lack is that its heartbeats keep coming.
+//! A heartbeat does not prove that its sender runs at the address: it may come from a misconfigured process elsewhere, or
+//! from an earlier server there, delayed by a partition. Only the heartbeats of a live server keep coming.
 //!
 //! Invariant: a server of a configured service whose heartbeats keep coming keeps its address, and a server that loses its
 //! address returns when its heartbeats keep coming and those of the other one do not. Who holds a shard never depends on
@@ -14,7 +14,7 @@
 use crate::coordinator::Coordinator;
 use crate::heartbeat::Heartbeat;
 
-/// Minimum time between two reports of refused claims, so that a faulty writer does not fill the log.
+/// Minimum time between two reports of refused claims, so that a faulty process does not fill the log.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Decision on a heartbeat with the address of another server, for the log.
@@ -141,7 +141,7 @@
 }
 
 /// Returns whether a heartbeat names a service that is not configured although its server, or an earlier incarnation of
-/// it, is registered for one that is. It comes from another writer.
+/// it, is registered for one that is. Such a heartbeat does not come from the server.
 pub(crate) fn names_unknown_service(catalog: &Catalog, heartbeat: &Heartbeat) -> bool {
     let registered = catalog.latest_incarnation(&heartbeat.id);
     let other_service = registered.filter(|instance| instance.service != heartbeat.service);
