Tests: one way to ask how much a simulated disk holds, and a file for what replicas hold

Change: SimulatedDisk::used_bytes, used by both; cluster/held.rs. The bounds and assertions are as before; the count includes files that are removed and not yet forgotten, so it is never smaller. No code of the programs changes.

--- a/crates/control/tests/large_bundles.rs
+++ b/crates/control/tests/large_bundles.rs
@@ -3,7 +3,6 @@
 mod support;
 
 use grebepin_control::AdminAnswer;
-use grebepin_storage::Disk;
 use support::bundles::{bundle_of_servers, digest_of};
 use support::Cluster;
 
@@ -13,18 +12,13 @@
 
 /// What a replica may hold of its log, and its files together: a few times the 4 MiB at which it saves a snapshot.
 const MAX_LOG_BYTES: usize = 8 << 20;
-const MAX_DISK_BYTES: usize = 16 << 20;
+const MAX_DISK_BYTES: u64 = 16 << 20;
 
 fn check_held(cluster: &Cluster, when: &str) {
     for (number, machine) in cluster.machines.iter().enumerate() {
         let node = machine.node.as_ref().expect("it runs");
         let log = node.consensus().log_bytes();
-        let files = machine.disk.list().expect("files");
-        let sizes = files.iter().map(|name| {
-            let file = machine.disk.read(name, u64::MAX);
-            file.expect("a file").len()
-        });
-        let disk: usize = sizes.sum();
+        let disk = machine.disk.used_bytes();
         assert!(
             log <= MAX_LOG_BYTES && disk <= MAX_DISK_BYTES,
             "replica {number} {when}: {log} bytes of log, {disk} on disk"
--- a/crates/directory/tests/cluster/mod.rs
+++ b/crates/directory/tests/cluster/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod faults;
+mod held;
 mod statuses;
 
 use std::collections::BTreeMap;
@@ -18,7 +19,7 @@
 use grebepin_schema::{
     EntryPayload, Member, MemberRole, Membership, PeerBody, PeerFrame, ReplicaId,
 };
-use grebepin_storage::{Disk, SimulatedDisk};
+use grebepin_storage::SimulatedDisk;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -82,14 +83,6 @@
     pub unknown_zones: Vec<String>,
 }
 
-/// What a replica holds in memory for its log, and the size of its files, in bytes.
-#[derive(Clone, Copy, Debug)]
-pub struct Held {
-    pub log: usize,
-    pub recent_entries: usize,
-    pub disk: usize,
-}
-
 enum Pending {
     Change(u64),
     Read {
@@ -303,35 +296,6 @@
         node.is_some_and(|node| held_version(node) == version)
     }
 
-    /// Numbers of the replicas that run.
-    pub fn running(&self) -> Vec<usize> {
-        let replicas = self.replicas.iter().enumerate();
-        let running = replicas.filter(|(_, replica)| replica.node.is_some() && !replica.removed);
-        running.map(|(number, _)| number).collect()
-    }
-
-    /// Highest log index that a replica has applied.
-    pub fn applied(&self, number: usize) -> u64 {
-        let node = self.replicas[number].node.as_ref();
-        node.expect("runs").applied()
-    }
-
-    /// What a replica holds in memory for its log, and the size of its files.
-    pub fn held(&self, number: usize) -> Held {
-        let replica = &self.replicas[number];
-        let bytes = replica.node.as_ref().expect("runs").held_bytes();
-        let files = replica.disk.list().expect("files");
-        let sizes = files.iter().map(|name| {
-            let file = replica.disk.read(name, u64::MAX);
-            file.expect("a file").len()
-        });
-        Held {
-            log: bytes.log,
-            recent_entries: bytes.recent_entries,
-            disk: sizes.sum(),
-        }
-    }
-
     fn call(&mut self, to: usize, call: Call, pending: Pending) -> CallId {
         self.next_call += 1;
         let id = CallId(self.next_call);
--- a/crates/directory/tests/large_changes.rs
+++ b/crates/directory/tests/large_changes.rs
@@ -16,7 +16,7 @@
 /// What a replica may hold of its log, and its files together: a few times the 4 MiB at which it saves a snapshot.
 const MAX_LOG_BYTES: usize = 8 << 20;
 const MAX_RECENT_BYTES: usize = 8 << 20;
-const MAX_DISK_BYTES: usize = 16 << 20;
+const MAX_DISK_BYTES: u64 = 16 << 20;
 
 /// A group of three after many large changes, the last of which is acknowledged.
 fn after_large_changes(changes: u64) -> Cluster {
--- a/crates/storage/src/simulated_disk.rs
+++ b/crates/storage/src/simulated_disk.rs
@@ -145,6 +145,11 @@
         self.lock().syncs_before_failure = Some(successes);
     }
 
+    /// Total size of all files in bytes.
+    pub fn used_bytes(&self) -> u64 {
+        self.lock().files.total_bytes()
+    }
+
     /// Limits the total size of all files in bytes; `None` removes the limit.
     pub fn set_capacity(&self, bytes: Option<u64>) {
         self.lock().capacity = bytes;
